--- /dev/null
+++ b/ashpond/clients/channels.py
@@ -0,0 +1,313 @@
+"""HTTP/1.1 connections to backend servers, one exchange at a time on each.
+
+``h11`` on plain trio streams, and not ``httpx``, because three things have to be
+seen that a pooled client hides: bytes that follow a complete answer, an answer
+that belongs to an earlier request, and an answer that comes before the request's
+body has been taken. A connection is used again only after none of them.
+"""
+
+from __future__ import annotations
+
+__all__ = ["Channel", "ChannelError", "ChannelPool", "Outgoing", "Response"]
+
+import socket
+from collections.abc import Callable
+from typing import NamedTuple
+
+import h11
+import trio
+
+from ashpond.errors import AshpondError
+from ashpond.gateway.calls import Headers
+from ashpond.settings import parse_address
+
+READ_BYTES = 65_536
+# Bodies up to this fit into a socket's buffer and are sent without a task.
+INLINE_BODY_BYTES = 16_384
+# Unacknowledged data for so long means that the other side is gone (ms).
+UNACKNOWLEDGED_MS = 1500
+# A connection within a site is made in a few ms; a lost packet costs a second.
+CONNECT_SECONDS = 0.45
+# An idle connection is given up at this share of what the server allows.
+IDLE_SHARE = 0.7
+DEFAULT_IDLE_SECONDS = 4.0
+MAX_STALE_ANSWERS = 3
+
+
+class ChannelError(AshpondError):
+    """An exchange failed; ``is_sent`` tells whether any byte may have left."""
+
+    def __init__(self, reason: str, *, is_sent: bool):
+        super().__init__(reason)
+        self.is_sent = is_sent
+
+
+class Outgoing(NamedTuple):
+    """A request to send. ``answer_id`` is the header that has to echo its id."""
+
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+    request_id: str | None = None
+    id_header: bytes = b""
+
+
+class Response:
+    """An answer whose head has arrived; its body is read piece by piece."""
+
+    def __init__(self, channel: Channel, status: int, headers: Headers):
+        self.channel = channel
+        self.status = status
+        self.headers = headers
+
+    async def read(self) -> bytes:
+        """Return the next piece of the body, empty at its complete end.
+
+        :raises ChannelError: if the answer breaks off.
+        """
+        return await self.channel.read_body()
+
+    async def read_all(self, limit: int) -> bytes:
+        """Return the whole body.
+
+        :raises ChannelError: if it breaks off or is longer than ``limit``.
+        """
+        pieces = []
+        size = 0
+        while piece := await self.read():
+            size += len(piece)
+            if size > limit:
+                raise ChannelError("the answer is too large", is_sent=True)
+            pieces.append(piece)
+        return b"".join(pieces)
+
+
+class Channel:
+    """One connection."""
+
+    def __init__(self, stream: trio.SocketStream):
+        self._stream = stream
+        self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
+        self._is_sent = False
+        self._is_whole = False
+        self._idle_seconds = DEFAULT_IDLE_SECONDS
+        self._idle_since = 0.0
+
+    async def exchange(self, request: Outgoing) -> Response:
+        """Send a request and return its answer once the head is there.
+
+        :raises ChannelError: if the connection fails.
+        """
+        self._is_sent = False
+        self._is_whole = False
+        head = h11.Request(
+            method=request.method, target=request.target, headers=request.headers
+        )
+        data = self._conn.send(head) or b""
+        if request.body:
+            data += self._conn.send(h11.Data(data=request.body)) or b""
+        data += self._conn.send(h11.EndOfMessage()) or b""
+        if len(data) <= INLINE_BODY_BYTES:
+            await self._send(data)
+            self._is_whole = True
+            return await self._read_head(request)
+        return await self._exchange_long(data, request)
+
+    async def _exchange_long(self, data: bytes, request: Outgoing) -> Response:
+        # A server may answer before it has taken the body: read while sending.
+        answers: list[Response] = []
+        failures: list[ChannelError] = []
+
+        async def send_rest() -> None:
+            try:
+                await self._send(data)
+                self._is_whole = True
+            except ChannelError:
+                # The answer, if there is one, says more; reading will tell.
+                return
+
+        async def read_answer(scope: trio.CancelScope) -> None:
+            try:
+                answers.append(await self._read_head(request))
+            except ChannelError as error:
+                failures.append(error)
+            scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_rest)
+            nursery.start_soon(read_answer, nursery.cancel_scope)
+        if failures:
+            raise failures[0]
+        return answers[0]
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            self._is_sent = True
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
+            raise ChannelError(f"sending failed: {error!r}", is_sent=True) from error
+
+    async def _read_head(self, request: Outgoing) -> Response:
+        for _ in range(MAX_STALE_ANSWERS):
+            event = await self._next_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = await self._next_event()
+            if not isinstance(event, h11.Response):
+                raise ChannelError("no answer came", is_sent=True)
+            headers = [(bytes(name), bytes(value)) for name, value in event.headers]
+            if _belongs(headers, request):
+                self._note_idle_limit(headers)
+                return Response(self, event.status_code, headers)
+            await self._skip_answer(request)
+        raise ChannelError("only answers to other requests came", is_sent=True)
+
+    async def _skip_answer(self, request: Outgoing) -> None:
+        """Read past an answer to an earlier request of this connection."""
+        while await self.read_body():
+            pass
+        if not self._is_whole or self._conn.our_state is not h11.DONE:
+            raise ChannelError("an answer to another request came", is_sent=True)
+        try:
+            self._conn.start_next_cycle()
+            # The request is on its way already; h11 only has to expect an answer.
+            head = h11.Request(
+                method=request.method, target=request.target, headers=request.headers
+            )
+            self._conn.send(head)
+            if request.body:
+                self._conn.send(h11.Data(data=request.body))
+            self._conn.send(h11.EndOfMessage())
+        except h11.ProtocolError as error:
+            raise ChannelError("the connection is closing", is_sent=True) from error
+
+    async def read_body(self) -> bytes:
+        """Return the next piece of the body, empty at its complete end.
+
+        :raises ChannelError: if the answer breaks off.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        raise ChannelError("the answer broke off", is_sent=True)
+
+    async def _next_event(self) -> object:
+        try:
+            while True:
+                event = self._conn.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                data = await self._stream.receive_some(READ_BYTES)
+                self._conn.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise ChannelError(f"not a whole answer: {error}", is_sent=True) from error
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
+            raise ChannelError(f"reading failed: {error!r}", is_sent=True) from error
+
+    def _note_idle_limit(self, headers: Headers) -> None:
+        for name, value in headers:
+            if name == b"keep-alive":
+                seconds = _parse_idle_limit(value)
+                if seconds is not None:
+                    self._idle_seconds = seconds * IDLE_SHARE
+
+    def make_idle(self, now: float) -> bool:
+        """Prepare for another request; return whether that is possible."""
+        if not self._is_whole or self._conn.trailing_data[0]:
+            return False
+        if self._conn.our_state is not h11.DONE:
+            return False
+        if self._conn.their_state is not h11.DONE:
+            return False
+        self._conn.start_next_cycle()
+        self._idle_since = now
+        return True
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether an idle connection may carry another request."""
+        if now - self._idle_since > self._idle_seconds:
+            return False
+        # Anything to read now is an end, or bytes that belong to no request.
+        return not self._stream.socket.is_readable()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._stream.socket.close()
+
+
+def _belongs(headers: Headers, request: Outgoing) -> bool:
+    if request.request_id is None:
+        return True
+    for name, value in headers:
+        if name == request.id_header:
+            return value.decode("latin-1") == request.request_id
+    return True
+
+
+def _parse_idle_limit(value: bytes) -> float | None:
+    for item in value.split(b","):
+        name, _, seconds = item.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.strip().isdigit():
+            return float(seconds)
+    return None
+
+
+class ChannelPool:
+    """Idle connections by backend server, the last used first."""
+
+    def __init__(self, clock: Callable[[], float] = trio.current_time):
+        self._clock = clock
+        self._idle: dict[str, list[Channel]] = {}
+        self.opened = 0
+
+    async def acquire(self, owner: str, address: str) -> Channel:
+        """Return a connection to ``address``, idle or new.
+
+        :param owner: whom the connection belongs to; an address may be given to
+            another server, whose connections must not be mixed up with these.
+        :raises ChannelError: if none can be made; nothing was sent.
+        """
+        idle = self._idle.get(owner, [])
+        while idle:
+            channel = idle.pop()
+            if channel.is_usable(self._clock()):
+                return channel
+            channel.close()
+        return await self._connect(address)
+
+    async def _connect(self, address: str) -> Channel:
+        target = parse_address(address)
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            with trio.fail_after(CONNECT_SECONDS):
+                await sock.connect((target.host, target.port))
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+            )
+        except (OSError, trio.TooSlowError) as error:
+            sock.close()
+            raise ChannelError(f"no connection: {error!r}", is_sent=False) from error
+        except BaseException:
+            sock.close()
+            raise
+        self.opened += 1
+        return Channel(trio.SocketStream(sock))
+
+    def release(self, owner: str, channel: Channel) -> None:
+        """Take back a connection after a complete exchange."""
+        if channel.make_idle(self._clock()):
+            self._idle.setdefault(owner, []).append(channel)
+        else:
+            channel.close()
+
+    def count_idle(self, owner: str) -> int:
+        """Return how many idle connections there are to a server."""
+        return len(self._idle.get(owner, ()))
+
+    def forget(self, owner: str) -> None:
+        """Close the idle connections to a server that has gone."""
+        for channel in self._idle.pop(owner, []):
+            channel.close()
--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -16,6 +16,7 @@
     "ConfigAnswer",
     "ConfigRequest",
     "Facts",
+    "News",
     "PeerMessage",
     "PeerStream",
     "ask_peer",
@@ -92,6 +93,18 @@
     views: dict[str, Any]
 
 
+class News(NamedTuple):
+    """What an instance tells of the backend servers while it serves routed calls.
+
+    ``loads`` maps server ids to [requests, unread tokens, held tokens];
+    ``notices`` are lists of [server id, model, version, seconds without work].
+    """
+
+    sender: str
+    loads: dict[str, Any]
+    notices: list[Any]
+
+
 PeerMessage = (
     Facts
     | AskAttempt
@@ -100,6 +113,7 @@
     | ConfigAnswer
     | CacheRequest
     | CacheAnswer
+    | News
 )
 KINDS: dict[str, Any] = {
     "facts": Facts,
@@ -109,6 +123,7 @@
     "config": ConfigAnswer,
     "ask_cache": CacheRequest,
     "cache": CacheAnswer,
+    "news": News,
 }
 FIELD_TYPES: dict[Any, dict[str, Any]] = {
     kind: {
--- a/ashpond/decisions/leases.py
+++ b/ashpond/decisions/leases.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Lease", "LeaseRow", "LeaseWrite", "TERM_SECONDS"]
+__all__ = ["Lease", "LeaseRow", "LeaseTerms", "LeaseWrite", "TERM_SECONDS"]
 
 from typing import NamedTuple
 
@@ -22,6 +22,18 @@
 RENEW_SECONDS = 1.0
 
 
+class LeaseTerms(NamedTuple):
+    """Times of a lease, in seconds.
+
+    ``valid`` is counted by the holder from before a renewal was sent; a contender
+    takes over after it has seen no renewal for ``silence``.
+    """
+
+    valid: float = TERM_SECONDS - MARGIN_SECONDS
+    silence: float = TERM_SECONDS + DELIVERY_BOUND_SECONDS
+    renew: float = RENEW_SECONDS
+
+
 class LeaseRow(NamedTuple):
     """The stored lease; ``beat`` grows with each renewal."""
 
@@ -40,8 +52,9 @@
 class Lease:
     """One instance's side of one lease."""
 
-    def __init__(self, holder: str):
+    def __init__(self, holder: str, terms: LeaseTerms | None = None):
         self.holder = holder
+        self.terms = terms or LeaseTerms()
         self._row: LeaseRow | None = None
         self._version = 0
         self._seen_since = 0.0
@@ -52,15 +65,31 @@
         """Return whether an order may be sent at this moment."""
         return now < self._valid_until
 
+    @property
+    def has_row(self) -> bool:
+        """Whether anyone has ever held the lease, as far as is known."""
+        return self._row is not None
+
+    @property
+    def is_holder(self) -> bool:
+        """Whether the row, when last seen, named this instance."""
+        return self._row is not None and self._row.holder == self.holder
+
     @property
     def fence(self) -> int:
         """The fencing number that each order carries."""
         return self._row.fence if self._row else 0
 
-    def on_read(self, row: LeaseRow | None, version: int, now: float) -> None:
-        """Take note of the row as it stands."""
+    def on_read(
+        self, row: LeaseRow | None, version: int, now: float, age: float = 0.0
+    ) -> None:
+        """Take note of the row as it stands.
+
+        :param age: seconds since its last renewal, where the store can tell.
+        """
         if version != self._version or self._row is None:
             self._seen_since = now
+        self._seen_since = min(self._seen_since, now - age)
         if row is None or self._row is None or not _is_same_grant(row, self._row):
             self._valid_until = float("-inf")
         self._row = row
@@ -73,8 +102,7 @@
             return LeaseWrite(LeaseRow(self.holder, 1, 0), self._version)
         if row.holder == self.holder:
             return self._plan_renewal(row, now)
-        wait = TERM_SECONDS + DELIVERY_BOUND_SECONDS
-        if now - self._seen_since < wait:
+        if now - self._seen_since < self.terms.silence:
             return None
         return LeaseWrite(LeaseRow(self.holder, row.fence + 1, 0), self._version)
 
@@ -82,7 +110,7 @@
         if not self.holds(now):
             # Awake after a pause, or a late write of ours: take it afresh.
             return LeaseWrite(LeaseRow(self.holder, row.fence + 1, 0), self._version)
-        if now - self._renewed_at < RENEW_SECONDS:
+        if now - self._renewed_at < self.terms.renew:
             return None
         renewed = row._replace(beat=row.beat + 1)
         return LeaseWrite(renewed, self._version)
@@ -96,7 +124,7 @@
             self._version = outcome.value
             self._seen_since = sent_at
             self._renewed_at = sent_at
-            self._valid_until = sent_at + TERM_SECONDS - MARGIN_SECONDS
+            self._valid_until = sent_at + self.terms.valid
             return False
         if isinstance(outcome, Conflict):
             self._valid_until = float("-inf")
--- /dev/null
+++ b/ashpond/gateway/admission.py
@@ -0,0 +1,78 @@
+"""Decide whether a routed call may start: route, team, age of what is known."""
+
+from __future__ import annotations
+
+__all__ = ["Accepted", "admit_call"]
+
+from typing import NamedTuple
+
+from ashpond.gateway.calls import IncomingCall
+from ashpond.gateway.declared import Declaration, Route, Team, find_route
+from ashpond.gateway.knowledge import Knowledge
+from ashpond.outcomes import Refusal
+
+# A refusal for want of knowledge; another instance may know by then (seconds).
+UNINFORMED_RETRY_SECONDS = 0.3
+# Knowledge is not used up to the last moment of the bound (share of it).
+AGE_SHARE = 0.9
+# Beyond this share of it, what is not found may only not be known yet.
+DOUBT_SHARE = 0.5
+SHARED_WALL = "shared"
+
+
+class Accepted(NamedTuple):
+    """A call that may start; ``wall`` separates its cached prompt parts."""
+
+    route: Route
+    team: Team | None
+    deadline: float
+    urgency: int
+    wall: str
+
+
+def admit_call(
+    call: IncomingCall, knowledge: Knowledge, revocation_seconds: float, now: float
+) -> Accepted | Refusal:
+    """Return what a call may do, or its refusal.
+
+    A key counts only while no removal of it can have taken effect unseen.
+    """
+    declaration = knowledge.declaration
+    if declaration is None:
+        return _refuse_uninformed("no configuration is known yet")
+    age = knowledge.measure_age(now)
+    is_in_doubt = age > revocation_seconds * DOUBT_SHARE
+    route = find_route(declaration, call.host, call.path)
+    if route is None:
+        if is_in_doubt:
+            return _refuse_uninformed("no such route was known a while ago")
+        return Refusal(404, "no_route", "no route has this host and path")
+    team = None
+    if declaration.needs_keys and not route.is_open:
+        if age > revocation_seconds * AGE_SHARE:
+            return _refuse_uninformed("keys may have been removed meanwhile")
+        team = _find_team(declaration, call.envelope.key)
+        if team is None:
+            if is_in_doubt:
+                return _refuse_uninformed("no such key was known a while ago")
+            return Refusal(401, "unknown_key", "the API key is not known")
+    return _accept(call, route, team)
+
+
+def _refuse_uninformed(message: str) -> Refusal:
+    return Refusal(503, "uninformed", message, retry_after=UNINFORMED_RETRY_SECONDS)
+
+
+def _find_team(declaration: Declaration, key: str | None) -> Team | None:
+    return declaration.teams_by_key.get(key) if key else None
+
+
+def _accept(call: IncomingCall, route: Route, team: Team | None) -> Accepted:
+    patience = call.envelope.patience
+    allowed = route.timeout if patience is None else min(route.timeout, patience)
+    urgency = route.priority
+    if team is not None and team.priority is not None:
+        urgency = team.priority
+    is_isolated = team is not None and team.is_isolated
+    wall = f"team/{team.name}" if team and is_isolated else SHARED_WALL
+    return Accepted(route, team, call.received_at + allowed, urgency, wall)
--- /dev/null
+++ b/ashpond/gateway/application.py
@@ -0,0 +1,311 @@
+"""Put one instance for routed calls together and run it."""
+
+from __future__ import annotations
+
+__all__ = ["Gateway", "Platform"]
+
+import random
+import signal
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from ashpond.clients.channels import ChannelPool
+from ashpond.gateway.admission import admit_call
+from ashpond.gateway.budget import SendBudget
+from ashpond.gateway.calls import Codec, IncomingCall, Reply
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.declared import Declaration, IngressLimits, WeightTarget
+from ashpond.gateway.directory import BackendServer, ServerTable
+from ashpond.gateway.dispatch import Dispatcher, Tools, send_refusal
+from ashpond.gateway.feeds import Feed, follow_feed
+from ashpond.gateway.ingress import Ingress, IngressPorts
+from ashpond.gateway.knowledge import Knowledge
+from ashpond.gateway.metrics import GatewayMetrics
+from ashpond.gateway.news import MEMBERS_TABLE, Newsroom, ServerNotice
+from ashpond.gateway.orders import EnginePort
+from ashpond.gateway.places import Places
+from ashpond.gateway.rollouts import RolloutController
+from ashpond.gateway.settings import GatewaySettings
+from ashpond.gateway.store import Row, Snapshot, Store, StoreClock
+from ashpond.outcomes import Refusal
+
+MS = 1000.0
+# Waiting calls to the store; each one also shows that nothing newer exists.
+OPERATOR_WAIT_SECONDS = 2.0
+SERVERS_WAIT_SECONDS = 5.0
+MEMBERS_WAIT_SECONDS = 20.0
+# Changes of servers come in groups while weights are loaded (seconds).
+SERVERS_PAUSE_SECONDS = 0.3
+# Knowledge older than this share of the revocation bound: clients go elsewhere.
+READY_SHARE = 0.55
+# Entries that vanish so soon after the store failed may come back (seconds).
+RECENT_OUTAGE_SECONDS = 5.0
+# From SIGTERM until new connections stop arriving: two checks, a second apart.
+LEAVE_SECONDS = 2.6
+# Kept back from the grace period for the end of the process (seconds).
+GRACE_MARGIN_SECONDS = 0.4
+HOUSEKEEPING_SECONDS = 0.5
+
+
+class Platform(NamedTuple):
+    """Everything outside that an adapter provides."""
+
+    store: Store
+    engines: EnginePort
+    codec: Codec
+    id_header: bytes
+    operator_table: str
+    servers_table: str
+    decode_operator_row: Callable[[Row], Declaration | WeightTarget | None]
+    decode_server_row: Callable[[Row], BackendServer | None]
+
+
+class Gateway:
+    """One instance."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        platform: Platform,
+        pool: ChannelPool,
+        log: DecisionLog,
+    ):
+        self.settings = settings
+        self.platform = platform
+        self.pool = pool
+        self.log = log
+        self.rng = random.Random()
+        self.knowledge = Knowledge()
+        self.table = ServerTable()
+        self.clock = StoreClock()
+        self.metrics = GatewayMetrics()
+        self.budgets: dict[str, SendBudget] = {}
+        self.failed_at = float("-inf")
+        self.leaving = trio.Event()
+        self.places = Places(
+            self.table,
+            settings.failure_domain,
+            lambda: self.knowledge.declaration,
+            self.knowledge.find_wanted_version,
+            self.rng,
+        )
+        self.news = Newsroom(
+            settings.name,
+            settings.peers_address,
+            platform.store,
+            self.table,
+            log,
+            self._on_notice,
+        )
+        self.rollouts = RolloutController(
+            settings.name,
+            self.table,
+            self.knowledge,
+            platform.store,
+            self.clock,
+            platform.engines,
+            log,
+            lambda: list(self.news.members),
+            self.news.announce,
+            self.places.wake,
+            settings.bounds.lease_ms / MS,
+        )
+        self.dispatcher = Dispatcher(
+            Tools(
+                self.places,
+                pool,
+                platform.codec,
+                platform.id_header,
+                self.knowledge,
+                log,
+                self._get_budget,
+                self.news.count_instances,
+                self.rng,
+            )
+        )
+        self.ingress = Ingress(
+            IngressPorts(
+                settings.callers_address,
+                settings.readiness_address,
+                settings.metrics_address,
+            ),
+            platform.codec,
+            self._handle,
+            self._get_limits,
+            self._is_ready,
+            self.metrics.render,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then let what is in flight end."""
+        self.log.note("started", settings=self.settings._asdict())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.log.run)
+            nursery.start_soon(self._watch_signals)
+            for feed in self._list_feeds():
+                nursery.start_soon(follow_feed, feed, self.platform.store, self.log)
+            nursery.start_soon(self.news.run)
+            nursery.start_soon(self.rollouts.run)
+            nursery.start_soon(self._keep_house)
+            await self.ingress.run(
+                self._wait_to_close,
+                self.settings.bounds.grace_s - LEAVE_SECONDS - GRACE_MARGIN_SECONDS,
+            )
+            self.log.note("stopped", open_calls=self.ingress.open_calls)
+            nursery.cancel_scope.cancel()
+        self.log.flush()
+
+    def _list_feeds(self) -> list[Feed]:
+        platform = self.platform
+        return [
+            Feed(
+                platform.operator_table,
+                OPERATOR_WAIT_SECONDS,
+                0.0,
+                self._on_operator_rows,
+                self._on_store_failure,
+            ),
+            Feed(
+                platform.servers_table,
+                SERVERS_WAIT_SECONDS,
+                SERVERS_PAUSE_SECONDS,
+                self._on_server_rows,
+                self._on_store_failure,
+            ),
+            Feed(
+                MEMBERS_TABLE,
+                MEMBERS_WAIT_SECONDS,
+                SERVERS_PAUSE_SECONDS,
+                self.news.on_members,
+                lambda: None,
+            ),
+        ]
+
+    def _on_store_failure(self) -> None:
+        self.failed_at = trio.current_time()
+
+    def _on_operator_rows(self, snapshot: Snapshot, is_whole: bool) -> None:
+        now = trio.current_time()
+        for row in snapshot.rows:
+            found = self.platform.decode_operator_row(row)
+            if isinstance(found, Declaration) and self.knowledge.adopt(found):
+                self.ingress.apply_limits()
+                self.log.note(
+                    "configuration", version=found.version, row_version=row.version
+                )
+            elif isinstance(found, WeightTarget):
+                if self.knowledge.adopt_target(found, now):
+                    self.log.note(
+                        "weights_wanted", model=found.model, version=found.version
+                    )
+        self.knowledge.confirm(self.clock.date(snapshot))
+
+    def _on_server_rows(self, snapshot: Snapshot, is_whole: bool) -> None:
+        now = trio.current_time()
+        may_lapse = now - self.failed_at < RECENT_OUTAGE_SECONDS
+        decode = self.platform.decode_server_row
+        if is_whole:
+            servers = [server for row in snapshot.rows if (server := decode(row))]
+            self.table.replace_all(servers, now, may_lapse=may_lapse)
+            self.log.note("servers", count=len(servers), version=snapshot.version)
+        else:
+            for row in snapshot.rows:
+                self._on_server_row(row, now, may_lapse)
+        self.places.wake()
+
+    def _on_server_row(self, row: Row, now: float, may_lapse: bool) -> None:
+        server = self.platform.decode_server_row(row)
+        if server is None:
+            self.table.remove(row.key, now, may_lapse=may_lapse)
+            self.log.note("server_gone", server=row.key, may_lapse=may_lapse)
+            if row.key not in self.table.by_id:
+                self.pool.forget(row.key)
+            return
+        self.table.update(server, now)
+        self.log.note(
+            "server",
+            server=server.id,
+            service=server.service,
+            address=server.address,
+            is_draining=server.is_draining,
+            weights=server.weights,
+            row_version=row.version,
+        )
+
+    def _on_notice(self, notice: ServerNotice) -> None:
+        state = self.table.by_id.get(notice.server_id)
+        self.rollouts.note_progress()
+        if state is None:
+            return
+        now = trio.current_time()
+        state.learn_weights(notice.model, notice.version)
+        if notice.closed_seconds:
+            state.close_for(notice.closed_seconds, now)
+        else:
+            state.reopen()
+            self.places.wake()
+
+    def _get_budget(self, service: str) -> SendBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = SendBudget(
+                bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def _get_limits(self) -> IngressLimits:
+        declaration = self.knowledge.declaration
+        return declaration.limits if declaration else IngressLimits()
+
+    def _is_ready(self) -> bool:
+        if self.leaving.is_set() or self.knowledge.declaration is None:
+            return False
+        if not self.table.is_known:
+            return False
+        age = self.knowledge.measure_age(trio.current_time())
+        return age < self.settings.bounds.revocation_ms / MS * READY_SHARE
+
+    async def _handle(self, call: IncomingCall, reply: Reply) -> None:
+        now = trio.current_time()
+        revocation = self.settings.bounds.revocation_ms / MS
+        accepted = admit_call(call, self.knowledge, revocation, now)
+        if isinstance(accepted, Refusal):
+            self.log.note(
+                "refused",
+                id=call.envelope.request_id,
+                status=accepted.status,
+                reason=accepted.message,
+                knowledge_age=round(self.knowledge.measure_age(now), 3),
+            )
+            self.metrics.count_refusal(accepted.kind)
+            await send_refusal(reply, accepted)
+            return
+        await self.dispatcher.dispatch(call, accepted, reply)
+        self.metrics.observe(accepted.route.kind, trio.current_time() - now)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_SECONDS)
+            for server_id in self.table.expire(trio.current_time()):
+                self.pool.forget(server_id)
+                self.log.note("server_expired", server=server_id)
+
+    async def _watch_signals(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGTERM:
+                    self.log.note("stopping", open_calls=self.ingress.open_calls)
+                    self.ingress.is_leaving = True
+                    self.leaving.set()
+                else:
+                    self.log.note("reload")
+
+    async def _wait_to_close(self) -> None:
+        await self.leaving.wait()
+        with trio.move_on_after(1.0):
+            await self.news.leave()
+        await trio.sleep(LEAVE_SECONDS)
--- /dev/null
+++ b/ashpond/gateway/calls.py
@@ -0,0 +1,115 @@
+"""The values that a routed call passes between ingress, filters and channels."""
+
+from __future__ import annotations
+
+__all__ = [
+    "AnswerMarks",
+    "Codec",
+    "Envelope",
+    "Headers",
+    "IncomingCall",
+    "Instructions",
+    "Prompt",
+    "PromptPart",
+    "Reply",
+]
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class PromptPart(NamedTuple):
+    """A piece of a prompt that other prompts may begin with as well."""
+
+    id: str
+    tokens: int
+
+
+class Prompt(NamedTuple):
+    """What a client says of its prompt; the last part is its own."""
+
+    model: str
+    tokens: int
+    max_output_tokens: int
+    parts: tuple[PromptPart, ...]
+
+
+class Envelope(NamedTuple):
+    """What the headers of a request say to the router.
+
+    ``patience`` is in seconds: how long the client will wait. ``headers`` are
+    those that go on to the backend server, without the ones the router sets.
+    """
+
+    request_id: str
+    patience: float | None
+    key: str | None
+    prompt: Prompt | None
+    resume_after: str | None
+    headers: Headers
+
+
+class Instructions(NamedTuple):
+    """What the router tells a backend server besides the client's headers.
+
+    ``time_left`` is in seconds; ``salt`` separates cached prompt parts.
+    """
+
+    server_id: str
+    team: str | None
+    time_left: float
+    salt: str | None = None
+    weights_version: int | None = None
+    urgency: int | None = None
+    resume_after: str | None = None
+
+
+class AnswerMarks(NamedTuple):
+    """What the headers of a backend server's answer say to the router."""
+
+    request_id: str | None
+    is_not_run: bool
+    server_id: str | None
+    weights_version: int | None
+
+
+class Codec(NamedTuple):
+    """The headers of one outside protocol, read and written.
+
+    ``read_envelope`` returns None for a request that lacks what the protocol
+    demands.
+    """
+
+    read_envelope: Callable[[Headers], Envelope | None]
+    write_headers: Callable[[Envelope, Instructions], Headers]
+    read_marks: Callable[[Headers], AnswerMarks]
+
+
+class IncomingCall(NamedTuple):
+    """One request of a client, read whole; ``target`` is path and query as sent."""
+
+    method: str
+    host: str
+    path: str
+    target: bytes
+    envelope: Envelope
+    body: bytes
+    received_at: float
+
+
+class Reply(Protocol):
+    """The answer to one request, on its way to the client."""
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status line and headers."""
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece of the body."""
+
+    async def finish(self) -> None:
+        """End the body as complete."""
+
+    async def abort(self) -> None:
+        """End the connection so that the answer is seen to be incomplete."""
--- /dev/null
+++ b/ashpond/gateway/decisionlog.py
@@ -0,0 +1,73 @@
+"""One structured line to standard output for each decision and change of belief.
+
+Lines go through a bounded queue and a pipe that is never waited for. Lines that
+find the queue full are counted by kind and told of when there is room.
+"""
+
+from __future__ import annotations
+
+__all__ = ["DecisionLog"]
+
+import os
+import time
+from collections import Counter, deque
+from typing import Any
+
+import orjson
+import trio
+
+MAX_QUEUED = 2000
+# How often the queue is written out (seconds).
+FLUSH_SECONDS = 0.1
+MAX_WRITE_BYTES = 60_000
+
+
+class DecisionLog:
+    """Collects lines; :meth:`run` writes them."""
+
+    def __init__(self, instance: str, descriptor: int = 1):
+        self.instance = instance
+        self.dropped: Counter[str] = Counter()
+        self._descriptor = descriptor
+        self._lines: deque[dict[str, Any]] = deque()
+        self._rest = b""
+
+    def note(self, event: str, **fields: Any) -> None:
+        """Queue one line; drop and count it if the queue is full."""
+        if len(self._lines) >= MAX_QUEUED:
+            self.dropped[event] += 1
+            return
+        line = {"t": round(time.time(), 3), "instance": self.instance, "event": event}
+        self._lines.append(line | fields)
+
+    async def run(self) -> None:
+        """Write lines until cancelled."""
+        os.set_blocking(self._descriptor, False)
+        while True:
+            await trio.sleep(FLUSH_SECONDS)
+            self.flush()
+
+    def flush(self) -> None:
+        """Write as much as the pipe takes now."""
+        while self._rest or self._lines or self.dropped:
+            if not self._rest:
+                self._rest = self._encode_some()
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except OSError:
+                # A full or closed pipe: the lines stay, later ones are counted.
+                return
+            self._rest = self._rest[written:]
+
+    def _encode_some(self) -> bytes:
+        if self.dropped and len(self._lines) < MAX_QUEUED:
+            counts = dict(self.dropped)
+            self.dropped.clear()
+            self.note("log_lines_dropped", counts=counts)
+        pieces = []
+        size = 0
+        while self._lines and size < MAX_WRITE_BYTES:
+            piece = orjson.dumps(self._lines.popleft(), default=str) + b"\n"
+            size += len(piece)
+            pieces.append(piece)
+        return b"".join(pieces)
--- /dev/null
+++ b/ashpond/gateway/declared.py
@@ -0,0 +1,144 @@
+"""What operators declare for routed calls: routes, services, teams, limits."""
+
+from __future__ import annotations
+
+__all__ = [
+    "Declaration",
+    "EngineTraits",
+    "IngressLimits",
+    "Route",
+    "RouteKind",
+    "Service",
+    "ServiceShare",
+    "Team",
+    "WeightTarget",
+    "find_route",
+    "index_routes",
+    "pick_service",
+]
+
+import random
+from collections.abc import Iterable, Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class RouteKind(StrEnum):
+    """What may be done again with a request of a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+class ServiceShare(NamedTuple):
+    """One service of a route, and its part of the route's requests."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """How the requests under one path prefix of one host are handled.
+
+    Times are in seconds. ``objective`` is the time to the answer, for a stream
+    to its first event, that counts as in time. ``priority`` 0 is the highest.
+    ``is_open`` routes need no API key. Streams of ``is_resumable`` routes may be
+    continued by another backend server.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout: float
+    objective: float
+    max_attempts: int
+    priority: int
+    is_open: bool = False
+    is_resumable: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+class EngineTraits(NamedTuple):
+    """What the engines of a service have in common; sizes are in tokens."""
+
+    slots: int
+    cache_tokens: int
+    models: tuple[str, ...]
+
+
+class Service(NamedTuple):
+    """A group of equal backend servers; ``engine`` is None for a plain one."""
+
+    name: str
+    max_connections: int
+    engine: EngineTraits | None = None
+
+
+class Team(NamedTuple):
+    """A team; its ``priority``, if set, goes before that of the route."""
+
+    name: str
+    priority: int | None = None
+    is_isolated: bool = False
+
+
+class IngressLimits(NamedTuple):
+    """What a client may send, in bytes, and how long it may take, in seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 << 20
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+class Declaration(NamedTuple):
+    """One accepted configuration, as a whole."""
+
+    version: int
+    routes_by_host: Mapping[str, tuple[Route, ...]]
+    services: Mapping[str, Service]
+    teams_by_key: Mapping[str, Team]
+    needs_keys: bool
+    limits: IngressLimits
+
+
+class WeightTarget(NamedTuple):
+    """The version of a model's weights that engines are to serve."""
+
+    model: str
+    version: int
+
+
+def index_routes(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+    """Group routes by host, the longest prefix first."""
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host.lower(), []).append(route)
+    return {
+        host: tuple(sorted(group, key=lambda route: -len(route.prefix)))
+        for host, group in by_host.items()
+    }
+
+
+def find_route(declaration: Declaration, host: str, path: str) -> Route | None:
+    """Return the route of ``host`` with the longest prefix that begins ``path``."""
+    name = host.rpartition(":")[0] if ":" in host else host
+    for route in declaration.routes_by_host.get(name.lower(), ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def pick_service(route: Route, rng: random.Random) -> str:
+    """Choose one of the route's services by their weights."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return rng.choices(route.shares, weights)[0].service
--- /dev/null
+++ b/ashpond/gateway/directory.py
@@ -0,0 +1,204 @@
+"""The backend servers that are known, and what is believed of each."""
+
+from __future__ import annotations
+
+__all__ = ["BackendServer", "Load", "ServerState", "ServerTable"]
+
+from typing import NamedTuple
+
+# After a refusal because it is full, a server is given this long (seconds).
+FULL_PAUSE_SECONDS = 0.15
+# After a refusal while weights load; a load takes about 0.8 s.
+LOADING_PAUSE_SECONDS = 0.4
+# A server that could not be reached is tried again after this, then doubled.
+UNREACHED_PAUSE_SECONDS = 0.5
+UNREACHED_LIMIT_SECONDS = 4.0
+# One answer moves the failure share by this.
+FAILURE_SMOOTHING = 0.12
+# Loads told by a peer that has been silent for longer no longer count (seconds).
+PEER_LOAD_SECONDS = 1.5
+# Entries that vanish just after the store was away may come back (seconds).
+LAPSE_SECONDS = 2.2
+
+
+class BackendServer(NamedTuple):
+    """One life of a backend server; after a restart it has another id.
+
+    ``weights`` maps models to versions; ``cold_seconds`` is how much longer it
+    stays slow after its start.
+    """
+
+    id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    is_draining: bool
+    cold_seconds: float
+    weights: dict[str, int]
+
+
+class Load(NamedTuple):
+    """Work at a server: requests, prompt tokens to be read, memory in tokens."""
+
+    requests: int = 0
+    unread_tokens: int = 0
+    held_tokens: int = 0
+
+    def add(self, other: Load) -> Load:
+        """Return the sum."""
+        return Load(*(mine + its for mine, its in zip(self, other, strict=True)))
+
+    def subtract(self, other: Load) -> Load:
+        """Return the difference."""
+        return Load(*(mine - its for mine, its in zip(self, other, strict=True)))
+
+
+class ServerState:
+    """What this instance believes of one server."""
+
+    def __init__(self, info: BackendServer, now: float):
+        self.info = info
+        self.weights = dict(info.weights)
+        self.load = Load()
+        self.cold_until = now + info.cold_seconds
+        self.closed_until = 0.0
+        self.failure_share = 0.0
+        self.unreached = 0
+        self.misdirected = False
+        self.vanished_at: float | None = None
+
+    def is_open(self, now: float) -> bool:
+        """Return whether the server may get new work."""
+        if self.info.is_draining or self.misdirected or self.vanished_at is not None:
+            return False
+        return now >= self.closed_until
+
+    def close_for(self, seconds: float, now: float) -> None:
+        """Send nothing to the server for some time."""
+        self.closed_until = max(self.closed_until, now + seconds)
+
+    def reopen(self) -> None:
+        """Take the server back into use."""
+        self.closed_until = 0.0
+
+    def learn_weights(self, model: str, version: int) -> bool:
+        """Note a version seen at the server; return whether that is news."""
+        if version <= self.weights.get(model, 0):
+            return False
+        self.weights[model] = version
+        return True
+
+    def note_answer(self, *, failed: bool) -> None:
+        """Count an answer."""
+        self.unreached = 0
+        self.failure_share += FAILURE_SMOOTHING * (failed - self.failure_share)
+
+    def note_unreached(self, now: float) -> None:
+        """Count a failure to connect, or a silence."""
+        pause = UNREACHED_PAUSE_SECONDS * 2**self.unreached
+        self.unreached += 1
+        self.close_for(min(pause, UNREACHED_LIMIT_SECONDS), now)
+
+
+class ServerTable:
+    """All known backend servers."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, ServerState] = {}
+        self.is_known = False
+        self._peer_loads: dict[str, tuple[float, dict[str, Load]]] = {}
+
+    def replace_all(
+        self, servers: list[BackendServer], now: float, *, may_lapse: bool
+    ) -> None:
+        """Take over a whole list."""
+        self.is_known = True
+        for server in servers:
+            self.update(server, now)
+        for gone in self.by_id.keys() - {server.id for server in servers}:
+            self.remove(gone, now, may_lapse=may_lapse)
+
+    def update(self, server: BackendServer, now: float) -> None:
+        """Take over a new or changed entry."""
+        state = self.by_id.get(server.id)
+        if state is None:
+            self.by_id[server.id] = ServerState(server, now)
+            return
+        state.info = server
+        state.vanished_at = None
+        for model, version in server.weights.items():
+            state.learn_weights(model, version)
+
+    def remove(self, server_id: str, now: float, *, may_lapse: bool) -> None:
+        """Drop an entry.
+
+        :param may_lapse: the store was away: a living server's entry is back
+            within seconds, until when the server is used if there is no other.
+        """
+        state = self.by_id.get(server_id)
+        if state is None:
+            return
+        if may_lapse and not state.info.is_draining:
+            state.vanished_at = state.vanished_at or now
+        else:
+            del self.by_id[server_id]
+
+    def expire(self, now: float) -> list[str]:
+        """Drop the vanished entries that did not come back; return their ids."""
+        gone = [
+            state.info.id
+            for state in self.by_id.values()
+            if state.vanished_at is not None and now - state.vanished_at > LAPSE_SECONDS
+        ]
+        for server_id in gone:
+            del self.by_id[server_id]
+        return gone
+
+    def list_service(self, service: str) -> list[ServerState]:
+        """Return the servers of a service, in a fixed order."""
+        states = [s for s in self.by_id.values() if s.info.service == service]
+        return sorted(states, key=lambda state: state.info.id)
+
+    def list_usable(self, service: str, now: float) -> list[ServerState]:
+        """Return those that may get new work now.
+
+        Where all entries of a service vanished with the store, its servers are
+        used on, as they were before.
+        """
+        states = self.list_service(service)
+        usable = [state for state in states if state.is_open(now)]
+        if usable:
+            return usable
+        return [
+            state
+            for state in states
+            if state.vanished_at is not None
+            and not state.misdirected
+            and now >= state.closed_until
+        ]
+
+    def note_peer_loads(self, peer: str, loads: dict[str, Load], now: float) -> None:
+        """Take what a peer says of its work at each server."""
+        self._peer_loads[peer] = (now, loads)
+
+    def forget_peer(self, peer: str) -> None:
+        """Drop what a peer said."""
+        self._peer_loads.pop(peer, None)
+
+    def sum_load(self, server_id: str, now: float) -> Load:
+        """Return the work of all instances at a server, as far as is known."""
+        state = self.by_id.get(server_id)
+        total = state.load if state else Load()
+        for heard_at, loads in self._peer_loads.values():
+            if now - heard_at < PEER_LOAD_SECONDS and server_id in loads:
+                total = total.add(loads[server_id])
+        return total
+
+    def list_own_loads(self) -> dict[str, Load]:
+        """Return this instance's work by server, without idle ones."""
+        return {
+            server_id: state.load
+            for server_id, state in self.by_id.items()
+            if state.load.requests
+        }
--- /dev/null
+++ b/ashpond/gateway/eventstream.py
@@ -0,0 +1,43 @@
+"""Cut a stream of server-sent events into whole events and know the last one's id."""
+
+from __future__ import annotations
+
+__all__ = ["EventCutter"]
+
+SEPARATORS = (b"\n\n", b"\r\n\r\n")
+ID_FIELD = b"id:"
+
+
+class EventCutter:
+    """Takes pieces as they arrive, gives back whole events."""
+
+    def __init__(self, last_id: str | None = None):
+        self.last_id = last_id
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return all events that ``data`` completes, unchanged."""
+        self._buffer += data
+        end = max(
+            self._buffer.rfind(separator) + len(separator)
+            if separator in self._buffer
+            else 0
+            for separator in SEPARATORS
+        )
+        whole, self._buffer = self._buffer[:end], self._buffer[end:]
+        self._note_ids(whole)
+        return whole
+
+    def take_rest(self) -> bytes:
+        """Return what follows the last whole event, at the stream's proper end."""
+        rest, self._buffer = self._buffer, b""
+        return rest
+
+    def drop_rest(self) -> None:
+        """Forget an event that broke off; a continuation brings it whole."""
+        self._buffer = b""
+
+    def _note_ids(self, events: bytes) -> None:
+        for line in events.splitlines():
+            if line.startswith(ID_FIELD):
+                self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
--- /dev/null
+++ b/ashpond/gateway/ingress.py
@@ -0,0 +1,214 @@
+"""The HTTP side towards clients: an ASGI application on hypercorn.
+
+Without quart, since any method, raw path and body is passed on and no route of
+this program's own exists.
+"""
+
+from __future__ import annotations
+
+__all__ = ["Ingress", "IngressPorts"]
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from ashpond.gateway.calls import Codec, Headers, IncomingCall, Reply
+from ashpond.gateway.declared import IngressLimits
+from ashpond.gateway.dispatch import send_refusal
+from ashpond.outcomes import Refusal
+
+BACKLOG = 1024
+# Connections are ended by idle time and shutdown, not by a count.
+MAX_REQUESTS = 1_000_000_000
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+Handle = Callable[[IncomingCall, Reply], Awaitable[None]]
+
+
+class IngressPorts(NamedTuple):
+    """Addresses to listen on: for clients, readiness checks, metrics."""
+
+    callers: str
+    readiness: str
+    metrics: str
+
+
+class AsgiReply:
+    """A :class:`Reply` on an ASGI connection."""
+
+    def __init__(self, send: Send, *, is_last: Callable[[], bool]):
+        self._send = send
+        self._is_last = is_last
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head; tell a client of a leaving instance to connect anew."""
+        if self._is_last():
+            headers = [*headers, (b"connection", b"close")]
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def finish(self) -> None:
+        """End the body. The server ends the exchange in the midst of this call."""
+        with trio.CancelScope(shield=True):
+            await self._send({"type": "http.response.body", "body": b""})
+
+    async def abort(self) -> None:
+        """Do nothing: a head without an end makes the server close the connection."""
+
+
+class Ingress:
+    """Serves clients, readiness checks and metrics."""
+
+    def __init__(
+        self,
+        ports: IngressPorts,
+        codec: Codec,
+        handle: Handle,
+        get_limits: Callable[[], IngressLimits],
+        is_ready: Callable[[], bool],
+        render_metrics: Callable[[], bytes],
+    ):
+        self.is_leaving = False
+        self.open_calls = 0
+        self._ports = ports
+        self._codec = codec
+        self._handle = handle
+        self._get_limits = get_limits
+        self._is_ready = is_ready
+        self._render_metrics = render_metrics
+        self._config = Config()
+
+    async def run(
+        self,
+        shutdown: Callable[[], Awaitable[None]],
+        graceful_seconds: float,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until ``shutdown`` returns, then let answers in flight end."""
+        config = self._config
+        config.bind = list(dict.fromkeys(self._ports))
+        config.backlog = BACKLOG
+        config.graceful_timeout = graceful_seconds
+        config.keep_alive_max_requests = MAX_REQUESTS
+        config.errorlog = None
+        config.accesslog = None
+        config.include_server_header = False
+        config.h11_pass_raw_headers = True
+        self.apply_limits()
+        await serve(
+            self._serve,
+            config,
+            shutdown_trigger=shutdown,
+            mode="asgi",
+            task_status=task_status,
+        )
+
+    def apply_limits(self) -> None:
+        """Use the limits of the configuration in force for new connections."""
+        limits = self._get_limits()
+        self._config.h11_max_incomplete_size = limits.max_header_bytes
+        self._config.keep_alive_timeout = limits.idle_timeout
+
+    async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await self._serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        reply = AsgiReply(send, is_last=lambda: self.is_leaving)
+        host, port = scope["server"]
+        address = f"{host}:{port}"
+        if address == self._ports.readiness and address != self._ports.callers:
+            status = 200 if self._is_ready() else 503
+            await send_refusal(reply, Refusal(status, "ready", str(status)))
+        elif address == self._ports.metrics:
+            await reply.start(200, [(b"content-type", b"text/plain; version=0.0.4")])
+            await reply.send(self._render_metrics())
+            await reply.finish()
+        else:
+            await self._serve_call(scope, receive, reply)
+
+    async def _serve_lifespan(self, receive: Receive, send: Send) -> None:
+        while True:
+            event = (await receive())["type"]
+            await send({"type": f"{event}.complete"})
+            if event == "lifespan.shutdown":
+                return
+
+    async def _serve_call(self, scope: Any, receive: Receive, reply: AsgiReply) -> None:
+        received_at = trio.current_time()
+        self.open_calls += 1
+        try:
+            body = await self._read_body(receive, reply)
+            if body is None:
+                return
+            call = self._build_call(scope, body, received_at)
+            if call is None:
+                refusal = Refusal(400, "no_id", "the request has no id")
+                await send_refusal(reply, refusal)
+                return
+            await self._handle_while_connected(call, receive, reply)
+        finally:
+            self.open_calls -= 1
+
+    async def _read_body(self, receive: Receive, reply: AsgiReply) -> bytes | None:
+        limit = self._get_limits().max_body_bytes
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                return None
+            pieces.append(event.get("body", b""))
+            size += len(pieces[-1])
+            if size > limit:
+                refusal = Refusal(413, "too_large", "the body is too large")
+                await send_refusal(reply, refusal)
+                return None
+            if not event.get("more_body"):
+                return b"".join(pieces)
+
+    def _build_call(
+        self, scope: Any, body: bytes, received_at: float
+    ) -> IncomingCall | None:
+        headers: Headers = list(scope["headers"])
+        envelope = self._codec.read_envelope(headers)
+        if envelope is None:
+            return None
+        hosts = [value for name, value in headers if name.lower() == b"host"]
+        path: bytes = scope["raw_path"]
+        query: bytes = scope["query_string"]
+        return IncomingCall(
+            method=scope["method"],
+            host=hosts[0].decode("latin-1") if hosts else "",
+            path=path.decode("latin-1"),
+            target=path + b"?" + query if query else path,
+            envelope=envelope,
+            body=body,
+            received_at=received_at,
+        )
+
+    async def _handle_while_connected(
+        self, call: IncomingCall, receive: Receive, reply: AsgiReply
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def cancel_at_disconnect() -> None:
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(cancel_at_disconnect)
+            await self._handle(call, reply)
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/ashpond/gateway/metrics.py
@@ -0,0 +1,39 @@
+"""Counters and latency histograms of an instance that serves routed calls."""
+
+from __future__ import annotations
+
+__all__ = ["GatewayMetrics"]
+
+from aioprometheus import Counter, Histogram, Registry, render
+
+LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
+
+
+class GatewayMetrics:
+    """All metrics of one instance."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.refusals = Counter(
+            "ashpond_gateway_refusals",
+            "Refusals by kind",
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            "ashpond_gateway_seconds",
+            "Time to the end of the answer, by kind of route",
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+
+    def count_refusal(self, kind: str) -> None:
+        """Count one refusal."""
+        self.refusals.inc({"kind": kind})
+
+    def observe(self, kind: str, seconds: float) -> None:
+        """Take the time of one call."""
+        self.latency.observe({"kind": str(kind)}, seconds)
+
+    def render(self) -> bytes:
+        """Return the page in the Prometheus text format."""
+        return render(self.registry, [])[0]
--- /dev/null
+++ b/ashpond/gateway/places.py
@@ -0,0 +1,160 @@
+"""Give waiting requests a place at a backend server, the most urgent first."""
+
+from __future__ import annotations
+
+__all__ = ["Place", "Places"]
+
+import random
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+import trio
+
+from ashpond.gateway.declared import Declaration
+from ashpond.gateway.directory import Load, ServerState, ServerTable
+from ashpond.gateway.selection import (
+    Candidate,
+    Demand,
+    choose_server,
+    find_home_ranks,
+    make_load,
+)
+
+# Peers' loads and pauses change without a word; look again this often (seconds).
+RECHECK_SECONDS = 0.03
+
+
+class Place(NamedTuple):
+    """The server that a request was given, and the work it adds there."""
+
+    state: ServerState
+    load: Load
+    weights_version: int | None
+    candidates: int
+
+
+class _Waiter:
+    def __init__(self, demand: Demand, urgency: int, number: int):
+        self.demand = demand
+        self.order = (urgency, number)
+        self.place: Place | None = None
+        self.event = trio.Event()
+
+
+class Places:
+    """The places of all servers, as one instance sees them.
+
+    ``find_stale`` returns the version of a model that is asked for, if requests
+    on older weights count for less by now.
+    """
+
+    def __init__(
+        self,
+        table: ServerTable,
+        failure_domain: str,
+        get_declaration: Callable[[], Declaration | None],
+        find_wanted: Callable[[str, float], int],
+        rng: random.Random,
+    ):
+        self.table = table
+        self._failure_domain = failure_domain
+        self._get_declaration = get_declaration
+        self._find_wanted = find_wanted
+        self._rng = rng
+        self._waiters: list[_Waiter] = []
+        self._count = 0
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait for a place."""
+        return len(self._waiters)
+
+    async def take(self, demand: Demand, urgency: int, until: float) -> Place | None:
+        """Return a place, waiting for one until ``until`` at the latest."""
+        now = trio.current_time()
+        if not any(w.demand.service == demand.service for w in self._waiters):
+            place = self._find(demand, now)
+            if place is not None or now >= until:
+                return place
+        self._count += 1
+        waiter = _Waiter(demand, urgency, self._count)
+        self._waiters.append(waiter)
+        try:
+            while trio.current_time() < until and waiter.place is None:
+                pause = min(RECHECK_SECONDS, until - trio.current_time())
+                with trio.move_on_after(pause):
+                    await waiter.event.wait()
+                if waiter.place is None:
+                    self.wake()
+            return waiter.place
+        except trio.Cancelled:
+            if waiter.place is not None:
+                self.give_back(waiter.place)
+            raise
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def wake(self) -> None:
+        """Give out the places that are free to those that wait."""
+        now = trio.current_time()
+        for waiter in sorted(self._waiters, key=lambda waiter: waiter.order):
+            place = self._find(waiter.demand, now)
+            if place is None:
+                continue
+            waiter.place = place
+            self._waiters.remove(waiter)
+            waiter.event.set()
+
+    def give_back(self, place: Place) -> None:
+        """Free a place."""
+        place.state.load = place.state.load.subtract(place.load)
+        if self._waiters:
+            self.wake()
+
+    def note_read(self, place: Place) -> Place:
+        """Note that the server has read the prompt; return the place as it is now."""
+        read = Load(0, place.load.unread_tokens, 0)
+        place.state.load = place.state.load.subtract(read)
+        return place._replace(load=place.load.subtract(read))
+
+    def _find(self, demand: Demand, now: float) -> Place | None:
+        states = {
+            state.info.id: state
+            for state in self.table.list_usable(demand.service, now)
+            if state.info.id not in demand.excluded
+        }
+        candidates = self._build_candidates(states, demand, now)
+        chosen = choose_server(candidates, demand, self._rng)
+        if chosen is None:
+            return None
+        state = states[chosen.id]
+        load = make_load(demand.prompt, is_home=chosen.home_rank == 0)
+        state.load = state.load.add(load)
+        version = state.weights.get(demand.model) if demand.model else None
+        return Place(state, load, version, len(candidates))
+
+    def _build_candidates(
+        self, states: Mapping[str, ServerState], demand: Demand, now: float
+    ) -> list[Candidate]:
+        declaration = self._get_declaration()
+        service = declaration.services.get(demand.service) if declaration else None
+        engine = service.engine if service else None
+        ranks: dict[str, int] = {}
+        if demand.prompt is not None:
+            ranks = find_home_ranks(demand.prompt, demand.wall, list(states))
+        wanted = self._find_wanted(demand.model, now) if demand.model else 0
+        return [
+            Candidate(
+                id=server_id,
+                is_local=state.info.failure_domain == self._failure_domain,
+                load=self.table.sum_load(server_id, now),
+                slots=state.info.slots,
+                memory_tokens=engine.cache_tokens if engine else 0,
+                has_newest=state.weights.get(demand.model or "", 0) >= wanted,
+                home_rank=ranks.get(server_id, 0),
+                failure_share=state.failure_share,
+                is_cold=now < state.cold_until,
+            )
+            for server_id, state in states.items()
+        ]
--- /dev/null
+++ b/ashpond/gateway/rollouts.py
@@ -0,0 +1,303 @@
+"""Bring engines to the declared weights: one instance orders, under a lease."""
+
+from __future__ import annotations
+
+__all__ = ["RolloutController", "LEASE_TABLE"]
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import orjson
+import trio
+
+from ashpond.decisions.leases import Lease, LeaseRow, LeaseTerms
+from ashpond.decisions.placement import rank_by_rendezvous
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.directory import ServerState, ServerTable
+from ashpond.gateway.knowledge import Knowledge
+from ashpond.gateway.news import ServerNotice
+from ashpond.gateway.orders import (
+    EnginePort,
+    EngineReport,
+    OrderAccepted,
+    OrderRefused,
+    WeightsOrder,
+)
+from ashpond.gateway.store import Condition, Row, Store, StoreClock
+from ashpond.outcomes import Done, MaybeRun, NotRun
+
+LEASE_TABLE = "ashpond-leases"
+LEASE_KEY = "weights"
+RENDEZVOUS_KEY = 1
+# Loads take longer when more run at once (site sheets).
+MAX_LOADING = 2
+TICK_SECONDS = 0.1
+IDLE_SECONDS = 0.5
+# Peers stop sending to the server before the order arrives (seconds).
+NOTICE_SECONDS = 0.03
+# A load takes 0.8 s after the runs have ended; looks at its progress (seconds).
+FIRST_LOOK_SECONDS = 0.7
+LOOK_SECONDS = 0.15
+LOAD_LIMIT_SECONDS = 6.0
+# After an order that failed, the engine is left alone for this long (seconds).
+FAILED_PAUSE_SECONDS = 0.8
+# Without progress for so long, another instance looks at the lease (seconds).
+NO_PROGRESS_SECONDS = 1.2
+RANK_SECONDS = 0.6
+# While one contends, the row is read so often (seconds).
+CONTEND_SECONDS = 0.5
+
+
+class _Lag(NamedTuple):
+    state: ServerState
+    model: str
+    version: int
+
+
+def make_lease_terms(lease_seconds: float) -> LeaseTerms:
+    """Return terms that keep orders of two holders ``lease_seconds`` apart."""
+    valid = lease_seconds / 2
+    return LeaseTerms(valid, valid + lease_seconds * 1.1, valid * 0.6)
+
+
+class RolloutController:
+    """One instance's part in keeping engines on the declared weights."""
+
+    def __init__(
+        self,
+        name: str,
+        table: ServerTable,
+        knowledge: Knowledge,
+        store: Store,
+        clock: StoreClock,
+        engines: EnginePort,
+        log: DecisionLog,
+        get_members: Callable[[], list[str]],
+        announce: Callable[[ServerNotice], None],
+        on_change: Callable[[], None],
+        lease_seconds: float,
+    ):
+        self.name = name
+        self.lease = Lease(name, make_lease_terms(lease_seconds))
+        self.progress_at = float("-inf")
+        self._table = table
+        self._knowledge = knowledge
+        self._store = store
+        self._clock = clock
+        self._engines = engines
+        self._log = log
+        self._get_members = get_members
+        self._announce = announce
+        self._on_change = on_change
+        self._ordering: set[str] = set()
+        self._accepted: dict[str, int] = {}
+        self._paused_until: dict[str, float] = {}
+        self._lagging_since: float | None = None
+        self._read_at = float("-inf")
+        self._has_read = False
+        self._was_holder = False
+
+    def note_progress(self) -> None:
+        """Note that some instance is bringing engines up to date."""
+        self.progress_at = trio.current_time()
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                lagging = self._find_lagging()
+                if not lagging:
+                    self._lagging_since = None
+                    await trio.sleep(TICK_SECONDS)
+                    continue
+                now = trio.current_time()
+                if self._lagging_since is None:
+                    self._lagging_since = now
+                await self._hold_lease(now)
+                if self.lease.holds(trio.current_time()):
+                    self._start_orders(nursery, lagging)
+                await trio.sleep(TICK_SECONDS)
+
+    def _find_lagging(self) -> list[_Lag]:
+        found = []
+        for state in self._table.by_id.values():
+            if state.info.is_draining or state.vanished_at is not None:
+                continue
+            for model in state.info.weights:
+                target = self._knowledge.targets.get(model, 0)
+                if state.weights.get(model, 0) < target:
+                    found.append(_Lag(state, model, target))
+        return found
+
+    async def _hold_lease(self, now: float) -> None:
+        if not self._has_read:
+            await self._read_lease(now)
+            return
+        if not self._may_contend(now):
+            return
+        if not self.lease.is_holder and now - self._read_at >= CONTEND_SECONDS:
+            await self._read_lease(now)
+        write = self.lease.plan_write(trio.current_time())
+        if write is None:
+            return
+        sent_at = trio.current_time()
+        value = orjson.dumps(
+            {
+                "holder": write.row.holder,
+                "fence": write.row.fence,
+                "beat": write.row.beat,
+                "renewed_at": self._clock.estimate_store_time(sent_at),
+            }
+        )
+        outcome = await self._store.write(
+            [Condition(LEASE_TABLE, LEASE_KEY, write.version)],
+            [Row(LEASE_TABLE, LEASE_KEY, value, 0)],
+        )
+        needs_read = self.lease.on_write(write, outcome, sent_at)
+        self._log.note(
+            "lease_written",
+            fence=write.row.fence,
+            beat=write.row.beat,
+            outcome=type(outcome).__name__,
+            held=self.lease.holds(trio.current_time()),
+        )
+        if needs_read:
+            await self._read_lease(trio.current_time())
+
+    def _may_contend(self, now: float) -> bool:
+        if self.lease.is_holder:
+            return True
+        members = self._get_members() or [self.name]
+        ranked = rank_by_rendezvous(RENDEZVOUS_KEY, members)
+        rank = ranked.index(self.name) if self.name in ranked else len(ranked)
+        since = max(self._lagging_since or now, self.progress_at)
+        wait = RANK_SECONDS * rank
+        if self.lease.has_row:
+            wait += NO_PROGRESS_SECONDS
+        return now - since >= wait
+
+    async def _read_lease(self, now: float) -> None:
+        self._read_at = now
+        outcome = await self._store.read(LEASE_TABLE)
+        if not isinstance(outcome, Done):
+            return
+        self._has_read = True
+        snapshot = outcome.value
+        self._clock.date(snapshot)
+        rows = [row for row in snapshot.rows if row.key == LEASE_KEY]
+        if not rows:
+            self.lease.on_read(None, 0, now)
+            return
+        table = orjson.loads(rows[0].value)
+        row = LeaseRow(table["holder"], table["fence"], table["beat"])
+        age = max(0.0, snapshot.store_time - table["renewed_at"])
+        self.lease.on_read(row, rows[0].version, trio.current_time(), age)
+        self._log.note("lease_read", holder=row.holder, fence=row.fence, age=age)
+
+    def _start_orders(self, nursery: trio.Nursery, lagging: list[_Lag]) -> None:
+        now = trio.current_time()
+        waiting = [
+            lag
+            for lag in lagging
+            if lag.state.info.id not in self._ordering
+            and now >= self._paused_until.get(lag.state.info.id, 0.0)
+        ]
+        waiting.sort(key=lambda lag: self._table.sum_load(lag.state.info.id, now))
+        for lag in waiting[: max(0, MAX_LOADING - len(self._ordering))]:
+            self._ordering.add(lag.state.info.id)
+            nursery.start_soon(self._bring_up, lag)
+
+    async def _bring_up(self, lag: _Lag) -> None:
+        server_id = lag.state.info.id
+        started = trio.current_time()
+        self._close(lag, LOAD_LIMIT_SECONDS)
+        try:
+            await trio.sleep(NOTICE_SECONDS)
+            is_up = await self._order(lag) and await self._await_weights(lag, started)
+            if not is_up:
+                self._paused_until[server_id] = (
+                    trio.current_time() + FAILED_PAUSE_SECONDS
+                )
+        finally:
+            self._ordering.discard(server_id)
+            lag.state.reopen()
+            version = lag.state.weights.get(lag.model, 0)
+            self._announce(ServerNotice(server_id, lag.model, version, 0.0))
+            self._on_change()
+        self._log.note(
+            "weights_order_done",
+            server=server_id,
+            version=lag.version,
+            believed=version,
+            seconds=round(trio.current_time() - started, 3),
+        )
+
+    def _close(self, lag: _Lag, seconds: float) -> None:
+        now = trio.current_time()
+        lag.state.close_for(seconds, now)
+        self.note_progress()
+        self._announce(ServerNotice(lag.state.info.id, lag.model, 0, seconds))
+
+    async def _order(self, lag: _Lag) -> bool:
+        """Send the order; return whether the engine may be carrying it out."""
+        info = lag.state.info
+        if info.id not in self._accepted:
+            report = await self._engines.report(info)
+            if isinstance(report, EngineReport):
+                self._accepted[info.id] = report.accepted_orders
+                lag.state.learn_weights(lag.model, report.weights.get(lag.model, 0))
+        if not self.lease.holds(trio.current_time()):
+            return False
+        order = WeightsOrder(
+            lag.model,
+            lag.version,
+            self.name,
+            self.lease.fence,
+            self._accepted.get(info.id),
+        )
+        outcome = await self._engines.order(info, order)
+        self._log.note(
+            "weights_ordered",
+            server=info.id,
+            model=lag.model,
+            version=lag.version,
+            fence=order.fence,
+            expected_orders=order.expected_orders,
+            outcome=str(outcome),
+        )
+        if isinstance(outcome, OrderAccepted):
+            if not outcome.is_in_force and info.id in self._accepted:
+                self._accepted[info.id] += 1
+            if outcome.is_in_force:
+                lag.state.learn_weights(lag.model, lag.version)
+            return True
+        # The count of accepted orders is not known for certain any more.
+        self._accepted.pop(info.id, None)
+        if isinstance(outcome, NotRun):
+            lag.state.note_unreached(trio.current_time())
+        if isinstance(outcome, OrderRefused) and outcome.status == 421:
+            lag.state.misdirected = True
+        return isinstance(outcome, MaybeRun) or (
+            isinstance(outcome, OrderRefused) and outcome.status == 409
+        )
+
+    async def _await_weights(self, lag: _Lag, started: float) -> bool:
+        if lag.state.weights.get(lag.model, 0) >= lag.version:
+            return True
+        await trio.sleep(FIRST_LOOK_SECONDS)
+        while trio.current_time() - started < LOAD_LIMIT_SECONDS:
+            if lag.state.weights.get(lag.model, 0) >= lag.version:
+                return True
+            report = await self._engines.report(lag.state.info)
+            if isinstance(report, EngineReport):
+                lag.state.learn_weights(lag.model, report.weights.get(lag.model, 0))
+                if lag.state.weights.get(lag.model, 0) >= lag.version:
+                    return True
+                if not report.is_loading:
+                    # Not begun, or carried out late: look whether it came at all.
+                    self._accepted.pop(lag.state.info.id, None)
+                    return False
+            elif isinstance(report, NotRun):
+                return False
+            await trio.sleep(LOOK_SECONDS)
+        return False
--- /dev/null
+++ b/ashpond/gateway/selection.py
@@ -0,0 +1,143 @@
+"""Choose the backend server that can answer a request soonest.
+
+All terms of a score are seconds, so that they can be added.
+"""
+
+from __future__ import annotations
+
+__all__ = ["Candidate", "Demand", "choose_server", "find_home_ranks", "make_load"]
+
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from ashpond.decisions.placement import rank_by_rendezvous
+from ashpond.gateway.calls import Prompt
+from ashpond.gateway.directory import Load
+
+# Engines read 57 prompt tokens a ms (site sheets).
+READ_TOKENS_PER_SECOND = 57_000.0
+# Each running request slows every token by 0.1 ms; some 50 tokens an answer.
+RUNNING_COST_SECONDS = 0.006
+# A plain server at its slots queues the next request for about one answer.
+SLOT_COST_SECONDS = 0.06
+# Two ways over to another failure domain, and their price in bytes.
+DOMAIN_COST_SECONDS = 0.004
+# Old weights cost a fifth of the worth of an answer: as much as it being late.
+STALE_COST_SECONDS = 0.25
+# A failed answer costs about a whole objective.
+FAILURE_COST_SECONDS = 0.6
+COLD_COST_SECONDS = 0.05
+TIE_SECONDS = 0.002
+# Memory that requests may claim; the rest keeps shared parts.
+MEMORY_SHARE = 0.8
+# A plain server takes a few more than its slots; a short queue is not a refusal.
+QUEUE_SHARE = 1.5
+
+
+class Demand(NamedTuple):
+    """What a request needs of a server.
+
+    ``wall`` separates the cached parts of teams that share nothing.
+    """
+
+    service: str
+    model: str | None
+    prompt: Prompt | None
+    wall: str
+    excluded: frozenset[str] = frozenset()
+
+
+class Candidate(NamedTuple):
+    """A server that may take a request.
+
+    ``home_rank`` is its place in the order in which servers are home to the
+    request's shared parts; ``memory_tokens`` is 0 for a plain server.
+    """
+
+    id: str
+    is_local: bool
+    load: Load
+    slots: int
+    memory_tokens: int
+    has_newest: bool
+    home_rank: int
+    failure_share: float
+    is_cold: bool
+
+
+def find_shared_tokens(prompt: Prompt) -> int:
+    """Return how many tokens of a prompt other prompts may begin with."""
+    return sum(part.tokens for part in prompt.parts[:-1])
+
+
+def find_home_ranks(prompt: Prompt, wall: str, names: Sequence[str]) -> dict[str, int]:
+    """Return each server's rank as home of the prompt's deepest shared part."""
+    if len(prompt.parts) < 2:
+        return dict.fromkeys(names, 0)
+    key = hash_part(wall, prompt.parts[-2].id)
+    ranked = rank_by_rendezvous(key, names)
+    return {name: rank for rank, name in enumerate(ranked)}
+
+
+def hash_part(wall: str, part: str) -> int:
+    """Return the rendezvous key of a prompt part behind a wall."""
+    import xxhash
+
+    return xxhash.xxh3_64_intdigest(f"{wall}/{part}".encode())
+
+
+def make_load(prompt: Prompt | None, *, is_home: bool) -> Load:
+    """Return the work that a request adds to a server."""
+    if prompt is None:
+        return Load(1)
+    shared = find_shared_tokens(prompt)
+    own = prompt.tokens - shared
+    unread = own if is_home else prompt.tokens
+    # Shared parts count once for all, so a request claims its own part only.
+    return Load(1, max(0, unread), max(0, own) + prompt.max_output_tokens)
+
+
+def is_full(candidate: Candidate, demand: Demand) -> bool:
+    """Return whether one more request would find no place."""
+    if demand.prompt is None:
+        return candidate.load.requests >= candidate.slots * QUEUE_SHARE
+    if candidate.load.requests >= candidate.slots:
+        return True
+    if not candidate.load.requests or not candidate.memory_tokens:
+        return False
+    claimed = candidate.load.held_tokens + make_load(demand.prompt, is_home=True)[2]
+    return claimed > candidate.memory_tokens * MEMORY_SHARE
+
+
+def estimate_seconds(candidate: Candidate, demand: Demand) -> float:
+    """Return the seconds until the answer, and what else counts against it."""
+    load = candidate.load
+    if demand.prompt is None:
+        seconds = SLOT_COST_SECONDS * (load.requests + 1) / candidate.slots
+    else:
+        is_home = candidate.home_rank == 0
+        unread = load.unread_tokens + make_load(demand.prompt, is_home=is_home)[1]
+        seconds = unread / READ_TOKENS_PER_SECOND
+        seconds += load.requests * RUNNING_COST_SECONDS
+    if not candidate.is_local:
+        seconds += DOMAIN_COST_SECONDS
+    if not candidate.has_newest:
+        seconds += STALE_COST_SECONDS
+    if candidate.is_cold:
+        seconds += COLD_COST_SECONDS
+    return seconds + candidate.failure_share * FAILURE_COST_SECONDS
+
+
+def choose_server(
+    candidates: Sequence[Candidate], demand: Demand, rng: random.Random
+) -> Candidate | None:
+    """Return the best candidate with a free place, None if there is none."""
+    free = [c for c in candidates if not is_full(c, demand)]
+    if not free:
+        return None
+    scored = [(estimate_seconds(candidate, demand), candidate) for candidate in free]
+    least = min(score for score, _ in scored)
+    near = [c for score, c in scored if score <= least + TIE_SECONDS]
+    best_rank = min(candidate.home_rank for candidate in near)
+    return rng.choice([c for c in near if c.home_rank == best_rank])
--- /dev/null
+++ b/ashpond/gateway/store.py
@@ -0,0 +1,98 @@
+"""What the product asks of a table store outside; an adapter provides it."""
+
+from __future__ import annotations
+
+__all__ = [
+    "Condition",
+    "HistoryLost",
+    "Row",
+    "Snapshot",
+    "Store",
+    "StoreClock",
+]
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from ashpond.outcomes import Conflict, Done, Unavailable, Unknown
+
+
+class Row(NamedTuple):
+    """One row; ``value`` is None for one that was removed."""
+
+    table: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+class Condition(NamedTuple):
+    """A row must stand at ``version``; 0 for a row that does not exist."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Snapshot(NamedTuple):
+    """Rows as of one moment, ``version`` being the newest of the whole store.
+
+    ``store_time`` is the store's steady clock at that moment, ``sent_at`` and
+    ``received_at`` this process's; all in seconds.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+    store_time: float
+    sent_at: float
+    received_at: float
+
+
+class HistoryLost(NamedTuple):
+    """The store no longer has the changes that were asked for."""
+
+
+class Store(NamedTuple):
+    """The operations of a table store.
+
+    ``read(table)`` answers ``Done(Snapshot)``; ``follow(table, after, wait)``
+    the same as soon as there is a change, at the latest after ``wait`` seconds;
+    ``write(conditions, puts)`` answers ``Done(version)`` or ``Conflict``. A put
+    without a value removes its row.
+    """
+
+    read: Callable[[str], Awaitable[Done | Unavailable | Unknown]]
+    follow: Callable[
+        [str, int, float], Awaitable[Done | HistoryLost | Unavailable | Unknown]
+    ]
+    write: Callable[
+        [list[Condition], list[Row]],
+        Awaitable[Done | Conflict | Unavailable | Unknown],
+    ]
+
+
+class StoreClock:
+    """Tells when, on this process's clock, an answer was made at the store.
+
+    An answer made at store time ``s`` to a call sent at ``t`` was made at ``t`` or
+    later. So was, ``d`` later, one made at ``s + d``: the greatest such bound over
+    all calls dates each answer, also one that was waited for or held up, without
+    ever taking it for newer than it is.
+    """
+
+    def __init__(self) -> None:
+        self._offset: float | None = None
+
+    def date(self, snapshot: Snapshot) -> float:
+        """Return the latest time by which the answer was surely not yet made."""
+        offset = snapshot.sent_at - snapshot.store_time
+        latest = snapshot.received_at - snapshot.store_time
+        if self._offset is None or self._offset > latest:
+            # The first answer, or the store's clock has started anew.
+            self._offset = offset
+        self._offset = max(self._offset, offset)
+        return snapshot.store_time + self._offset
+
+    def estimate_store_time(self, now: float) -> float:
+        """Return the latest that the store's clock can show at ``now``."""
+        return 0.0 if self._offset is None else now - self._offset
