Shield sends to clients from cancellation

Ruled out: a second head of our own (mended before; the count stayed). Change: every send of a reply runs in a shielded scope; hypercorn shields its socket writes too, so no wait is added.

--- a/ashpond/gateway/ingress.py
+++ b/ashpond/gateway/ingress.py
@@ -38,7 +38,11 @@
 
 
 class AsgiReply:
-    """A :class:`Reply` on an ASGI connection."""
+    """A :class:`Reply` on an ASGI connection.
+
+    Sending is shielded: a cancellation in the midst of a head would leave the
+    server believing that none was sent. It shields its socket writes as well.
+    """
 
     def __init__(self, send: Send, *, is_last: Callable[[], bool]):
         self._send = send
@@ -48,24 +52,25 @@
         """Send the head; tell a client of a leaving instance to connect anew."""
         if self._is_last():
             headers = [*headers, (b"connection", b"close")]
-        await self._send(
-            {"type": "http.response.start", "status": status, "headers": headers}
-        )
+        event = {"type": "http.response.start", "status": status, "headers": headers}
+        await self._send_shielded(event)
 
     async def send(self, data: bytes) -> None:
         """Send a piece of the body."""
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
+        event = {"type": "http.response.body", "body": data, "more_body": True}
+        await self._send_shielded(event)
 
     async def finish(self) -> None:
-        """End the body. The server ends the exchange in the midst of this call."""
-        with trio.CancelScope(shield=True):
-            await self._send({"type": "http.response.body", "body": b""})
+        """End the body."""
+        await self._send_shielded({"type": "http.response.body", "body": b""})
 
     async def abort(self) -> None:
         """Do nothing: a head without an end makes the server close the connection."""
 
+    async def _send_shielded(self, event: dict[str, Any]) -> None:
+        with trio.CancelScope(shield=True):
+            await self._send(event)
+
 
 class Ingress:
     """Serves clients, readiness checks and metrics."""
