--- /dev/null
+++ b/tests/gateway_builders.py
@@ -0,0 +1,134 @@
+"""Build test data for routed calls."""
+
+from __future__ import annotations
+
+import random
+
+from ashpond.gateway.calls import Envelope, IncomingCall, Prompt, PromptPart
+from ashpond.gateway.declared import (
+    Declaration,
+    EngineTraits,
+    IngressLimits,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Team,
+    index_routes,
+)
+from ashpond.gateway.directory import BackendServer, Load, ServerTable
+from ashpond.gateway.holdings import Holdings
+from ashpond.gateway.places import Places
+from ashpond.gateway.selection import Candidate, Demand
+
+HOST = "desk.example"
+KEY = "key-of-desk"
+MODEL = "m1"
+
+
+def make_route(**changes: object) -> Route:
+    values: dict = {
+        "name": "r1",
+        "host": HOST,
+        "prefix": "/bids/",
+        "kind": RouteKind.IDEMPOTENT,
+        "shares": (ServiceShare("reader", 1.0),),
+        "timeout": 4.0,
+        "objective": 0.6,
+        "max_attempts": 2,
+        "priority": 1,
+    }
+    return Route(**(values | changes))
+
+
+def make_declaration(*routes: Route, **changes: object) -> Declaration:
+    values: dict = {
+        "version": 1,
+        "routes_by_host": index_routes(routes or (make_route(),)),
+        "services": {
+            "reader": Service("reader", 100, EngineTraits(64, 100_000, (MODEL,))),
+            "plain": Service("plain", 100),
+        },
+        "teams_by_key": {KEY: Team("desk")},
+        "needs_keys": True,
+        "limits": IngressLimits(),
+    }
+    return Declaration(**(values | changes))
+
+
+def make_server(server_id: str = "s1", **changes: object) -> BackendServer:
+    values: dict = {
+        "id": server_id,
+        "service": "reader",
+        "address": "127.0.0.1:9",
+        "failure_domain": "north",
+        "slots": 64,
+        "is_draining": False,
+        "cold_seconds": 0.0,
+        "weights": {MODEL: 1},
+    }
+    return BackendServer(**(values | changes))
+
+
+def make_prompt(*ids: str, tokens: int = 1000) -> Prompt:
+    parts = tuple(PromptPart(part, tokens) for part in ids or ("rules", "shop", "own"))
+    return Prompt(MODEL, tokens * len(parts), 50, parts)
+
+
+def make_call(path: str = "/bids/1", **changes: object) -> IncomingCall:
+    envelope: dict = {
+        "request_id": "id-1",
+        "patience": 3.0,
+        "key": KEY,
+        "prompt": None,
+        "resume_after": None,
+        "headers": [],
+    }
+    envelope |= {k: v for k, v in changes.items() if k in envelope}
+    values: dict = {
+        "method": "POST",
+        "host": HOST,
+        "path": path,
+        "target": path.encode(),
+        "envelope": Envelope(**envelope),
+        "body": b"x",
+        "received_at": 0.0,
+    }
+    return IncomingCall(**(values | {k: v for k, v in changes.items() if k in values}))
+
+
+def make_candidate(server_id: str = "s1", **changes: object) -> Candidate:
+    values: dict = {
+        "id": server_id,
+        "is_local": True,
+        "load": Load(),
+        "slots": 64,
+        "memory_tokens": 100_000,
+        "has_newest": True,
+        "home_rank": 0,
+        "failure_share": 0.0,
+        "is_cold": False,
+    }
+    return Candidate(**(values | changes))
+
+
+def make_demand(prompt: Prompt | None = None, service: str = "reader") -> Demand:
+    return Demand(service, prompt.model if prompt else None, prompt, "shared")
+
+
+def make_places(table: ServerTable, holdings: Holdings | None = None) -> Places:
+    declaration = make_declaration()
+    return Places(
+        table,
+        holdings or Holdings(),
+        "north",
+        lambda: declaration,
+        lambda model, now: 0,
+        random.Random(1),
+    )
+
+
+def make_table(*servers: BackendServer) -> ServerTable:
+    table = ServerTable()
+    table.replace_all(list(servers), 0.0, may_lapse=False)
+    return table
