--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -28,6 +28,11 @@
 
 LEASE_TABLE = "ashpond-leases"
 LEASE_KEY = "weights"
+# Of the time that orders of two holders must be apart: for how long a renewal lets
+# its holder order, and how long a successor waits after that, with a margin for
+# clocks that differ in rate. Short terms cost writes, long ones delay a takeover.
+VALID_SHARE = 0.28
+APART_SHARE = 1.05
 RENDEZVOUS_KEY = 1
 # Loads take longer when more run at once (site sheets).
 MAX_LOADING = 2
@@ -62,8 +67,8 @@
 
 def make_lease_terms(lease_seconds: float) -> LeaseTerms:
     """Return terms that keep orders of two holders ``lease_seconds`` apart."""
-    valid = lease_seconds / 2
-    return LeaseTerms(valid, valid + lease_seconds * 1.1, valid * 0.6)
+    valid = lease_seconds * VALID_SHARE
+    return LeaseTerms(valid, valid + lease_seconds * APART_SHARE, valid / 2)
 
 
 class RolloutController:
@@ -176,11 +181,11 @@
         members = self._get_members() or [self.name]
         ranked = rank_by_rendezvous(RENDEZVOUS_KEY, members)
         rank = ranked.index(self.name) if self.name in ranked else len(ranked)
-        since = max(self._lagging_since or now, self.progress_at)
+        quiet = min(self._measure_lag(now), now - self.progress_at)
         wait = RANK_SECONDS * rank
         if self.lease.has_row:
             wait += NO_PROGRESS_SECONDS
-        return now - since >= wait
+        return quiet >= wait
 
     async def _read_lease(self, now: float) -> None:
         self._read_at = now
@@ -211,12 +216,16 @@
         ]
         waiting.sort(key=lambda lag: self._table.sum_load(lag.state.info.id, now))
         room = self._count_loading_places(now) - len(self._ordering)
-        if not self._ordering and now - (self._lagging_since or now) > SPARE_SECONDS:
+        if not self._ordering and self._measure_lag(now) > SPARE_SECONDS:
             room = max(room, 1)
         for lag in waiting[: max(0, room)]:
             self._ordering.add(lag.state.info.id)
             nursery.start_soon(self._bring_up, lag)
 
+    def _measure_lag(self, now: float) -> float:
+        """Return for how long some engine has been behind its target (seconds)."""
+        return 0.0 if self._lagging_since is None else now - self._lagging_since
+
     def _count_loading_places(self, now: float) -> int:
         """Return how many engines may load at once, as few of them work."""
         engines = [s for s in self._table.by_id.values() if s.info.weights]
