--- /dev/null
+++ b/tests/test_platform_engines.py
@@ -0,0 +1,121 @@
+"""Orders, reports and cache events as the engines' protocol has them."""
+
+from __future__ import annotations
+
+import orjson
+import trio
+
+from ashpond.clients.channels import ChannelPool
+from ashpond.gateway.orders import (
+    CacheEvent,
+    EngineReport,
+    OrderAccepted,
+    OrderRefused,
+    WeightsOrder,
+)
+from ashpond.outcomes import MaybeRun, NotRun
+from ashpond_platform.engines import build_engine_port
+from tests.gateway_builders import make_server
+from tests.servers import make_answer, read_request, run_server
+
+ORDER = WeightsOrder("m1", 2, "node-7", 41, 3)
+REPORT = {
+    "models": [{"name": "m1", "version": 1, "adapters": []}],
+    "busy": False,
+    "seq": 2,
+}
+EVENTS = {
+    "boot_epoch": 77120,
+    "next": 120,
+    "lost": False,
+    "events": [[119, "+", "s1", "5c", 800, "m1"], [120, "-", "s1", "91", 128, "m1"]],
+}
+
+
+class Engine:
+    """Answers every call with the same status and body, and keeps the requests."""
+
+    def __init__(self, status: int, body: object = None):
+        self.status = status
+        self.body = orjson.dumps(body)
+        self.requests: list[bytes] = []
+
+    async def script(self, stream: trio.SocketStream, number: int) -> None:
+        while request := await read_request(stream):
+            self.requests.append(request)
+            await stream.send_all(make_answer(self.body, status=self.status))
+
+
+async def test_an_order_says_who_gives_it_and_after_which() -> None:
+    engine = Engine(202)
+    async with run_server(engine.script) as address:
+        port = build_engine_port(ChannelPool())
+        server = make_server("i-1", address=address)
+        assert await port.order(server, ORDER) == OrderAccepted(is_in_force=False)
+    head, _, body = engine.requests[0].partition(b"\r\n\r\n")
+    assert b"x-expect-instance: i-1" in head.lower()
+    assert orjson.loads(body) == {
+        "op": "version",
+        "model": "m1",
+        "version": 2,
+        "mode": "defer",
+        "holder": "node-7",
+        "fencing_token": 41,
+        "precondition": 3,
+    }
+
+
+async def test_answers_to_orders_are_told_apart() -> None:
+    expected = {
+        200: OrderAccepted(is_in_force=True),
+        409: OrderRefused(409),
+        412: OrderRefused(412),
+        421: OrderRefused(421),
+    }
+    for status, outcome in expected.items():
+        async with run_server(Engine(status).script) as address:
+            port = build_engine_port(ChannelPool())
+            assert await port.order(make_server(address=address), ORDER) == outcome
+
+
+async def test_an_order_without_an_answer_may_have_been_taken() -> None:
+    async def hang_up(stream: trio.SocketStream, number: int) -> None:
+        await read_request(stream)
+        await stream.aclose()
+
+    async with run_server(hang_up) as address:
+        port = build_engine_port(ChannelPool())
+        outcome = await port.order(make_server(address=address), ORDER)
+    assert isinstance(outcome, MaybeRun)
+
+
+async def test_an_order_that_reached_nobody_was_not_taken() -> None:
+    port = build_engine_port(ChannelPool())
+    assert isinstance(
+        await port.order(make_server(address="127.0.0.1:1"), ORDER), NotRun
+    )
+
+
+async def test_a_report_is_read() -> None:
+    async with run_server(Engine(200, REPORT).script) as address:
+        port = build_engine_port(ChannelPool())
+        report = await port.report(make_server(address=address))
+    assert report == EngineReport({"m1": 1}, False, 2)
+
+
+async def test_a_report_that_is_not_valid_tells_nothing() -> None:
+    async with run_server(Engine(200, {"models": 1}).script) as address:
+        port = build_engine_port(ChannelPool())
+        assert isinstance(await port.report(make_server(address=address)), MaybeRun)
+
+
+async def test_cache_events_are_read() -> None:
+    engine = Engine(200, EVENTS)
+    async with run_server(engine.script) as address:
+        port = build_engine_port(ChannelPool())
+        events = await port.read_cache_events(address, 118, 0.8)
+    assert (events.epoch, events.next, events.is_gap) == (77120, 120, False)
+    assert events.events[0] == CacheEvent("s1", "5c", True)
+    assert not events.events[1].is_stored
+    assert b"since=118" in engine.requests[0]
+    assert b"wait-ms: 800" in engine.requests[0].lower()
--- /dev/null
+++ b/tests/test_platform_headers.py
@@ -0,0 +1,102 @@
+"""The platform's headers, as the product's types and back."""
+
+from __future__ import annotations
+
+import pytest
+
+from ashpond.gateway.calls import Instructions, PromptPart
+from ashpond_platform.headers import read_envelope, read_marks, write_headers
+
+REQUEST = [
+    (b"Host", b"jepu9.example"),
+    (b"X-Request-Id", b"9c41d07be2a35f68"),
+    (b"X-Model", b"m1"),
+    (b"X-Token-Counts", b"1460,80"),
+    (b"X-Prompt-Prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    (b"X-Deadline-Ms", b"5000"),
+    (b"Authorization", b"Token secret"),
+    (b"X-Own", b"kept"),
+]
+# What the router sets itself; a client's value must never reach a server.
+SET_BY_ROUTER = [
+    b"X-Tenant",
+    b"X-Expect-Instance",
+    b"X-Expect-Version",
+    b"X-Cache-Salt",
+    b"X-Request-Urgency",
+    b"X-Kv-Fetch",
+    b"X-Kv-Save",
+    b"X-Kv-Backup",
+    b"Kv-From",
+    b"X-Pin-Ms",
+    b"X-Hold",
+    b"X-Not-Executed",
+]
+INSTRUCTIONS = Instructions("i-1", "desk", 1.5, "salt", 3, 12, "7", "a:1", "b:2")
+
+
+def test_a_request_is_read_into_types() -> None:
+    envelope = read_envelope(REQUEST)
+    assert envelope.request_id == "9c41d07be2a35f68"
+    assert envelope.patience == 5.0
+    assert envelope.key == "secret"
+    assert envelope.prompt.tokens == 1460
+    assert envelope.prompt.max_output_tokens == 80
+    assert envelope.prompt.parts[1] == PromptPart("91bd3f06", 410)
+
+
+def test_the_key_never_goes_on() -> None:
+    headers = write_headers(read_envelope(REQUEST), INSTRUCTIONS)
+    assert b"secret" not in b"".join(value for _, value in headers)
+
+
+@pytest.mark.parametrize("name", SET_BY_ROUTER)
+@pytest.mark.parametrize("change", [bytes.lower, bytes.upper])
+def test_a_clients_value_of_the_routers_headers_is_dropped(
+    name: bytes, change: object
+) -> None:
+    envelope = read_envelope([*REQUEST, (change(name), b"forged")])
+    headers = write_headers(envelope, INSTRUCTIONS)
+    assert (b"forged") not in [value for _, value in headers]
+
+
+def test_prompt_headers_and_others_go_on_as_they_came() -> None:
+    headers = write_headers(read_envelope(REQUEST), INSTRUCTIONS)
+    for name in (b"X-Model", b"X-Token-Counts", b"X-Prompt-Prefix", b"X-Own"):
+        assert headers.count((name, dict(REQUEST)[name])) == 1
+
+
+def test_headers_of_one_connection_stay_there() -> None:
+    request = [*REQUEST, (b"Connection", b"keep-alive, X-Own"), (b"TE", b"trailers")]
+    names = [name for name, _ in read_envelope(request).headers]
+    assert b"X-Own" not in names
+    assert b"TE" not in names
+
+
+def test_instructions_are_written() -> None:
+    headers = dict(write_headers(read_envelope(REQUEST), INSTRUCTIONS))
+    assert headers[b"x-expect-instance"] == b"i-1"
+    assert headers[b"x-tenant"] == b"desk"
+    assert headers[b"x-deadline-ms"] == b"1500"
+    assert headers[b"x-cache-salt"] == b"salt"
+    assert headers[b"x-expect-version"] == b"3"
+    assert headers[b"x-request-urgency"] == b"9"
+    assert headers[b"last-event-id"] == b"7"
+    assert headers[b"x-kv-fetch"] == b"a:1"
+    assert headers[b"x-kv-save"] == b"b:2"
+
+
+@pytest.mark.parametrize("counts", [b"", b"x,1", b"1,y"])
+def test_a_prompt_that_cannot_be_read_is_none(counts: bytes) -> None:
+    request = [(n, v) for n, v in REQUEST if n != b"X-Token-Counts"]
+    assert read_envelope([*request, (b"X-Token-Counts", counts)]).prompt is None
+
+
+def test_a_request_without_id_is_none() -> None:
+    assert read_envelope(REQUEST[2:]) is None
+
+
+def test_an_answers_marks_are_read() -> None:
+    marks = read_marks([(b"x-weight-versions", b"4"), (b"x-not-executed", b"1")])
+    assert (marks.weights_version, marks.is_not_run) == (4, True)
+    assert read_marks([(b"x-weight-versions", b"odd")]).weights_version is None
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,140 @@
+"""The client of the platform's store against a stand-in that speaks its protocol."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+import trio
+
+from ashpond.clients.channels import ChannelPool
+from ashpond.gateway.store import Condition, HistoryLost, Row, Store
+from ashpond.outcomes import Conflict, Done, Unavailable, Unknown
+from ashpond.standins.tables import MemoryStore
+from ashpond_platform.store import build_store
+from tests.servers import make_answer, read_request, run_server
+
+PAGE = 2
+
+
+def encode_row(row: Row) -> dict[str, Any]:
+    entry: dict[str, Any] = {"table": row.table, "part": "", "key": row.key}
+    entry["ver"] = row.version
+    if row.value is None:
+        return entry | {"removed": True}
+    return entry | {"value": base64.b64encode(row.value).decode()}
+
+
+async def answer_call(memory: MemoryStore, request: bytes) -> tuple[int, Any]:
+    head, _, body = request.partition(b"\r\n\r\n")
+    method, target, _ = head.split(b"\r\n")[0].decode().split(" ")
+    query = {k: v[0] for k, v in parse_qs(urlsplit(target).query).items()}
+    path = urlsplit(target).path
+    if path == "/api/rows-get":
+        outcome = await memory.read(query["table"])
+        rows = [r for r in outcome.value.rows if r.key >= query.get("from", "")]
+        shown = [encode_row(row) for row in rows[:PAGE]]
+        more = {"has_more": len(rows) > PAGE}
+        return 200, {"rows": shown, "ver": memory.version, "now_ms": 5000} | more
+    if path == "/api/rows-feed":
+        wait = int(query["wait_ms"]) / 1000
+        followed = await memory.follow(query["table"], int(query["after"]), wait)
+        if isinstance(followed, HistoryLost):
+            return 410, {}
+        shown = [encode_row(row) for row in followed.value.rows]
+        return 200, {"rows": shown, "ver": memory.version, "now_ms": 5000}
+    table = orjson.loads(body)
+    conditions = [
+        Condition(e["table"], e["key"], e["ver"]) for e in table["precondition"]
+    ]
+    puts = [
+        Row(e["table"], e["key"], base64.b64decode(e["value"]), 0) for e in table["put"]
+    ]
+    puts += [Row(e["table"], e["key"], None, 0) for e in table["remove"]]
+    written = await memory.write(conditions, puts)
+    if isinstance(written, Conflict):
+        rows = [encode_row(row) for row in written.current.values()]
+        return 412, {"rows": rows, "ver": memory.version, "now_ms": 5000}
+    return 200, {"ver": memory.version, "now_ms": 5000}
+
+
+@asynccontextmanager
+async def run_store(memory: MemoryStore) -> AsyncIterator[Store]:
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        while request := await read_request(stream):
+            if memory.is_down:
+                await stream.send_all(make_answer(b"", status=503))
+                continue
+            status, body = await answer_call(memory, request)
+            if memory.lose_answers:
+                await stream.aclose()
+                return
+            await stream.send_all(make_answer(orjson.dumps(body), status=status))
+
+    async with run_server(script) as address:
+        yield build_store(address, ChannelPool())
+
+
+async def test_a_table_is_read_in_pages() -> None:
+    memory = MemoryStore()
+    for number in range(5):
+        memory.put("t", f"k{number}", b"%d" % number)
+    async with run_store(memory) as store:
+        outcome = await store.read("t")
+    assert [row.value for row in outcome.value.rows] == [b"0", b"1", b"2", b"3", b"4"]
+    assert outcome.value.store_time == 5.0
+    assert outcome.value.sent_at <= outcome.value.received_at
+
+
+async def test_changes_and_removals_are_followed() -> None:
+    memory = MemoryStore()
+    memory.put("t", "a", b"1")
+    async with run_store(memory) as store:
+        memory.put("t", "b", b"2")
+        memory.put("t", "a", None)
+        outcome = await store.follow("t", 1, 0.5)
+    assert [(row.key, row.value) for row in outcome.value.rows] == [
+        ("b", b"2"),
+        ("a", None),
+    ]
+
+
+async def test_dropped_history_is_told() -> None:
+    memory = MemoryStore()
+    memory.put("t", "a", b"1")
+    memory.forget_history()
+    async with run_store(memory) as store:
+        assert await store.follow("t", 0, 0.0) == HistoryLost()
+
+
+async def test_a_condition_that_fails_returns_the_rows() -> None:
+    memory = MemoryStore()
+    memory.put("t", "a", b"1")
+    put = [Row("t", "a", b"2", 0)]
+    async with run_store(memory) as store:
+        conflict = await store.write([Condition("t", "a", 0)], put)
+        assert conflict.current["a"].value == b"1"
+        assert await store.write([Condition("t", "a", 1)], put) == Done(2)
+        assert await store.write([], [Row("t", "a", None, 0)]) == Done(3)
+    assert memory.rows == {}
+
+
+async def test_a_refused_call_had_no_effect_and_a_lost_answer_may_have() -> None:
+    memory = MemoryStore()
+    put = [Row("t", "a", b"2", 0)]
+    async with run_store(memory) as store:
+        memory.is_down = True
+        assert isinstance(await store.write([], put), Unavailable)
+        memory.is_down = False
+        memory.lose_answers = True
+        assert isinstance(await store.write([], put), Unknown)
+    assert memory.rows["t", "a"].value == b"2"
+
+
+async def test_nobody_listening_is_unavailable() -> None:
+    store = build_store("127.0.0.1:1", ChannelPool())
+    assert isinstance(await store.read("t"), Unavailable)
