--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -341,12 +341,16 @@
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async for number in signals:
                 if number == signal.SIGTERM:
-                    self.log.note("stopping", open_calls=self.ingress.open_calls)
-                    self.ingress.is_leaving = True
-                    self.leaving.set()
+                    self.leave()
                 else:
                     self.log.note("reload")
 
+    def leave(self) -> None:
+        """Take no new connections, end what is in flight, then stop."""
+        self.log.note("stopping", open_calls=self.ingress.open_calls)
+        self.ingress.is_leaving = True
+        self.leaving.set()
+
     async def _wait_to_close(self) -> None:
         await self.leaving.wait()
         with trio.move_on_after(1.0):
--- /dev/null
+++ b/tests/test_gateway_ingress.py
@@ -0,0 +1,249 @@
+"""A gateway on loopback: real sockets towards clients, servers and the store."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import orjson
+import pytest
+import trio
+
+from ashpond.clients.channels import ChannelPool
+from ashpond.errors import SettingsError
+from ashpond.gateway.application import Gateway, Platform
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.settings import GatewaySettings, parse_gateway_settings
+from ashpond.standins.tables import MemoryStore
+from ashpond_platform.engines import build_engine_port
+from ashpond_platform.headers import CODEC, REQUEST_ID
+from ashpond_platform.rows import (
+    OPERATOR_TABLE,
+    SERVERS_TABLE,
+    decode_operator_row,
+    decode_server_row,
+)
+from tests.servers import make_answer, read_request, run_server
+from tests.test_news import find_free_port, wait_for
+from tests.test_platform_rows import CONFIGURATION, ROUTE, SERVER
+
+ROUTES = [
+    {**ROUTE, "backends": None, "service": "s1", "kind": "idempotent"},
+    {**ROUTE, "prefix": "/s/", "backends": None, "service": "s1", "name": "stream"},
+]
+REQUEST = (
+    "{method} {target} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: id-1\r\n"
+    "X-Deadline-Ms: 3000\r\nAuthorization: Token {key}\r\n"
+    "Content-Length: {length}\r\n\r\n"
+)
+STREAM_BEGIN = (
+    b"HTTP/1.1 200 X\r\nX-Request-Id: id-1\r\nTransfer-Encoding: chunked\r\n"
+    b"\r\n7\r\nid: 1\n\n\r\n"
+)
+
+
+def make_request(
+    target: str = "/x/1", body: bytes = b"", key: str = "k1", method: str = "POST"
+) -> bytes:
+    head = REQUEST.format(target=target, key=key, method=method, length=len(body))
+    return head.encode() + body
+
+
+class Running:
+    def __init__(self, gateway: Gateway, store: MemoryStore):
+        self.gateway = gateway
+        self.store = store
+
+    async def connect(self) -> trio.SocketStream:
+        address = self.gateway.settings.callers_address.split(":")
+        return await trio.open_tcp_stream(address[0], int(address[1]))
+
+    async def ask(self, request: bytes) -> bytes:
+        stream = await self.connect()
+        async with stream:
+            await stream.send_all(request)
+            return await read_request(stream)
+
+    async def fetch(self, address: str, path: str = "/") -> bytes:
+        host, port = address.split(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        async with stream:
+            await stream.send_all(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            return await read_request(stream)
+
+
+def make_settings() -> GatewaySettings:
+    addresses = {
+        name: f"127.0.0.1:{find_free_port()}"
+        for name in (
+            "callers_address",
+            "readiness_address",
+            "peers_address",
+            "metrics_address",
+            "store_address",
+        )
+    }
+    return GatewaySettings(name="i0", failure_domain="north", **addresses)
+
+
+@asynccontextmanager
+async def run_gateway(
+    server_address: str, *, is_known: bool = True
+) -> AsyncIterator[Running]:
+    store = MemoryStore()
+    configuration = {**CONFIGURATION, "routes": ROUTES}
+    if is_known:
+        store.put(OPERATOR_TABLE, "config", orjson.dumps(configuration))
+    entry = {**SERVER, "address": server_address}
+    store.put(SERVERS_TABLE, "i-1", orjson.dumps(entry))
+    pool = ChannelPool()
+    platform = Platform(
+        store.build_port(),
+        build_engine_port(pool),
+        CODEC,
+        REQUEST_ID,
+        OPERATOR_TABLE,
+        SERVERS_TABLE,
+        decode_operator_row,
+        decode_server_row,
+    )
+    log = DecisionLog("i0", 2)
+    log.flush = lambda: log._lines.clear()  # type: ignore[method-assign]
+    gateway = Gateway(make_settings(), platform, pool, log)
+    running = Running(gateway, store)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(gateway.run)
+        await wait_for(lambda: gateway._is_ready() or not is_known)
+        await wait_for(lambda: bool(gateway.news.members))
+        yield running
+        nursery.cancel_scope.cancel()
+
+
+async def answer_all(stream: trio.SocketStream, number: int) -> None:
+    while request := await read_request(stream):
+        head = request.split(b"\r\n")[0]
+        await stream.send_all(make_answer(head, extra="X-Engine-Seal: s\r\n"))
+
+
+async def test_a_request_is_served_from_end_to_end() -> None:
+    async with run_server(answer_all) as address, run_gateway(address) as running:
+        answer = await running.ask(make_request("/x/a%2Fb/../?q=%20", b"body"))
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b"x-engine-seal: s" in answer.lower()
+    assert answer.endswith(b"POST /x/a%2Fb/../?q=%20 HTTP/1.1")
+
+
+async def test_refusals_of_the_routers_own() -> None:
+    async with run_server(answer_all) as address, run_gateway(address) as running:
+        unknown = await running.ask(make_request("/none/"))
+        no_key = await running.ask(make_request(key="other"))
+        large = await running.ask(make_request(body=b"x" * ((4 << 20) + 1)))
+    assert unknown.startswith(b"HTTP/1.1 404")
+    assert no_key.startswith(b"HTTP/1.1 401")
+    assert large.startswith(b"HTTP/1.1 413")
+
+
+async def test_before_a_configuration_is_known_calls_are_refused_for_now() -> None:
+    async with (
+        run_server(answer_all) as address,
+        run_gateway(address, is_known=False) as running,
+    ):
+        answer = await running.ask(make_request())
+        ready = await running.fetch(running.gateway.settings.readiness_address)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"retry-after" in answer.lower()
+    assert ready.startswith(b"HTTP/1.1 503")
+
+
+async def test_readiness_and_metrics_are_served() -> None:
+    async with run_server(answer_all) as address, run_gateway(address) as running:
+        await running.ask(make_request())
+        settings = running.gateway.settings
+        ready = await running.fetch(settings.readiness_address)
+        metrics = await running.fetch(settings.metrics_address, "/metrics")
+    assert ready.startswith(b"HTTP/1.1 200")
+    assert metrics.startswith(b"HTTP/1.1 200")
+
+
+async def test_a_client_that_leaves_ends_the_servers_work() -> None:
+    asked = trio.Event()
+    left = trio.Event()
+
+    async def hold(stream: trio.SocketStream, number: int) -> None:
+        await read_request(stream)
+        asked.set()
+        assert await stream.receive_some(1) == b""
+        left.set()
+
+    async with run_server(hold) as address, run_gateway(address) as running:
+        stream = await running.connect()
+        await stream.send_all(make_request("/s/1"))
+        await asked.wait()
+        await stream.aclose()
+        with trio.fail_after(5):
+            await left.wait()
+
+
+async def test_a_stream_that_breaks_looks_broken() -> None:
+    async def break_off(stream: trio.SocketStream, number: int) -> None:
+        await read_request(stream)
+        await stream.send_all(STREAM_BEGIN)
+        await stream.aclose()
+
+    async with run_server(break_off) as address, run_gateway(address) as running:
+        stream = await running.connect()
+        await stream.send_all(make_request("/s/1"))
+        data = b""
+        while piece := await stream.receive_some(65_536):
+            data += piece
+    assert b"id: 1" in data
+    assert not data.endswith(b"0\r\n\r\n")
+
+
+async def test_a_shutdown_cuts_no_stream_and_ends() -> None:
+    may_end = trio.Event()
+
+    async def stream_slowly(stream: trio.SocketStream, number: int) -> None:
+        await read_request(stream)
+        await stream.send_all(STREAM_BEGIN)
+        await may_end.wait()
+        await stream.send_all(b"7\r\nid: 2\n\n\r\n0\r\n\r\n")
+
+    async with run_server(stream_slowly) as address, run_gateway(address) as running:
+        stream = await running.connect()
+        await stream.send_all(make_request("/s/1"))
+        data = await stream.receive_some(65_536)
+        running.gateway.leave()
+        ready = await running.fetch(running.gateway.settings.readiness_address)
+        assert ready.startswith(b"HTTP/1.1 503")
+        other = await running.ask(make_request("/none/"))
+        assert b"connection: close" in other.lower()
+        may_end.set()
+        while piece := await stream.receive_some(65_536):
+            data += piece
+        assert data.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"callers_address": '"nowhere"'}, "callers_address"),
+        ({"name": "3"}, "name"),
+        ({"unknown": '"x"'}, "unknown"),
+    ],
+)
+def test_bad_settings_name_file_key_and_reason(
+    change: dict[str, str], key: str
+) -> None:
+    values: dict[str, Any] = {
+        name: f'"{value}"'
+        for name, value in make_settings()._asdict().items()
+        if name != "bounds"
+    }
+    text = "\n".join(f"{name} = {value}" for name, value in (values | change).items())
+    with pytest.raises(SettingsError) as caught:
+        parse_gateway_settings("node.toml", text)
+    problem = caught.value.problems[0]
+    assert (problem.file, problem.key) == ("node.toml", key)
+    assert problem.reason
