Split the sending of a call from the loop over its sends

Change: sends.py (one send and what it brought), dispatch.py (the loop), replies.py, status.py; names only, no behaviour. Ruled out: nothing.

--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import orjson
 import trio
 
 from ashpond.clients.channels import ChannelPool
@@ -24,8 +23,8 @@
     IngressLimits,
     WeightTarget,
 )
-from ashpond.gateway.directory import BackendServer, ServerState, ServerTable
-from ashpond.gateway.dispatch import Dispatcher, Tools, send_refusal
+from ashpond.gateway.directory import BackendServer, ServerTable
+from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.feeds import Feed, follow_feed
 from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.ingress import Ingress, IngressPorts
@@ -34,8 +33,11 @@
 from ashpond.gateway.news import MEMBERS_TABLE, Newsroom, ServerNotice
 from ashpond.gateway.orders import EnginePort
 from ashpond.gateway.places import Places
+from ashpond.gateway.replies import send_refusal
 from ashpond.gateway.rollouts import RolloutController
+from ashpond.gateway.sends import Tools
 from ashpond.gateway.settings import GatewaySettings
+from ashpond.gateway.status import render_status
 from ashpond.gateway.store import Row, Snapshot, Store, StoreClock
 from ashpond.outcomes import Refusal
 
@@ -153,9 +155,9 @@
             platform.codec,
             self._handle,
             self._get_limits,
-            self._is_ready,
+            self.is_ready,
             self.metrics.render,
-            self._render_status,
+            lambda: render_status(self),
         )
 
     async def run(self) -> None:
@@ -307,53 +309,12 @@
             self.budgets[service] = budget
         return budget
 
-    def _render_status(self) -> bytes:
-        """Return what this instance believes, as JSON."""
-        now = trio.current_time()
-        declaration = self.knowledge.declaration
-        age = self.knowledge.measure_age(now)
-        status = {
-            "name": self.settings.name,
-            "ready": self._is_ready(),
-            "leaving": self.leaving.is_set(),
-            "configuration": declaration.version if declaration else None,
-            "knowledge_age_seconds": round(age, 3) if declaration else None,
-            "weight_targets": self.knowledge.targets,
-            "members": sorted(self.news.members),
-            "lease": {
-                "holder": self.rollouts.lease.holder_seen,
-                "held_here": self.rollouts.lease.holds(now),
-                "fence": self.rollouts.lease.fence,
-            },
-            "cache_store_up": self.stores.is_up,
-            "waiting": self.places.waiting,
-            "open_calls": self.ingress.open_calls,
-            "log_lines_dropped": dict(self.log.dropped),
-            "repeats_left": {
-                service: round(budget.measure_left(self.news.count_instances(), now), 1)
-                for service, budget in self.budgets.items()
-            },
-            "servers": [self._describe_server(s, now) for s in self.table.list_all()],
-        }
-        return orjson.dumps(status)
-
-    def _describe_server(self, state: ServerState, now: float) -> dict[str, object]:
-        return {
-            "id": state.info.id,
-            "service": state.info.service,
-            "address": state.info.address,
-            "open": state.is_open(now),
-            "draining": state.info.is_draining,
-            "weights": state.weights,
-            "load": self.table.sum_load(state.info.id, now)._asdict(),
-            "failure_share": round(state.failure_share, 3),
-        }
-
     def _get_limits(self) -> IngressLimits:
         declaration = self.knowledge.declaration
         return declaration.limits if declaration else IngressLimits()
 
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
+        """Return whether clients should come here."""
         if self.leaving.is_set() or self.knowledge.declaration is None:
             return False
         if not self.table.is_known:
--- a/ashpond/gateway/ingress.py
+++ b/ashpond/gateway/ingress.py
@@ -17,7 +17,7 @@
 
 from ashpond.gateway.calls import Codec, Headers, IncomingCall, Reply
 from ashpond.gateway.declared import IngressLimits
-from ashpond.gateway.dispatch import send_refusal, send_whole
+from ashpond.gateway.replies import send_refusal, send_whole
 from ashpond.outcomes import Refusal
 
 BACKLOG = 1024
--- /dev/null
+++ b/ashpond/gateway/replies.py
@@ -0,0 +1,42 @@
+"""Answers of the router's own, and what is not passed on of others."""
+
+from __future__ import annotations
+
+__all__ = ["drop_connection_headers", "send_refusal", "send_whole"]
+
+from ashpond.gateway.calls import Headers, Reply
+from ashpond.outcomes import Refusal
+
+CONNECTION_HEADERS = frozenset(
+    {b"connection", b"keep-alive", b"transfer-encoding", b"content-length"}
+    | {b"proxy-connection", b"te", b"trailer", b"upgrade"}
+)
+
+
+def drop_connection_headers(headers: Headers) -> Headers:
+    """Return the headers without those that concern one connection only."""
+    return [(n, v) for n, v in headers if n.lower() not in CONNECTION_HEADERS]
+
+
+async def send_refusal(reply: Reply, refusal: Refusal) -> None:
+    """Answer with a refusal of the router's own."""
+    headers: Headers = []
+    if refusal.retry_after is not None:
+        headers.append((b"retry-after", f"{refusal.retry_after:.2f}".encode()))
+    body = refusal.message.encode() + b"\n"
+    await send_whole(reply, refusal.status, b"text/plain", body, headers)
+
+
+async def send_whole(
+    reply: Reply,
+    status: int,
+    content_type: bytes,
+    body: bytes,
+    headers: Headers | None = None,
+) -> None:
+    """Answer with a body of the router's own."""
+    length = str(len(body)).encode()
+    own: Headers = [(b"content-type", content_type), (b"content-length", length)]
+    await reply.start(status, [*own, *(headers or [])])
+    await reply.send(body)
+    await reply.finish()
--- /dev/null
+++ b/ashpond/gateway/sends.py
@@ -0,0 +1,367 @@
+"""One send of a call to one backend server, and what it brought."""
+
+from __future__ import annotations
+
+__all__ = [
+    "Answer",
+    "CallProgress",
+    "Delivered",
+    "Failed",
+    "SendOutcome",
+    "Sender",
+    "Tools",
+    "Unrun",
+]
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from ashpond.clients.channels import ChannelError, ChannelPool, Outgoing, Response
+from ashpond.gateway.admission import Accepted
+from ashpond.gateway.budget import SendBudget
+from ashpond.gateway.calls import (
+    AnswerMarks,
+    Codec,
+    Headers,
+    IncomingCall,
+    Instructions,
+    Prompt,
+    Reply,
+)
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.declared import Route, RouteKind, pick_service
+from ashpond.gateway.directory import (
+    FULL_PAUSE_SECONDS,
+    LOADING_PAUSE_SECONDS,
+    ServerState,
+)
+from ashpond.gateway.eventstream import EventCutter
+from ashpond.gateway.knowledge import Knowledge
+from ashpond.gateway.places import Place, Places
+from ashpond.gateway.replies import drop_connection_headers
+from ashpond.gateway.selection import Demand, describe_candidate, describe_demand
+
+MISDIRECTED = 421
+# An idempotent request goes elsewhere after a silence of so many objectives.
+SILENCE_OBJECTIVES = 1.2
+LEAST_SILENCE_SECONDS = 0.1
+MAX_ANSWER_BYTES = 16 << 20
+
+
+class Tools(NamedTuple):
+    """What the dispatcher works with."""
+
+    places: Places
+    pool: ChannelPool
+    codec: Codec
+    id_header: bytes
+    knowledge: Knowledge
+    log: DecisionLog
+    get_budget: Callable[[str], SendBudget]
+    count_instances: Callable[[], int]
+    note_held: Callable[[str, str, Prompt], None]
+    announce_unreached: Callable[[str, float], None]
+    rng: random.Random
+
+
+class Unrun(NamedTuple):
+    """A send had no effect."""
+
+    reason: str
+
+
+class Failed(NamedTuple):
+    """A send may have run, and brought no whole answer."""
+
+    reason: str
+
+
+class Answer(NamedTuple):
+    """A whole answer, not passed on yet."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Delivered(NamedTuple):
+    """The answer has been passed on to its end."""
+
+    status: int
+
+
+SendOutcome = Unrun | Failed | Answer | Delivered
+
+
+class CallProgress:
+    """One call on its way through its sends, and what has become of it so far.
+
+    ``runs`` counts the sends that may have run; ``cutter`` knows the last event
+    that the client has.
+    """
+
+    def __init__(
+        self,
+        tools: Tools,
+        call: IncomingCall,
+        accepted: Accepted,
+        reply: Reply,
+    ):
+        self.request = call
+        self.accepted = accepted
+        self.reply = reply
+        self.sends = 0
+        self.runs = 0
+        self.is_started = False
+        self.is_ended = False
+        self.first_after: float | None = None
+        self.cutter = EventCutter(call.envelope.resume_after)
+        prompt = call.envelope.prompt
+        self.demand = Demand(
+            pick_service(accepted.route, tools.rng),
+            prompt.model if prompt else None,
+            prompt,
+            accepted.wall,
+            is_resumable=accepted.route.is_resumable,
+        )
+        self._log = tools.log
+
+    @property
+    def route(self) -> Route:
+        """The route of the call."""
+        return self.accepted.route
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the call may run again after it may have run."""
+        return self.route.is_repeatable or self.route.is_resumable
+
+    def note(self, event: str, **fields: object) -> None:
+        """Log a decision on the call."""
+        self._log.note(
+            event,
+            id=self.request.envelope.request_id,
+            route=self.route.name,
+            after=round(trio.current_time() - self.request.received_at, 4),
+            sends=self.sends,
+            runs=self.runs,
+            **fields,
+        )
+
+    async def start_reply(self, status: int, headers: Headers) -> None:
+        """Send the head to the client, unless it was sent before."""
+        if not self.is_started:
+            self.is_started = True
+            self.first_after = trio.current_time() - self.request.received_at
+            await self.reply.start(status, drop_connection_headers(headers))
+
+
+class Sender:
+    """Sends a call, to one server at a time."""
+
+    def __init__(self, tools: Tools, call: CallProgress):
+        self.tools = tools
+        self.call = call
+
+    async def send(self, place: Place) -> SendOutcome:
+        """Send the call to the server of ``place``, which is given back."""
+        holder = [place]
+        try:
+            return await self._send(holder)
+        finally:
+            self.tools.places.give_back(holder[0])
+
+    async def _send(self, holder: list[Place]) -> SendOutcome:
+        place = holder[0]
+        state = place.state
+        self.call.sends += 1
+        self.call.note(
+            "sent",
+            server=state.info.id,
+            weights=place.weights_version,
+            demand=describe_demand(self.call.demand),
+            candidates=[describe_candidate(c) for c in place.candidates],
+            held=place.held_tokens,
+            fetch=place.fetch_tokens if place.fetch_from else 0,
+            saves=place.save_to is not None,
+            config=self.tools.knowledge.declaration.version
+            if self.tools.knowledge.declaration
+            else None,
+            knowledge_age=round(
+                self.tools.knowledge.measure_age(trio.current_time()), 3
+            ),
+        )
+        channel = None
+        is_whole = False
+        try:
+            with trio.move_on_after(self._choose_silence()) as silence:
+                channel = await self.tools.pool.acquire(
+                    state.info.id, state.info.address
+                )
+                if state.info.is_draining or state.misdirected:
+                    is_whole = True
+                    return Unrun("the server is leaving")
+                # From here on it counts as run, also if the deadline cuts in.
+                self.call.runs += 1
+                response = await channel.exchange(self._build_request(place))
+                marks = self.tools.codec.read_marks(response.headers)
+                rejection = self._read_rejection(response, marks, place)
+                if rejection is not None:
+                    self.call.runs -= 1
+                    await response.read_all(MAX_ANSWER_BYTES)
+                    is_whole = True
+                    return rejection
+                if self.call.demand.model and marks.weights_version is not None:
+                    state.learn_weights(self.call.demand.model, marks.weights_version)
+                if self.call.route.kind is RouteKind.STREAM and response.status == 200:
+                    silence.deadline = float("inf")
+                    outcome = await self._relay(response, holder)
+                else:
+                    body = await response.read_all(MAX_ANSWER_BYTES)
+                    outcome = Answer(response.status, response.headers, body)
+                    state.note_answer(
+                        trio.current_time(), failed=response.status >= 500
+                    )
+                is_whole = True
+                return outcome
+            return self._note_failed(state, "silent", is_sent=channel is not None)
+        except ChannelError as error:
+            return self._note_failed(state, str(error), is_sent=error.is_sent)
+        finally:
+            if channel is not None and is_whole:
+                self.tools.pool.release(state.info.id, channel)
+            elif channel is not None:
+                channel.close()
+
+    def _choose_silence(self) -> float:
+        if (
+            not self.call.route.is_repeatable
+            or self.call.runs + 1 >= self.call.route.max_attempts
+        ):
+            return float("inf")
+        return max(
+            LEAST_SILENCE_SECONDS, self.call.route.objective * SILENCE_OBJECTIVES
+        )
+
+    def _note_failed(
+        self, state: ServerState, reason: str, *, is_sent: bool
+    ) -> Unrun | Failed:
+        self.call.note(
+            "send_failed", server=state.info.id, reason=reason, is_sent=is_sent
+        )
+        if not is_sent:
+            pause = state.note_unreached(trio.current_time())
+            self.tools.announce_unreached(state.info.id, pause)
+            self.tools.pool.forget(state.info.id)
+            return Unrun(reason)
+        state.note_answer(trio.current_time(), failed=True)
+        return Failed(reason)
+
+    def _build_request(self, place: Place) -> Outgoing:
+        call = self.call.request
+        accepted = self.call.accepted
+        instructions = Instructions(
+            server_id=place.state.info.id,
+            team=self.call.accepted.team.name if self.call.accepted.team else None,
+            time_left=accepted.deadline - trio.current_time(),
+            salt=place.salt,
+            weights_version=place.weights_version,
+            urgency=self.call.accepted.urgency if self.call.demand.model else None,
+            resume_after=self.call.cutter.last_id,
+            fetch_from=place.fetch_from,
+            save_to=place.save_to,
+        )
+        headers = self.tools.codec.write_headers(call.envelope, instructions)
+        if call.body or call.method in ("POST", "PUT", "PATCH"):
+            headers.append((b"Content-Length", str(len(call.body)).encode()))
+        return Outgoing(
+            call.method,
+            call.target,
+            headers,
+            call.body,
+            call.envelope.request_id,
+            self.tools.id_header,
+        )
+
+    def _read_rejection(
+        self, response: Response, marks: AnswerMarks, place: Place
+    ) -> Unrun | None:
+        """Return what an answer says that tells of a request that has not run."""
+        if not marks.is_not_run and response.status != MISDIRECTED:
+            return None
+        state = place.state
+        now = trio.current_time()
+        model = self.call.demand.model or ""
+        if response.status == MISDIRECTED:
+            if marks.server_id not in (None, state.info.id):
+                state.misdirected = True
+            elif marks.weights_version is not None:
+                state.weights[model] = marks.weights_version
+            else:
+                state.close_for(LOADING_PAUSE_SECONDS, now)
+        elif state.weights.get(model, 0) < self.tools.knowledge.targets.get(model, 0):
+            state.close_for(LOADING_PAUSE_SECONDS, now)
+        else:
+            state.close_for(FULL_PAUSE_SECONDS, now)
+        self.call.note(
+            "not_run_there",
+            server=state.info.id,
+            status=response.status,
+            weights=marks.weights_version,
+            asked=place.weights_version,
+        )
+        return Unrun(f"the server answered {response.status} without running it")
+
+    async def _relay(self, response: Response, holder: list[Place]) -> SendOutcome:
+        """Pass a stream on as it arrives, in whole events where it can go on."""
+        state = holder[0].state
+        is_first = True
+        try:
+            while piece := await response.read():
+                if is_first:
+                    holder[0] = self.tools.places.note_read(holder[0])
+                    self._note_held(holder[0])
+                    is_first = False
+                data = (
+                    self.call.cutter.feed(piece)
+                    if self.call.route.is_resumable
+                    else piece
+                )
+                if data:
+                    await self.call.start_reply(response.status, response.headers)
+                    await self.call.reply.send(data)
+        except ChannelError as error:
+            self.call.cutter.drop_rest()
+            now = trio.current_time()
+            if state.is_open(now):
+                # A server that is closed may have been told to cut its streams.
+                state.note_answer(now, failed=True)
+            self.call.note(
+                "stream_broken",
+                server=state.info.id,
+                reason=str(error),
+                last_event=self.call.cutter.last_id,
+            )
+            return Failed(str(error))
+        state.note_answer(trio.current_time(), failed=False)
+        await self.call.start_reply(response.status, response.headers)
+        rest = self.call.cutter.take_rest()
+        if rest:
+            await self.call.reply.send(rest)
+        self.call.is_ended = True
+        await self.call.reply.finish()
+        self.call.note(
+            "ended",
+            status=response.status,
+            server=state.info.id,
+            first_after=round(self.call.first_after or 0.0, 4),
+        )
+        return Delivered(response.status)
+
+    def _note_held(self, place: Place) -> None:
+        prompt = self.call.request.envelope.prompt
+        if prompt is not None and place.salt is not None:
+            self.tools.note_held(place.state.info.id, place.salt, prompt)
--- /dev/null
+++ b/ashpond/gateway/status.py
@@ -0,0 +1,64 @@
+"""What one instance believes, as JSON for operators."""
+
+from __future__ import annotations
+
+__all__ = ["render_status"]
+
+from typing import TYPE_CHECKING
+
+import orjson
+import trio
+
+if TYPE_CHECKING:
+    from ashpond.gateway.application import Gateway
+    from ashpond.gateway.directory import ServerState
+
+
+def render_status(gateway: Gateway) -> bytes:
+    """Return configuration, members, lease, servers and budgets of an instance."""
+    now = trio.current_time()
+    declaration = gateway.knowledge.declaration
+    age = gateway.knowledge.measure_age(now)
+    lease = gateway.rollouts.lease
+    instances = gateway.news.count_instances()
+    status = {
+        "name": gateway.settings.name,
+        "ready": gateway.is_ready(),
+        "leaving": gateway.leaving.is_set(),
+        "configuration": declaration.version if declaration else None,
+        "knowledge_age_seconds": round(age, 3) if declaration else None,
+        "weight_targets": gateway.knowledge.targets,
+        "members": sorted(gateway.news.members),
+        "lease": {
+            "holder": lease.holder_seen,
+            "held_here": lease.holds(now),
+            "fence": lease.fence,
+        },
+        "cache_store_up": gateway.stores.is_up,
+        "waiting": gateway.places.waiting,
+        "open_calls": gateway.ingress.open_calls,
+        "log_lines_dropped": dict(gateway.log.dropped),
+        "repeats_left": {
+            service: round(budget.measure_left(instances, now), 1)
+            for service, budget in gateway.budgets.items()
+        },
+        "servers": [
+            _describe_server(gateway, state, now) for state in gateway.table.list_all()
+        ],
+    }
+    return orjson.dumps(status)
+
+
+def _describe_server(
+    gateway: Gateway, state: ServerState, now: float
+) -> dict[str, object]:
+    return {
+        "id": state.info.id,
+        "service": state.info.service,
+        "address": state.info.address,
+        "open": state.is_open(now),
+        "draining": state.info.is_draining,
+        "weights": state.weights,
+        "load": gateway.table.sum_load(state.info.id, now)._asdict(),
+        "failure_share": round(state.failure_share, 3),
+    }
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -19,8 +19,9 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.declared import Declaration, Route, RouteKind, WeightTarget
 from ashpond.gateway.directory import Load, ServerTable
-from ashpond.gateway.dispatch import Dispatcher, Tools
+from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.knowledge import Knowledge
+from ashpond.gateway.sends import Tools
 from ashpond_platform.headers import CODEC, REQUEST_ID
 from tests.gateway_builders import (
     MODEL,
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -114,7 +114,7 @@
     running = Running(gateway, store)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(gateway.run)
-        await wait_for(lambda: gateway._is_ready() or not is_known)
+        await wait_for(lambda: gateway.is_ready() or not is_known)
         await wait_for(lambda: bool(gateway.news.members))
         yield running
         nursery.cancel_scope.cancel()
