--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -202,6 +202,9 @@
                 if event is not h11.NEED_DATA:
                     return event
                 data = await self._stream.receive_some(READ_BYTES)
+                if not data and self._conn.their_state is h11.SEND_RESPONSE:
+                    reason = "the server ended the connection without an answer"
+                    raise ChannelError(reason, is_sent=True)
                 self._conn.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise ChannelError(f"not a whole answer: {error}", is_sent=True) from error
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -12,6 +12,7 @@
 import trio
 
 from ashpond.clients.channels import ChannelPool
+from ashpond.errors import SettingsError
 from ashpond.gateway.admission import admit_call
 from ashpond.gateway.budget import SendBudget
 from ashpond.gateway.cachestores import CacheStores
@@ -36,7 +37,7 @@
 from ashpond.gateway.replies import send_refusal
 from ashpond.gateway.rollouts import RolloutController
 from ashpond.gateway.sends import Tools
-from ashpond.gateway.settings import GatewaySettings
+from ashpond.gateway.settings import GatewaySettings, SettingsFile
 from ashpond.gateway.status import render_status
 from ashpond.gateway.store import Row, Snapshot, Store, StoreClock
 from ashpond.outcomes import Refusal
@@ -60,6 +61,8 @@
 # Kept back from the grace period for the end of the process (seconds).
 GRACE_MARGIN_SECONDS = 0.4
 HOUSEKEEPING_SECONDS = 0.5
+# The settings file may change without a signal; it is read again so often.
+SETTINGS_SECONDS = 2.0
 
 
 class Platform(NamedTuple):
@@ -80,12 +83,13 @@
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        settings_file: SettingsFile,
         platform: Platform,
         pool: ChannelPool,
         log: DecisionLog,
     ):
-        self.settings = settings
+        settings = settings_file.current
+        self.settings_file = settings_file
         self.platform = platform
         self.pool = pool
         self.log = log
@@ -160,6 +164,11 @@
             lambda: render_status(self),
         )
 
+    @property
+    def settings(self) -> GatewaySettings:
+        """The settings in force; addresses that it listens on need a restart."""
+        return self.settings_file.current
+
     async def run(self) -> None:
         """Serve until SIGTERM, then let what is in flight end."""
         self.log.note("started", settings=self.settings._asdict())
@@ -171,6 +180,7 @@
             nursery.start_soon(self.news.run)
             nursery.start_soon(self.rollouts.run)
             nursery.start_soon(self._keep_house)
+            nursery.start_soon(self._watch_settings)
             nursery.start_soon(
                 self.stores.follow,
                 self._list_cache_stores,
@@ -350,13 +360,28 @@
                 self.pool.forget(server_id)
                 self.log.note("server_expired", server=server_id)
 
+    async def _watch_settings(self) -> None:
+        while True:
+            await trio.sleep(SETTINGS_SECONDS)
+            self._reload("file")
+
+    def _reload(self, cause: str) -> None:
+        try:
+            has_changed = self.settings_file.reload()
+        except SettingsError as error:
+            self.log.note("settings_refused", problems=str(error))
+            return
+        if has_changed:
+            self.budgets.clear()
+            self.log.note("reload", cause=cause, settings=self.settings._asdict())
+
     async def _watch_signals(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async for number in signals:
                 if number == signal.SIGTERM:
                     self.leave()
                 else:
-                    self.log.note("reload")
+                    self._reload("SIGHUP")
 
     def leave(self) -> None:
         """Take no new connections, end what is in flight, then stop."""
--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -5,6 +5,7 @@
 __all__ = [
     "GatewayBounds",
     "GatewaySettings",
+    "SettingsFile",
     "load_gateway_settings",
     "parse_gateway_settings",
 ]
@@ -54,6 +55,24 @@
 SETTINGS_ADAPTER = TypeAdapter(GatewaySettings, config=ConfigDict(strict=False))
 
 
+class SettingsFile:
+    """The settings in force, and the file that they come from."""
+
+    def __init__(self, path: str, current: GatewaySettings | None = None):
+        self.path = path
+        self.current = current or load_gateway_settings(path)
+
+    def reload(self) -> bool:
+        """Read the file again; return whether anything has changed.
+
+        :raises SettingsError: if it holds faults; the settings stay as they were.
+        """
+        loaded = load_gateway_settings(self.path)
+        has_changed = loaded != self.current
+        self.current = loaded
+        return has_changed
+
+
 def load_gateway_settings(path: str) -> GatewaySettings:
     """Read and check the settings file at ``path``.
 
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -14,7 +14,11 @@
 from ashpond.errors import SettingsError
 from ashpond.gateway.application import Gateway, Platform
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.settings import GatewaySettings, parse_gateway_settings
+from ashpond.gateway.settings import (
+    GatewaySettings,
+    SettingsFile,
+    parse_gateway_settings,
+)
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.engines import build_engine_port
 from ashpond_platform.headers import CODEC, REQUEST_ID
@@ -110,7 +114,7 @@
     )
     log = DecisionLog("i0", 2)
     log.flush = lambda: log._lines.clear()  # type: ignore[method-assign]
-    gateway = Gateway(make_settings(), platform, pool, log)
+    gateway = Gateway(SettingsFile("", make_settings()), platform, pool, log)
     running = Running(gateway, store)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(gateway.run)
@@ -261,3 +265,27 @@
     problem = caught.value.problems[0]
     assert (problem.file, problem.key) == ("node.toml", key)
     assert problem.reason
+
+
+def write_settings(path: str, revocation_ms: str) -> None:
+    values = make_settings()._asdict()
+    lines = [
+        f'{name} = "{value}"' for name, value in values.items() if name != "bounds"
+    ]
+    with open(path, "w", encoding="utf-8") as file:
+        file.write("\n".join([*lines, "[bounds]", f"revocation_ms = {revocation_ms}"]))
+
+
+def test_changed_settings_come_into_force_and_broken_ones_do_not(
+    tmp_path: object,
+) -> None:
+    path = f"{tmp_path}/node.toml"
+    write_settings(path, "5000")
+    settings = SettingsFile(path)
+    write_settings(path, "4000")
+    assert settings.reload()
+    assert settings.current.bounds.revocation_ms == 4000
+    write_settings(path, '"soon"')
+    with pytest.raises(SettingsError):
+        settings.reload()
+    assert settings.current.bounds.revocation_ms == 4000
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -76,7 +76,7 @@
             await stream.send_all(make_answer(orjson.dumps(body), status=status))
 
     async with run_server(script) as address:
-        yield build_store(address, ChannelPool())
+        yield build_store(lambda: address, ChannelPool())
 
 
 async def test_a_table_is_read_in_pages() -> None:
@@ -136,5 +136,5 @@
 
 
 async def test_nobody_listening_is_unavailable() -> None:
-    store = build_store("127.0.0.1:1", ChannelPool())
+    store = build_store(lambda: "127.0.0.1:1", ChannelPool())
     assert isinstance(await store.read("t"), Unavailable)
