Share the budget of repeats over restarts of instances

Ruled out: one instance alone over its part (each kept it). Change: instances tell each other their first and repeated sends; those of a life that ended count for one window more; a new life's own part grows over its first window. Streams are cut for a load only if repeats are left for failures; most end within 0.4 s before.

--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -98,13 +98,16 @@
 
     ``loads`` maps server ids to [requests, unread tokens, held tokens];
     ``notices`` are lists of [server id, model, version, seconds without work],
-    ``holdings`` of [server id, salt, prompt part].
+    ``holdings`` of [server id, salt, prompt part]; ``sends`` maps services to
+    [first sends, repeated sends] within the window of the budget. ``sender`` names
+    one life of an instance.
     """
 
     sender: str
     loads: dict[str, Any]
     notices: list[Any]
     holdings: list[Any]
+    sends: dict[str, Any]
 
 
 PeerMessage = (
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -14,7 +14,7 @@
 from ashpond.clients.channels import ChannelPool
 from ashpond.errors import SettingsError
 from ashpond.gateway.admission import admit_call
-from ashpond.gateway.budget import SendBudget
+from ashpond.gateway.budget import SendBudget, SendCounts
 from ashpond.gateway.cachestores import CacheStores
 from ashpond.gateway.calls import Codec, IncomingCall, Prompt, Reply
 from ashpond.gateway.decisionlog import DecisionLog
@@ -102,6 +102,7 @@
         self.metrics = GatewayMetrics()
         self.budgets: dict[str, SendBudget] = {}
         self.failed_at = float("-inf")
+        self.started_at = trio.current_time()
         self.leaving = trio.Event()
         self.places = Places(
             self.table,
@@ -121,6 +122,8 @@
             log,
             self._on_notice,
             self._on_holding,
+            self._list_sends,
+            self._on_sends,
         )
         self.rollouts = RolloutController(
             settings.name,
@@ -133,6 +136,7 @@
             lambda: list(self.news.members),
             self.news.announce,
             self.places.wake,
+            self._measure_repeats_left,
             settings.bounds.lease_ms / MS,
         )
         self.dispatcher = Dispatcher(
@@ -314,11 +318,25 @@
         if budget is None:
             bounds = self.settings.bounds
             budget = SendBudget(
-                bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
+                bounds.retry_share,
+                bounds.retry_slack,
+                bounds.retry_window_s,
+                self.started_at,
             )
             self.budgets[service] = budget
         return budget
 
+    def _list_sends(self) -> dict[str, SendCounts]:
+        now = trio.current_time()
+        return {name: budget.count_own(now) for name, budget in self.budgets.items()}
+
+    def _on_sends(self, service: str, peer: str, counts: SendCounts) -> None:
+        self._get_budget(service).note_peer(peer, counts, trio.current_time())
+
+    def _measure_repeats_left(self, service: str) -> float:
+        instances = self.news.count_instances()
+        return self._get_budget(service).measure_left(instances, trio.current_time())
+
     def _get_limits(self) -> IngressLimits:
         declaration = self.knowledge.declaration
         return declaration.limits if declaration else IngressLimits()
--- a/ashpond/gateway/budget.py
+++ b/ashpond/gateway/budget.py
@@ -1,33 +1,64 @@
-"""The share of repeated sends that each instance may use of the fleet's budget."""
+"""The fleet's budget of repeated sends to a service, as one instance sees it."""
 
 from __future__ import annotations
 
-__all__ = ["SendBudget"]
+__all__ = ["SendBudget", "SendCounts"]
 
 from collections import deque
+from typing import NamedTuple
 
-# Instances count their windows apart from one another and from the judge.
+# What peers sent since they last told is not known yet, and windows slide apart.
 SAFETY = 0.75
+# Of its part of the slack, what an instance may use just after its start.
+FIRST_SHARE = 0.2
+
+
+class SendCounts(NamedTuple):
+    """First and repeated sends within one window."""
+
+    fresh: int = 0
+    repeats: int = 0
 
 
 class SendBudget:
-    """Repeated sends to one service, in a sliding window.
+    """Repeated sends to one service by all instances, in a sliding window.
+
+    Peers tell their counts; those of one that has gone count for a window more. An
+    instance that has just started does not know what its earlier life sent, so its
+    own part of the slack grows over its first window.
 
-    :param share: of this instance's requests in the window.
-    :param slack: of the whole fleet besides; an instance has an equal part.
+    :param share: repeats that are allowed, as a share of the requests.
+    :param slack: repeats of the whole fleet besides.
+    :param window: in seconds.
+    :param started_at: when this instance started.
     """
 
-    def __init__(self, share: float, slack: float, window: float):
+    def __init__(
+        self, share: float, slack: float, window: float, started_at: float = 0.0
+    ):
         self.share = share
         self.slack = slack
         self.window = window
+        self._started_at = started_at
         self._fresh: deque[float] = deque()
         self._repeats: deque[float] = deque()
+        self._peers: dict[str, tuple[float, SendCounts]] = {}
 
     def note_fresh(self, now: float) -> None:
         """Count a request."""
         self._fresh.append(now)
 
+    def note_peer(self, peer: str, counts: SendCounts, now: float) -> None:
+        """Take the counts of one life of a peer."""
+        self._peers[peer] = (now, counts)
+
+    def count_own(self, now: float) -> SendCounts:
+        """Return this instance's counts."""
+        for times in (self._fresh, self._repeats):
+            while times and now - times[0] > self.window:
+                times.popleft()
+        return SendCounts(len(self._fresh), len(self._repeats))
+
     def take(self, instances: int, now: float) -> bool:
         """Use up one repeat; return whether there was one left."""
         if self.measure_left(instances, now) < 1:
@@ -36,12 +67,26 @@
         return True
 
     def measure_left(self, instances: int, now: float) -> float:
-        """Return how many repeats this instance may still send in the window."""
-        self._expire(now)
-        allowed = self.share * len(self._fresh) + self.slack / max(1, instances)
-        return allowed * SAFETY - len(self._repeats)
+        """Return how many repeats this instance may still send."""
+        own = self.count_own(now)
+        fleet = self._count_fleet(own, now)
+        fleet_left = self._allow(fleet.fresh, self.slack) - fleet.repeats
+        age = max(0.0, now - self._started_at)
+        if age >= self.window and self._peers:
+            return fleet_left
+        grown = min(1.0, FIRST_SHARE + age / self.window)
+        part = self.slack / max(1, instances) * grown
+        return min(fleet_left, self._allow(own.fresh, part) - own.repeats)
 
-    def _expire(self, now: float) -> None:
-        for times in (self._fresh, self._repeats):
-            while times and now - times[0] > self.window:
-                times.popleft()
+    def _allow(self, fresh: int, slack: float) -> float:
+        return (self.share * fresh + slack) * SAFETY
+
+    def _count_fleet(self, own: SendCounts, now: float) -> SendCounts:
+        fresh, repeats = own
+        for peer, (told_at, counts) in list(self._peers.items()):
+            if now - told_at > self.window:
+                del self._peers[peer]
+                continue
+            fresh += counts.fresh
+            repeats += counts.repeats
+        return SendCounts(fresh, repeats)
--- a/ashpond/gateway/directory.py
+++ b/ashpond/gateway/directory.py
@@ -205,12 +205,14 @@
         ]
 
     def note_peer_loads(self, peer: str, loads: dict[str, Load], now: float) -> None:
-        """Take what a peer says of its work at each server."""
+        """Take what one life of a peer says of its work at each server."""
         self._peer_loads[peer] = (now, loads)
-
-    def forget_peer(self, peer: str) -> None:
-        """Drop what a peer said."""
-        self._peer_loads.pop(peer, None)
+        for silent in [
+            name
+            for name, (heard_at, _) in self._peer_loads.items()
+            if now - heard_at > PEER_LOAD_SECONDS
+        ]:
+            del self._peer_loads[silent]
 
     def sum_load(self, server_id: str, now: float) -> Load:
         """Return the work of all instances at a server, as far as is known."""
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -13,6 +13,7 @@
 
 from ashpond.clients.peer import News, PeerStream, connect_peer
 from ashpond.errors import FrameError
+from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import Load, ServerTable
 from ashpond.gateway.holdings import Holding
@@ -24,6 +25,7 @@
 SECRET_TABLE = "ashpond-secret"
 SECRET_KEY = "peers"
 SECRET_BYTES = 24
+LIFE_BYTES = 4
 # Loads are told at most so often, and at least so often (seconds).
 NEWS_SECONDS = 0.08
 HEARTBEAT_SECONDS = 0.6
@@ -64,6 +66,8 @@
         log: DecisionLog,
         on_notice: Callable[[ServerNotice], None],
         on_holding: Callable[[Holding], None],
+        list_sends: Callable[[], dict[str, SendCounts]],
+        on_sends: Callable[[str, str, SendCounts], None],
     ):
         self.name = name
         self.address = address
@@ -73,6 +77,9 @@
         self._log = log
         self._on_notice = on_notice
         self._on_holding = on_holding
+        self._list_sends = list_sends
+        self._on_sends = on_sends
+        self._life = f"{name}#{secrets.token_hex(LIFE_BYTES)}"
         self._secret = ""
         self._senders: dict[str, trio.CancelScope] = {}
         self._notices: dict[str, list[ServerNotice]] = {}
@@ -160,7 +167,6 @@
             self._senders.pop(link).cancel()
             self._notices.pop(link, None)
             self._holdings.pop(link, None)
-            self._table.forget_peer(link.partition(" ")[0])
         for link in sorted(wanted - self._senders.keys()):
             scope = trio.CancelScope()
             self._senders[link] = scope
@@ -212,10 +218,11 @@
                 self._notices[link] = []
                 self._holdings[link] = []
                 news = News(
-                    self.name,
+                    self._life,
                     {server_id: list(load) for server_id, load in loads.items()},
                     [list(notice) for notice in notices],
                     [list(holding) for holding in holdings],
+                    {name: list(sends) for name, sends in self._list_sends().items()},
                 )
                 with trio.fail_after(SEND_SECONDS):
                     await stream.send(news)
@@ -243,6 +250,7 @@
             loads = {str(key): Load(*map(int, v)) for key, v in news.loads.items()}
             notices = [ServerNotice(*fields) for fields in news.notices]
             holdings = [Holding(*fields) for fields in news.holdings]
+            sends = {str(k): SendCounts(*map(int, v)) for k, v in news.sends.items()}
         except (TypeError, ValueError) as error:
             self._log.note("peer_news_invalid", peer=news.sender, reason=repr(error))
             return
@@ -251,3 +259,5 @@
             self._on_notice(notice)
         for holding in holdings:
             self._on_holding(holding)
+        for service, counts in sends.items():
+            self._on_sends(service, news.sender, counts)
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -49,7 +49,10 @@
 # How long requests that cannot go on elsewhere are given to end before the order;
 # most take 0.3 s. Streams that can go on elsewhere take up to 5 s and are cut.
 BOUND_SECONDS = 1.0
+STREAMS_SECONDS = 0.4
 BOUND_LOOK_SECONDS = 0.04
+# Repeats that have to be left for servers that fail.
+SPARE_REPEATS = 30
 # A load takes 0.8 s after the runs have ended; looks at its progress (seconds).
 FIRST_LOOK_SECONDS = 0.65
 LOOK_SECONDS = 0.1
@@ -90,6 +93,7 @@
         get_members: Callable[[], list[str]],
         announce: Callable[[ServerNotice], None],
         on_change: Callable[[], None],
+        measure_repeats_left: Callable[[str], float],
         lease_seconds: float,
     ):
         self.name = name
@@ -104,6 +108,7 @@
         self._get_members = get_members
         self._announce = announce
         self._on_change = on_change
+        self._measure_repeats_left = measure_repeats_left
         self._ordering: set[str] = set()
         self._accepted: dict[str, int] = {}
         self._paused_until: dict[str, float] = {}
@@ -279,12 +284,21 @@
         self._announce(ServerNotice(lag.state.info.id, lag.model, 0, seconds))
 
     async def _await_bound_requests(self, lag: _Lag, started: float) -> bool:
-        """Wait for requests that cannot be moved; return whether all have ended."""
+        """Wait for requests that cannot be moved; return whether to cut the others.
+
+        Most streams end by themselves within the first part of the wait. Each one
+        that is cut is sent once more, which the fleet's budget has to bear.
+        """
         while True:
             now = trio.current_time()
-            if not self._table.sum_load(lag.state.info.id, now).bound:
-                return True
-            if now - started >= BOUND_SECONDS:
+            load = self._table.sum_load(lag.state.info.id, now)
+            waited = now - started
+            if not load.requests:
+                return False
+            if not load.bound and waited >= STREAMS_SECONDS:
+                left = self._measure_repeats_left(lag.state.info.service)
+                return left - load.requests >= SPARE_REPEATS
+            if waited >= BOUND_SECONDS:
                 return False
             await trio.sleep(BOUND_LOOK_SECONDS)
 
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -69,17 +69,71 @@
     assert table.sum_load("a", 1.0 + PEER_LOAD_SECONDS + 0.1).requests == 0
 
 
-def test_the_instances_repeats_stay_within_the_fleets_budget() -> None:
-    budgets = [SendBudget(0.2, 56, 10.0) for _ in range(8)]
+WINDOW = 10.0
+SHARE = 0.2
+SLACK = 56
+
+
+def make_budgets(count: int, started_at: float = -100.0) -> list[SendBudget]:
+    return [SendBudget(SHARE, SLACK, WINDOW, started_at) for _ in range(count)]
+
+
+def tell_all(budgets: list[SendBudget], now: float, life: str = "") -> None:
+    for number, teller in enumerate(budgets):
+        for other in budgets:
+            if other is not teller:
+                other.note_peer(f"i{number}{life}", teller.count_own(now), now)
+
+
+def take_all(budgets: list[SendBudget], now: float, *, tell: bool = True) -> int:
+    """Take repeats in turn until none gets any more."""
+    is_any_left = True
+    while is_any_left:
+        got = [budget.take(len(budgets), now) for budget in budgets]
+        is_any_left = any(got)
+        if tell:
+            tell_all(budgets, now)
+    return sum(budget.count_own(now).repeats for budget in budgets)
+
+
+def test_the_fleets_repeats_stay_within_its_budget() -> None:
+    budgets = make_budgets(8)
     for budget in budgets:
         for n in range(30):
             budget.note_fresh(n / 10)
-    taken = sum(budget.take(8, 3.0) for budget in budgets for _ in range(100))
-    assert 0 < taken <= 0.2 * 240 + 56
+    tell_all(budgets, 3.0)
+    taken = take_all(budgets, 3.0)
+    assert 0.5 * (SHARE * 240 + SLACK) < taken <= SHARE * 240 + SLACK
+
+
+def test_one_instance_may_use_what_the_others_do_not() -> None:
+    budgets = make_budgets(8)
+    tell_all(budgets, 0.0)
+    assert take_all(budgets[:1], 0.0, tell=False) > SLACK / 8
+
+
+def test_instances_without_news_keep_to_their_parts() -> None:
+    budgets = make_budgets(8)
+    taken = sum(take_all([budget] * 8, 0.0, tell=False) / 8 for budget in budgets)
+    assert taken <= SLACK
+
+
+def test_instances_that_restart_in_turn_get_no_budget_anew() -> None:
+    """Seed 924511327911 of Hinokuni's trouble-2: 128 repeats where 124 are allowed."""
+    budgets = make_budgets(6)
+    tell_all(budgets, 0.0)
+    taken = 0
+    for number in range(6):
+        now = 1.5 * number
+        before = sum(budget.count_own(now).repeats for budget in budgets)
+        taken += take_all(budgets, now) - before
+        budgets[number] = SendBudget(SHARE, SLACK, WINDOW, now)
+        tell_all(budgets, now, life=f"#{number}")
+    assert taken <= SLACK
 
 
 def test_the_budget_slides() -> None:
-    budget = SendBudget(0.2, 10, 10.0)
+    budget = make_budgets(1)[0]
     while budget.take(1, 0.0):
         pass
     assert not budget.take(1, 9.9)
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -169,7 +169,7 @@
     if pools is not None:
         pools.append(pool)
     log = DecisionLog("test")
-    budget = SendBudget(0.0, slack, 10.0)
+    budget = SendBudget(0.0, slack, 10.0, started_at=now - 60)
     tools = Tools(
         make_places(table),
         pool,  # type: ignore[arg-type]
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -8,6 +8,7 @@
 import trio
 
 from ashpond.clients.peer import News
+from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import Load
 from ashpond.gateway.feeds import Feed, follow_feed
@@ -24,6 +25,7 @@
         self.table = make_table(make_server("a"))
         self.notices: list[ServerNotice] = []
         self.holdings: list[Holding] = []
+        self.sends: dict[str, SendCounts] = {}
         self.log = DecisionLog(name)
         self.port = store.build_port()
         self.news = Newsroom(
@@ -34,6 +36,8 @@
             self.log,
             self.notices.append,
             self.holdings.append,
+            lambda: {"reader": SendCounts(10, 2)},
+            lambda service, peer, counts: self.sends.update({peer: counts}),
         )
 
     async def run(self) -> None:
@@ -84,6 +88,7 @@
             return all(o.table.sum_load("a", now) == Load(3, 100, 200) for o in others)
 
         await wait_for(all_know)
+        assert SendCounts(10, 2) in others[0].sends.values()
         assert first.news.count_instances() == 3
         nursery.cancel_scope.cancel()
 
@@ -113,8 +118,8 @@
 
 def test_news_that_make_no_sense_are_left_out(instances: list[Instance]) -> None:
     instance = instances[0]
-    instance.news._take(News("i1", {"a": ["x"]}, [], []))
-    instance.news._take(News("i1", {}, [["too", "few"]], []))
+    instance.news._take(News("i1", {"a": ["x"]}, [], [], {}))
+    instance.news._take(News("i1", {}, [["too", "few"]], [], {}))
     events = [line["event"] for line in instance.log._lines]
     assert events == ["peer_news_invalid", "peer_news_invalid"]
     assert instance.notices == []
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -113,6 +113,7 @@
         servers = [make_server(f"s{n}") for n in range(engines)]
         self.engines = Engines(servers)
         self.store = MemoryStore()
+        self.repeats_left = 100.0
         self.tables: list[ServerTable] = []
         self.controllers: list[RolloutController] = []
         self.knowledge: list[Knowledge] = []
@@ -134,6 +135,7 @@
                     lambda: names,
                     self.announce,
                     lambda: None,
+                    lambda service: self.repeats_left,
                     LEASE_SECONDS,
                 )
             )
@@ -323,6 +325,20 @@
     assert [sent.order.cuts_runs for sent in fleet.engines.orders] == [True]
 
 
+async def test_streams_are_not_cut_if_the_budget_is_needed_otherwise(
+    autojump_clock: object,
+) -> None:
+    fleet = Fleet(1, engines=1)
+    fleet.repeats_left = 20.0
+    fleet.tables[0].by_id["s0"].load = Load(3, 0, 0, bound=0)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        await run_until_current(fleet, 2, 5.0)
+        nursery.cancel_scope.cancel()
+    assert [sent.order.cuts_runs for sent in fleet.engines.orders] == [False]
+
+
 async def test_streams_are_not_cut_beside_requests_that_cannot_move(
     autojump_clock: object,
 ) -> None:
