--- a/ashpond/checking.py
+++ b/ashpond/checking.py
@@ -2,19 +2,29 @@
 
 from __future__ import annotations
 
-__all__ = ["check_table", "load_toml"]
+__all__ = ["AddressText", "Seconds", "check_table", "load_toml"]
 
 import tomllib
-from typing import Any
+from typing import Annotated, Any
 
-from pydantic import TypeAdapter, ValidationError
+from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
 
+from ashpond.addresses import parse_address
 from ashpond.errors import InputProblem
 
 MAX_SHOWN = 60
 SECRET_KEYS = ("secret", "token", "key_hashes")
 
 
+def _check_address(text: str) -> str:
+    parse_address(text)
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
+Seconds = Annotated[float, Field(gt=0, le=86_400)]
+
+
 def load_toml(name: str, text: str) -> tuple[dict[str, Any], list[InputProblem]]:
     """Parse TOML; return the table and the problems found."""
     try:
--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -17,9 +17,9 @@
 import h11
 import trio
 
+from ashpond.addresses import parse_address
 from ashpond.errors import AshpondError
 from ashpond.gateway.calls import Headers
-from ashpond.settings import parse_address
 
 READ_BYTES = 65_536
 # Bodies up to this fit into a socket's buffer and are sent without a task.
--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -34,9 +34,9 @@
 import msgpack
 import trio
 
+from ashpond.addresses import parse_address
 from ashpond.errors import FrameError
 from ashpond.outcomes import Unavailable
-from ashpond.settings import parse_address
 
 PROTOCOL_VERSION = 1
 LENGTH = struct.Struct(">I")
--- a/ashpond/controllers/peers.py
+++ b/ashpond/controllers/peers.py
@@ -9,6 +9,7 @@
 import trio
 from logbook import Logger
 
+from ashpond.addresses import parse_address
 from ashpond.clients.peer import (
     AskAttempt,
     AttemptAnswer,
@@ -20,7 +21,6 @@
     PeerStream,
 )
 from ashpond.errors import FrameError
-from ashpond.settings import parse_address
 
 if TYPE_CHECKING:
     from ashpond.controllers.claims import ClaimsController
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -11,6 +11,7 @@
 import orjson
 import trio
 
+from ashpond.addresses import parse_address
 from ashpond.clients.peer import News, PeerStream, connect_peer
 from ashpond.errors import FrameError
 from ashpond.gateway.budget import SendCounts
@@ -19,7 +20,6 @@
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.store import Condition, Row, Snapshot, Store
 from ashpond.outcomes import Conflict, Done
-from ashpond.settings import parse_address
 
 MEMBERS_TABLE = "ashpond-members"
 SECRET_TABLE = "ashpond-secret"
--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -15,9 +15,8 @@
 
 from pydantic import ConfigDict, Field, TypeAdapter
 
-from ashpond.checking import check_table, load_toml
+from ashpond.checking import AddressText, Seconds, check_table, load_toml
 from ashpond.errors import InputProblem, SettingsError
-from ashpond.settings import AddressText, Seconds
 
 Milliseconds = Annotated[float, Field(ge=0, le=86_400_000)]
 
--- a/ashpond/settings.py
+++ b/ashpond/settings.py
@@ -2,58 +2,20 @@
 
 from __future__ import annotations
 
-__all__ = ["Address", "Settings", "load_settings", "parse_settings"]
+__all__ = ["Settings", "load_settings", "parse_settings"]
 
-import ipaddress
 from pathlib import Path
 from typing import Annotated, Literal, NamedTuple
 
-from pydantic import AfterValidator, ConfigDict, Field, TypeAdapter
+from pydantic import ConfigDict, Field, TypeAdapter
 
-from ashpond.checking import check_table, load_toml
+from ashpond.checking import AddressText, Seconds, check_table, load_toml
 from ashpond.errors import InputProblem, SettingsError
 
 MIN_SECRET_LENGTH = 16
 
 
-class Address(NamedTuple):
-    """An IP number and a TCP port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return (
-            f"[{self.host}]:{self.port}"
-            if ":" in self.host
-            else f"{self.host}:{self.port}"
-        )
-
-
-def parse_address(text: str) -> Address:
-    """Return the address that ``text`` writes as ``IP:PORT``.
-
-    :raises ValueError: if the host is not an IP number or the port is no port.
-    """
-    host, separator, port = text.rpartition(":")
-    host = host.strip("[]")
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError("must be IP:PORT with a port from 1 to 65535")
-    try:
-        ipaddress.ip_address(host)
-    except ValueError as error:
-        raise ValueError("the host must be an IP number, not a name") from error
-    return Address(host, int(port))
-
-
-def _check_address(text: str) -> str:
-    parse_address(text)
-    return text
-
-
-AddressText = Annotated[str, AfterValidator(_check_address)]
 Secret = Annotated[str, Field(min_length=MIN_SECRET_LENGTH)]
-Seconds = Annotated[float, Field(gt=0, le=86_400)]
 
 
 class LimitSettings(NamedTuple):
