Start without pydantic

Cause: after the loss of all instances nothing is served until one has started; of a start's 0.9 s of processor time (beside other work) pydantic took a quarter. Ruled out: checks by hand (a library does them), checking later (bad settings would serve).

--- a/ashpond/checking.py
+++ b/ashpond/checking.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-__all__ = ["AddressText", "Seconds", "check_table", "load_toml"]
+__all__ = ["AddressText", "Seconds", "check_table"]
 
-import tomllib
 from typing import Annotated, Any
 
 from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
 
 from ashpond.addresses import parse_address
 from ashpond.errors import InputProblem
+from ashpond.tables import MAX_SHOWN
 
-MAX_SHOWN = 60
 SECRET_KEYS = ("secret", "token", "key_hashes")
 
 
@@ -25,14 +24,6 @@
 Seconds = Annotated[float, Field(gt=0, le=86_400)]
 
 
-def load_toml(name: str, text: str) -> tuple[dict[str, Any], list[InputProblem]]:
-    """Parse TOML; return the table and the problems found."""
-    try:
-        return tomllib.loads(text), []
-    except tomllib.TOMLDecodeError as error:
-        return {}, [InputProblem(name, "(file)", "", f"not valid TOML: {error}")]
-
-
 def check_table(
     name: str, adapter: TypeAdapter, table: dict[str, Any]
 ) -> tuple[Any, list[InputProblem]]:
--- a/ashpond/configuration.py
+++ b/ashpond/configuration.py
@@ -24,8 +24,9 @@
 
 from pydantic import ConfigDict, Field, TypeAdapter
 
-from ashpond.checking import AddressText, Seconds, check_table, load_toml
+from ashpond.checking import AddressText, Seconds, check_table
 from ashpond.errors import ConfigError, InputProblem
+from ashpond.tables import load_toml
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 KeyHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -10,48 +10,79 @@
     "parse_gateway_settings",
 ]
 
+import re
 from pathlib import Path
-from typing import Annotated, NamedTuple
+from typing import Annotated, Any, NamedTuple, Required, TypedDict
 
-from pydantic import ConfigDict, Field, TypeAdapter
+import msgspec
+from msgspec import Meta
 
-from ashpond.checking import AddressText, Seconds, check_table, load_toml
 from ashpond.errors import InputProblem, SettingsError
+from ashpond.tables import MAX_SHOWN, load_toml
 
-Milliseconds = Annotated[float, Field(ge=0, le=86_400_000)]
+# ``msgspec`` and not ``pydantic``, whose import takes a quarter of the start: after
+# the loss of all instances nothing is served until one has started.
+Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
+Milliseconds = Annotated[float, Meta(ge=0, le=86_400_000)]
+Seconds = Annotated[float, Meta(gt=0, le=86_400)]
+FAULT_PATH = re.compile(r"^(?P<reason>.*?)(?: - at `\$\.?(?P<key>.*)`)?$")
+MISSING = re.compile(r"Object missing required field `(?P<key>.*)`")
 
 
 class GatewayBounds(NamedTuple):
     """Bounds that the operators state; what each one limits stands beside it."""
 
     # From a key's removal until no request with it may run.
-    revocation_ms: Milliseconds = 5000
+    revocation_ms: float = 5000
     # From SIGTERM until the process is killed.
-    grace_s: Seconds = 8.0
+    grace_s: float = 8.0
     # Repeated sends to a service, as a share of its requests, and besides.
-    retry_share: Annotated[float, Field(ge=0, le=10)] = 0.2
-    retry_slack: Annotated[float, Field(ge=0)] = 50
-    retry_window_s: Seconds = 10.0
+    retry_share: float = 0.2
+    retry_slack: float = 50
+    retry_window_s: float = 10.0
     # From a weight target until no request may begin on older weights.
-    weights_ms: Milliseconds = 10_000
+    weights_ms: float = 10_000
     # Orders of two lease holders must be at least this far apart.
-    lease_ms: Milliseconds = 3000
+    lease_ms: float = 3000
 
 
 class GatewaySettings(NamedTuple):
     """Everything that one instance is told; addresses are ``IP:PORT``."""
 
-    name: Annotated[str, Field(min_length=1, max_length=100)]
-    failure_domain: Annotated[str, Field(min_length=1, max_length=100)]
-    callers_address: AddressText
-    readiness_address: AddressText
-    peers_address: AddressText
-    metrics_address: AddressText
-    store_address: AddressText
+    name: str
+    failure_domain: str
+    callers_address: str
+    readiness_address: str
+    peers_address: str
+    metrics_address: str
+    store_address: str
     bounds: GatewayBounds = GatewayBounds()
 
 
-SETTINGS_ADAPTER = TypeAdapter(GatewaySettings, config=ConfigDict(strict=False))
+class BoundsTable(TypedDict, total=False):
+    """The bounds as the file may hold them."""
+
+    revocation_ms: Milliseconds
+    grace_s: Seconds
+    retry_share: Annotated[float, Meta(ge=0, le=10)]
+    retry_slack: Annotated[float, Meta(ge=0)]
+    retry_window_s: Seconds
+    weights_ms: Milliseconds
+    lease_ms: Milliseconds
+
+
+class SettingsTable(TypedDict, total=False):
+    """The settings as the file has to hold them."""
+
+    name: Required[Name]
+    failure_domain: Required[Name]
+    callers_address: Required[Address]
+    readiness_address: Required[Address]
+    peers_address: Required[Address]
+    metrics_address: Required[Address]
+    store_address: Required[Address]
+    bounds: BoundsTable
 
 
 class SettingsFile:
@@ -87,11 +118,36 @@
 def parse_gateway_settings(name: str, text: str) -> GatewaySettings:
     """Return the checked settings.
 
-    :raises SettingsError: naming file, key, value and reason of each fault.
+    :raises SettingsError: naming file, key, value and reason of the first fault.
     """
     table, problems = load_toml(name, text)
-    if not problems:
-        settings, problems = check_table(name, SETTINGS_ADAPTER, table)
+    problems = problems or _find_unknown(name, table)
     if problems:
         raise SettingsError(problems)
-    return settings
+    try:
+        checked = msgspec.convert(table, SettingsTable)
+    except msgspec.ValidationError as error:
+        raise SettingsError([_explain(name, table, str(error))]) from error
+    bounds = GatewayBounds(**checked.get("bounds", {}))
+    return GatewaySettings(**(checked | {"bounds": bounds}))  # type: ignore[arg-type]
+
+
+def _find_unknown(name: str, table: dict[str, Any]) -> list[InputProblem]:
+    unknown = [key for key in table if key not in GatewaySettings._fields]
+    bounds = table.get("bounds", {})
+    if isinstance(bounds, dict):
+        unknown += [f"bounds.{k}" for k in bounds if k not in GatewayBounds._fields]
+    return [InputProblem(name, key, "", "unknown key") for key in unknown]
+
+
+def _explain(name: str, table: dict[str, Any], fault: str) -> InputProblem:
+    missing = MISSING.match(fault)
+    if missing:
+        return InputProblem(name, missing["key"], "", "this key is required")
+    found = FAULT_PATH.match(fault)
+    key = (found["key"] if found else "") or "(file)"
+    value: Any = table
+    for part in key.split("."):
+        value = value.get(part, "") if isinstance(value, dict) else ""
+    reason = found["reason"] if found else fault
+    return InputProblem(name, key, repr(value)[:MAX_SHOWN], reason)
--- a/ashpond/settings.py
+++ b/ashpond/settings.py
@@ -9,8 +9,9 @@
 
 from pydantic import ConfigDict, Field, TypeAdapter
 
-from ashpond.checking import AddressText, Seconds, check_table, load_toml
+from ashpond.checking import AddressText, Seconds, check_table
 from ashpond.errors import InputProblem, SettingsError
+from ashpond.tables import load_toml
 
 MIN_SECRET_LENGTH = 16
 
--- /dev/null
+++ b/ashpond/tables.py
@@ -0,0 +1,21 @@
+"""Read TOML text into a table, or say what is wrong with it."""
+
+from __future__ import annotations
+
+__all__ = ["MAX_SHOWN", "load_toml"]
+
+import tomllib
+from typing import Any
+
+from ashpond.errors import InputProblem
+
+# Of a faulty value, so many characters are shown.
+MAX_SHOWN = 60
+
+
+def load_toml(name: str, text: str) -> tuple[dict[str, Any], list[InputProblem]]:
+    """Parse TOML; return the table and the problems found."""
+    try:
+        return tomllib.loads(text), []
+    except tomllib.TOMLDecodeError as error:
+        return {}, [InputProblem(name, "(file)", "", f"not valid TOML: {error}")]
