Let a lease's terms follow its constants again

The new terms took the constants at import, so that the mutants changed nothing. Ruled out: the state machine (unchanged). Change: default terms are made when a lease is.

--- a/ashpond/decisions/leases.py
+++ b/ashpond/decisions/leases.py
@@ -29,9 +29,18 @@
     takes over after it has seen no renewal for ``silence``.
     """
 
-    valid: float = TERM_SECONDS - MARGIN_SECONDS
-    silence: float = TERM_SECONDS + DELIVERY_BOUND_SECONDS
-    renew: float = RENEW_SECONDS
+    valid: float
+    silence: float
+    renew: float
+
+
+def make_default_terms() -> LeaseTerms:
+    """Return the terms of the callers' API."""
+    return LeaseTerms(
+        TERM_SECONDS - MARGIN_SECONDS,
+        TERM_SECONDS + DELIVERY_BOUND_SECONDS,
+        RENEW_SECONDS,
+    )
 
 
 class LeaseRow(NamedTuple):
@@ -54,7 +63,7 @@
 
     def __init__(self, holder: str, terms: LeaseTerms | None = None):
         self.holder = holder
-        self.terms = terms or LeaseTerms()
+        self.terms = terms or make_default_terms()
         self._row: LeaseRow | None = None
         self._version = 0
         self._seen_since = 0.0
