Split the store's view from the gateway; one composition of the platform

Change: storeview.py, ports.py, build_platform; the scripted servers of the dispatch tests stand in a module of their own; the own engine protocol says X-Prompt-Salt. Ruled out: nothing; same tests, none changed but for imports.

--- a/ashpond/clients/engine.py
+++ b/ashpond/clients/engine.py
@@ -124,7 +124,7 @@
     """Send one attempt; ``Answered`` holds an :class:`EngineAnswer`."""
     headers = {
         ATTEMPT_HEADER: request.attempt,
-        "X-Cache-Salt": request.cache_salt,
+        "X-Prompt-Salt": request.cache_salt,
         "X-Priority": str(request.rank),
         "Content-Type": "application/json",
     }
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-__all__ = ["Gateway", "Platform"]
+__all__ = ["Gateway"]
 
 import random
 import signal
-from collections.abc import Callable
-from typing import NamedTuple
 
 import trio
 
@@ -16,30 +14,26 @@
 from ashpond.gateway.admission import admit_call
 from ashpond.gateway.budget import SendBudget, SendCounts
 from ashpond.gateway.cachestores import CacheStores
-from ashpond.gateway.calls import Codec, IncomingCall, Prompt, Reply
+from ashpond.gateway.calls import IncomingCall, Prompt, Reply
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.declared import (
     CacheStore,
-    Declaration,
     IngressLimits,
-    WeightTarget,
 )
-from ashpond.gateway.directory import BackendServer, ServerTable
 from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.feeds import Feed, follow_feed
 from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.ingress import Ingress, IngressPorts
-from ashpond.gateway.knowledge import Knowledge
 from ashpond.gateway.metrics import GatewayMetrics
 from ashpond.gateway.news import MEMBERS_TABLE, Newsroom, ServerNotice
-from ashpond.gateway.orders import EnginePort
 from ashpond.gateway.places import Places
+from ashpond.gateway.ports import Platform
 from ashpond.gateway.replies import send_refusal
 from ashpond.gateway.rollouts import RolloutController
 from ashpond.gateway.sends import Tools
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
 from ashpond.gateway.status import render_status
-from ashpond.gateway.store import Row, Snapshot, Store, StoreClock
+from ashpond.gateway.storeview import StoreView
 from ashpond.outcomes import Refusal
 
 MS = 1000.0
@@ -56,8 +50,6 @@
 # Requests may wait at a server before they begin: older weights are left at this
 # share of the bound.
 REQUIRED_SHARE = 0.85
-# Entries that vanish so soon after the store failed may come back (seconds).
-RECENT_OUTAGE_SECONDS = 5.0
 # From SIGTERM until new connections stop arriving: two checks, a second apart.
 LEAVE_SECONDS = 2.6
 # Kept back from the grace period for the end of the process (seconds).
@@ -67,19 +59,6 @@
 SETTINGS_SECONDS = 2.0
 
 
-class Platform(NamedTuple):
-    """Everything outside that an adapter provides."""
-
-    store: Store
-    engines: EnginePort
-    codec: Codec
-    id_header: bytes
-    operator_table: str
-    servers_table: str
-    decode_operator_row: Callable[[Row], Declaration | WeightTarget | None]
-    decode_server_row: Callable[[Row], BackendServer | None]
-
-
 class Gateway:
     """One instance."""
 
@@ -96,14 +75,15 @@
         self.pool = pool
         self.log = log
         self.rng = random.Random()
-        self.knowledge = Knowledge()
-        self.table = ServerTable()
+        self.view = StoreView(
+            platform, pool, log, self._on_configuration, self._on_servers
+        )
+        self.knowledge = self.view.knowledge
+        self.table = self.view.table
         self.holdings = Holdings()
         self.stores = CacheStores()
-        self.clock = StoreClock()
         self.metrics = GatewayMetrics()
         self.budgets: dict[str, SendBudget] = {}
-        self.failed_at = float("-inf")
         self.started_at = trio.current_time()
         self.leaving = trio.Event()
         self.places = Places(
@@ -132,7 +112,7 @@
             self.table,
             self.knowledge,
             platform.store,
-            self.clock,
+            self.view.clock,
             platform.engines,
             log,
             lambda: list(self.news.members),
@@ -208,15 +188,15 @@
                 platform.operator_table,
                 OPERATOR_WAIT_SECONDS,
                 0.0,
-                self._on_operator_rows,
-                self._on_store_failure,
+                self.view.take_operator_rows,
+                self.view.note_failure,
             ),
             Feed(
                 platform.servers_table,
                 SERVERS_WAIT_SECONDS,
                 SERVERS_PAUSE_SECONDS,
-                self._on_server_rows,
-                self._on_store_failure,
+                self.view.take_server_rows,
+                self.view.note_failure,
             ),
             Feed(
                 MEMBERS_TABLE,
@@ -231,58 +211,12 @@
         declaration = self.knowledge.declaration
         return declaration.cache_stores if declaration else ()
 
-    def _on_store_failure(self) -> None:
-        self.failed_at = trio.current_time()
+    def _on_configuration(self) -> None:
+        self.ingress.apply_limits()
 
-    def _on_operator_rows(self, snapshot: Snapshot, is_whole: bool) -> None:
-        now = trio.current_time()
-        for row in snapshot.rows:
-            found = self.platform.decode_operator_row(row)
-            if isinstance(found, Declaration) and self.knowledge.adopt(found):
-                self.ingress.apply_limits()
-                self.log.note(
-                    "configuration", version=found.version, row_version=row.version
-                )
-            elif isinstance(found, WeightTarget):
-                self._on_weight_target(found, now)
-        self.knowledge.confirm(self.clock.date(snapshot))
-
-    def _on_weight_target(self, target: WeightTarget, now: float) -> None:
-        if self.knowledge.adopt_target(target, now):
-            self.log.note("weights_wanted", model=target.model, version=target.version)
-
-    def _on_server_rows(self, snapshot: Snapshot, is_whole: bool) -> None:
-        now = trio.current_time()
-        may_lapse = now - self.failed_at < RECENT_OUTAGE_SECONDS
-        decode = self.platform.decode_server_row
-        if is_whole:
-            servers = [server for row in snapshot.rows if (server := decode(row))]
-            self.table.replace_all(servers, now, may_lapse=may_lapse)
-            self.log.note("servers", count=len(servers), version=snapshot.version)
-        else:
-            for row in snapshot.rows:
-                self._on_server_row(row, now, may_lapse)
+    def _on_servers(self) -> None:
         self.places.wake()
 
-    def _on_server_row(self, row: Row, now: float, may_lapse: bool) -> None:
-        server = self.platform.decode_server_row(row)
-        if server is None:
-            self.table.remove(row.key, now, may_lapse=may_lapse)
-            self.log.note("server_gone", server=row.key, may_lapse=may_lapse)
-            if row.key not in self.table.by_id:
-                self.pool.forget(row.key)
-            return
-        self.table.update(server, now)
-        self.log.note(
-            "server",
-            server=server.id,
-            service=server.service,
-            address=server.address,
-            is_draining=server.is_draining,
-            weights=server.weights,
-            row_version=row.version,
-        )
-
     def _find_required_version(self, model: str, now: float) -> int:
         bound = self.settings.bounds.weights_ms / MS * REQUIRED_SHARE
         return self.knowledge.find_version_named(model, now - bound)
--- a/ashpond/standins/engine.py
+++ b/ashpond/standins/engine.py
@@ -117,7 +117,7 @@
         if wanted != model.weights or model.loading:
             return answer({"error": "other weights"}, 409, NOT_RUN)
         prompt = render_chat(payload["messages"])[0] if chat else payload["prompt"]
-        salt = request.headers.get("X-Cache-Salt", "")
+        salt = request.headers.get("X-Prompt-Salt", "")
         blocks = chain_blocks(salt, prompt)
         count = int(payload.get("max_tokens") or DEFAULT_TOKENS)
         rank = int(request.headers.get("X-Priority", "0"))
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -2,199 +2,36 @@
 
 from __future__ import annotations
 
-import io
-import random
-from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 import pytest
 import trio
 import trio.testing
 from hypothesis import given, settings, strategies as st
 
-from ashpond.clients.channels import ChannelError, Outgoing
-from ashpond.gateway.admission import admit_call
-from ashpond.gateway.budget import SendBudget
-from ashpond.gateway.calls import Headers
-from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.declared import Declaration, Route, RouteKind, WeightTarget
-from ashpond.gateway.directory import Load, ServerTable
-from ashpond.gateway.dispatch import Dispatcher
+from ashpond.clients.channels import ChannelError
+from ashpond.gateway.declared import Route, RouteKind, WeightTarget
+from ashpond.gateway.directory import ServerTable
 from ashpond.gateway.knowledge import Knowledge
-from ashpond.gateway.sends import Tools
-from ashpond_platform.headers import CODEC, REQUEST_ID
 from tests.gateway_builders import (
     MODEL,
-    make_call,
-    make_declaration,
-    make_places,
     make_prompt,
     make_route,
     make_server,
     make_table,
 )
-
-BROKEN = ChannelError("reset", is_sent=True)
-UNREACHED = ChannelError("refused", is_sent=False)
-
-
-class Answer(NamedTuple):
-    """What a server does with one request: pieces, then perhaps an error."""
-
-    status: int = 200
-    pieces: tuple[bytes, ...] = (b"ok",)
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-    error: ChannelError | None = None
-    delay: float = 0.0
-
-
-class ScriptedResponse:
-    def __init__(self, answer: Answer):
-        self.status = answer.status
-        self.headers = [(b"x-engine-seal", b"seal"), *answer.headers]
-        self._pieces = list(answer.pieces)
-        self._error = answer.error
-
-    async def read(self) -> bytes:
-        await trio.lowlevel.checkpoint()
-        if self._pieces:
-            return self._pieces.pop(0)
-        if self._error is not None:
-            raise self._error
-        return b""
-
-    async def read_all(self, limit: int) -> bytes:
-        pieces = []
-        while piece := await self.read():
-            pieces.append(piece)
-        return b"".join(pieces)
-
-
-class ScriptedPool:
-    """Gives out channels that follow a script, whichever server is asked."""
-
-    def __init__(self, script: list[Answer | ChannelError]):
-        self.script = list(script)
-        self.requests: list[tuple[str, Outgoing]] = []
-        self.closed = 0
-
-    async def acquire(self, owner: str, address: str) -> ScriptedChannel:
-        if self.script and self.script[0] is UNREACHED:
-            self.script.pop(0)
-            raise UNREACHED
-        return ScriptedChannel(self, owner)
-
-    def release(self, owner: str, channel: ScriptedChannel) -> None:
-        pass
-
-    def forget(self, owner: str) -> None:
-        pass
-
-
-class ScriptedChannel:
-    def __init__(self, pool: ScriptedPool, owner: str):
-        self._pool = pool
-        self._owner = owner
-
-    async def exchange(self, request: Outgoing) -> ScriptedResponse:
-        self._pool.requests.append((self._owner, request))
-        answer = self._pool.script.pop(0)
-        if isinstance(answer, ChannelError):
-            raise answer
-        await trio.sleep(answer.delay)
-        return ScriptedResponse(answer)
-
-    def close(self) -> None:
-        self._pool.closed += 1
-
-
-class RecordedReply:
-    """Keeps what a client would see."""
-
-    def __init__(self) -> None:
-        self.status: int | None = None
-        self.headers: Headers = []
-        self.body = io.BytesIO()
-        self.is_whole = False
-        self.is_aborted = False
-        self.ended_at = 0.0
-
-    async def start(self, status: int, headers: Headers) -> None:
-        assert self.status is None, "a second head"
-        self.status = status
-        self.headers = headers
-
-    async def send(self, data: bytes) -> None:
-        assert self.status is not None and not self.is_whole
-        self.body.write(data)
-
-    async def finish(self) -> None:
-        self.is_whole = True
-        self.ended_at = trio.current_time()
-
-    async def abort(self) -> None:
-        self.is_aborted = True
-        self.ended_at = trio.current_time()
-
-    def get(self, name: bytes) -> bytes | None:
-        return dict(self.headers).get(name)
-
-
-class Bench(NamedTuple):
-    pool: ScriptedPool
-    reply: RecordedReply
-    table: ServerTable
-    log: DecisionLog
-
-
-async def run_call(
-    *script: Answer | ChannelError,
-    route: Route | None = None,
-    table: ServerTable | None = None,
-    prepare: Callable[[ServerTable, Knowledge], None] | None = None,
-    slack: float = 100.0,
-    pools: list[ScriptedPool] | None = None,
-    **call_changes: Any,
-) -> Bench:
-    declaration: Declaration = make_declaration(route or make_route())
-    if table is None:
-        table = make_table(make_server("a"), make_server("b"), make_server("c"))
-    knowledge = Knowledge()
-    knowledge.adopt(declaration)
-    now = trio.current_time()
-    knowledge.confirm(now)
-    if prepare:
-        prepare(table, knowledge)
-    pool = ScriptedPool(list(script))
-    if pools is not None:
-        pools.append(pool)
-    log = DecisionLog("test")
-    budget = SendBudget(0.0, slack, 10.0, started_at=now - 60)
-    tools = Tools(
-        make_places(table),
-        pool,  # type: ignore[arg-type]
-        CODEC,
-        REQUEST_ID,
-        knowledge,
-        log,
-        lambda service: budget,
-        lambda: 1,
-        lambda server, salt, prompt: None,
-        lambda server, seconds: None,
-        random.Random(1),
-    )
-    call = make_call(received_at=now, **call_changes)
-    accepted = admit_call(call, knowledge, 5.0, now)
-    reply = RecordedReply()
-    await Dispatcher(tools).dispatch(call, accepted, reply)
-    assert all(state.load == Load() for state in table.by_id.values())
-    return Bench(pool, reply, table, log)
-
-
-NON_IDEMPOTENT = make_route(kind=RouteKind.NON_IDEMPOTENT, max_attempts=1)
-STREAM = make_route(kind=RouteKind.STREAM, max_attempts=1)
-RESUMABLE = make_route(kind=RouteKind.STREAM, is_resumable=True, max_attempts=2)
-NOT_RUN = ((b"x-not-executed", b"1"),)
+from tests.scripted import (
+    BROKEN,
+    NON_IDEMPOTENT,
+    NOT_RUN,
+    RESUMABLE,
+    STREAM,
+    UNREACHED,
+    Answer,
+    Bench,
+    ScriptedPool,
+    run_call,
+)
 
 
 async def test_the_answer_is_passed_on_unchanged(autojump_clock: object) -> None:
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -12,7 +12,7 @@
 
 from ashpond.clients.channels import ChannelPool
 from ashpond.errors import SettingsError
-from ashpond.gateway.application import Gateway, Platform
+from ashpond.gateway.application import Gateway
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.settings import (
     GatewaySettings,
@@ -20,14 +20,8 @@
     parse_gateway_settings,
 )
 from ashpond.standins.tables import MemoryStore
-from ashpond_platform.engines import build_engine_port
-from ashpond_platform.headers import CODEC, REQUEST_ID
-from ashpond_platform.rows import (
-    OPERATOR_TABLE,
-    SERVERS_TABLE,
-    decode_operator_row,
-    decode_server_row,
-)
+from ashpond_platform.composition import build_platform
+from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
 from tests.servers import make_answer, read_request, run_server
 from tests.test_news import find_free_port, wait_for
 from tests.test_platform_rows import CONFIGURATION, ROUTE, SERVER
@@ -102,16 +96,7 @@
     entry = {**SERVER, "address": server_address}
     store.put(SERVERS_TABLE, "i-1", orjson.dumps(entry))
     pool = ChannelPool()
-    platform = Platform(
-        store.build_port(),
-        build_engine_port(pool),
-        CODEC,
-        REQUEST_ID,
-        OPERATOR_TABLE,
-        SERVERS_TABLE,
-        decode_operator_row,
-        decode_server_row,
-    )
+    platform = build_platform(store.build_port(), pool)
     log = DecisionLog("i0", 2)
     log.flush = lambda: log._lines.clear()  # type: ignore[method-assign]
     gateway = Gateway(SettingsFile("", make_settings()), platform, pool, log)
