--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real instances as processes, faults from outside, promises."""
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,89 @@
+"""A TCP proxy on loopback whose connections can be harmed."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from enum import StrEnum
+
+import trio
+
+PIECE_BYTES = 16_384
+DELAY_SECONDS = 0.4
+
+
+class Harm(StrEnum):
+    """What a proxy does to its connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    SILENT = "silent"
+    ONE_WAY = "one_way"
+
+
+class Proxy:
+    """Passes connections on to ``target``, as long as ``harm`` lets it."""
+
+    def __init__(self, target: str):
+        self.target = target
+        self.harm = Harm.NONE
+        self.address = ""
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Listen until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, client: trio.SocketStream) -> None:
+        host, port = self.target.split(":")
+        try:
+            if self.harm is Harm.RESET:
+                reset(client)
+                return
+            server = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            reset(client)
+            return
+        async with client, server, trio.open_nursery() as nursery:
+            nursery.start_soon(self._pass, client, server, True, nursery)
+            nursery.start_soon(self._pass, server, client, False, nursery)
+
+    async def _pass(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        is_request: bool,
+        nursery: trio.Nursery,
+    ) -> None:
+        try:
+            while piece := await source.receive_some(PIECE_BYTES):
+                if self.harm is Harm.RESET:
+                    break
+                if self.harm is Harm.DELAY:
+                    await trio.sleep(DELAY_SECONDS)
+                while self.harm is Harm.SILENT or (
+                    self.harm is Harm.ONE_WAY and not is_request
+                ):
+                    await trio.sleep(0.05)
+                await sink.send_all(piece)
+            else:
+                await sink.send_eof()
+                return
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            pass
+        reset(sink)
+        reset(source)
+        nursery.cancel_scope.cancel()
+
+
+def reset(stream: trio.SocketStream) -> None:
+    """Close a connection so that the other side sees a reset."""
+    try:
+        hard = struct.pack("ii", 1, 0)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, hard)
+    except OSError:
+        pass
+    stream.socket.close()
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,96 @@
+"""Engines and plain servers of the soak, which keep what they have run."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import NamedTuple
+
+import trio
+
+from tests.servers import read_request
+
+EVENTS = 6
+EVENT_SECONDS = 0.03
+PLAIN_SECONDS = 0.02
+
+
+class Run(NamedTuple):
+    """One request that a server began to work on."""
+
+    at: float
+    server_id: str
+    method: str
+    key_leaked: bool
+
+
+class Ledger:
+    """What all servers have run, by request id."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, list[Run]] = defaultdict(list)
+
+
+def parse_headers(request: bytes) -> tuple[str, str, dict[str, str]]:
+    """Return method, target and headers (lower-case names) of a request."""
+    lines = request.partition(b"\r\n\r\n")[0].decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    pairs = (line.partition(":") for line in lines[1:])
+    return method, target, {name.lower(): value.strip() for name, _, value in pairs}
+
+
+class Server:
+    """One life of a backend server behind a listener of its own."""
+
+    def __init__(self, server_id: str, ledger: Ledger):
+        self.server_id = server_id
+        self.ledger = ledger
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Answer requests on one connection until it ends."""
+        try:
+            while request := await read_request(stream):
+                await self._answer(stream, request)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            return
+
+    async def _answer(self, stream: trio.SocketStream, request: bytes) -> None:
+        method, target, headers = parse_headers(request)
+        request_id = headers.get("x-request-id", "")
+        expected = headers.get("x-expect-instance")
+        if expected is not None and expected != self.server_id:
+            head = f"HTTP/1.1 421 X\r\nX-Instance-Id: {self.server_id}\r\n"
+            await stream.send_all((head + "Content-Length: 0\r\n\r\n").encode())
+            return
+        leaked = "authorization" in headers
+        run = Run(trio.current_time(), self.server_id, method, leaked)
+        self.ledger.runs[request_id].append(run)
+        head = f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\nX-Engine-Seal: s\r\n"
+        if target.startswith("/s/"):
+            await self._stream(stream, head, headers)
+            return
+        await trio.sleep(PLAIN_SECONDS)
+        body = make_body(request_id)
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        await stream.send_all(head.encode() + body)
+
+    async def _stream(
+        self, stream: trio.SocketStream, head: str, headers: dict[str, str]
+    ) -> None:
+        head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await stream.send_all(head.encode())
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            await trio.sleep(EVENT_SECONDS)
+            event = make_event(number)
+            await stream.send_all(b"%x\r\n%s\r\n" % (len(event), event))
+        await stream.send_all(b"0\r\n\r\n")
+
+
+def make_body(request_id: str) -> bytes:
+    """Return the one whole answer to a request."""
+    return f"answer to {request_id} ".encode() * 20
+
+
+def make_event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -36,17 +36,23 @@
     path = urlsplit(target).path
     if path == "/api/rows-get":
         outcome = await memory.read(query["table"])
+        if not isinstance(outcome, Done):
+            return 503, {}
+        now_ms = outcome.value.store_time * 1000
         rows = [r for r in outcome.value.rows if r.key >= query.get("from", "")]
         shown = [encode_row(row) for row in rows[:PAGE]]
         more = {"has_more": len(rows) > PAGE}
-        return 200, {"rows": shown, "ver": memory.version, "now_ms": 5000} | more
+        return 200, {"rows": shown, "ver": memory.version, "now_ms": now_ms} | more
     if path == "/api/rows-feed":
         wait = int(query["wait_ms"]) / 1000
         followed = await memory.follow(query["table"], int(query["after"]), wait)
         if isinstance(followed, HistoryLost):
             return 410, {}
+        if not isinstance(followed, Done):
+            return 503, {}
+        now_ms = followed.value.store_time * 1000
         shown = [encode_row(row) for row in followed.value.rows]
-        return 200, {"rows": shown, "ver": memory.version, "now_ms": 5000}
+        return 200, {"rows": shown, "ver": memory.version, "now_ms": now_ms}
     table = orjson.loads(body)
     conditions = [
         Condition(e["table"], e["key"], e["ver"]) for e in table["precondition"]
@@ -58,8 +64,10 @@
     written = await memory.write(conditions, puts)
     if isinstance(written, Conflict):
         rows = [encode_row(row) for row in written.current.values()]
-        return 412, {"rows": rows, "ver": memory.version, "now_ms": 5000}
-    return 200, {"ver": memory.version, "now_ms": 5000}
+        return 412, {"rows": rows, "ver": memory.version}
+    if isinstance(written, Unavailable):
+        return 503, {}
+    return 200, {"ver": memory.version}
 
 
 @asynccontextmanager
@@ -86,7 +94,8 @@
     async with run_store(memory) as store:
         outcome = await store.read("t")
     assert [row.value for row in outcome.value.rows] == [b"0", b"1", b"2", b"3", b"4"]
-    assert outcome.value.store_time == 5.0
+    made_at = outcome.value.store_time - memory.clock_offset
+    assert outcome.value.sent_at <= made_at <= outcome.value.received_at
     assert outcome.value.sent_at <= outcome.value.received_at
 
 
