--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -38,7 +38,7 @@
 from ashpond.errors import FrameError
 from ashpond.outcomes import Unavailable
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 LENGTH = struct.Struct(">I")
 NONCE_BYTES = 16
 HELLO_LIMIT = 256
@@ -96,14 +96,18 @@
 class News(NamedTuple):
     """What an instance tells of the backend servers while it serves routed calls.
 
-    ``loads`` maps server ids to [requests, unread tokens, held tokens];
-    ``notices`` are lists of [server id, model, version, seconds without work],
+    ``scope`` says whose work it is, ``group`` names the group of a hub that tells
+    that of all its members. ``loads`` maps server ids to [requests, unread tokens,
+    held tokens, requests that cannot move]; ``notices`` are lists of [server id,
+    model, version, seconds without work, whether it could not be reached],
     ``holdings`` of [server id, salt, prompt part]; ``sends`` maps services to
     [first sends, repeated sends] within the window of the budget. ``sender`` names
     one life of an instance.
     """
 
     sender: str
+    scope: str
+    group: str
     loads: dict[str, Any]
     notices: list[Any]
     holdings: list[Any]
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -6,6 +6,7 @@
 
 import random
 import signal
+from collections.abc import Container
 
 import trio
 
@@ -22,10 +23,12 @@
 )
 from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.feeds import Feed, follow_feed
+from ashpond.gateway.fleetlinks import Member
 from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.ingress import Ingress, IngressPorts
+from ashpond.gateway.members import MEMBERS_TABLE, Members
 from ashpond.gateway.metrics import GatewayMetrics
-from ashpond.gateway.news import MEMBERS_TABLE, Newsroom, ServerNotice
+from ashpond.gateway.news import NewsHandlers, Newsroom, ServerNotice
 from ashpond.gateway.places import Places
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.replies import send_refusal
@@ -96,16 +99,24 @@
             self._find_required_version,
             self.rng,
         )
-        self.news = Newsroom(
-            settings.name,
-            settings.peers_address,
+        self.members = Members(
+            Member(settings.name, settings.peers_address, settings.failure_domain),
             platform.store,
+            log,
+            lambda: self.news.adjust_links(),
+        )
+        self.news = Newsroom(
+            self.members,
             self.table,
             log,
-            self._on_notice,
-            self._on_holding,
-            self._list_sends,
-            self._on_sends,
+            NewsHandlers(
+                self._on_notice,
+                self._on_holding,
+                self._list_sends,
+                self._on_sends,
+                self._keep_peers,
+            ),
+            settings.bounds.retry_window_s,
         )
         self.rollouts = RolloutController(
             settings.name,
@@ -115,7 +126,7 @@
             self.view.clock,
             platform.engines,
             log,
-            lambda: list(self.news.members),
+            lambda: list(self.members.by_name),
             self.news.announce,
             self.places.wake,
             self._measure_repeats_left,
@@ -130,7 +141,7 @@
                 self.knowledge,
                 log,
                 self._get_budget,
-                self.news.count_instances,
+                self.members.count,
                 self._note_held,
                 self._announce_unreached,
                 self.rng,
@@ -202,7 +213,7 @@
                 MEMBERS_TABLE,
                 MEMBERS_WAIT_SECONDS,
                 SERVERS_PAUSE_SECONDS,
-                self.news.on_members,
+                self.members.take_rows,
                 lambda: None,
             ),
         ]
@@ -269,8 +280,12 @@
     def _on_sends(self, service: str, peer: str, counts: SendCounts) -> None:
         self._get_budget(service).note_peer(peer, counts, trio.current_time())
 
+    def _keep_peers(self, peers: Container[str]) -> None:
+        for budget in self.budgets.values():
+            budget.keep_peers(peers)
+
     def _measure_repeats_left(self, service: str) -> float:
-        instances = self.news.count_instances()
+        instances = self.members.count()
         return self._get_budget(service).measure_left(instances, trio.current_time())
 
     def _get_limits(self) -> IngressLimits:
@@ -346,5 +361,5 @@
     async def _wait_to_close(self) -> None:
         await self.leaving.wait()
         with trio.move_on_after(1.0):
-            await self.news.leave()
+            await self.members.leave()
         await trio.sleep(LEAVE_SECONDS)
--- a/ashpond/gateway/budget.py
+++ b/ashpond/gateway/budget.py
@@ -5,6 +5,7 @@
 __all__ = ["SendBudget", "SendCounts"]
 
 from collections import deque
+from collections.abc import Container
 from typing import NamedTuple
 
 # What peers sent since they last told is not known yet, and windows slide apart.
@@ -19,6 +20,10 @@
     fresh: int = 0
     repeats: int = 0
 
+    def add(self, other: SendCounts) -> SendCounts:
+        """Return the sum."""
+        return SendCounts(self.fresh + other.fresh, self.repeats + other.repeats)
+
 
 class SendBudget:
     """Repeated sends to one service by all instances, in a sliding window.
@@ -52,6 +57,10 @@
         """Take the counts of one life of a peer."""
         self._peers[peer] = (now, counts)
 
+    def keep_peers(self, peers: Container[str]) -> None:
+        """Forget all counts but those of ``peers``, which include what others told."""
+        self._peers = {p: told for p, told in self._peers.items() if p in peers}
+
     def count_own(self, now: float) -> SendCounts:
         """Return this instance's counts."""
         for times in (self._fresh, self._repeats):
@@ -82,11 +91,10 @@
         return (self.share * fresh + slack) * SAFETY
 
     def _count_fleet(self, own: SendCounts, now: float) -> SendCounts:
-        fresh, repeats = own
+        total = own
         for peer, (told_at, counts) in list(self._peers.items()):
             if now - told_at > self.window:
                 del self._peers[peer]
-                continue
-            fresh += counts.fresh
-            repeats += counts.repeats
-        return SendCounts(fresh, repeats)
+            else:
+                total = total.add(counts)
+        return total
--- a/ashpond/gateway/directory.py
+++ b/ashpond/gateway/directory.py
@@ -4,6 +4,7 @@
 
 __all__ = ["BackendServer", "Load", "ServerState", "ServerTable"]
 
+from collections.abc import Container
 from typing import NamedTuple
 
 # After a refusal because it is full, a server is given this long (seconds).
@@ -54,11 +55,24 @@
 
     def add(self, other: Load) -> Load:
         """Return the sum."""
-        return Load(*(mine + its for mine, its in zip(self, other, strict=True)))
+        return Load(
+            self.requests + other.requests,
+            self.unread_tokens + other.unread_tokens,
+            self.held_tokens + other.held_tokens,
+            self.bound + other.bound,
+        )
 
     def subtract(self, other: Load) -> Load:
         """Return the difference."""
-        return Load(*(mine - its for mine, its in zip(self, other, strict=True)))
+        return Load(
+            self.requests - other.requests,
+            self.unread_tokens - other.unread_tokens,
+            self.held_tokens - other.held_tokens,
+            self.bound - other.bound,
+        )
+
+
+NO_LOAD = Load()
 
 
 class ServerState:
@@ -128,6 +142,9 @@
         self.by_id: dict[str, ServerState] = {}
         self.is_known = False
         self._peer_loads: dict[str, tuple[float, dict[str, Load]]] = {}
+        # The sum of the peers' loads, and until when none of them is too old.
+        self._totals: dict[str, Load] = {}
+        self._totals_until = float("-inf")
 
     def replace_all(
         self, servers: list[BackendServer], now: float, *, may_lapse: bool
@@ -207,6 +224,7 @@
     def note_peer_loads(self, peer: str, loads: dict[str, Load], now: float) -> None:
         """Take what one life of a peer says of its work at each server."""
         self._peer_loads[peer] = (now, loads)
+        self._totals_until = float("-inf")
         for silent in [
             name
             for name, (heard_at, _) in self._peer_loads.items()
@@ -214,14 +232,32 @@
         ]:
             del self._peer_loads[silent]
 
+    def keep_peers(self, peers: Container[str]) -> None:
+        """Forget all loads but those of ``peers``, which include what others told."""
+        self._peer_loads = {p: t for p, t in self._peer_loads.items() if p in peers}
+        self._totals_until = float("-inf")
+
     def sum_load(self, server_id: str, now: float) -> Load:
         """Return the work of all instances at a server, as far as is known."""
+        if now >= self._totals_until:
+            self._sum_peers(now)
         state = self.by_id.get(server_id)
-        total = state.load if state else Load()
+        own = state.load if state else NO_LOAD
+        peers = self._totals.get(server_id)
+        return own if peers is None else own.add(peers)
+
+    def _sum_peers(self, now: float) -> None:
+        totals: dict[str, Load] = {}
+        until = float("inf")
         for heard_at, loads in self._peer_loads.values():
-            if now - heard_at < PEER_LOAD_SECONDS and server_id in loads:
-                total = total.add(loads[server_id])
-        return total
+            if now - heard_at >= PEER_LOAD_SECONDS:
+                continue
+            until = min(until, heard_at + PEER_LOAD_SECONDS)
+            for server_id, load in loads.items():
+                known = totals.get(server_id)
+                totals[server_id] = load if known is None else known.add(load)
+        self._totals = totals
+        self._totals_until = until
 
     def list_own_loads(self) -> dict[str, Load]:
         """Return this instance's work by server, without idle ones."""
--- /dev/null
+++ b/ashpond/gateway/fleetlinks.py
@@ -0,0 +1,91 @@
+"""Whom an instance tells its news: everyone, or the hub of its group.
+
+Among few instances each tells all others. Among many they form groups of one failure
+domain. The members of a group tell its hub, hubs tell each other, and a hub tells its
+members the sum: three steps at most, and a number of links an instance that grows
+with the square root of the fleet, at hubs only. The hub is the first of the group's
+candidates that answers; the next one stands by.
+"""
+
+from __future__ import annotations
+
+__all__ = ["Links", "Member", "plan_links"]
+
+import math
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import xxhash
+
+from ashpond.decisions.placement import rank_by_rendezvous
+
+# Up to this many instances a full mesh costs less than a hub's detour (instances).
+FLAT_FLEET = 12
+# Candidates that each member of a group is linked to: the hub and its stand-by.
+CANDIDATES = 2
+
+
+class Member(NamedTuple):
+    """An instance as its row in the members' table describes it."""
+
+    name: str
+    address: str
+    failure_domain: str
+
+
+class Links(NamedTuple):
+    """The peers of one instance.
+
+    :param equals: those that it tells its own work, in a flat fleet.
+    :param hubs: the candidates for the hub of its group that go before it, the first
+        choice first; none if it is the first choice itself.
+    :param other_hubs: the candidates of the other groups; told while this instance
+        acts as the hub of its own.
+    :param group: the name of its group, empty in a flat fleet.
+    :param is_candidate: whether it may be the hub of its group.
+    """
+
+    equals: tuple[Member, ...] = ()
+    hubs: tuple[Member, ...] = ()
+    other_hubs: tuple[Member, ...] = ()
+    group: str = ""
+    is_candidate: bool = False
+
+
+def plan_links(members: Mapping[str, Member], name: str) -> Links:
+    """Return the links of the instance called ``name``."""
+    if len(members) <= FLAT_FLEET or name not in members:
+        return Links(equals=tuple(m for m in members.values() if m.name != name))
+    groups = _form_groups(members)
+    links = Links()
+    other_hubs: list[Member] = []
+    for key, names in sorted(groups.items()):
+        ranked = rank_by_rendezvous(xxhash.xxh3_64_intdigest(key.encode()), names)
+        first = [members[n] for n in ranked[:CANDIDATES]]
+        if name in names:
+            rank = ranked.index(name)
+            links = Links((), tuple(first[:rank]), (), key, rank < CANDIDATES)
+        else:
+            other_hubs.extend(first)
+    return links._replace(other_hubs=tuple(other_hubs))
+
+
+def _form_groups(members: Mapping[str, Member]) -> dict[str, list[str]]:
+    """Split each failure domain into groups of about the fleet's square root."""
+    size = math.sqrt(len(members))
+    domains: dict[str, list[str]] = {}
+    for member in members.values():
+        domains.setdefault(member.failure_domain, []).append(member.name)
+    groups: dict[str, list[str]] = {}
+    for domain, names in domains.items():
+        count = max(1, round(len(names) / size))
+        for name in names:
+            groups.setdefault(_find_group(domain, name, count), []).append(name)
+    return groups
+
+
+def _find_group(domain: str, name: str, count: int) -> str:
+    """Return the group of an instance; few change theirs when ``count`` does."""
+    labels = [f"{domain}/{number}" for number in range(count)]
+    key = xxhash.xxh3_64_intdigest(name.encode())
+    return rank_by_rendezvous(key, labels)[0]
--- a/ashpond/gateway/holdings.py
+++ b/ashpond/gateway/holdings.py
@@ -62,13 +62,22 @@
         self, server_id: str, salt: str, prompt: Prompt, now: float
     ) -> int:
         """Return how many of the prompt's first tokens an engine holds."""
+        return self.find_holders(salt, prompt, now).get(server_id, 0)
+
+    def find_holders(self, salt: str, prompt: Prompt, now: float) -> dict[str, int]:
+        """Return how many of the prompt's first tokens each engine holds, if any."""
+        holders: dict[str, int] = {}
         tokens = 0
         for part in prompt.parts[:-1]:
-            used_at = self._used_at.get((salt, part.id), {}).get(server_id)
-            if used_at is None or now - used_at > KEPT_SECONDS:
+            used_at = self._used_at.get((salt, part.id), {})
+            fresh = [s for s, at in used_at.items() if now - at <= KEPT_SECONDS]
+            # A part is of use only after all parts before it.
+            going_on = [s for s in fresh if holders.get(s, 0) == tokens]
+            if not going_on:
                 break
             tokens += part.tokens
-        return tokens
+            holders.update(dict.fromkeys(going_on, tokens))
+        return holders
 
     def forget_server(self, server_id: str) -> None:
         """Drop all that an engine held."""
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ["MEMBERS_TABLE", "Newsroom", "ServerNotice"]
+__all__ = ["NewsHandlers", "Newsroom", "ServerNotice"]
 
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Container
+from enum import Enum, auto
 from typing import NamedTuple
 
-import orjson
 import trio
 
 from ashpond.addresses import parse_address
@@ -17,30 +17,34 @@
 from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import Load, ServerTable
+from ashpond.gateway.fleetlinks import Links, Member, plan_links
+from ashpond.gateway.fleetview import FleetView, Scope, Source, Work
 from ashpond.gateway.holdings import Holding
-from ashpond.gateway.store import Condition, Row, Snapshot, Store
-from ashpond.outcomes import Conflict, Done
+from ashpond.gateway.members import Members
 
-MEMBERS_TABLE = "ashpond-members"
-SECRET_TABLE = "ashpond-secret"
-SECRET_KEY = "peers"
-SECRET_BYTES = 24
 LIFE_BYTES = 4
-# Loads are told at most so often among few instances, and at least so often
-# (seconds). Among more, the pause grows with their number, so that what one
-# instance sends and takes stays the same.
+# Loads are told at most so often in a flat fleet, and at least so often (seconds).
 NEWS_SECONDS = 0.08
-FEW_INSTANCES = 8
 HEARTBEAT_SECONDS = 0.6
+# In groups each step takes up to this; a load is heard of three steps later (seconds).
+GROUP_NEWS_SECONDS = 0.2
 # A peer that does not take a frame within this is connected to anew (seconds).
 SEND_SECONDS = 1.0
 # Instances that restart together reach one another some 0.1 s later.
 RECONNECT_SECONDS = 0.15
 RECONNECT_LIMIT_SECONDS = 2.4
 MAX_FRAME_BYTES = 1 << 20
-RETRY_SECONDS = 0.3
 # For a peer that is away; what it misses costs it some reading (entries).
 MAX_PENDING_HOLDINGS = 500
+# Whether the hub still speaks is looked at so often (seconds).
+HUB_CHECK_SECONDS = 0.2
+PEER_ERRORS = (
+    OSError,
+    FrameError,
+    trio.TooSlowError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
 
 
 class ServerNotice(NamedTuple):
@@ -58,203 +62,284 @@
     is_unreached: bool = False
 
 
+class NewsHandlers(NamedTuple):
+    """What is done with the news of others, and what is told of this instance.
+
+    ``keep_peers`` gets the senders whose words add up to the whole fleet's.
+    """
+
+    on_notice: Callable[[ServerNotice], None]
+    on_holding: Callable[[Holding], None]
+    list_sends: Callable[[], dict[str, SendCounts]]
+    on_sends: Callable[[str, str, SendCounts], None]
+    keep_peers: Callable[[Container[str]], None]
+
+
+class Audience(Enum):
+    """What a peer is to this instance."""
+
+    EQUAL = auto()
+    HUB = auto()
+    MEMBER = auto()
+    OTHER_HUB = auto()
+
+
+SCOPES = {
+    Audience.EQUAL: Scope.OWN,
+    Audience.HUB: Scope.MEMBER,
+    Audience.MEMBER: Scope.FLEET,
+    Audience.OTHER_HUB: Scope.GROUP,
+}
+
+
+class _Link:
+    """One peer that is told, and what it has still to hear.
+
+    ``name`` is the peer's, or its life's for a member of this instance's group.
+    """
+
+    def __init__(self, audience: Audience, name: str):
+        self.audience = audience
+        self.name = name
+        self.scope = trio.CancelScope()
+        self.notices: list[ServerNotice] = []
+        self.holdings: list[Holding] = []
+
+    def add_holding(self, holding: Holding) -> None:
+        if len(self.holdings) < MAX_PENDING_HOLDINGS:
+            self.holdings.append(holding)
+
+
 class Newsroom:
-    """Sends news to all other instances and takes theirs."""
+    """Sends news to other instances and takes theirs."""
 
     def __init__(
         self,
-        name: str,
-        address: str,
-        store: Store,
+        members: Members,
         table: ServerTable,
         log: DecisionLog,
-        on_notice: Callable[[ServerNotice], None],
-        on_holding: Callable[[Holding], None],
-        list_sends: Callable[[], dict[str, SendCounts]],
-        on_sends: Callable[[str, str, SendCounts], None],
+        handlers: NewsHandlers,
+        window: float,
     ):
-        self.name = name
-        self.address = address
-        self.members: dict[str, str] = {}
-        self._store = store
+        self.members = members
+        self.view = FleetView(window)
+        self.links = Links()
+        self._name = members.own.name
         self._table = table
         self._log = log
-        self._on_notice = on_notice
-        self._on_holding = on_holding
-        self._list_sends = list_sends
-        self._on_sends = on_sends
-        self._life = f"{name}#{secrets.token_hex(LIFE_BYTES)}"
-        self._secret = ""
-        self._senders: dict[str, trio.CancelScope] = {}
-        self._notices: dict[str, list[ServerNotice]] = {}
-        self._holdings: dict[str, list[Holding]] = {}
+        self._handlers = handlers
+        self._life = f"{self._name}#{secrets.token_hex(LIFE_BYTES)}"
+        self._outgoing: dict[tuple[Audience, Member], _Link] = {}
+        self._own_members: list[_Link] = []
+        self._counted: set[str] = set()
+        self._grouped_at = float("inf")
+        self._is_hub = False
         self._wakeup = trio.Event()
         self._nursery: trio.Nursery | None = None
 
-    def count_instances(self) -> int:
-        """Return how many instances there are, this one included."""
-        return max(1, len(self.members))
+    @property
+    def is_hub(self) -> bool:
+        """Whether this instance speaks for its group at present."""
+        return self._is_hub
+
+    def list_links(self) -> list[_Link]:
+        """Return all peers that are told at present."""
+        return [*self._outgoing.values(), *self._own_members]
 
     def announce(self, notice: ServerNotice) -> None:
         """Tell all peers of a change at once."""
-        for pending in self._notices.values():
-            pending.append(notice)
-        self._wakeup.set()
-        self._wakeup = trio.Event()
+        for link in self.list_links():
+            link.notices.append(notice)
+        self._wake()
 
     def tell_holding(self, holding: Holding) -> None:
         """Tell all peers, with the next news, what an engine has read."""
-        for pending in self._holdings.values():
-            if len(pending) < MAX_PENDING_HOLDINGS:
-                pending.append(holding)
+        for link in self.list_links():
+            link.add_holding(holding)
 
     async def run(
         self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Take part until cancelled."""
         async with trio.open_nursery() as nursery:
-            self._secret = await self._agree_secret()
+            await self.members.agree_secret()
             self._nursery = nursery
-            self._adjust_senders()
-            target = parse_address(self.address)
+            self.adjust_links()
+            target = parse_address(self.members.own.address)
             listeners = await trio.open_tcp_listeners(target.port, host=target.host)
             nursery.start_soon(trio.serve_listeners, self._receive, listeners)
-            await self.register()
+            nursery.start_soon(self._watch_hub)
+            await self.members.register()
             task_status.started()
 
-    async def register(self) -> None:
-        """Enter this instance into the members' table."""
-        value = orjson.dumps({"address": self.address})
-        row = Row(MEMBERS_TABLE, self.name, value, 0)
-        while not isinstance(await self._store.write([], [row]), Done):
-            await trio.sleep(RETRY_SECONDS)
-
-    async def leave(self) -> None:
-        """Take this instance out of the members' table, if the store answers."""
-        outcome = await self._store.write([], [Row(MEMBERS_TABLE, self.name, None, 0)])
-        if not isinstance(outcome, Done):
-            self._log.note("leave_not_recorded", outcome=str(outcome))
-
-    async def _agree_secret(self) -> str:
-        """Return the secret that all instances share; the first one makes it."""
-        while True:
-            outcome = await self._store.read(SECRET_TABLE)
-            if isinstance(outcome, Done):
-                if outcome.value.rows:
-                    return outcome.value.rows[0].value.decode()
-                made = secrets.token_hex(SECRET_BYTES)
-                row = Row(SECRET_TABLE, SECRET_KEY, made.encode(), 0)
-                condition = Condition(SECRET_TABLE, SECRET_KEY, 0)
-                written = await self._store.write([condition], [row])
-                if isinstance(written, Done):
-                    return made
-                if isinstance(written, Conflict):
-                    continue
-            await trio.sleep(RETRY_SECONDS)
-
-    def on_members(self, snapshot: Snapshot, is_whole: bool) -> None:
-        """Take over rows of the members' table."""
-        if is_whole:
-            self.members = {}
-        for row in snapshot.rows:
-            if row.value is None:
-                self.members.pop(row.key, None)
-            else:
-                self.members[row.key] = orjson.loads(row.value)["address"]
-        self._log.note("members", members=sorted(self.members))
-        self._adjust_senders()
-
-    def _adjust_senders(self) -> None:
+    def adjust_links(self) -> None:
+        """Link to the peers that the present members call for."""
         if self._nursery is None:
             return
-        wanted = {f"{n} {a}" for n, a in self.members.items() if n != self.name}
-        for link in self._senders.keys() - wanted:
-            self._senders.pop(link).cancel()
-            self._notices.pop(link, None)
-            self._holdings.pop(link, None)
-        for link in sorted(wanted - self._senders.keys()):
-            scope = trio.CancelScope()
-            self._senders[link] = scope
-            self._notices[link] = []
-            self._holdings[link] = []
-            self._nursery.start_soon(self._feed_peer, link, scope)
-
-    async def _feed_peer(self, link: str, scope: trio.CancelScope) -> None:
-        name, _, address = link.partition(" ")
+        links = plan_links(self.members.by_name, self._name)
+        if links.group != self.links.group:
+            self._log.note("news_group", group=links.group, hubs=_name(links.hubs))
+            self._grouped_at = trio.current_time()
+        self.links = links
+        self.view.set_hubs(member.name for member in links.hubs)
+        self._is_hub = self._may_speak(trio.current_time())
+        wanted = {(Audience.EQUAL, member) for member in links.equals}
+        wanted |= {(Audience.HUB, member) for member in links.hubs}
+        if self._is_hub:
+            wanted |= {(Audience.OTHER_HUB, member) for member in links.other_hubs}
+        for key in self._outgoing.keys() - wanted:
+            self._outgoing.pop(key).scope.cancel()
+        for audience, member in sorted(wanted - self._outgoing.keys(), key=str):
+            link = _Link(audience, member.name)
+            self._outgoing[audience, member] = link
+            self._nursery.start_soon(self._feed_peer, link, member.address)
+
+    def _may_speak(self, now: float) -> bool:
+        """Return whether this instance should act as the hub of its group."""
+        if not self.links.group or not self.links.is_candidate:
+            return False
+        if not self.links.hubs:
+            return True
+        waited = now - self._grouped_at
+        return waited > HEARTBEAT_SECONDS * 2 and self.view.find_hub(now) is None
+
+    async def _watch_hub(self) -> None:
+        while True:
+            await trio.sleep(HUB_CHECK_SECONDS)
+            now = trio.current_time()
+            self.view.expire(now)
+            self._keep_counted(now)
+            if self._may_speak(now) != self._is_hub:
+                self.adjust_links()
+                self._log.note(
+                    "news_hub", is_hub=self._is_hub, hubs=_name(self.links.hubs)
+                )
+
+    async def _feed_peer(self, link: _Link, address: str) -> None:
         pause = RECONNECT_SECONDS
         is_lost = False
-        with scope:
+        with link.scope:
             while True:
-                stream = None
+                reason = "it ended the connection"
                 try:
                     with trio.fail_after(SEND_SECONDS):
                         stream = await connect_peer(
-                            address, self._secret, MAX_FRAME_BYTES
+                            address, self.members.secret, MAX_FRAME_BYTES
                         )
                     if is_lost:
-                        self._log.note("peer_regained", peer=name)
+                        self._log.note("peer_regained", peer=link.name)
                     is_lost = False
                     pause = RECONNECT_SECONDS
-                    await self._send_news(link, stream)
-                except (OSError, FrameError, trio.TooSlowError) as error:
+                    reason = await self._converse(link, stream)
+                except PEER_ERRORS as error:
                     reason = repr(error)
-                except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                    reason = repr(error)
-                finally:
-                    if stream is not None:
-                        with trio.CancelScope(shield=True):
-                            await stream.aclose()
                 if not is_lost:
-                    self._log.note("peer_lost", peer=name, reason=reason)
+                    self._log.note("peer_lost", peer=link.name, reason=reason)
                 is_lost = True
                 await trio.sleep(pause)
                 pause = min(RECONNECT_LIMIT_SECONDS, pause * 2)
 
-    async def _send_news(self, link: str, stream: PeerStream) -> None:
-        sent_loads: dict[str, Load] | None = None
+    async def _converse(self, link: _Link, stream: PeerStream) -> str:
+        """Send news, take those of a hub; return why the connection ended."""
+        try:
+            if link.audience is not Audience.HUB:
+                return await _await_end(lambda: self._send_news(link, stream))
+            return await _await_end(
+                lambda: self._send_news(link, stream), lambda: self._take_all(stream)
+            )
+        finally:
+            with trio.CancelScope(shield=True):
+                await stream.aclose()
+
+    async def _send_news(self, link: _Link, stream: PeerStream) -> None:
+        sent: Work | None = None
         sent_at = trio.current_time()
         while True:
-            loads = self._table.list_own_loads()
-            notices = self._notices[link]
-            holdings = self._holdings[link]
             now = trio.current_time()
+            work = self._build_work(link, now)
             is_due = now - sent_at >= HEARTBEAT_SECONDS
-            if notices or holdings or loads != sent_loads or is_due:
-                self._notices[link] = []
-                self._holdings[link] = []
-                news = News(
-                    self._life,
-                    {server_id: list(load) for server_id, load in loads.items()},
-                    [list(notice) for notice in notices],
-                    [list(holding) for holding in holdings],
-                    {name: list(sends) for name, sends in self._list_sends().items()},
-                )
+            if is_due or sent is None or self._has_news(link, work, sent):
                 with trio.fail_after(SEND_SECONDS):
-                    await stream.send(news)
-                sent_loads = loads
+                    await stream.send(self._build_news(link, work))
+                sent = work
                 sent_at = now
-            wakeup = self._wakeup
             with trio.move_on_after(self._choose_pause()):
-                await wakeup.wait()
+                while not link.notices:
+                    await self._wakeup.wait()
+
+    def _build_work(self, link: _Link, now: float) -> Work:
+        own = Work(self._table.list_own_loads(), self._handlers.list_sends())
+        if link.audience is Audience.OTHER_HUB:
+            return self.view.sum_group(own, now)
+        if link.audience is Audience.MEMBER:
+            return self.view.sum_fleet(own, link.name, now)
+        return own
+
+    def _has_news(self, link: _Link, work: Work, sent: Work) -> bool:
+        if not self._needs_all(link):
+            return False
+        return bool(link.notices or link.holdings or work.loads != sent.loads)
+
+    def _needs_all(self, link: _Link) -> bool:
+        """Return whether a peer goes by this link; a stand-by needs heartbeats."""
+        if link.audience is Audience.MEMBER:
+            return self._is_hub
+        if link.audience is Audience.HUB:
+            hub = self.view.find_hub(trio.current_time())
+            return hub is None or _strip_life(hub) == link.name
+        return True
+
+    def _build_news(self, link: _Link, work: Work) -> News:
+        notices, link.notices = link.notices, []
+        holdings, link.holdings = link.holdings, []
+        return News(
+            self._life,
+            SCOPES[link.audience],
+            self.links.group,
+            {server_id: list(load) for server_id, load in work.loads.items()},
+            [list(notice) for notice in notices],
+            [list(holding) for holding in holdings],
+            {name: list(sends) for name, sends in work.sends.items()},
+        )
 
     def _choose_pause(self) -> float:
-        return NEWS_SECONDS * max(1.0, self.count_instances() / FEW_INSTANCES)
+        return GROUP_NEWS_SECONDS if self.links.group else NEWS_SECONDS
 
     async def _receive(self, raw: trio.SocketStream) -> None:
-        stream = PeerStream(raw, self._secret, MAX_FRAME_BYTES)
+        """Take the news of a peer that has connected; answer a group's member."""
+        stream = PeerStream(raw, self.members.secret, MAX_FRAME_BYTES)
         try:
             await stream.authenticate(is_server=True)
-            while True:
-                message = await stream.receive()
-                if isinstance(message, News):
-                    self._take(message)
-        except (FrameError, trio.BrokenResourceError, OSError) as error:
-            self._log.note("peer_stream_ended", reason=repr(error))
+            news = await _receive_news(stream)
+            self._take(news)
+            if news.scope == Scope.MEMBER:
+                reason = await self._serve_member(news.sender, stream)
+            else:
+                reason = await _await_end(lambda: self._take_all(stream))
+        except PEER_ERRORS as error:
+            reason = repr(error)
+        finally:
+            with trio.CancelScope(shield=True):
+                await stream.aclose()
+        self._log.note("peer_stream_ended", reason=reason)
+
+    async def _serve_member(self, life: str, stream: PeerStream) -> str:
+        link = _Link(Audience.MEMBER, life)
+        self._own_members.append(link)
+        try:
+            return await _await_end(
+                lambda: self._send_news(link, stream), lambda: self._take_all(stream)
+            )
         finally:
-            await stream.aclose()
+            self._own_members.remove(link)
+
+    async def _take_all(self, stream: PeerStream) -> None:
+        while True:
+            self._take(await _receive_news(stream))
 
     def _take(self, news: News) -> None:
         try:
+            scope = Scope(news.scope)
             loads = {str(key): Load(*map(int, v)) for key, v in news.loads.items()}
             notices = [ServerNotice(*fields) for fields in news.notices]
             holdings = [Holding(*fields) for fields in news.holdings]
@@ -262,10 +347,85 @@
         except (TypeError, ValueError) as error:
             self._log.note("peer_news_invalid", peer=news.sender, reason=repr(error))
             return
-        self._table.note_peer_loads(news.sender, loads, trio.current_time())
+        now = trio.current_time()
+        key = f"group {news.group}" if scope is Scope.GROUP else news.sender
+        peer = _strip_life(news.sender)
+        self.view.note(key, Source(peer, scope, now, Work(loads, sends)))
+        self._keep_counted(now)
+        if key in self._counted:
+            self._table.note_peer_loads(key, loads, now)
+            for service, counts in sends.items():
+                self._handlers.on_sends(service, key, counts)
         for notice in notices:
-            self._on_notice(notice)
+            self._handlers.on_notice(notice)
         for holding in holdings:
-            self._on_holding(holding)
-        for service, counts in sends.items():
-            self._on_sends(service, news.sender, counts)
+            self._handlers.on_holding(holding)
+        self._pass_on(scope, news.sender, notices, holdings)
+
+    def _keep_counted(self, now: float) -> None:
+        counted = set(self.view.list_counted(now))
+        if self._counted - counted:
+            self._table.keep_peers(counted)
+            self._handlers.keep_peers(counted)
+        self._counted = counted
+
+    def _pass_on(
+        self,
+        scope: Scope,
+        sender: str,
+        notices: list[ServerNotice],
+        holdings: list[Holding],
+    ) -> None:
+        """Tell those who hear of it from this hub only."""
+        if not self._is_hub or not (notices or holdings):
+            return
+        links = [link for link in self._own_members if link.name != sender]
+        if scope is Scope.MEMBER:
+            links += [
+                link
+                for link in self._outgoing.values()
+                if link.audience is Audience.OTHER_HUB
+            ]
+        for link in links:
+            link.notices.extend(notices)
+            for holding in holdings:
+                link.add_holding(holding)
+        if notices:
+            self._wake()
+
+    def _wake(self) -> None:
+        self._wakeup.set()
+        self._wakeup = trio.Event()
+
+
+def _name(members: tuple[Member, ...]) -> list[str]:
+    return [member.name for member in members]
+
+
+def _strip_life(life: str) -> str:
+    return life.rpartition("#")[0]
+
+
+async def _receive_news(stream: PeerStream) -> News:
+    """Return the next news; other messages are passed over."""
+    while True:
+        message = await stream.receive()
+        if isinstance(message, News):
+            return message
+
+
+async def _await_end(*tasks: Callable[[], Awaitable[None]]) -> str:
+    """Run tasks until one of them fails; return the reason."""
+    reasons: list[str] = []
+    async with trio.open_nursery() as nursery:
+
+        async def run(task: Callable[[], Awaitable[None]]) -> None:
+            try:
+                await task()
+            except PEER_ERRORS as error:
+                reasons.append(repr(error))
+            nursery.cancel_scope.cancel()
+
+        for task in tasks:
+            nursery.start_soon(run, task)
+    return ", ".join(reasons)
--- a/ashpond/gateway/places.py
+++ b/ashpond/gateway/places.py
@@ -11,26 +11,31 @@
 import trio
 
 from ashpond.gateway.cachestores import CacheStores
+from ashpond.gateway.calls import Prompt
 from ashpond.gateway.declared import Declaration
-from ashpond.gateway.directory import Load, ServerState, ServerTable
+from ashpond.gateway.directory import BackendServer, Load, ServerState, ServerTable
 from ashpond.gateway.holdings import Holdings, make_salt
 from ashpond.gateway.selection import (
     Candidate,
     Demand,
-    choose_server,
     find_home_ranks,
     make_load,
+    pick_candidate,
+    score_candidates,
 )
 
 # Peers' loads and pauses change without a word; look again this often (seconds).
 RECHECK_SECONDS = 0.03
+# The best candidates of a choice are logged; one takes some 80 bytes of a line.
+LOGGED_CANDIDATES = 6
 
 
 class Place(NamedTuple):
     """The server that a request was given, and the work it adds there.
 
     ``fetch_from`` is the address of an engine or store that holds more of the
-    prompt, ``save_to`` that of a store that is to get what is read.
+    prompt, ``save_to`` that of a store that is to get what is read. ``candidates``
+    are the best ones that the server was chosen from.
     """
 
     state: ServerState
@@ -45,15 +50,37 @@
 
 
 class _Source(NamedTuple):
-    """How much of a prompt is held at an address, under a salt."""
+    """How much of a prompt is held at an address."""
 
     address: str
     failure_domain: str
-    salt: str
     tokens: int
     is_store: bool = False
 
 
+class _Sources(NamedTuple):
+    """Who holds how much of a prompt.
+
+    ``salts`` and ``held`` (tokens) are by server; ``best`` lists, by salt, those that
+    hold most under it.
+    """
+
+    salts: dict[str, str]
+    held: dict[str, int]
+    best: dict[str, list[_Source]]
+
+    def choose(self, server: BackendServer) -> _Source | None:
+        """Return who holds more of the prompt than the server itself, if anyone.
+
+        It has to be held under the same salt, that is of the same weights.
+        """
+        best = self.best.get(self.salts.get(server.id, ""))
+        if not best or best[0].tokens <= self.held.get(server.id, 0):
+            return None
+        domain = server.failure_domain
+        return max(best, key=lambda s: (not s.is_store, s.failure_domain == domain))
+
+
 class _Waiter:
     def __init__(self, demand: Demand, urgency: int, number: int):
         self.demand = demand
@@ -155,18 +182,22 @@
         }
         sources = self._find_sources(states, demand, now)
         candidates = self._build_candidates(states, sources, demand, now)
-        chosen = choose_server(candidates, demand, self._rng)
+        scored = score_candidates(candidates, demand)
+        chosen = pick_candidate(scored, self._rng)
         if chosen is None:
             return None
         state = states[chosen.id]
         found = max(chosen.held_tokens, chosen.fetch_tokens)
         load = make_load(demand, found)
         state.load = state.load.add(load)
-        place = Place(state, load, None, tuple(candidates))
+        best = [entry.candidate for entry in scored[:LOGGED_CANDIDATES]]
+        if chosen not in best:
+            best.append(chosen)
+        place = Place(state, load, None, tuple(best))
         if demand.model is None or demand.prompt is None:
             return place
-        source = self._choose_source(sources, state, demand)
-        salt = sources[chosen.id].salt
+        source = sources.choose(state.info)
+        salt = sources.salts[chosen.id]
         saves = self.stores.plan_save(salt, demand.prompt, now)
         store = self.stores.store
         return place._replace(
@@ -180,22 +211,47 @@
 
     def _find_sources(
         self, states: Mapping[str, ServerState], demand: Demand, now: float
-    ) -> dict[str, _Source]:
+    ) -> _Sources:
+        """Return who holds how much of a prompt, under the salt of each server."""
+        found = _Sources({}, {}, {})
         if demand.prompt is None or demand.model is None:
-            return {}
-        sources = {}
+            return found
         for server_id, state in states.items():
-            salt = make_salt(demand.wall, demand.model, state.weights.get(demand.model))
-            tokens = self.holdings.count_tokens(server_id, salt, demand.prompt, now)
-            sources[server_id] = _Source(
-                state.info.address, state.info.failure_domain, salt, tokens
-            )
-        return sources
+            version = state.weights.get(demand.model)
+            found.salts[server_id] = make_salt(demand.wall, demand.model, version)
+        for salt in set(found.salts.values()):
+            holders = self.holdings.find_holders(salt, demand.prompt, now)
+            here = {s: t for s, t in holders.items() if found.salts.get(s) == salt}
+            found.held.update(here)
+            found.best[salt] = self._find_best(states, here, salt, demand.prompt)
+        return found
+
+    def _find_best(
+        self,
+        states: Mapping[str, ServerState],
+        holders: Mapping[str, int],
+        salt: str,
+        prompt: Prompt,
+    ) -> list[_Source]:
+        """Return those that hold most of a prompt under a salt; engines first."""
+        stored = self.stores.count_tokens(salt, prompt)
+        most = max(stored, *holders.values(), 0) if holders else stored
+        if not most:
+            return []
+        best = [
+            _Source(states[s].info.address, states[s].info.failure_domain, tokens)
+            for s, tokens in holders.items()
+            if tokens == most
+        ]
+        store = self.stores.store
+        if store is not None and stored == most:
+            best.append(_Source(store.address, store.failure_domain, stored, True))
+        return best
 
     def _build_candidates(
         self,
         states: Mapping[str, ServerState],
-        sources: Mapping[str, _Source],
+        sources: _Sources,
         demand: Demand,
         now: float,
     ) -> list[Candidate]:
@@ -204,13 +260,12 @@
         engine = service.engine if service else None
         ranks: dict[str, int] = {}
         if demand.prompt is not None:
-            most = max((source.tokens for source in sources.values()), default=0)
+            most = max(sources.held.values(), default=0)
             ranks = find_home_ranks(demand.prompt, demand.wall, list(states), most)
         wanted = self._find_wanted(demand.model, now) if demand.model else 0
         candidates = []
         for server_id, state in states.items():
-            held = sources[server_id].tokens if sources else 0
-            source = self._choose_source(sources, state, demand)
+            source = sources.choose(state.info)
             candidates.append(
                 Candidate(
                     id=server_id,
@@ -222,38 +277,9 @@
                     home_rank=ranks.get(server_id, 0),
                     failure_share=state.failure_share,
                     is_cold=now < state.cold_until,
-                    held_tokens=held,
+                    held_tokens=sources.held.get(server_id, 0),
                     fetch_tokens=source.tokens if source else 0,
                     fetches_from_store=bool(source and source.is_store),
                 )
             )
         return candidates
-
-    def _choose_source(
-        self, sources: Mapping[str, _Source], state: ServerState, demand: Demand
-    ) -> _Source | None:
-        """Return who holds most of the prompt beyond what the server itself holds.
-
-        It has to be held under the same salt, that is of the same weights.
-        """
-        own = sources.get(state.info.id)
-        if own is None or demand.prompt is None:
-            return None
-        better = [
-            source
-            for source in sources.values()
-            if source.salt == own.salt and source.tokens > own.tokens
-        ]
-        stored = self.stores.count_tokens(own.salt, demand.prompt)
-        store = self.stores.store
-        if store is not None and stored > own.tokens:
-            better.append(
-                _Source(store.address, store.failure_domain, own.salt, stored, True)
-            )
-        if not better:
-            return None
-        domain = state.info.failure_domain
-        return max(
-            better,
-            key=lambda s: (s.tokens, not s.is_store, s.failure_domain == domain),
-        )
--- a/ashpond/gateway/selection.py
+++ b/ashpond/gateway/selection.py
@@ -8,13 +8,16 @@
 __all__ = [
     "Candidate",
     "Demand",
+    "ScoredCandidate",
     "choose_server",
     "describe_candidate",
     "describe_demand",
     "find_home_ranks",
     "make_load",
+    "pick_candidate",
     "read_candidate",
     "read_demand",
+    "score_candidates",
 ]
 
 import random
@@ -89,6 +92,13 @@
     fetches_from_store: bool = False
 
 
+class ScoredCandidate(NamedTuple):
+    """A candidate and what :func:`estimate_seconds` says of it."""
+
+    seconds: float
+    candidate: Candidate
+
+
 def find_starts(prompt: Prompt) -> list[int]:
     """Return the token at which each part of a prompt begins."""
     starts = [0]
@@ -142,20 +152,28 @@
     return Load(1, max(0, unread), held, bound)
 
 
-def is_full(candidate: Candidate, demand: Demand) -> bool:
-    """Return whether one more request would find no place."""
+def is_full(candidate: Candidate, demand: Demand, claim: int) -> bool:
+    """Return whether one more request would find no place.
+
+    :param claim: the memory that the request would claim (tokens).
+    """
     if demand.prompt is None:
         return candidate.load.requests >= candidate.slots * QUEUE_SHARE
     if candidate.load.requests >= candidate.slots:
         return True
     if not candidate.load.requests or not candidate.memory_tokens:
         return False
-    claimed = candidate.load.held_tokens + make_load(demand, 0).held_tokens
+    claimed = candidate.load.held_tokens + claim
     return claimed > candidate.memory_tokens * MEMORY_SHARE
 
 
-def estimate_seconds(candidate: Candidate, demand: Demand) -> float:
-    """Return the seconds until the answer, and what else counts against it."""
+def estimate_seconds(
+    candidate: Candidate, demand: Demand, shared: int | None = None
+) -> float:
+    """Return the seconds until the answer, and what else counts against it.
+
+    :param shared: the prompt's shared tokens, where the caller has counted them.
+    """
     load = candidate.load
     if demand.prompt is None:
         seconds = SLOT_COST_SECONDS * (load.requests + 1) / candidate.slots
@@ -171,8 +189,9 @@
                 seconds += missing * STORE_SECONDS_PER_TOKEN
         if candidate.home_rank:
             # Another instance may be having the same parts read at their home.
-            again = find_shared_tokens(demand.prompt) - found
-            seconds += max(0, again) / READ_TOKENS_PER_SECOND
+            if shared is None:
+                shared = find_shared_tokens(demand.prompt)
+            seconds += max(0, shared - found) / READ_TOKENS_PER_SECOND
     if not candidate.is_local:
         seconds += DOMAIN_COST_SECONDS
     if not candidate.has_newest:
@@ -182,20 +201,43 @@
     return seconds + candidate.failure_share * FAILURE_COST_SECONDS
 
 
-def choose_server(
-    candidates: Sequence[Candidate], demand: Demand, rng: random.Random
+def score_candidates(
+    candidates: Sequence[Candidate], demand: Demand
+) -> list[ScoredCandidate]:
+    """Return the candidates with a free place, the best first."""
+    claim = make_load(demand, 0).held_tokens
+    shared = find_shared_tokens(demand.prompt) if demand.prompt else 0
+    scored = [
+        ScoredCandidate(estimate_seconds(candidate, demand, shared), candidate)
+        for candidate in candidates
+        if not is_full(candidate, demand, claim)
+    ]
+    scored.sort(key=lambda entry: (entry.seconds, entry.candidate.home_rank))
+    return scored
+
+
+def pick_candidate(
+    scored: Sequence[ScoredCandidate], rng: random.Random
 ) -> Candidate | None:
-    """Return the best candidate with a free place, None if there is none."""
-    free = [c for c in candidates if not is_full(c, demand)]
-    if not free:
+    """Return the best of scored candidates, None if there is none.
+
+    Among those that are as good as the best, homes go first, then chance decides.
+    """
+    if not scored:
         return None
-    scored = [(estimate_seconds(candidate, demand), candidate) for candidate in free]
-    least = min(score for score, _ in scored)
-    near = [c for score, c in scored if score <= least + TIE_SECONDS]
+    limit = scored[0].seconds + TIE_SECONDS
+    near = [candidate for seconds, candidate in scored if seconds <= limit]
     best_rank = min(candidate.home_rank for candidate in near)
     return rng.choice([c for c in near if c.home_rank == best_rank])
 
 
+def choose_server(
+    candidates: Sequence[Candidate], demand: Demand, rng: random.Random
+) -> Candidate | None:
+    """Return the best candidate with a free place, None if there is none."""
+    return pick_candidate(score_candidates(candidates, demand), rng)
+
+
 def describe_candidate(candidate: Candidate) -> list[Any]:
     """Return a candidate as a log line holds it; :func:`read_candidate` undoes it."""
     load = list(candidate.load)
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -20,7 +20,7 @@
     declaration = gateway.knowledge.declaration
     age = gateway.knowledge.measure_age(now)
     lease = gateway.rollouts.lease
-    instances = gateway.news.count_instances()
+    instances = gateway.members.count()
     status = {
         "name": gateway.settings.name,
         "ready": gateway.is_ready(),
@@ -28,7 +28,12 @@
         "configuration": declaration.version if declaration else None,
         "knowledge_age_seconds": round(age, 3) if declaration else None,
         "weight_targets": gateway.knowledge.targets,
-        "members": sorted(gateway.news.members),
+        "members": sorted(gateway.members.by_name),
+        "news": {
+            "group": gateway.news.links.group,
+            "speaks_for_group": gateway.news.is_hub,
+            "peers_told": len(gateway.news.list_links()),
+        },
         "lease": {
             "holder": lease.holder_seen,
             "held_here": lease.holds(now),
--- /dev/null
+++ b/tests/test_fleetlinks.py
@@ -0,0 +1,72 @@
+"""Whom each instance of a fleet tells its news."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies as st
+
+from ashpond.gateway.fleetlinks import CANDIDATES, FLAT_FLEET, Member, plan_links
+
+
+def make_members(count: int, domains: int = 4) -> dict[str, Member]:
+    return {
+        f"i{n}": Member(f"i{n}", f"10.0.0.{n}:1", f"d{n % domains}")
+        for n in range(count)
+    }
+
+
+def test_few_instances_all_tell_each_other() -> None:
+    members = make_members(FLAT_FLEET)
+    for name in members:
+        links = plan_links(members, name)
+        assert {m.name for m in links.equals} == members.keys() - {name}
+        assert not links.hubs
+        assert not links.other_hubs
+
+
+def test_an_instance_that_is_not_listed_yet_tells_all() -> None:
+    members = make_members(30)
+    assert len(plan_links(members, "new").equals) == 30
+
+
+@given(count=st.integers(FLAT_FLEET + 1, 200), domains=st.integers(1, 11))
+def test_groups_have_one_first_choice_and_reach_all_others(
+    count: int, domains: int
+) -> None:
+    members = make_members(count, domains)
+    links = {name: plan_links(members, name) for name in members}
+    groups = {link.group for link in links.values()}
+    for group in groups:
+        own = [name for name in members if links[name].group == group]
+        assert len({members[name].failure_domain for name in own}) == 1
+        first = [name for name in own if not links[name].hubs]
+        assert len(first) == 1
+        for name in own:
+            if name != first[0]:
+                assert links[name].hubs[0].name == first[0]
+        candidates = [name for name in own if links[name].is_candidate]
+        assert len(candidates) == min(CANDIDATES, len(own))
+        for name in members:
+            if links[name].group != group:
+                told = {m.name for m in links[name].other_hubs}
+                assert set(candidates) <= told
+
+
+def test_links_grow_slower_than_the_fleet() -> None:
+    def count_most(size: int) -> int:
+        members = make_members(size, domains=5)
+        links = [plan_links(members, name) for name in members]
+        return max(len(link.hubs) + len(link.other_hubs) for link in links)
+
+    assert count_most(390) < 3 * count_most(78)
+    assert count_most(390) < 60
+
+
+def test_few_instances_change_their_group_when_one_more_comes() -> None:
+    before = make_members(78)
+    after = make_members(79)
+    moved = [
+        name
+        for name in before
+        if plan_links(before, name).group != plan_links(after, name).group
+    ]
+    assert len(moved) <= 78 / 4
--- /dev/null
+++ b/tests/test_fleetview.py
@@ -0,0 +1,83 @@
+"""What of the peers' news counts, and what is passed on to whom."""
+
+from __future__ import annotations
+
+from ashpond.gateway.budget import SendCounts
+from ashpond.gateway.directory import PEER_LOAD_SECONDS, Load
+from ashpond.gateway.fleetview import (
+    HUB_SILENCE_SECONDS,
+    FleetView,
+    Scope,
+    Source,
+    Work,
+)
+
+WINDOW = 10.0
+
+
+def make_work(requests: int) -> Work:
+    return Work({"a": Load(requests)}, {"reader": SendCounts(requests, 1)})
+
+
+def tell(view: FleetView, life: str, scope: Scope, requests: int, at: float) -> None:
+    peer = life.partition("#")[0]
+    view.note(life, Source(peer, scope, at, make_work(requests)))
+
+
+def make_hub_view() -> FleetView:
+    """A hub's view: two members of its own group, and another group."""
+    view = FleetView(WINDOW)
+    tell(view, "m1#1", Scope.MEMBER, 1, 0.0)
+    tell(view, "m2#1", Scope.MEMBER, 2, 0.0)
+    tell(view, "group south", Scope.GROUP, 4, 0.0)
+    return view
+
+
+def test_other_hubs_get_the_group_and_members_all_but_their_own() -> None:
+    view = make_hub_view()
+    assert view.sum_group(make_work(8), 0.1).loads["a"].requests == 11
+    assert view.sum_fleet(make_work(8), "m1#1", 0.1).loads["a"].requests == 14
+    sends = view.sum_fleet(make_work(8), "m1#1", 0.1).sends
+    assert sends["reader"] == SendCounts(14, 3)
+
+
+def test_loads_age_sooner_than_sends() -> None:
+    view = make_hub_view()
+    later = PEER_LOAD_SECONDS + 0.1
+    work = view.sum_group(make_work(8), later)
+    assert work.loads["a"].requests == 8
+    assert work.sends["reader"].fresh == 11
+    assert view.sum_group(make_work(8), WINDOW + 1).sends["reader"].fresh == 8
+
+
+def test_a_hubs_word_counts_alone_while_it_speaks() -> None:
+    view = make_hub_view()
+    view.set_hubs(["h1", "h2"])
+    assert len(view.list_counted(0.1)) == 3
+    tell(view, "h2#1", Scope.FLEET, 9, 0.0)
+    assert view.list_counted(0.1) == ["h2#1"]
+    tell(view, "h1#1", Scope.FLEET, 9, 0.0)
+    assert view.list_counted(0.1) == ["h1#1"]
+    silent = HUB_SILENCE_SECONDS + 0.1
+    tell(view, "h2#1", Scope.FLEET, 9, silent)
+    assert view.list_counted(silent) == ["h2#1"]
+
+
+def test_a_stranger_that_speaks_as_a_hub_is_not_gone_by() -> None:
+    view = make_hub_view()
+    view.set_hubs(["h1"])
+    tell(view, "x#1", Scope.FLEET, 100, 0.0)
+    assert "x#1" not in view.list_counted(0.1)
+    assert view.sum_fleet(make_work(0), "m1#1", 0.1).loads["a"].requests == 6
+
+
+def test_the_word_of_a_groups_next_hub_replaces_that_of_the_last() -> None:
+    view = make_hub_view()
+    tell(view, "group south", Scope.GROUP, 5, 0.2)
+    assert view.sum_fleet(make_work(0), "m1#1", 0.3).sends["reader"].fresh == 7
+
+
+def test_what_no_longer_counts_is_dropped() -> None:
+    view = make_hub_view()
+    view.expire(WINDOW + 0.1)
+    assert view.list_counted(WINDOW + 0.1) == []
