Let two instances ask the store for a large fleet

Ruled out: longer waits (knowledge would be too old for revoked keys); reading less often with many instances (servers that drain would be left too late).

Change: in a grouped fleet the hubs of two groups follow the tables and pass on each answer with the store's steady time, which every instance turns into its own clock, so that the age of what is told is never taken for less than it is. The others ask only after silence, for a change that was missed, and once a minute to set the clock right. The cache store's events go the same way. find_last, which nothing used, is gone.

--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -19,6 +19,7 @@
     "News",
     "PeerMessage",
     "PeerStream",
+    "TableChanges",
     "ask_peer",
     "connect_peer",
     "parse_message",
@@ -114,6 +115,23 @@
     sends: dict[str, Any]
 
 
+class TableChanges(NamedTuple):
+    """What a reader of the platform's store has learned of one table.
+
+    ``scope`` is as in :class:`News`; ``rows`` are lists of [key, value or nil,
+    version], all changes from version ``after`` to ``version``; ``store_time`` is
+    the store's steady clock at its answer (seconds).
+    """
+
+    sender: str
+    scope: str
+    table: str
+    after: int
+    version: int
+    store_time: float
+    rows: list[Any]
+
+
 PeerMessage = (
     Facts
     | AskAttempt
@@ -123,6 +141,7 @@
     | CacheRequest
     | CacheAnswer
     | News
+    | TableChanges
 )
 KINDS: dict[str, Any] = {
     "facts": Facts,
@@ -133,6 +152,7 @@
     "ask_cache": CacheRequest,
     "cache": CacheAnswer,
     "news": News,
+    "table": TableChanges,
 }
 FIELD_TYPES: dict[Any, dict[str, Any]] = {
     kind: {
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -14,7 +14,7 @@
 from ashpond.errors import SettingsError
 from ashpond.gateway.admission import admit_call
 from ashpond.gateway.budget import SendBudget, SendCounts
-from ashpond.gateway.cachestores import CacheStores
+from ashpond.gateway.cachestores import EVENTS_PREFIX, CacheStores
 from ashpond.gateway.calls import IncomingCall, Prompt, Reply
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.declared import (
@@ -22,7 +22,7 @@
     IngressLimits,
 )
 from ashpond.gateway.dispatch import Dispatcher
-from ashpond.gateway.feeds import Feed, follow_feed
+from ashpond.gateway.feeds import Feed, Follower, TableNews
 from ashpond.gateway.fleetlinks import Member
 from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.ingress import Ingress, IngressPorts
@@ -46,6 +46,9 @@
 OPERATOR_WAIT_SECONDS = 1.7
 SERVERS_WAIT_SECONDS = 5.0
 MEMBERS_WAIT_SECONDS = 20.0
+# Without word from the readers for so long an instance asks the store itself
+# (seconds): a reader's call, three steps between instances, and a slow store's answer.
+READERS_SILENCE_SECONDS = 2.3
 # Changes of servers come in groups while weights are loaded (seconds).
 SERVERS_PAUSE_SECONDS = 0.3
 # Knowledge older than this share of the revocation bound: clients go elsewhere.
@@ -84,7 +87,9 @@
         self.knowledge = self.view.knowledge
         self.table = self.view.table
         self.holdings = Holdings()
-        self.stores = CacheStores()
+        self.stores = CacheStores(
+            lambda: self.news.is_reader, lambda news: self.news.publish(news)
+        )
         self.metrics = GatewayMetrics()
         self.budgets: dict[str, SendBudget] = {}
         self.started_at = trio.current_time()
@@ -115,9 +120,21 @@
                 self._list_sends,
                 self._on_sends,
                 self._keep_peers,
+                self._on_table,
             ),
             settings.bounds.retry_window_s,
         )
+        self.followers = {
+            feed.table: Follower(
+                feed,
+                platform.store,
+                self.view.clock,
+                log,
+                lambda: self.news.is_reader,
+                self.news.publish,
+            )
+            for feed in self._list_feeds()
+        }
         self.rollouts = RolloutController(
             settings.name,
             self.table,
@@ -172,8 +189,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.log.run)
             nursery.start_soon(self._watch_signals)
-            for feed in self._list_feeds():
-                nursery.start_soon(follow_feed, feed, self.platform.store, self.log)
+            for follower in self.followers.values():
+                nursery.start_soon(follower.run)
             nursery.start_soon(self.news.run)
             nursery.start_soon(self.rollouts.run)
             nursery.start_soon(self._keep_house)
@@ -199,6 +216,7 @@
                 platform.operator_table,
                 OPERATOR_WAIT_SECONDS,
                 0.0,
+                READERS_SILENCE_SECONDS,
                 self.view.take_operator_rows,
                 self.view.note_failure,
             ),
@@ -206,6 +224,7 @@
                 platform.servers_table,
                 SERVERS_WAIT_SECONDS,
                 SERVERS_PAUSE_SECONDS,
+                SERVERS_WAIT_SECONDS + READERS_SILENCE_SECONDS,
                 self.view.take_server_rows,
                 self.view.note_failure,
             ),
@@ -213,6 +232,7 @@
                 MEMBERS_TABLE,
                 MEMBERS_WAIT_SECONDS,
                 SERVERS_PAUSE_SECONDS,
+                MEMBERS_WAIT_SECONDS + READERS_SILENCE_SECONDS,
                 self.members.take_rows,
                 lambda: None,
             ),
@@ -280,6 +300,12 @@
     def _on_sends(self, service: str, peer: str, counts: SendCounts) -> None:
         self._get_budget(service).note_peer(peer, counts, trio.current_time())
 
+    def _on_table(self, news: TableNews) -> bool:
+        if news.table.startswith(EVENTS_PREFIX):
+            return self.stores.take(news)
+        follower = self.followers.get(news.table)
+        return follower is not None and follower.take(news)
+
     def _keep_peers(self, peers: Container[str]) -> None:
         for budget in self.budgets.values():
             budget.keep_peers(peers)
--- a/ashpond/gateway/feeds.py
+++ b/ashpond/gateway/feeds.py
@@ -1,8 +1,13 @@
-"""Follow the store's tables: operators' rows, backend servers, other instances."""
+"""Follow the store's tables: operators' rows, backend servers, other instances.
+
+Among few instances each asks the store itself. Among many a few readers do, and pass
+on what they learn; the others ask only when they have heard nothing for a while, when
+they have missed a change, or to set their idea of the store's clock right.
+"""
 
 from __future__ import annotations
 
-__all__ = ["Feed", "follow_feed"]
+__all__ = ["Feed", "Follower", "TableNews"]
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -10,12 +15,19 @@
 import trio
 
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.store import HistoryLost, Row, Snapshot, Store
+from ashpond.gateway.store import HistoryLost, Row, Snapshot, Store, StoreClock
 from ashpond.outcomes import Done, Unavailable, Unknown
 
 # A call that failed is tried again after this, doubled up to the limit (seconds).
 RETRY_SECONDS = 0.1
 RETRY_LIMIT_SECONDS = 0.6
+# The limit for an instance that readers will wake (seconds).
+IDLE_RETRY_LIMIT_SECONDS = 2.0
+# Clocks drift by up to 0.1 ms a second: an instance that is told all the same asks
+# the store itself so often (seconds).
+RESYNC_SECONDS = 60.0
+# Word that makes an instance's knowledge younger by less is not passed on (seconds).
+NEWS_WORTH_SECONDS = 0.2
 
 
 class Feed(NamedTuple):
@@ -23,51 +35,172 @@
 
     :param wait: how long one call may wait for a change (seconds).
     :param pause: how long changes are left to gather after an answer (seconds).
-    :param on_rows: takes the snapshot and whether it is the whole table.
+    :param patience: without word from a reader for so long, ask the store (seconds).
+    :param on_rows: takes the snapshot, whether it is the whole table, and as of when
+        on this process's clock.
     :param on_failure: is told of each call that brought nothing.
     """
 
     table: str
     wait: float
     pause: float
-    on_rows: Callable[[Snapshot, bool], None]
+    patience: float
+    on_rows: Callable[[Snapshot, bool, float], None]
     on_failure: Callable[[], None]
 
 
-async def follow_feed(feed: Feed, store: Store, log: DecisionLog) -> None:
-    """Keep what ``feed`` is for up to date, until cancelled."""
-    version: int | None = None
-    retry = RETRY_SECONDS
-    is_lost = False
-    while True:
+class TableNews(NamedTuple):
+    """What a reader learned: all changes of a table from ``after`` to ``version``.
+
+    ``store_time`` is the store's steady clock when it answered, in seconds.
+    """
+
+    table: str
+    after: int
+    version: int
+    store_time: float
+    rows: tuple[Row, ...]
+
+
+class Follower:
+    """Keeps what one feed is for up to date.
+
+    :param is_reader: whether this instance asks the store for others as well.
+    :param publish: tells the others what a call has brought.
+    """
+
+    def __init__(
+        self,
+        feed: Feed,
+        store: Store,
+        clock: StoreClock,
+        log: DecisionLog,
+        is_reader: Callable[[], bool],
+        publish: Callable[[TableNews], None],
+    ):
+        self.feed = feed
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._is_reader = is_reader
+        self._publish = publish
+        self._version: int | None = None
+        self._as_of = float("-inf")
+        self._asked_at = float("-inf")
+        self._has_gap = False
+        self._is_lost = False
+        self._retry = RETRY_SECONDS
+        self._told = trio.Event()
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:
+            left = self._measure_patience(trio.current_time())
+            if left > 0:
+                await self._await_word(left)
+            else:
+                await self._ask()
+
+    def take(self, news: TableNews) -> bool:
+        """Take what a reader passes on; return whether it was worth hearing."""
+        if self._version is None or news.after > self._version:
+            # A change in between was missed, or nothing is known yet.
+            self._has_gap = True
+            self._wake()
+            return False
+        now = trio.current_time()
+        as_of = self._clock.date_told(news.store_time)
+        if as_of is None or as_of > now:
+            # The store's clock is not what it was: ask for it.
+            self._has_gap = True
+            self._wake()
+            return False
+        is_new = news.version > self._version
+        is_worth = is_new or as_of - self._as_of >= NEWS_WORTH_SECONDS
+        rows = tuple(row for row in news.rows if row.version > self._version)
+        if rows:
+            self._log.note(
+                "told_by_reader",
+                table=news.table,
+                rows=len(rows),
+                version=news.version,
+                age=round(now - as_of, 3),
+            )
+        self._as_of = max(self._as_of, as_of)
+        self._version = max(self._version, news.version)
+        snapshot = Snapshot(rows, news.version, news.store_time, as_of, now)
+        self.feed.on_rows(snapshot, False, as_of)
+        self._wake()
+        return is_worth
+
+    def _measure_patience(self, now: float) -> float:
+        """Return for how long this instance need not ask the store (seconds)."""
+        if self._version is None or self._has_gap or self._is_reader():
+            return 0.0
+        heard = self._as_of + self.feed.patience - now
+        return min(heard, self._asked_at + RESYNC_SECONDS - now)
+
+    async def _await_word(self, seconds: float) -> None:
+        with trio.move_on_after(seconds):
+            await self._told.wait()
+
+    def _wake(self) -> None:
+        self._told.set()
+        self._told = trio.Event()
+
+    async def _ask(self) -> None:
+        """Ask the store once, and tell the others."""
+        feed = self.feed
+        after = self._version
         outcome: Done | HistoryLost | Unavailable | Unknown
-        if version is None:
-            outcome = await store.read(feed.table)
+        if after is None:
+            outcome = await self._store.read(feed.table)
         else:
-            outcome = await store.follow(feed.table, version, feed.wait)
+            wait = 0.0 if self._has_gap else feed.wait
+            outcome = await self._store.follow(feed.table, after, wait)
         if isinstance(outcome, HistoryLost):
-            log.note("feed_restarted", table=feed.table, after=version)
-            version = None
-            continue
+            self._log.note("feed_restarted", table=feed.table, after=after)
+            self._version = None
+            return
         if not isinstance(outcome, Done):
-            if not is_lost:
-                log.note("store_lost", table=feed.table, reason=outcome.reason)
-            is_lost = True
-            feed.on_failure()
-            await trio.sleep(retry)
-            retry = min(RETRY_LIMIT_SECONDS, retry * 2)
-            continue
-        if is_lost:
-            log.note("store_regained", table=feed.table, version=outcome.value.version)
-        is_lost = False
-        retry = RETRY_SECONDS
-        feed.on_rows(outcome.value, version is None)
-        version = outcome.value.version
-        if outcome.value.rows:
+            await self._wait_after(outcome)
+            return
+        snapshot: Snapshot = outcome.value
+        if self._is_lost:
+            self._log.note("store_regained", table=feed.table, version=snapshot.version)
+        self._is_lost = False
+        self._has_gap = False
+        self._retry = RETRY_SECONDS
+        self._asked_at = trio.current_time()
+        self._adopt(snapshot, after)
+        if snapshot.rows:
             await trio.sleep(feed.pause)
 
+    def _adopt(self, snapshot: Snapshot, after: int | None) -> None:
+        as_of = self._clock.date(snapshot)
+        self._as_of = max(self._as_of, as_of)
+        # While the call was out, readers may have told of later changes.
+        known = self._version if after is not None else None
+        if known is not None and known > snapshot.version:
+            return
+        self._version = snapshot.version
+        self.feed.on_rows(snapshot, after is None, as_of)
+        if after is not None and self._is_reader():
+            news = TableNews(
+                self.feed.table,
+                after,
+                snapshot.version,
+                snapshot.store_time,
+                snapshot.rows,
+            )
+            self._publish(news)
 
-def find_last(rows: tuple[Row, ...], key: str) -> Row | None:
-    """Return the newest of the rows with ``key``."""
-    found = [row for row in rows if row.key == key]
-    return found[-1] if found else None
+    async def _wait_after(self, outcome: Unavailable | Unknown) -> None:
+        if not self._is_lost:
+            self._log.note("store_lost", table=self.feed.table, reason=outcome.reason)
+        self._is_lost = True
+        self.feed.on_failure()
+        await self._await_word(self._retry)
+        is_reader = self._is_reader()
+        limit = RETRY_LIMIT_SECONDS if is_reader else IDLE_RETRY_LIMIT_SECONDS
+        self._retry = min(limit, self._retry * 2)
--- a/ashpond/gateway/fleetlinks.py
+++ b/ashpond/gateway/fleetlinks.py
@@ -23,6 +23,9 @@
 FLAT_FLEET = 12
 # Candidates that each member of a group is linked to: the hub and its stand-by.
 CANDIDATES = 2
+# Groups whose hubs ask the store for all; the second saves the wait when one fails.
+READER_GROUPS = 2
+READERS_KEY = 2
 
 
 class Member(NamedTuple):
@@ -43,6 +46,7 @@
         acts as the hub of its own.
     :param group: the name of its group, empty in a flat fleet.
     :param is_candidate: whether it may be the hub of its group.
+    :param is_reader: whether the hub of its group asks the store for the whole fleet.
     """
 
     equals: tuple[Member, ...] = ()
@@ -50,6 +54,7 @@
     other_hubs: tuple[Member, ...] = ()
     group: str = ""
     is_candidate: bool = False
+    is_reader: bool = False
 
 
 def plan_links(members: Mapping[str, Member], name: str) -> Links:
@@ -58,13 +63,17 @@
         return Links(equals=tuple(m for m in members.values() if m.name != name))
     groups = _form_groups(members)
     links = Links()
+    readers = rank_by_rendezvous(READERS_KEY, list(groups))[:READER_GROUPS]
     other_hubs: list[Member] = []
     for key, names in sorted(groups.items()):
         ranked = rank_by_rendezvous(xxhash.xxh3_64_intdigest(key.encode()), names)
         first = [members[n] for n in ranked[:CANDIDATES]]
         if name in names:
             rank = ranked.index(name)
-            links = Links((), tuple(first[:rank]), (), key, rank < CANDIDATES)
+            is_candidate = rank < CANDIDATES
+            links = Links(
+                (), tuple(first[:rank]), (), key, is_candidate, key in readers
+            )
         else:
             other_hubs.extend(first)
     return links._replace(other_hubs=tuple(other_hubs))
--- a/ashpond/gateway/members.py
+++ b/ashpond/gateway/members.py
@@ -80,7 +80,7 @@
         elif not isinstance(written, Conflict):
             await trio.sleep(RETRY_SECONDS)
 
-    def take_rows(self, snapshot: Snapshot, is_whole: bool) -> None:
+    def take_rows(self, snapshot: Snapshot, is_whole: bool, as_of: float) -> None:
         """Take over rows of the members' table."""
         before = dict(self.by_name)
         if is_whole:
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -5,6 +5,7 @@
 __all__ = ["NewsHandlers", "Newsroom", "ServerNotice"]
 
 import secrets
+from collections import deque
 from collections.abc import Awaitable, Callable, Container
 from enum import Enum, auto
 from typing import NamedTuple
@@ -12,15 +13,17 @@
 import trio
 
 from ashpond.addresses import parse_address
-from ashpond.clients.peer import News, PeerStream, connect_peer
+from ashpond.clients.peer import News, PeerStream, TableChanges, connect_peer
 from ashpond.errors import FrameError
 from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import Load, ServerTable
+from ashpond.gateway.feeds import TableNews
 from ashpond.gateway.fleetlinks import Links, Member, plan_links
 from ashpond.gateway.fleetview import FleetView, Scope, Source, Work
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.members import Members
+from ashpond.gateway.store import Row
 
 LIFE_BYTES = 4
 # Loads are told at most so often in a flat fleet, and at least so often (seconds).
@@ -36,6 +39,8 @@
 MAX_FRAME_BYTES = 1 << 20
 # For a peer that is away; what it misses costs it some reading (entries).
 MAX_PENDING_HOLDINGS = 500
+# The same of changes in the store; a peer that misses one asks the store (entries).
+MAX_PENDING_TABLES = 30
 # Whether the hub still speaks is looked at so often (seconds).
 HUB_CHECK_SECONDS = 0.2
 PEER_ERRORS = (
@@ -65,7 +70,8 @@
 class NewsHandlers(NamedTuple):
     """What is done with the news of others, and what is told of this instance.
 
-    ``keep_peers`` gets the senders whose words add up to the whole fleet's.
+    ``keep_peers`` gets the senders whose words add up to the whole fleet's;
+    ``on_table`` returns whether others should hear of it as well.
     """
 
     on_notice: Callable[[ServerNotice], None]
@@ -73,6 +79,7 @@
     list_sends: Callable[[], dict[str, SendCounts]]
     on_sends: Callable[[str, str, SendCounts], None]
     keep_peers: Callable[[Container[str]], None]
+    on_table: Callable[[TableNews], bool]
 
 
 class Audience(Enum):
@@ -104,6 +111,12 @@
         self.scope = trio.CancelScope()
         self.notices: list[ServerNotice] = []
         self.holdings: list[Holding] = []
+        self.tables: deque[TableNews] = deque(maxlen=MAX_PENDING_TABLES)
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether there is something that should not wait for the next turn."""
+        return bool(self.notices or self.tables)
 
     def add_holding(self, holding: Holding) -> None:
         if len(self.holdings) < MAX_PENDING_HOLDINGS:
@@ -157,6 +170,15 @@
         for link in self.list_links():
             link.add_holding(holding)
 
+    @property
+    def is_reader(self) -> bool:
+        """Whether this instance asks the store itself, and tells those that do not."""
+        return not self.links.group or (self._is_hub and self.links.is_reader)
+
+    def publish(self, news: TableNews) -> None:
+        """Tell the fleet what the store has answered."""
+        self._pass_on(Scope.MEMBER, self._life, [], [], [news])
+
     async def run(
         self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -257,6 +279,9 @@
         while True:
             now = trio.current_time()
             work = self._build_work(link, now)
+            while link.tables:
+                with trio.fail_after(SEND_SECONDS):
+                    await stream.send(self._build_changes(link, link.tables.popleft()))
             is_due = now - sent_at >= HEARTBEAT_SECONDS
             if is_due or sent is None or self._has_news(link, work, sent):
                 with trio.fail_after(SEND_SECONDS):
@@ -264,7 +289,7 @@
                 sent = work
                 sent_at = now
             with trio.move_on_after(self._choose_pause()):
-                while not link.notices:
+                while not link.is_urgent:
                     await self._wakeup.wait()
 
     def _build_work(self, link: _Link, now: float) -> Work:
@@ -302,6 +327,11 @@
             {name: list(sends) for name, sends in work.sends.items()},
         )
 
+    def _build_changes(self, link: _Link, news: TableNews) -> TableChanges:
+        rows = [[row.key, row.value, row.version] for row in news.rows]
+        scope = SCOPES[link.audience]
+        return TableChanges(self._life, scope, *news._replace(rows=rows))  # type: ignore
+
     def _choose_pause(self) -> float:
         return GROUP_NEWS_SECONDS if self.links.group else NEWS_SECONDS
 
@@ -310,10 +340,10 @@
         stream = PeerStream(raw, self.members.secret, MAX_FRAME_BYTES)
         try:
             await stream.authenticate(is_server=True)
-            news = await _receive_news(stream)
-            self._take(news)
-            if news.scope == Scope.MEMBER:
-                reason = await self._serve_member(news.sender, stream)
+            message = await _receive_news(stream)
+            self._take(message)
+            if message.scope == Scope.MEMBER:
+                reason = await self._serve_member(message.sender, stream)
             else:
                 reason = await _await_end(lambda: self._take_all(stream))
         except PEER_ERRORS as error:
@@ -337,7 +367,29 @@
         while True:
             self._take(await _receive_news(stream))
 
-    def _take(self, news: News) -> None:
+    def _take(self, message: News | TableChanges) -> None:
+        if isinstance(message, News):
+            self._take_news(message)
+        else:
+            self._take_changes(message)
+
+    def _take_changes(self, changes: TableChanges) -> None:
+        try:
+            scope = Scope(changes.scope)
+            rows = tuple(
+                Row(changes.table, str(key), value, int(version))
+                for key, value, version in changes.rows
+            )
+        except (TypeError, ValueError) as error:
+            self._log.note("peer_news_invalid", peer=changes.sender, reason=repr(error))
+            return
+        news = TableNews(
+            changes.table, changes.after, changes.version, changes.store_time, rows
+        )
+        if self._handlers.on_table(news):
+            self._pass_on(scope, changes.sender, [], [], [news])
+
+    def _take_news(self, news: News) -> None:
         try:
             scope = Scope(news.scope)
             loads = {str(key): Load(*map(int, v)) for key, v in news.loads.items()}
@@ -360,7 +412,7 @@
             self._handlers.on_notice(notice)
         for holding in holdings:
             self._handlers.on_holding(holding)
-        self._pass_on(scope, news.sender, notices, holdings)
+        self._pass_on(scope, news.sender, notices, holdings, [])
 
     def _keep_counted(self, now: float) -> None:
         counted = set(self.view.list_counted(now))
@@ -375,9 +427,10 @@
         sender: str,
         notices: list[ServerNotice],
         holdings: list[Holding],
+        tables: list[TableNews],
     ) -> None:
         """Tell those who hear of it from this hub only."""
-        if not self._is_hub or not (notices or holdings):
+        if not self._is_hub or not (notices or holdings or tables):
             return
         links = [link for link in self._own_members if link.name != sender]
         if scope is Scope.MEMBER:
@@ -388,9 +441,10 @@
             ]
         for link in links:
             link.notices.extend(notices)
+            link.tables.extend(tables)
             for holding in holdings:
                 link.add_holding(holding)
-        if notices:
+        if notices or tables:
             self._wake()
 
     def _wake(self) -> None:
@@ -406,11 +460,11 @@
     return life.rpartition("#")[0]
 
 
-async def _receive_news(stream: PeerStream) -> News:
+async def _receive_news(stream: PeerStream) -> News | TableChanges:
     """Return the next news; other messages are passed over."""
     while True:
         message = await stream.receive()
-        if isinstance(message, News):
+        if isinstance(message, News | TableChanges):
             return message
 
 
--- a/ashpond/gateway/orders.py
+++ b/ashpond/gateway/orders.py
@@ -61,8 +61,9 @@
 
 
 class CacheEvent(NamedTuple):
-    """A prompt part was stored, or dropped, under a salt."""
+    """A prompt part was stored, or dropped, under a salt; ``number`` orders events."""
 
+    number: int
     salt: str
     part: str
     is_stored: bool
--- a/ashpond/gateway/store.py
+++ b/ashpond/gateway/store.py
@@ -93,6 +93,10 @@
         self._offset = max(self._offset, offset)
         return snapshot.store_time + self._offset
 
+    def date_told(self, store_time: float) -> float | None:
+        """Return the same for an answer to another instance, if it can be told."""
+        return None if self._offset is None else store_time + self._offset
+
     def estimate_store_time(self, now: float) -> float:
         """Return the latest that the store's clock can show at ``now``."""
         return 0.0 if self._offset is None else now - self._offset
--- a/ashpond/gateway/storeview.py
+++ b/ashpond/gateway/storeview.py
@@ -49,7 +49,9 @@
         """Note that the store did not answer."""
         self._failed_at = trio.current_time()
 
-    def take_operator_rows(self, snapshot: Snapshot, is_whole: bool) -> None:
+    def take_operator_rows(
+        self, snapshot: Snapshot, is_whole: bool, as_of: float
+    ) -> None:
         """Take over rows of the operators' table."""
         now = trio.current_time()
         for row in snapshot.rows:
@@ -61,13 +63,15 @@
                 )
             elif isinstance(found, WeightTarget):
                 self._on_weight_target(found, now)
-        self.knowledge.confirm(self.clock.date(snapshot))
+        self.knowledge.confirm(as_of)
 
     def _on_weight_target(self, target: WeightTarget, now: float) -> None:
         if self.knowledge.adopt_target(target, now):
             self._log.note("weights_wanted", model=target.model, version=target.version)
 
-    def take_server_rows(self, snapshot: Snapshot, is_whole: bool) -> None:
+    def take_server_rows(
+        self, snapshot: Snapshot, is_whole: bool, as_of: float
+    ) -> None:
         """Take over rows of the servers' table."""
         now = trio.current_time()
         may_lapse = now - self._failed_at < RECENT_OUTAGE_SECONDS
--- /dev/null
+++ b/tests/test_cachestores.py
@@ -0,0 +1,129 @@
+"""One instance asks the cache store, the others hear of its events."""
+
+from __future__ import annotations
+
+import trio
+
+from ashpond.gateway.cachestores import READERS_SILENCE_SECONDS, CacheStores
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.declared import CacheStore
+from ashpond.gateway.feeds import TableNews
+from ashpond.gateway.orders import CacheEvent, CacheEvents, EnginePort
+from ashpond.outcomes import MaybeRun, NotRun
+from tests.gateway_builders import make_prompt
+
+STORE = CacheStore("10.0.0.9:80", "north")
+PROMPT = make_prompt("rules", "shop", "own")
+
+
+class StandIn:
+    """A cache store whose events a test adds."""
+
+    def __init__(self) -> None:
+        self.epoch = 5
+        self.events: list[CacheEvent] = []
+        self.calls = 0
+        self.is_down = False
+
+    def add(self, part: str, *, is_stored: bool = True) -> None:
+        self.events.append(CacheEvent(len(self.events) + 1, "s", part, is_stored))
+
+    async def read(
+        self, address: str, since: int, wait: float
+    ) -> CacheEvents | NotRun | MaybeRun:
+        self.calls += 1
+        if self.is_down:
+            return NotRun("down")
+        if len(self.events) <= since:
+            await trio.sleep(wait)
+        new = tuple(self.events[since:])
+        return CacheEvents(self.epoch, len(self.events), False, new)
+
+    def build_port(self) -> EnginePort:
+        return EnginePort(None, None, self.read)  # type: ignore[arg-type]
+
+
+class Fleet:
+    """A reader and one that listens to it."""
+
+    def __init__(self) -> None:
+        self.store = StandIn()
+        self.passes_on = True
+        self.reader = CacheStores(lambda: True, self.pass_on)
+        self.other = CacheStores(lambda: False)
+
+    def pass_on(self, news: TableNews) -> None:
+        if self.passes_on:
+            self.other.take(news)
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for stores in (self.reader, self.other):
+                nursery.start_soon(
+                    stores.follow,
+                    lambda: (STORE,),
+                    self.store.build_port(),
+                    DecisionLog("test"),
+                )
+
+
+async def test_events_that_a_reader_passes_on_are_known(autojump_clock: object) -> None:
+    fleet = Fleet()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run)
+        await trio.sleep(3.0)
+        before = fleet.store.calls
+        fleet.store.add("rules")
+        await trio.sleep(1.5)
+        assert fleet.other.count_tokens("s", PROMPT) == 1000
+        fleet.store.add("rules", is_stored=False)
+        fleet.store.add("shop")
+        await trio.sleep(1.5)
+        assert fleet.other.count_tokens("s", PROMPT) == 0
+        # Only the reader has asked: at most once a second and a pause.
+        assert fleet.store.calls - before <= 5
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_silent_reader_is_not_waited_for(autojump_clock: object) -> None:
+    fleet = Fleet()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run)
+        await trio.sleep(3.0)
+        fleet.passes_on = False
+        fleet.store.add("rules")
+        await trio.sleep(READERS_SILENCE_SECONDS + 1.5)
+        assert fleet.other.count_tokens("s", PROMPT) == 1000
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_missed_event_is_asked_for(autojump_clock: object) -> None:
+    fleet = Fleet()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run)
+        await trio.sleep(3.0)
+        fleet.passes_on = False
+        fleet.store.add("rules")
+        await trio.sleep(0.2)
+        fleet.passes_on = True
+        fleet.store.add("shop")
+        await trio.sleep(2.5)
+        assert fleet.other.count_tokens("s", PROMPT) == 2000
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_store_that_starts_anew_holds_nothing(autojump_clock: object) -> None:
+    fleet = Fleet()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run)
+        await trio.sleep(1.0)
+        fleet.store.add("rules")
+        await trio.sleep(1.5)
+        assert fleet.other.count_tokens("s", PROMPT) == 1000
+        fleet.store.epoch = 6
+        fleet.store.events.clear()
+        fleet.store.add("shop")
+        await trio.sleep(4.0)
+        assert fleet.reader.count_tokens("s", PROMPT) == 0
+        assert fleet.other.count_tokens("s", PROMPT) == 0
+        nursery.cancel_scope.cancel()
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -10,10 +10,12 @@
 import trio.testing
 
 from ashpond.gateway.decisionlog import MAX_QUEUED, DecisionLog
-from ashpond.gateway.feeds import Feed, follow_feed
-from ashpond.gateway.store import Snapshot
+from ashpond.gateway.feeds import RESYNC_SECONDS, Feed, Follower, TableNews
+from ashpond.gateway.store import Row, Snapshot, StoreClock
 from ashpond.standins.tables import MemoryStore
 
+PATIENCE_SECONDS = 3.0
+
 
 class Followed:
     """What a feed has told."""
@@ -23,10 +25,21 @@
         self.wholes = 0
         self.failures = 0
         self.log = DecisionLog("test")
-        self.feed = Feed("t", 2.0, pause, self.on_rows, self.on_failure)
+        self.is_reader = True
+        self.published: list[TableNews] = []
+        self.as_of = float("-inf")
         self.store = store
-
-    def on_rows(self, snapshot: Snapshot, is_whole: bool) -> None:
+        self.follower = Follower(
+            Feed("t", 2.0, pause, PATIENCE_SECONDS, self.on_rows, self.on_failure),
+            store.build_port(),
+            StoreClock(),
+            self.log,
+            lambda: self.is_reader,
+            self.published.append,
+        )
+
+    def on_rows(self, snapshot: Snapshot, is_whole: bool, as_of: float) -> None:
+        self.as_of = max(self.as_of, as_of)
         if is_whole:
             self.rows = {}
             self.wholes += 1
@@ -36,7 +49,7 @@
         self.failures += 1
 
     async def run(self) -> None:
-        await follow_feed(self.feed, self.store.build_port(), self.log)
+        await self.follower.run()
 
     def list_events(self) -> list[str]:
         return [line["event"] for line in self.log._lines]
@@ -97,6 +110,90 @@
     assert events.count("store_regained") == 1
 
 
+async def test_who_is_told_asks_the_store_no_more(autojump_clock: object) -> None:
+    store = MemoryStore()
+    reader, other = Followed(store), Followed(store)
+    other.is_reader = False
+    reader.follower._publish = other.follower.take  # type: ignore[assignment]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reader.run)
+        nursery.start_soon(other.run)
+        await trio.sleep(1.0)
+        calls = len(store.calls)
+        store.put("t", "a", b"1")
+        await trio.sleep(0.1)
+        assert other.rows == {"a": b"1"}
+        await trio.sleep(RESYNC_SECONDS / 2)
+        asked = len(store.calls) - calls
+        assert asked <= RESYNC_SECONDS / 2 / 2.0 + 3
+        assert trio.current_time() - other.as_of < 2.1
+        nursery.cancel_scope.cancel()
+
+
+async def test_silent_readers_are_not_waited_for(autojump_clock: object) -> None:
+    store = MemoryStore()
+    other = Followed(store)
+    other.is_reader = False
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(other.run)
+        await trio.sleep(1.0)
+        store.put("t", "a", b"1")
+        await trio.sleep(PATIENCE_SECONDS)
+        assert other.rows == {"a": b"1"}
+        assert trio.current_time() - other.as_of < PATIENCE_SECONDS + 0.1
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_missed_change_is_asked_for(autojump_clock: object) -> None:
+    store = MemoryStore()
+    other = Followed(store)
+    other.is_reader = False
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(other.run)
+        await trio.sleep(0.1)
+        store.put("t", "a", b"1")
+        store.put("t", "b", b"2")
+        news = TableNews("t", 1, 2, 0.0, (Row("t", "b", b"2", 2),))
+        assert not other.follower.take(news)
+        await trio.sleep(0.1)
+        assert other.rows == {"a": b"1", "b": b"2"}
+        nursery.cancel_scope.cancel()
+
+
+async def test_old_news_change_nothing(autojump_clock: object) -> None:
+    store = MemoryStore()
+    other = Followed(store)
+    other.is_reader = False
+    store.put("t", "a", b"1")
+    store.put("t", "a", b"2")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(other.run)
+        await trio.sleep(0.1)
+        as_of = other.as_of
+        news = TableNews("t", 0, 1, 0.0, (Row("t", "a", b"1", 1),))
+        assert not other.follower.take(news)
+        assert other.rows == {"a": b"2"}
+        assert other.as_of == as_of
+        nursery.cancel_scope.cancel()
+
+
+async def test_news_from_the_future_of_the_store_are_not_believed(
+    autojump_clock: object,
+) -> None:
+    """The store's clock has started anew, or the sender's idea of it is wrong."""
+    store = MemoryStore()
+    other = Followed(store)
+    other.is_reader = False
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(other.run)
+        await trio.sleep(0.1)
+        as_of = other.as_of
+        later = store.clock_offset + trio.current_time() + 5.0
+        assert not other.follower.take(TableNews("t", 0, 0, later, ()))
+        assert other.as_of == as_of
+        nursery.cancel_scope.cancel()
+
+
 def drain(log: DecisionLog, reader: int) -> list[dict[str, Any]]:
     """Write out all of a log and return its lines."""
     data = b""
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -6,7 +6,7 @@
 from ashpond.gateway.cachestores import SAVING_SECONDS, CacheStores
 from ashpond.gateway.directory import LAPSE_SECONDS, PEER_LOAD_SECONDS, Load
 from ashpond.gateway.holdings import KEPT_SECONDS, RETELL_SECONDS, Holdings
-from ashpond.gateway.orders import CacheEvent, CacheEvents
+from ashpond.gateway.orders import CacheEvent
 from tests.gateway_builders import MODEL, make_prompt, make_server, make_table
 
 
@@ -164,8 +164,10 @@
 def make_stores(*parts: str) -> CacheStores:
     stores = CacheStores()
     stores.is_up = True
-    events = tuple(CacheEvent("salt", part, True) for part in parts)
-    stores._apply(CacheEvents(1, len(events), False, events))
+    events = tuple(
+        CacheEvent(number, "salt", part, True) for number, part in enumerate(parts)
+    )
+    stores._apply(events)
     return stores
 
 
@@ -173,7 +175,7 @@
     stores = make_stores("rules")
     prompt = make_prompt("rules", "shop", "own")
     assert stores.count_tokens("salt", prompt) == 1000
-    stores._apply(CacheEvents(1, 9, False, (CacheEvent("salt", "rules", False),)))
+    stores._apply((CacheEvent(8, "salt", "rules", False),))
     assert stores.count_tokens("salt", prompt) == 0
 
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -8,13 +8,13 @@
 import pytest
 import trio
 
-from ashpond.clients.peer import News
+from ashpond.clients.peer import News, TableChanges
 from ashpond.gateway import fleetlinks
 from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import Load
-from ashpond.gateway.feeds import Feed, follow_feed
-from ashpond.gateway.fleetlinks import Member
+from ashpond.gateway.feeds import Feed, Follower, TableNews
+from ashpond.gateway.fleetlinks import READER_GROUPS, Member
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.members import MEMBERS_TABLE, Members
 from ashpond.gateway.news import (
@@ -24,6 +24,7 @@
     Newsroom,
     ServerNotice,
 )
+from ashpond.gateway.store import Row, StoreClock
 from ashpond.standins.tables import MemoryStore
 from tests.gateway_builders import make_server, make_table
 
@@ -37,6 +38,7 @@
         self.notices: list[ServerNotice] = []
         self.holdings: list[Holding] = []
         self.sends: dict[str, SendCounts] = {}
+        self.tables: list[TableNews] = []
         self.log = DecisionLog(name)
         self.port = store.build_port()
         self.scope = trio.CancelScope()
@@ -56,6 +58,7 @@
                 lambda: {"reader": SendCounts(10, 2)},
                 lambda service, peer, counts: self.sends.update({peer: counts}),
                 self.keep_peers,
+                self.on_table,
             ),
             WINDOW_SECONDS,
         )
@@ -63,6 +66,10 @@
     def keep_peers(self, peers: Container[str]) -> None:
         self.sends = {p: counts for p, counts in self.sends.items() if p in peers}
 
+    def on_table(self, news: TableNews) -> bool:
+        self.tables.append(news)
+        return True
+
     def sum_load(self) -> Load:
         return self.table.sum_load("a", trio.current_time())
 
@@ -78,11 +85,14 @@
         }
 
     async def run(self) -> None:
-        feed = Feed(MEMBERS_TABLE, 5.0, 0.0, self.members.take_rows, lambda: None)
+        feed = Feed(MEMBERS_TABLE, 5.0, 0.0, 5.0, self.members.take_rows, lambda: None)
+        follower = Follower(
+            feed, self.port, StoreClock(), self.log, lambda: True, lambda news: None
+        )
         with self.scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.news.run)
-                nursery.start_soon(follow_feed, feed, self.port, self.log)
+                nursery.start_soon(follower.run)
 
 
 async def wait_for(condition: Callable[[], bool]) -> None:
@@ -261,3 +271,24 @@
         )
         await trio.sleep(3 * GROUP_NEWS_SECONDS)
         assert member.sum_load().requests == 7
+
+
+async def test_what_a_reader_learns_reaches_all_groups(grouped: list[Instance]) -> None:
+    row = Row("op", "config", b"new", 7)
+    news = TableNews("op", 6, 7, 1000.5, (row, Row("op", "old", None, 7)))
+    async with running(grouped):
+        readers = [i for i in grouped if i.news.is_reader]
+        assert 1 <= len(readers) <= READER_GROUPS
+        readers[0].news.publish(news)
+        others = [i for i in grouped if i is not readers[0]]
+        await wait_for(lambda: all(news in i.tables for i in others))
+
+
+def test_changes_that_make_no_sense_are_left_out(instances: list[Instance]) -> None:
+    instance = instances[0]
+    for rows in ([["key", b"value"]], ["key"], [["key", b"value", "x"]]):
+        changes = TableChanges("i1#1", "group", "op", 1, 2, 0.5, rows)
+        instance.news._take(changes)
+    events = [line["event"] for line in instance.log._lines]
+    assert events == ["peer_news_invalid"] * 3
+    assert instance.tables == []
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -123,7 +123,7 @@
         port = build_engine_port(ChannelPool())
         events = await port.read_cache_events(address, 118, 0.8)
     assert (events.epoch, events.next, events.is_gap) == (77120, 120, False)
-    assert events.events[0] == CacheEvent("s1", "5c", True)
+    assert events.events[0] == CacheEvent(119, "s1", "5c", True)
     assert not events.events[1].is_stored
     assert b"since=118" in engine.requests[0]
     assert b"wait-ms: 800" in engine.requests[0].lower()
