Notice peers whose connection has gone silent

Cause: an open connection may go silent for good, without a reset, while new ones work. Connections to servers and the store have a user timeout and keep-alive probes; those between instances had neither, so a sender of small frames wrote into the void until the buffer was full, minutes later.

Ruled out: heartbeats that the receiver answers (one more message kind; the kernel's acknowledgements say the same).

Change: both ends of a peer connection are watched like those to servers; the options live in clients/liveness. Test: both ends set the limit; it fails with either call taken out.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -18,16 +18,13 @@
 import trio
 
 from ashpond.addresses import parse_address
+from ashpond.clients.liveness import watch_liveness
 from ashpond.errors import AshpondError
 from ashpond.gateway.calls import Headers
 
 READ_BYTES = 65_536
 # Bodies up to this fit into a socket's buffer and are sent without a task.
 INLINE_BODY_BYTES = 16_384
-# Unacknowledged data for so long means that the other side is gone (ms).
-UNACKNOWLEDGED_MS = 1500
-# The least that the kernel knows (seconds).
-KEEPALIVE_SECONDS = 1
 # A connection within a site is made in a few ms; a lost packet costs a second.
 CONNECT_SECONDS = 0.45
 # An idle connection is given up at this share of what the server allows.
@@ -242,17 +239,6 @@
         self._stream.socket.close()
 
 
-def _watch_liveness(sock: trio.socket.SocketType) -> None:
-    """Have the kernel notice a silent other side, also while nothing is sent."""
-    for option, value in (
-        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-        (socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-
-
 def _belongs(headers: Headers, request: Outgoing) -> bool:
     if request.request_id is None:
         return True
@@ -300,7 +286,7 @@
             with trio.fail_after(CONNECT_SECONDS):
                 await sock.connect((target.host, target.port))
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            _watch_liveness(sock)
+            watch_liveness(sock)
         except (OSError, trio.TooSlowError) as error:
             sock.close()
             raise ChannelError(f"no connection: {error!r}", is_sent=False) from error
--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -36,6 +36,7 @@
 import trio
 
 from ashpond.addresses import parse_address
+from ashpond.clients.liveness import watch_liveness
 from ashpond.errors import FrameError
 from ashpond.outcomes import Unavailable
 
@@ -292,9 +293,9 @@
     :raises FrameError: if it does not know the secret.
     """
     target = parse_address(address)
-    stream = PeerStream(
-        await trio.open_tcp_stream(target.host, target.port), secret, max_frame
-    )
+    raw = await trio.open_tcp_stream(target.host, target.port)
+    watch_liveness(raw.socket)
+    stream = PeerStream(raw, secret, max_frame)
     try:
         await stream.authenticate(is_server=False)
     except BaseException:
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -13,6 +13,7 @@
 import trio
 
 from ashpond.addresses import parse_address
+from ashpond.clients.liveness import watch_liveness
 from ashpond.clients.peer import News, PeerStream, TableChanges, connect_peer
 from ashpond.errors import FrameError
 from ashpond.gateway.budget import SendCounts
@@ -337,6 +338,7 @@
 
     async def _receive(self, raw: trio.SocketStream) -> None:
         """Take the news of a peer that has connected; answer a group's member."""
+        watch_liveness(raw.socket)
         stream = PeerStream(raw, self.members.secret, MAX_FRAME_BYTES)
         try:
             await stream.authenticate(is_server=True)
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import AsyncIterator, Callable, Container
 from contextlib import asynccontextmanager
 
 import pytest
 import trio
 
+from ashpond.clients import peer
+from ashpond.clients.liveness import UNACKNOWLEDGED_MS, watch_liveness
 from ashpond.clients.peer import News, TableChanges
-from ashpond.gateway import fleetlinks
+from ashpond.gateway import fleetlinks, news as news_module
 from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import Load
@@ -102,8 +105,6 @@
 
 
 def find_free_port() -> int:
-    import socket
-
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return int(sock.getsockname()[1])
@@ -292,3 +293,25 @@
     events = [line["event"] for line in instance.log._lines]
     assert events == ["peer_news_invalid"] * 3
     assert instance.tables == []
+
+
+async def test_both_ends_notice_a_peer_that_falls_silent(
+    instances: list[Instance], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A connection may go silent for good without a reset, while new ones work."""
+    ends: list[str] = []
+    for end, module in (("connects", peer), ("accepts", news_module)):
+
+        def note(sock: trio.socket.SocketType, end: str = end) -> None:
+            watch_liveness(sock)
+            limit = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            assert limit == UNACKNOWLEDGED_MS
+            ends.append(end)
+
+        monkeypatch.setattr(module, "watch_liveness", note)
+    async with trio.open_nursery() as nursery:
+        for instance in instances[:2]:
+            nursery.start_soon(instance.run)
+        await wait_for(lambda: ends.count("connects") >= 2)
+        await wait_for(lambda: ends.count("accepts") >= 2)
+        nursery.cancel_scope.cancel()
