--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -284,6 +284,11 @@
         self.holdings.note_told(holding, trio.current_time())
 
     def _get_budget(self, service: str) -> SendBudget:
+        budget = self._find_budget(service)
+        budget.lag = self.news.measure_lag()
+        return budget
+
+    def _find_budget(self, service: str) -> SendBudget:
         budget = self.budgets.get(service)
         if budget is None:
             bounds = self.settings.bounds
--- a/ashpond/gateway/budget.py
+++ b/ashpond/gateway/budget.py
@@ -36,6 +36,9 @@
     :param slack: repeats of the whole fleet besides.
     :param window: in seconds.
     :param started_at: when this instance started.
+
+    ``lag`` is how long news of the peers' sends may be on the way (seconds): within
+    it, each instance keeps to an even part of what is left.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         self.share = share
         self.slack = slack
         self.window = window
+        self.lag = 0.0
         self._started_at = started_at
         self._fresh: deque[float] = deque()
         self._repeats: deque[float] = deque()
@@ -80,6 +84,10 @@
         own = self.count_own(now)
         fleet = self._count_fleet(own, now)
         fleet_left = self._allow(fleet.fresh, self.slack) - fleet.repeats
+        if self.lag:
+            # All may spend at once what each believes to be left.
+            spent = sum(1 for at in self._repeats if now - at <= self.lag)
+            fleet_left = min(fleet_left, (fleet_left + spent) / instances - spent)
         age = max(0.0, now - self._started_at)
         if age >= self.window and self._peers:
             return fleet_left
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -32,6 +32,8 @@
 HEARTBEAT_SECONDS = 0.6
 # In groups each step takes up to this; a load is heard of three steps later (seconds).
 GROUP_NEWS_SECONDS = 0.2
+# From one instance over two hubs to another: three steps, on machines that are busy.
+GROUP_LAG_SECONDS = 1.2
 # A peer that does not take a frame within this is connected to anew (seconds).
 SEND_SECONDS = 1.0
 # Instances that restart together reach one another some 0.1 s later.
@@ -176,6 +178,10 @@
         """Whether this instance asks the store itself, and tells those that do not."""
         return not self.links.group or (self._is_hub and self.links.is_reader)
 
+    def measure_lag(self) -> float:
+        """Return how late the work of others may be heard of, if that counts."""
+        return GROUP_LAG_SECONDS if self.links.group else 0.0
+
     def publish(self, news: TableNews) -> None:
         """Tell the fleet what the store has answered."""
         self._pass_on(Scope.MEMBER, self._life, [], [], [news])
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -48,6 +48,10 @@
 # How long requests that cannot go on elsewhere are given to end before the order;
 # most take 0.3 s. Streams that can go on elsewhere take up to 5 s and are cut.
 BOUND_SECONDS = 1.0
+# While the target was named less long ago than this, they are given more: the order
+# would wait for them anyway, and for the longest stream besides (seconds).
+EARLY_SECONDS = 4.0
+EARLY_BOUND_SECONDS = 2.5
 STREAMS_SECONDS = 0.4
 BOUND_LOOK_SECONDS = 0.04
 # Repeats that have to be left for servers that fail.
@@ -56,6 +60,9 @@
 FIRST_LOOK_SECONDS = 0.65
 LOOK_SECONDS = 0.1
 LOAD_LIMIT_SECONDS = 6.0
+# The notice that an engine gets nothing is given for so long, and anew after half of
+# it: the holder may be gone, but a long load must not be met by requests (seconds).
+CLOSED_SECONDS = 6.0
 # After an order that failed, the engine is left alone for this long (seconds).
 FAILED_PAUSE_SECONDS = 0.4
 # Without progress for so long, another instance looks at the lease (seconds).
@@ -111,6 +118,7 @@
         self._ordering: set[str] = set()
         self._accepted: dict[str, int] = {}
         self._paused_until: dict[str, float] = {}
+        self._closed_at: dict[str, float] = {}
         self._lagging_since: float | None = None
         self._read_at = float("-inf")
         self._has_read = False
@@ -251,7 +259,7 @@
     async def _bring_up(self, lag: _Lag) -> None:
         server_id = lag.state.info.id
         started = trio.current_time()
-        self._close(lag, LOAD_LIMIT_SECONDS)
+        self._close(lag)
         try:
             await trio.sleep(NOTICE_SECONDS)
             cuts_runs = await self._await_bound_requests(lag, started)
@@ -264,6 +272,7 @@
                 )
         finally:
             self._ordering.discard(server_id)
+            self._closed_at.pop(server_id, None)
             lag.state.reopen()
             version = lag.state.weights.get(lag.model, 0)
             self._announce(ServerNotice(server_id, lag.model, version, 0.0))
@@ -276,11 +285,18 @@
             seconds=round(trio.current_time() - started, 3),
         )
 
-    def _close(self, lag: _Lag, seconds: float) -> None:
+    def _close(self, lag: _Lag) -> None:
+        server_id = lag.state.info.id
         now = trio.current_time()
-        lag.state.close_for(seconds, now)
+        self._closed_at[server_id] = now
+        lag.state.close_for(CLOSED_SECONDS, now)
         self.note_progress()
-        self._announce(ServerNotice(lag.state.info.id, lag.model, 0, seconds))
+        self._announce(ServerNotice(server_id, lag.model, 0, CLOSED_SECONDS))
+
+    def _keep_closed(self, lag: _Lag) -> None:
+        closed_at = self._closed_at.get(lag.state.info.id, float("-inf"))
+        if trio.current_time() - closed_at > CLOSED_SECONDS / 2:
+            self._close(lag)
 
     async def _await_bound_requests(self, lag: _Lag, started: float) -> bool:
         """Wait for requests that cannot be moved; return whether to cut the others.
@@ -297,8 +313,10 @@
             if not load.bound and waited >= STREAMS_SECONDS:
                 left = self._measure_repeats_left(lag.state.info.service)
                 return left - load.requests >= SPARE_REPEATS
-            if waited >= BOUND_SECONDS:
+            is_early = self._measure_lag(started) < EARLY_SECONDS
+            if waited >= (EARLY_BOUND_SECONDS if is_early else BOUND_SECONDS):
                 return False
+            self._keep_closed(lag)
             await trio.sleep(BOUND_LOOK_SECONDS)
 
     async def _order(self, lag: _Lag, cuts_runs: bool) -> bool:
@@ -365,5 +383,6 @@
             elif isinstance(report, NotRun):
                 return False
             self.note_progress()
+            self._keep_closed(lag)
             await trio.sleep(LOOK_SECONDS)
         return False
--- a/ashpond/gateway/sends.py
+++ b/ashpond/gateway/sends.py
@@ -311,12 +311,7 @@
         now = trio.current_time()
         model = self.call.demand.model or ""
         if response.status == MISDIRECTED:
-            if marks.server_id not in (None, state.info.id):
-                state.misdirected = True
-            elif marks.weights_version is not None:
-                state.weights[model] = marks.weights_version
-            else:
-                state.close_for(LOADING_PAUSE_SECONDS, now)
+            self._note_misdirected(state, marks, model, now)
         elif state.weights.get(model, 0) < self.tools.knowledge.targets.get(model, 0):
             state.close_for(LOADING_PAUSE_SECONDS, now)
         else:
@@ -330,6 +325,27 @@
         )
         return Unrun(f"the server answered {response.status} without running it")
 
+    def _note_misdirected(
+        self, state: ServerState, marks: AnswerMarks, model: str, now: float
+    ) -> None:
+        """Note that another server is at the address, or has other weights.
+
+        An answer that does not say which mostly means that the weights wanted have
+        been loaded and the news of it are still on the way.
+        """
+        target = self.tools.knowledge.targets.get(model, 0)
+        asked = self._place.weights_version or 0
+        if marks.server_id not in (None, state.info.id):
+            state.misdirected = True
+        elif marks.weights_version is not None:
+            state.weights[model] = marks.weights_version
+        elif asked and state.weights.get(model, 0) == asked < target:
+            state.weights[model] = target
+        else:
+            # Wrong as well: go by its entry again, after a pause.
+            state.weights[model] = state.info.weights.get(model, 0)
+            state.close_for(LOADING_PAUSE_SECONDS, now)
+
     async def _relay(self, response: Response) -> SendOutcome:
         """Pass a stream on as it arrives, in whole events where it can go on."""
         state = self._place.state
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -132,6 +132,21 @@
     assert taken <= SLACK
 
 
+def test_many_that_spend_at_once_keep_to_even_parts_of_what_is_left() -> None:
+    """Grown Khangai scale-1: 1,185 repeats of 878 allowed, within a second of news."""
+    budgets = make_budgets(78)
+    for budget in budgets:
+        budget.lag = 1.2
+        for n in range(40):
+            budget.note_fresh(n / 4)
+    tell_all(budgets, 11.0)
+    allowed = SHARE * 78 * 40 + SLACK
+    taken = take_all(budgets, 11.0, tell=False)
+    assert 0.5 * allowed < taken <= allowed
+    tell_all(budgets, 12.3)
+    assert take_all(budgets, 12.3, tell=False) <= allowed
+
+
 def test_the_budget_slides() -> None:
     budget = make_budgets(1)[0]
     while budget.take(1, 0.0):
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -287,3 +287,35 @@
     if isinstance(step, ChannelError):
         return step.is_sent
     return step.status != 421 and not step.headers
+
+
+async def test_a_refusal_that_names_nothing_while_weights_change(
+    autojump_clock: object,
+) -> None:
+    """News of a finished load were late: each send asked for the old weights anew."""
+
+    def name_target(table: ServerTable, knowledge: Knowledge) -> None:
+        knowledge.adopt_target(WeightTarget(MODEL, 2), trio.current_time())
+
+    bench = await run_call(
+        Answer(421), Answer(), route=STREAM, prompt=make_prompt(), prepare=name_target
+    )
+    state = bench.table.by_id[bench.pool.requests[0][0]]
+    assert state.weights[MODEL] == 2
+    assert state.is_open(trio.current_time())
+
+
+async def test_a_wrong_guess_of_the_weights_is_taken_back(
+    autojump_clock: object,
+) -> None:
+    def guess(table: ServerTable, knowledge: Knowledge) -> None:
+        knowledge.adopt_target(WeightTarget(MODEL, 2), trio.current_time())
+        for state in table.by_id.values():
+            state.weights[MODEL] = 2
+
+    bench = await run_call(
+        Answer(421), Answer(), route=STREAM, prompt=make_prompt(), prepare=guess
+    )
+    state = bench.table.by_id[bench.pool.requests[0][0]]
+    assert state.weights[MODEL] == 1
+    assert not state.is_open(trio.current_time())
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -22,7 +22,7 @@
     OrderRefused,
     WeightsOrder,
 )
-from ashpond.gateway.rollouts import RolloutController
+from ashpond.gateway.rollouts import BOUND_SECONDS, RolloutController
 from ashpond.gateway.store import StoreClock
 from ashpond.outcomes import MaybeRun, NotRun
 from ashpond.standins.tables import MemoryStore
@@ -45,6 +45,7 @@
         self.versions = {server.id: 1 for server in servers}
         self.accepted = dict.fromkeys(self.versions, 0)
         self.loading = dict.fromkeys(self.versions, 0)
+        self.load_seconds = LOAD_SECONDS
         self.most_loading = 0
         self.orders: list[SentOrder] = []
         self.lost = 0
@@ -87,7 +88,7 @@
         return OrderAccepted(is_in_force=False)
 
     async def _load(self, server_id: str) -> None:
-        await trio.sleep(LOAD_SECONDS)
+        await trio.sleep(self.load_seconds)
         self.versions[server_id] = self.loading[server_id]
         self.loading[server_id] = 0
 
@@ -350,3 +351,41 @@
         await run_until_current(fleet, 2, 5.0)
         nursery.cancel_scope.cancel()
     assert [sent.order.cuts_runs for sent in fleet.engines.orders] == [False]
+
+
+async def test_streams_are_cut_once_the_requests_that_cannot_move_have_ended(
+    autojump_clock: object,
+) -> None:
+    """An order that finds both waits for the longest stream, 5 s, with no request."""
+    fleet = Fleet(1, engines=1)
+    state = fleet.tables[0].by_id["s0"]
+    state.load = Load(5, bound=1)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        await trio.sleep(2 * BOUND_SECONDS)
+        assert not fleet.engines.orders
+        state.load = Load(4, bound=0)
+        await trio.sleep(0.2)
+        assert [sent.order.cuts_runs for sent in fleet.engines.orders] == [True]
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_long_load_stays_closed_to_all(autojump_clock: object) -> None:
+    fleet = Fleet(1, engines=1)
+    state = fleet.tables[0].by_id["s0"]
+    notices: list[ServerNotice] = []
+    fleet.controllers[0]._announce = notices.append
+    fleet.engines.load_seconds = 5.0
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        with trio.fail_after(20.0):
+            while not fleet.engines.orders:
+                await trio.sleep(0.05)
+        for _ in range(40):
+            assert not state.is_open(trio.current_time())
+            await trio.sleep(0.1)
+        closing = [notice for notice in notices if notice.closed_seconds]
+        assert len(closing) >= 2
+        nursery.cancel_scope.cancel()
