Split the newsroom: items, links, feeds

Change: what is told (values and messages) and whom (links) have modules of their own; the list of feeds stands beside the view that they fill. Ruled out: nothing; no behaviour changes.

--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -26,9 +26,10 @@
 from ashpond.gateway.fleetlinks import Member
 from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.ingress import Ingress, IngressPorts
-from ashpond.gateway.members import MEMBERS_TABLE, Members
+from ashpond.gateway.members import Members
 from ashpond.gateway.metrics import GatewayMetrics
-from ashpond.gateway.news import NewsHandlers, Newsroom, ServerNotice
+from ashpond.gateway.news import NewsHandlers, Newsroom
+from ashpond.gateway.newsitems import ServerNotice
 from ashpond.gateway.places import Places
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.replies import send_refusal
@@ -36,21 +37,10 @@
 from ashpond.gateway.sends import Tools
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
 from ashpond.gateway.status import render_status
-from ashpond.gateway.storeview import StoreView
+from ashpond.gateway.storeview import StoreView, build_feeds
 from ashpond.outcomes import Refusal
 
 MS = 1000.0
-# A waiting call to the store also shows that nothing newer exists. With a slow
-# store's answer (0.6 s) its wait stays below the age at which an instance is no
-# longer ready: shares of the revocation bound, 1.7 s of 5 s.
-OPERATOR_WAIT_SHARE = 0.34
-SERVERS_WAIT_SECONDS = 5.0
-MEMBERS_WAIT_SECONDS = 20.0
-# Without word from the readers for so long after their wait, an instance asks the
-# store itself: three steps between instances, and a slow answer (share of the bound).
-READERS_SILENCE_SHARE = 0.12
-# Changes of servers come in groups while weights are loaded (seconds).
-SERVERS_PAUSE_SECONDS = 0.3
 # Knowledge older than this share of the revocation bound: clients go elsewhere.
 READY_SHARE = 0.55
 # Requests may wait at a server before they begin: older weights are left at this
@@ -133,7 +123,7 @@
                 lambda: self.news.is_reader,
                 self.news.publish,
             )
-            for feed in self._list_feeds()
+            for feed in self._build_feeds()
         }
         self.rollouts = RolloutController(
             settings.name,
@@ -209,37 +199,9 @@
             nursery.cancel_scope.cancel()
         self.log.flush()
 
-    def _list_feeds(self) -> list[Feed]:
-        platform = self.platform
+    def _build_feeds(self) -> list[Feed]:
         bound = self.settings.bounds.revocation_ms / MS
-        operator_wait = bound * OPERATOR_WAIT_SHARE
-        silence = bound * READERS_SILENCE_SHARE
-        return [
-            Feed(
-                platform.operator_table,
-                operator_wait,
-                0.0,
-                operator_wait + silence,
-                self.view.take_operator_rows,
-                self.view.note_failure,
-            ),
-            Feed(
-                platform.servers_table,
-                SERVERS_WAIT_SECONDS,
-                SERVERS_PAUSE_SECONDS,
-                SERVERS_WAIT_SECONDS + silence,
-                self.view.take_server_rows,
-                self.view.note_failure,
-            ),
-            Feed(
-                MEMBERS_TABLE,
-                MEMBERS_WAIT_SECONDS,
-                SERVERS_PAUSE_SECONDS,
-                MEMBERS_WAIT_SECONDS + silence,
-                self.members.take_rows,
-                lambda: None,
-            ),
-        ]
+        return build_feeds(self.platform, self.view, self.members, bound)
 
     def _list_cache_stores(self) -> tuple[CacheStore, ...]:
         declaration = self.knowledge.declaration
@@ -376,7 +338,7 @@
             return
         if has_changed:
             self.budgets.clear()
-            for feed in self._list_feeds():
+            for feed in self._build_feeds():
                 self.followers[feed.table].feed = feed
             self.log.note("reload", cause=cause, settings=self.settings._asdict())
 
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-__all__ = ["NewsHandlers", "Newsroom", "ServerNotice"]
+__all__ = ["NewsHandlers", "Newsroom"]
 
 import secrets
-from collections import deque
-from collections.abc import Awaitable, Callable, Container
-from enum import Enum, auto
+from collections.abc import Callable, Container, Sequence
 from typing import NamedTuple
 
 import trio
@@ -18,13 +16,27 @@
 from ashpond.errors import FrameError
 from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.directory import Load, ServerTable
+from ashpond.gateway.directory import ServerTable
 from ashpond.gateway.feeds import TableNews
 from ashpond.gateway.fleetlinks import Links, Member, plan_links
 from ashpond.gateway.fleetview import FleetView, Scope, Source, Work
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.members import Members
-from ashpond.gateway.store import Row
+from ashpond.gateway.newsitems import (
+    Digest,
+    ServerNotice,
+    decode_changes,
+    decode_news,
+    encode_changes,
+    encode_news,
+)
+from ashpond.gateway.newslinks import (
+    PEER_ERRORS,
+    SCOPES,
+    Audience,
+    Link,
+    await_end,
+)
 
 LIFE_BYTES = 4
 # Loads are told at most so often in a flat fleet, and at least so often (seconds).
@@ -40,34 +52,8 @@
 RECONNECT_SECONDS = 0.15
 RECONNECT_LIMIT_SECONDS = 2.4
 MAX_FRAME_BYTES = 1 << 20
-# For a peer that is away; what it misses costs it some reading (entries).
-MAX_PENDING_HOLDINGS = 500
-# The same of changes in the store; a peer that misses one asks the store (entries).
-MAX_PENDING_TABLES = 30
 # Whether the hub still speaks is looked at so often (seconds).
 HUB_CHECK_SECONDS = 0.2
-PEER_ERRORS = (
-    OSError,
-    FrameError,
-    trio.TooSlowError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-)
-
-
-class ServerNotice(NamedTuple):
-    """A change at a backend server that the sender knows first.
-
-    ``version`` 0 tells nothing of the weights; ``closed_seconds`` is how long the
-    server should get no new work, 0 that it may again. ``is_unreached`` tells
-    that the sender could not connect, and nothing of orders.
-    """
-
-    server_id: str
-    model: str
-    version: int
-    closed_seconds: float
-    is_unreached: bool = False
 
 
 class NewsHandlers(NamedTuple):
@@ -85,47 +71,6 @@
     on_table: Callable[[TableNews], bool]
 
 
-class Audience(Enum):
-    """What a peer is to this instance."""
-
-    EQUAL = auto()
-    HUB = auto()
-    MEMBER = auto()
-    OTHER_HUB = auto()
-
-
-SCOPES = {
-    Audience.EQUAL: Scope.OWN,
-    Audience.HUB: Scope.MEMBER,
-    Audience.MEMBER: Scope.FLEET,
-    Audience.OTHER_HUB: Scope.GROUP,
-}
-
-
-class _Link:
-    """One peer that is told, and what it has still to hear.
-
-    ``name`` is the peer's, or its life's for a member of this instance's group.
-    """
-
-    def __init__(self, audience: Audience, name: str):
-        self.audience = audience
-        self.name = name
-        self.scope = trio.CancelScope()
-        self.notices: list[ServerNotice] = []
-        self.holdings: list[Holding] = []
-        self.tables: deque[TableNews] = deque(maxlen=MAX_PENDING_TABLES)
-
-    @property
-    def is_urgent(self) -> bool:
-        """Whether there is something that should not wait for the next turn."""
-        return bool(self.notices or self.tables)
-
-    def add_holding(self, holding: Holding) -> None:
-        if len(self.holdings) < MAX_PENDING_HOLDINGS:
-            self.holdings.append(holding)
-
-
 class Newsroom:
     """Sends news to other instances and takes theirs."""
 
@@ -145,8 +90,8 @@
         self._log = log
         self._handlers = handlers
         self._life = f"{self._name}#{secrets.token_hex(LIFE_BYTES)}"
-        self._outgoing: dict[tuple[Audience, Member], _Link] = {}
-        self._own_members: list[_Link] = []
+        self._outgoing: dict[tuple[Audience, Member], Link] = {}
+        self._own_members: list[Link] = []
         self._counted: set[str] = set()
         self._grouped_at = float("inf")
         self._is_hub = False
@@ -158,20 +103,20 @@
         """Whether this instance speaks for its group at present."""
         return self._is_hub
 
-    def list_links(self) -> list[_Link]:
+    def list_links(self) -> list[Link]:
         """Return all peers that are told at present."""
         return [*self._outgoing.values(), *self._own_members]
 
     def announce(self, notice: ServerNotice) -> None:
         """Tell all peers of a change at once."""
         for link in self._list_listeners():
-            link.notices.append(notice)
+            link.add([notice])
         self._wake()
 
     def tell_holding(self, holding: Holding) -> None:
         """Tell all peers, with the next news, what an engine has read."""
         for link in self._list_listeners():
-            link.add_holding(holding)
+            link.add(holdings=[holding])
 
     @property
     def is_reader(self) -> bool:
@@ -184,7 +129,7 @@
 
     def publish(self, news: TableNews) -> None:
         """Tell the fleet what the store has answered."""
-        self._pass_on(Scope.MEMBER, self._life, [], [], [news])
+        self._pass_on(Scope.MEMBER, self._life, tables=[news])
 
     async def run(
         self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
@@ -219,7 +164,7 @@
         for key in self._outgoing.keys() - wanted:
             self._outgoing.pop(key).scope.cancel()
         for audience, member in sorted(wanted - self._outgoing.keys(), key=str):
-            link = _Link(audience, member.name)
+            link = Link(audience, member.name)
             self._outgoing[audience, member] = link
             self._nursery.start_soon(self._feed_peer, link, member.address)
 
@@ -244,7 +189,7 @@
                     "news_hub", is_hub=self._is_hub, hubs=_name(self.links.hubs)
                 )
 
-    async def _feed_peer(self, link: _Link, address: str) -> None:
+    async def _feed_peer(self, link: Link, address: str) -> None:
         pause = RECONNECT_SECONDS
         is_lost = False
         with link.scope:
@@ -268,27 +213,29 @@
                 await trio.sleep(pause)
                 pause = min(RECONNECT_LIMIT_SECONDS, pause * 2)
 
-    async def _converse(self, link: _Link, stream: PeerStream) -> str:
+    async def _converse(self, link: Link, stream: PeerStream) -> str:
         """Send news, take those of a hub; return why the connection ended."""
         try:
             if link.audience is not Audience.HUB:
-                return await _await_end(lambda: self._send_news(link, stream))
-            return await _await_end(
+                return await await_end(lambda: self._send_news(link, stream))
+            return await await_end(
                 lambda: self._send_news(link, stream), lambda: self._take_all(stream)
             )
         finally:
             with trio.CancelScope(shield=True):
                 await stream.aclose()
 
-    async def _send_news(self, link: _Link, stream: PeerStream) -> None:
+    async def _send_news(self, link: Link, stream: PeerStream) -> None:
         sent: Work | None = None
         sent_at = trio.current_time()
         while True:
             now = trio.current_time()
             work = self._build_work(link, now)
             while link.tables:
+                scope = SCOPES[link.audience]
+                changes = encode_changes(self._life, scope, link.tables.popleft())
                 with trio.fail_after(SEND_SECONDS):
-                    await stream.send(self._build_changes(link, link.tables.popleft()))
+                    await stream.send(changes)
             is_due = now - sent_at >= HEARTBEAT_SECONDS
             if is_due or sent is None or self._has_news(link, work, sent):
                 with trio.fail_after(SEND_SECONDS):
@@ -299,7 +246,7 @@
                 while not (link.is_urgent and self._needs_all(link)):
                     await self._wakeup.wait()
 
-    def _build_work(self, link: _Link, now: float) -> Work:
+    def _build_work(self, link: Link, now: float) -> Work:
         own = Work(self._table.list_own_loads(), self._handlers.list_sends())
         if link.audience is Audience.OTHER_HUB:
             return self.view.sum_group(own, now)
@@ -307,15 +254,15 @@
             return self.view.sum_fleet(own, link.name, now)
         return own
 
-    def _has_news(self, link: _Link, work: Work, sent: Work) -> bool:
+    def _has_news(self, link: Link, work: Work, sent: Work) -> bool:
         if not self._needs_all(link):
             return False
         return bool(link.notices or link.holdings or work.loads != sent.loads)
 
-    def _list_listeners(self) -> list[_Link]:
+    def _list_listeners(self) -> list[Link]:
         return [link for link in self.list_links() if self._needs_all(link)]
 
-    def _needs_all(self, link: _Link) -> bool:
+    def _needs_all(self, link: Link) -> bool:
         """Return whether a peer goes by this link; a stand-by needs heartbeats."""
         if link.audience is Audience.MEMBER:
             return self._is_hub
@@ -324,23 +271,11 @@
             return hub is None or _strip_life(hub) == link.name
         return True
 
-    def _build_news(self, link: _Link, work: Work) -> News:
-        notices, link.notices = link.notices, []
-        holdings, link.holdings = link.holdings, []
-        return News(
-            self._life,
-            SCOPES[link.audience],
-            self.links.group,
-            {server_id: list(load) for server_id, load in work.loads.items()},
-            [list(notice) for notice in notices],
-            [list(holding) for holding in holdings],
-            {name: list(sends) for name, sends in work.sends.items()},
-        )
-
-    def _build_changes(self, link: _Link, news: TableNews) -> TableChanges:
-        rows = [[row.key, row.value, row.version] for row in news.rows]
+    def _build_news(self, link: Link, work: Work) -> News:
+        notices, holdings = link.take()
         scope = SCOPES[link.audience]
-        return TableChanges(self._life, scope, *news._replace(rows=rows))  # type: ignore
+        digest = Digest(scope, self.links.group, work, notices, holdings)
+        return encode_news(self._life, digest)
 
     def _choose_pause(self) -> float:
         return GROUP_NEWS_SECONDS if self.links.group else NEWS_SECONDS
@@ -356,7 +291,7 @@
             if message.scope == Scope.MEMBER:
                 reason = await self._serve_member(message.sender, stream)
             else:
-                reason = await _await_end(lambda: self._take_all(stream))
+                reason = await await_end(lambda: self._take_all(stream))
         except PEER_ERRORS as error:
             reason = repr(error)
         finally:
@@ -365,10 +300,10 @@
         self._log.note("peer_stream_ended", reason=reason)
 
     async def _serve_member(self, life: str, stream: PeerStream) -> str:
-        link = _Link(Audience.MEMBER, life)
+        link = Link(Audience.MEMBER, life)
         self._own_members.append(link)
         try:
-            return await _await_end(
+            return await await_end(
                 lambda: self._send_news(link, stream), lambda: self._take_all(stream)
             )
         finally:
@@ -379,51 +314,33 @@
             self._take(await _receive_news(stream))
 
     def _take(self, message: News | TableChanges) -> None:
-        if isinstance(message, News):
-            self._take_news(message)
-        else:
-            self._take_changes(message)
-
-    def _take_changes(self, changes: TableChanges) -> None:
         try:
-            scope = Scope(changes.scope)
-            rows = tuple(
-                Row(changes.table, str(key), value, int(version))
-                for key, value, version in changes.rows
-            )
-        except (TypeError, ValueError) as error:
-            self._log.note("peer_news_invalid", peer=changes.sender, reason=repr(error))
-            return
-        news = TableNews(
-            changes.table, changes.after, changes.version, changes.store_time, rows
-        )
+            if isinstance(message, News):
+                self._take_digest(message.sender, decode_news(message))
+            else:
+                self._take_changes(message.sender, *decode_changes(message))
+        except FrameError as error:
+            self._log.note("peer_news_invalid", peer=message.sender, reason=str(error))
+
+    def _take_changes(self, sender: str, scope: Scope, news: TableNews) -> None:
         if self._handlers.on_table(news):
-            self._pass_on(scope, changes.sender, [], [], [news])
+            self._pass_on(scope, sender, tables=[news])
 
-    def _take_news(self, news: News) -> None:
-        try:
-            scope = Scope(news.scope)
-            loads = {str(key): Load(*map(int, v)) for key, v in news.loads.items()}
-            notices = [ServerNotice(*fields) for fields in news.notices]
-            holdings = [Holding(*fields) for fields in news.holdings]
-            sends = {str(k): SendCounts(*map(int, v)) for k, v in news.sends.items()}
-        except (TypeError, ValueError) as error:
-            self._log.note("peer_news_invalid", peer=news.sender, reason=repr(error))
-            return
+    def _take_digest(self, sender: str, digest: Digest) -> None:
         now = trio.current_time()
-        key = f"group {news.group}" if scope is Scope.GROUP else news.sender
-        peer = _strip_life(news.sender)
-        self.view.note(key, Source(peer, scope, now, Work(loads, sends)))
+        scope = digest.scope
+        key = f"group {digest.group}" if scope is Scope.GROUP else sender
+        self.view.note(key, Source(_strip_life(sender), scope, now, digest.work))
         self._keep_counted(now)
         if key in self._counted:
-            self._table.note_peer_loads(key, loads, now)
-            for service, counts in sends.items():
+            self._table.note_peer_loads(key, digest.work.loads, now)
+            for service, counts in digest.work.sends.items():
                 self._handlers.on_sends(service, key, counts)
-        for notice in notices:
+        for notice in digest.notices:
             self._handlers.on_notice(notice)
-        for holding in holdings:
+        for holding in digest.holdings:
             self._handlers.on_holding(holding)
-        self._pass_on(scope, news.sender, notices, holdings, [])
+        self._pass_on(scope, sender, digest.notices, digest.holdings)
 
     def _keep_counted(self, now: float) -> None:
         counted = set(self.view.list_counted(now))
@@ -436,25 +353,19 @@
         self,
         scope: Scope,
         sender: str,
-        notices: list[ServerNotice],
-        holdings: list[Holding],
-        tables: list[TableNews],
+        notices: Sequence[ServerNotice] = (),
+        holdings: Sequence[Holding] = (),
+        tables: Sequence[TableNews] = (),
     ) -> None:
         """Tell those who hear of it from this hub only."""
         if not self._is_hub or not (notices or holdings or tables):
             return
         links = [link for link in self._own_members if link.name != sender]
         if scope is Scope.MEMBER:
-            links += [
-                link
-                for link in self._outgoing.values()
-                if link.audience is Audience.OTHER_HUB
-            ]
+            others = self._outgoing.values()
+            links += [o for o in others if o.audience is Audience.OTHER_HUB]
         for link in links:
-            link.notices.extend(notices)
-            link.tables.extend(tables)
-            for holding in holdings:
-                link.add_holding(holding)
+            link.add(notices, holdings, tables)
         if notices or tables:
             self._wake()
 
@@ -477,20 +388,3 @@
         message = await stream.receive()
         if isinstance(message, News | TableChanges):
             return message
-
-
-async def _await_end(*tasks: Callable[[], Awaitable[None]]) -> str:
-    """Run tasks until one of them fails; return the reason."""
-    reasons: list[str] = []
-    async with trio.open_nursery() as nursery:
-
-        async def run(task: Callable[[], Awaitable[None]]) -> None:
-            try:
-                await task()
-            except PEER_ERRORS as error:
-                reasons.append(repr(error))
-            nursery.cancel_scope.cancel()
-
-        for task in tasks:
-            nursery.start_soon(run, task)
-    return ", ".join(reasons)
--- /dev/null
+++ b/ashpond/gateway/newsitems.py
@@ -0,0 +1,109 @@
+"""What instances tell each other, as typed values and as messages."""
+
+from __future__ import annotations
+
+__all__ = [
+    "Digest",
+    "ServerNotice",
+    "decode_changes",
+    "decode_news",
+    "encode_changes",
+    "encode_news",
+]
+
+from typing import NamedTuple
+
+from ashpond.clients.peer import News, TableChanges
+from ashpond.errors import FrameError
+from ashpond.gateway.budget import SendCounts
+from ashpond.gateway.directory import Load
+from ashpond.gateway.feeds import TableNews
+from ashpond.gateway.fleetview import Scope, Work
+from ashpond.gateway.holdings import Holding
+from ashpond.gateway.store import Row
+
+
+class ServerNotice(NamedTuple):
+    """A change at a backend server that the sender knows first.
+
+    ``version`` 0 tells nothing of the weights; ``closed_seconds`` is how long the
+    server should get no new work, 0 that it may again. ``is_unreached`` tells
+    that the sender could not connect, and nothing of orders.
+    """
+
+    server_id: str
+    model: str
+    version: int
+    closed_seconds: float
+    is_unreached: bool = False
+
+
+class Digest(NamedTuple):
+    """One piece of news: whose work it is, the work, and what has happened.
+
+    ``group`` is the sender's, empty in a flat fleet.
+    """
+
+    scope: Scope
+    group: str
+    work: Work
+    notices: list[ServerNotice]
+    holdings: list[Holding]
+
+
+def encode_news(sender: str, digest: Digest) -> News:
+    """Return the message that tells a digest; ``sender`` is a life."""
+    return News(
+        sender,
+        digest.scope,
+        digest.group,
+        {server_id: list(load) for server_id, load in digest.work.loads.items()},
+        [list(notice) for notice in digest.notices],
+        [list(holding) for holding in digest.holdings],
+        {service: list(counts) for service, counts in digest.work.sends.items()},
+    )
+
+
+def decode_news(news: News) -> Digest:
+    """Return what a message tells.
+
+    :raises FrameError: if it makes no sense.
+    """
+    try:
+        loads = {str(key): Load(*map(int, v)) for key, v in news.loads.items()}
+        sends = {str(k): SendCounts(*map(int, v)) for k, v in news.sends.items()}
+        return Digest(
+            Scope(news.scope),
+            news.group,
+            Work(loads, sends),
+            [ServerNotice(*fields) for fields in news.notices],
+            [Holding(*fields) for fields in news.holdings],
+        )
+    except (TypeError, ValueError) as error:
+        raise FrameError(f"news that make no sense: {error!r}") from error
+
+
+def encode_changes(sender: str, scope: Scope, news: TableNews) -> TableChanges:
+    """Return the message that passes changes of a table on."""
+    rows = [[row.key, row.value, row.version] for row in news.rows]
+    return TableChanges(
+        sender, scope, news.table, news.after, news.version, news.store_time, rows
+    )
+
+
+def decode_changes(changes: TableChanges) -> tuple[Scope, TableNews]:
+    """Return whose word a message is, and the changes of a table that it tells.
+
+    :raises FrameError: if it makes no sense.
+    """
+    try:
+        scope = Scope(changes.scope)
+        rows = tuple(
+            Row(changes.table, str(key), value, int(version))
+            for key, value, version in changes.rows
+        )
+    except (TypeError, ValueError) as error:
+        raise FrameError(f"changes that make no sense: {error!r}") from error
+    return scope, TableNews(
+        changes.table, changes.after, changes.version, changes.store_time, rows
+    )
--- /dev/null
+++ b/ashpond/gateway/newslinks.py
@@ -0,0 +1,103 @@
+"""The peers that one instance tells, and what each has still to hear."""
+
+from __future__ import annotations
+
+__all__ = ["Audience", "Link", "PEER_ERRORS", "SCOPES", "await_end"]
+
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterable
+from enum import Enum, auto
+
+import trio
+
+from ashpond.errors import FrameError
+from ashpond.gateway.feeds import TableNews
+from ashpond.gateway.fleetview import Scope
+from ashpond.gateway.holdings import Holding
+from ashpond.gateway.newsitems import ServerNotice
+
+# For a peer that is away; what it misses costs it some reading (entries).
+MAX_PENDING_HOLDINGS = 500
+# The same of changes in the store; a peer that misses one asks the store (entries).
+MAX_PENDING_TABLES = 30
+# Ways in which a connection between instances ends.
+PEER_ERRORS = (
+    OSError,
+    FrameError,
+    trio.TooSlowError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
+
+
+class Audience(Enum):
+    """What a peer is to this instance."""
+
+    EQUAL = auto()
+    HUB = auto()
+    MEMBER = auto()
+    OTHER_HUB = auto()
+
+
+# Whose work each is told.
+SCOPES = {
+    Audience.EQUAL: Scope.OWN,
+    Audience.HUB: Scope.MEMBER,
+    Audience.MEMBER: Scope.FLEET,
+    Audience.OTHER_HUB: Scope.GROUP,
+}
+
+
+class Link:
+    """One peer that is told.
+
+    ``name`` is the peer's, or its life's for a member of this instance's group.
+    """
+
+    def __init__(self, audience: Audience, name: str):
+        self.audience = audience
+        self.name = name
+        self.scope = trio.CancelScope()
+        self.notices: list[ServerNotice] = []
+        self.holdings: list[Holding] = []
+        self.tables: deque[TableNews] = deque(maxlen=MAX_PENDING_TABLES)
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether there is something that should not wait for the next turn."""
+        return bool(self.notices or self.tables)
+
+    def add(
+        self,
+        notices: Iterable[ServerNotice] = (),
+        holdings: Iterable[Holding] = (),
+        tables: Iterable[TableNews] = (),
+    ) -> None:
+        """Keep news until the next turn."""
+        self.notices.extend(notices)
+        self.tables.extend(tables)
+        room = MAX_PENDING_HOLDINGS - len(self.holdings)
+        self.holdings.extend(list(holdings)[: max(0, room)])
+
+    def take(self) -> tuple[list[ServerNotice], list[Holding]]:
+        """Return the notices and holdings that wait, which are then told."""
+        notices, self.notices = self.notices, []
+        holdings, self.holdings = self.holdings, []
+        return notices, holdings
+
+
+async def await_end(*tasks: Callable[[], Awaitable[None]]) -> str:
+    """Run tasks until one of them fails; return the reason."""
+    reasons: list[str] = []
+    async with trio.open_nursery() as nursery:
+
+        async def run(task: Callable[[], Awaitable[None]]) -> None:
+            try:
+                await task()
+            except PEER_ERRORS as error:
+                reasons.append(repr(error))
+            nursery.cancel_scope.cancel()
+
+        for task in tasks:
+            nursery.start_soon(run, task)
+    return ", ".join(reasons)
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -15,7 +15,7 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import ServerState, ServerTable
 from ashpond.gateway.knowledge import Knowledge
-from ashpond.gateway.news import ServerNotice
+from ashpond.gateway.newsitems import ServerNotice
 from ashpond.gateway.orders import (
     EnginePort,
     EngineReport,
--- a/ashpond/gateway/storeview.py
+++ b/ashpond/gateway/storeview.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["StoreView"]
+__all__ = ["StoreView", "build_feeds"]
 
 from collections.abc import Callable
 
@@ -12,10 +12,23 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.declared import Declaration, WeightTarget
 from ashpond.gateway.directory import ServerTable
+from ashpond.gateway.feeds import Feed
 from ashpond.gateway.knowledge import Knowledge
+from ashpond.gateway.members import MEMBERS_TABLE, Members
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.store import Row, Snapshot, StoreClock
 
+# A waiting call to the store also shows that nothing newer exists. With a slow
+# store's answer (0.6 s) its wait stays below the age at which an instance is no
+# longer ready: shares of the revocation bound, 1.7 s of 5 s.
+OPERATOR_WAIT_SHARE = 0.34
+SERVERS_WAIT_SECONDS = 5.0
+MEMBERS_WAIT_SECONDS = 20.0
+# Without word from the readers for so long after their wait, an instance asks the
+# store itself: three steps between instances, and a slow answer (share of the bound).
+READERS_SILENCE_SHARE = 0.12
+# Changes of servers come in groups while weights are loaded (seconds).
+SERVERS_PAUSE_SECONDS = 0.3
 # Entries that vanish so soon after the store failed may come back (seconds).
 RECENT_OUTAGE_SECONDS = 5.0
 
@@ -103,3 +116,40 @@
             weights=server.weights,
             row_version=row.version,
         )
+
+
+def build_feeds(
+    platform: Platform, view: StoreView, members: Members, bound: float
+) -> list[Feed]:
+    """Return the tables that an instance follows.
+
+    :param bound: from a key's removal until no request with it may run (seconds).
+    """
+    operator_wait = bound * OPERATOR_WAIT_SHARE
+    silence = bound * READERS_SILENCE_SHARE
+    return [
+        Feed(
+            platform.operator_table,
+            operator_wait,
+            0.0,
+            operator_wait + silence,
+            view.take_operator_rows,
+            view.note_failure,
+        ),
+        Feed(
+            platform.servers_table,
+            SERVERS_WAIT_SECONDS,
+            SERVERS_PAUSE_SECONDS,
+            SERVERS_WAIT_SECONDS + silence,
+            view.take_server_rows,
+            view.note_failure,
+        ),
+        Feed(
+            MEMBERS_TABLE,
+            MEMBERS_WAIT_SECONDS,
+            SERVERS_PAUSE_SECONDS,
+            MEMBERS_WAIT_SECONDS + silence,
+            members.take_rows,
+            lambda: None,
+        ),
+    ]
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -311,7 +311,7 @@
     pool = ChannelPool()
     platform = build_platform(MemoryStore().build_port(), pool)
     gateway = Gateway(SettingsFile("", settings), platform, pool, DecisionLog("i0", 2))
-    feeds = {feed.table: feed for feed in gateway._list_feeds()}
+    feeds = {feed.table: feed for feed in gateway._build_feeds()}
     operator = feeds[OPERATOR_TABLE]
     doubt = bound_ms / 1000 * DOUBT_SHARE
     assert operator.wait <= doubt * 0.7
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -21,13 +21,9 @@
 from ashpond.gateway.fleetlinks import READER_GROUPS, Member
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.members import MEMBERS_TABLE, Members
-from ashpond.gateway.news import (
-    GROUP_NEWS_SECONDS,
-    Audience,
-    NewsHandlers,
-    Newsroom,
-    ServerNotice,
-)
+from ashpond.gateway.news import GROUP_NEWS_SECONDS, NewsHandlers, Newsroom
+from ashpond.gateway.newsitems import ServerNotice
+from ashpond.gateway.newslinks import Audience
 from ashpond.gateway.store import Row, StoreClock
 from ashpond.standins.tables import MemoryStore
 from tests.gateway_builders import make_server, make_table
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -12,7 +12,7 @@
 from ashpond.gateway.declared import WeightTarget
 from ashpond.gateway.directory import BackendServer, Load, ServerTable
 from ashpond.gateway.knowledge import Knowledge
-from ashpond.gateway.news import ServerNotice
+from ashpond.gateway.newsitems import ServerNotice
 from ashpond.gateway.orders import (
     CacheEvents,
     EnginePort,
