Keep the tests' ports apart from those of outgoing connections

A port found free by binding to 0 lies in the range that outgoing connections take theirs from; ten instances make some 50 of them before the last one listens. Shown by hand: a listener on the local port of an established connection gets EADDRINUSE.

Ruled out: patience (10 s, the test takes 2), a hub without members (all have one by then). Change: ports are chosen below that range and handed out once; a test says so. Open: if it fails again, it was something else.

--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from collections.abc import AsyncIterator, Callable, Container
 from contextlib import asynccontextmanager
@@ -101,10 +102,23 @@
             await trio.sleep(0.01)
 
 
+# Below the ports that outgoing connections take by themselves (32768 and up): one of
+# those may be the very port that a test has found free a moment ago.
+LISTENING_PORTS = range(10_240, 32_000)
+_handed_out: set[int] = set()
+
+
 def find_free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    for port in random.sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _handed_out:
+            _handed_out.add(port)
+            return port
+    raise RuntimeError("no port is free")
 
 
 @pytest.fixture
@@ -342,3 +356,11 @@
         standby.notices.append(ServerNotice("a", "m1", 3, 0.5))
         await trio.sleep(2 * GROUP_NEWS_SECONDS)
         assert sends < 30
+
+
+async def test_no_outgoing_connection_takes_a_port_that_was_found_free() -> None:
+    """A newsroom could not listen: another's connection had its port."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    with listener, socket.create_connection(listener.getsockname()) as connection:
+        assert connection.getsockname()[1] not in LISTENING_PORTS
+    assert find_free_port() != find_free_port()
