Keep some of many engines for short prompts; load fewer at once

Streams of short prompts were late (40 in 100, while their first event came after 0.16 s at the median): engines read prompts in pieces of 72 ms between the tokens of other answers, and an event has eight tokens, so that eight pieces in a row make a pause of over 0.5 s. With 28 of 70 engines closed and the others' caches empty, engines read for over half of their time. All 70 orders waited for their streams, as the even part of the budget (8) never reached the 30 repeats that are to be left.

Ruled out: queues at the engines as the instances know them (90 in 100 below 12,000 tokens, none above 20,000).

Change: above 12 engines a quarter, the same for all instances without a message, is kept for prompts of up to 2,048 tokens, a preference of 0.06 s, for long prompts of 0.2 s; a load may count on the fleet's repeats, not on the own part; 0.22 of the engines load at once in place of 0.4. At most 12 engines: as before.

--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -281,8 +281,12 @@
             budget.keep_peers(peers)
 
     def _measure_repeats_left(self, service: str) -> float:
-        instances = self.members.count()
-        return self._get_budget(service).measure_left(instances, trio.current_time())
+        """Return how many streams a load may cut, which then are sent once more."""
+        now = trio.current_time()
+        budget = self._get_budget(service)
+        if self.news.links.group:
+            return budget.measure_fleet_left(now)
+        return budget.measure_left(self.members.count(), now)
 
     def _get_limits(self) -> IngressLimits:
         declaration = self.knowledge.declaration
--- a/ashpond/gateway/budget.py
+++ b/ashpond/gateway/budget.py
@@ -79,11 +79,15 @@
         self._repeats.append(now)
         return True
 
+    def measure_fleet_left(self, now: float) -> float:
+        """Return how many repeats all instances together may still send."""
+        fleet = self._count_fleet(self.count_own(now), now)
+        return self._allow(fleet.fresh, self.slack) - fleet.repeats
+
     def measure_left(self, instances: int, now: float) -> float:
         """Return how many repeats this instance may still send."""
         own = self.count_own(now)
-        fleet = self._count_fleet(own, now)
-        fleet_left = self._allow(fleet.fresh, self.slack) - fleet.repeats
+        fleet_left = self.measure_fleet_left(now)
         if self.lag:
             # All may spend at once what each believes to be left.
             spent = sum(1 for at in self._repeats if now - at <= self.lag)
--- a/ashpond/gateway/places.py
+++ b/ashpond/gateway/places.py
@@ -21,6 +21,7 @@
     Demand,
     find_home_ranks,
     find_shared_tokens,
+    keep_for_size,
     make_load,
     pick_candidate,
     rank_homes,
@@ -216,6 +217,14 @@
             save_to=store.address if saves and store else None,
         )
 
+    def _list_kept(
+        self, states: Mapping[str, ServerState], prompt: Prompt, service: str
+    ) -> list[str]:
+        """Return the usable servers that are kept for prompts of such a length."""
+        there = [s.info.id for s in self.table.list_service(service) if s.is_present()]
+        kept = [name for name in keep_for_size(prompt, there) if name in states]
+        return kept or list(states)
+
     def _guess_holder(
         self,
         states: Mapping[str, ServerState],
@@ -234,9 +243,11 @@
         salt = sources.salts[chosen.id]
         names = [
             server_id
-            for server_id, state in states.items()
-            if sources.salts[server_id] == salt and not state.unreached
+            for server_id in self._list_kept(states, demand.prompt, demand.service)
+            if sources.salts[server_id] == salt and not states[server_id].unreached
         ]
+        if not names:
+            return None
         shared = demand.prompt.parts[:-1]
         for part in (shared[-1], shared[0]):
             home = rank_homes(part.id, demand.wall, names)[0]
@@ -294,10 +305,16 @@
         service = declaration.services.get(demand.service) if declaration else None
         engine = service.engine if service else None
         ranks: dict[str, int] = {}
+        kept = list(states)
         if demand.prompt is not None:
             most = max(sources.held.values(), default=0)
-            ranks = find_home_ranks(demand.prompt, demand.wall, list(states), most)
+            kept = self._list_kept(states, demand.prompt, demand.service)
+            are_few = len(states) <= FEW_SERVERS
+            ranks = find_home_ranks(
+                demand.prompt, demand.wall, kept, most, are_few=are_few
+            )
         wanted = self._find_wanted(demand.model, now) if demand.model else 0
+        fitting = set(kept)
         candidates = []
         for server_id, state in states.items():
             source = sources.choose(state.info)
@@ -309,12 +326,13 @@
                     slots=state.info.slots,
                     memory_tokens=engine.cache_tokens if engine else 0,
                     has_newest=state.weights.get(demand.model or "", 0) >= wanted,
-                    home_rank=ranks.get(server_id, 0),
+                    home_rank=ranks.get(server_id, len(ranks)),
                     failure_share=state.failure_share,
                     is_cold=now < state.cold_until,
                     held_tokens=sources.held.get(server_id, 0),
                     fetch_tokens=source.tokens if source else 0,
                     fetches_from_store=bool(source and source.is_store),
+                    is_for_size=server_id in fitting,
                 )
             )
         return candidates
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -37,6 +37,10 @@
 # Of the engines that work, this share may be loading; the rest carries the traffic.
 # Loads take longer when more than that run at once (site sheets: 2 of 5, 18 of 45).
 LOADING_SHARE = 0.4
+# Of many engines fewer: what one holds is lost with its load and read again, and
+# engines that read much slow down what they answer (measured, see the figures).
+MANY_ENGINES = 12
+MANY_LOADING_SHARE = 0.22
 # While fewer than this share of the engines work, loads wait for them to return,
 # but no longer than this after a target was named (seconds).
 WORKING_SHARE = 0.75
@@ -254,7 +258,9 @@
         ]
         if len(working) < len(engines) * WORKING_SHARE:
             return 0
-        return max(1, int(len(working) * LOADING_SHARE))
+        is_many = len(engines) > MANY_ENGINES
+        share = MANY_LOADING_SHARE if is_many else LOADING_SHARE
+        return max(1, int(len(working) * share))
 
     async def _bring_up(self, lag: _Lag) -> None:
         server_id = lag.state.info.id
--- a/ashpond/gateway/selection.py
+++ b/ashpond/gateway/selection.py
@@ -13,6 +13,8 @@
     "describe_candidate",
     "describe_demand",
     "find_home_ranks",
+    "find_shared_tokens",
+    "keep_for_size",
     "make_load",
     "pick_candidate",
     "rank_homes",
@@ -56,6 +58,15 @@
 QUEUE_SHARE = 1.5
 # Up to so many servers, one home for a part that all prompts share can bear them.
 FEW_SERVERS = 12
+# Prompts are read in pieces of 4,096 tokens, 72 ms each, between the tokens of the
+# answers that run: eight in a row make a pause that counts as late. Among many
+# servers, some are kept for prompts that take less than half a piece (tokens).
+SHORT_TOKENS = 2_048
+SHORT_SHARE = 0.25
+# A short prompt elsewhere is slowed down; a long one elsewhere slows many down.
+SHORT_MISFIT_SECONDS = 0.06
+LONG_MISFIT_SECONDS = 0.2
+SHORT_KEY = 3
 
 
 class Demand(NamedTuple):
@@ -79,6 +90,7 @@
     ``fetch_tokens`` how much another engine or a store has that it can fetch from.
     ``home_rank`` is its place in the order in which servers are home to the
     first part that none has read; ``memory_tokens`` is 0 for a plain server.
+    ``is_for_size`` tells whether it is kept for prompts of such a length.
     """
 
     id: str
@@ -93,6 +105,7 @@
     held_tokens: int = 0
     fetch_tokens: int = 0
     fetches_from_store: bool = False
+    is_for_size: bool = True
 
 
 class ScoredCandidate(NamedTuple):
@@ -116,7 +129,12 @@
 
 
 def find_home_ranks(
-    prompt: Prompt, wall: str, names: Sequence[str], held_tokens: int
+    prompt: Prompt,
+    wall: str,
+    names: Sequence[str],
+    held_tokens: int,
+    *,
+    are_few: bool = True,
 ) -> dict[str, int]:
     """Return each server's rank as home of a prompt.
 
@@ -125,9 +143,10 @@
     what all prompts begin with would be overrun.
 
     :param held_tokens: how much of the prompt some server has read.
+    :param are_few: whether the service has few servers.
     """
     shared = prompt.parts[:-1]
-    if len(names) <= FEW_SERVERS:
+    if are_few:
         starts = find_starts(prompt)
         shared = tuple(
             part
@@ -140,6 +159,19 @@
     return {name: rank for rank, name in enumerate(ranked)}
 
 
+def keep_for_size(prompt: Prompt, names: Sequence[str]) -> list[str]:
+    """Return the servers that are kept for prompts of such a length.
+
+    All instances agree on them without a message.
+    """
+    if len(names) <= FEW_SERVERS:
+        return list(names)
+    ranked = rank_by_rendezvous(SHORT_KEY, names)
+    count = round(len(ranked) * SHORT_SHARE)
+    is_short = prompt.tokens <= SHORT_TOKENS
+    return ranked[:count] if is_short else ranked[count:]
+
+
 def rank_homes(part: str, wall: str, names: Sequence[str]) -> list[str]:
     """Return the servers in the order in which they are home to a prompt part."""
     return rank_by_rendezvous(hash_part(wall, part), names)
@@ -210,6 +242,9 @@
         seconds += DOMAIN_COST_SECONDS
     if not candidate.has_newest:
         seconds += STALE_COST_SECONDS
+    if not candidate.is_for_size and demand.prompt is not None:
+        is_short = demand.prompt.tokens <= SHORT_TOKENS
+        seconds += SHORT_MISFIT_SECONDS if is_short else LONG_MISFIT_SECONDS
     if candidate.is_cold:
         seconds += COLD_COST_SECONDS
     return seconds + candidate.failure_share * FAILURE_COST_SECONDS
--- a/tests/test_gateway_selection.py
+++ b/tests/test_gateway_selection.py
@@ -8,12 +8,14 @@
 import trio.testing
 from hypothesis import given, strategies as st
 
+from ashpond.gateway.calls import Prompt
 from ashpond.gateway.directory import Load
 from ashpond.gateway.holdings import Holdings, make_salt
 from ashpond.gateway.selection import (
     FEW_SERVERS,
     choose_server,
     find_home_ranks,
+    keep_for_size,
     make_load,
     rank_homes,
 )
@@ -104,7 +106,9 @@
     names = [f"s{n}" for n in range(FEW_SERVERS + 1)]
     for held in (0, 1000):
         ranks = [
-            find_home_ranks(make_prompt("rules", f"shop{n}", "own"), "w", names, held)
+            find_home_ranks(
+                make_prompt("rules", f"shop{n}", "own"), "w", names, held, are_few=False
+            )
             for n in range(20)
         ]
         assert len({min(r, key=r.get) for r in ranks}) > FEW_SERVERS / 2
@@ -116,7 +120,7 @@
         for n in range(FEW_SERVERS + 4)
     ]
     prompt = make_prompt()
-    names = [server.id for server in servers]
+    names = keep_for_size(prompt, [server.id for server in servers])
     by_id = {server.id: server for server in servers}
     home = rank_homes("shop", "shared", names)[0]
     first = rank_homes("rules", "shared", names)[0]
@@ -140,6 +144,50 @@
     assert place.fetch_from not in (by_id[home].address, by_id[first].address)
 
 
+def make_short() -> Prompt:
+    return make_prompt("rules", "shop", "own", tokens=200)
+
+
+def test_many_servers_are_shared_out_by_the_length_of_prompts() -> None:
+    names = [f"s{n}" for n in range(20)]
+    short, long = (
+        set(keep_for_size(prompt, names)) for prompt in (make_short(), make_prompt())
+    )
+    assert len(short) == 5
+    assert short | long == set(names)
+    assert not short & long
+    assert keep_for_size(make_short(), names[::-1]) == keep_for_size(
+        make_short(), names
+    )
+    assert keep_for_size(make_prompt(), names[:FEW_SERVERS]) == names[:FEW_SERVERS]
+
+
+async def test_long_prompts_leave_the_servers_of_short_ones_alone() -> None:
+    """Pieces of long prompts make pauses in the answers that run beside them."""
+    servers = [make_server(f"s{n}") for n in range(20)]
+    table = make_table(*servers)
+    places = make_places(table)
+    short = set(keep_for_size(make_short(), [server.id for server in servers]))
+    now = trio.current_time()
+    for number in range(40):
+        prompts = (make_short(), make_prompt("rules", f"shop{number}", "own"))
+        for prompt in prompts:
+            place = await places.take(make_demand(prompt), 1, now)
+            assert place is not None
+            assert (place.state.info.id in short) == (prompt.tokens == 600)
+    # Where those for long prompts are busy, the others help out, and the reverse.
+    for server_id, state in table.by_id.items():
+        state.load = Load() if server_id in short else Load(30, 60_000, 9000)
+    place = await places.take(make_demand(make_prompt()), 1, now)
+    assert place is not None
+    assert place.state.info.id in short
+    for server_id, state in table.by_id.items():
+        state.load = Load(30, 100, 9000) if server_id in short else Load()
+    place = await places.take(make_demand(make_short()), 1, now)
+    assert place is not None
+    assert place.state.info.id not in short
+
+
 def test_what_is_found_need_not_be_read() -> None:
     assert make_load(make_demand(make_prompt()), 2000) == Load(1, 1000, 1050, 1)
     resumable = make_demand(make_prompt())._replace(is_resumable=True)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -22,7 +22,11 @@
     OrderRefused,
     WeightsOrder,
 )
-from ashpond.gateway.rollouts import BOUND_SECONDS, RolloutController
+from ashpond.gateway.rollouts import (
+    BOUND_SECONDS,
+    MANY_LOADING_SHARE,
+    RolloutController,
+)
 from ashpond.gateway.store import StoreClock
 from ashpond.outcomes import MaybeRun, NotRun
 from ashpond.standins.tables import MemoryStore
@@ -389,3 +393,13 @@
         closing = [notice for notice in notices if notice.closed_seconds]
         assert len(closing) >= 2
         nursery.cancel_scope.cancel()
+
+
+async def test_of_many_engines_fewer_load_at_once(autojump_clock: object) -> None:
+    fleet = Fleet(2, engines=45)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        assert await run_until_current(fleet, 2, 10.0) < 8.0
+        nursery.cancel_scope.cancel()
+    assert fleet.engines.most_loading == int(45 * MANY_LOADING_SHARE)
