Let the soak play instances in groups

Cause: the soak's three instances all tell each other, so that hubs, readers and rows passed on met none of its faults. Ruled out: a fleet of 13 processes (several times the time of a seed).

--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -113,6 +113,7 @@
                 self._on_table,
             ),
             settings.bounds.retry_window_s,
+            settings.mesh_limit,
         )
         self.followers = {
             feed.table: Follower(
--- a/ashpond/gateway/fleetlinks.py
+++ b/ashpond/gateway/fleetlinks.py
@@ -57,9 +57,14 @@
     is_reader: bool = False
 
 
-def plan_links(members: Mapping[str, Member], name: str) -> Links:
-    """Return the links of the instance called ``name``."""
-    if len(members) <= FLAT_FLEET or name not in members:
+def plan_links(
+    members: Mapping[str, Member], name: str, mesh_limit: int = FLAT_FLEET
+) -> Links:
+    """Return the links of the instance called ``name``.
+
+    :param mesh_limit: up to so many members, each tells all others.
+    """
+    if len(members) <= mesh_limit or name not in members:
         return Links(equals=tuple(m for m in members.values() if m.name != name))
     groups = _form_groups(members)
     links = Links()
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -18,7 +18,7 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import ServerTable
 from ashpond.gateway.feeds import TableNews
-from ashpond.gateway.fleetlinks import Links, Member, plan_links
+from ashpond.gateway.fleetlinks import FLAT_FLEET, Links, Member, plan_links
 from ashpond.gateway.fleetview import FleetView, Scope, Source, Work
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.members import Members
@@ -81,11 +81,13 @@
         log: DecisionLog,
         handlers: NewsHandlers,
         window: float,
+        mesh_limit: int = FLAT_FLEET,
     ):
         self.members = members
         self.view = FleetView(window)
         self.links = Links()
         self._name = members.own.name
+        self._mesh_limit = mesh_limit
         self._table = table
         self._log = log
         self._handlers = handlers
@@ -150,7 +152,7 @@
         """Link to the peers that the present members call for."""
         if self._nursery is None:
             return
-        links = plan_links(self.members.by_name, self._name)
+        links = plan_links(self.members.by_name, self._name, self._mesh_limit)
         if links.group != self.links.group:
             self._log.note("news_group", group=links.group, hubs=_name(links.hubs))
             self._grouped_at = trio.current_time()
--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -18,6 +18,7 @@
 from msgspec import Meta
 
 from ashpond.errors import InputProblem, SettingsError
+from ashpond.gateway.fleetlinks import FLAT_FLEET
 from ashpond.tables import MAX_SHOWN, load_toml
 
 # ``msgspec`` and not ``pydantic``, whose import takes a quarter of the start: after
@@ -48,7 +49,11 @@
 
 
 class GatewaySettings(NamedTuple):
-    """Everything that one instance is told; addresses are ``IP:PORT``."""
+    """Everything that one instance is told; addresses are ``IP:PORT``.
+
+    Up to ``mesh_limit`` instances each tells its news to all others, among more in
+    groups with hubs; all instances must have the same limit.
+    """
 
     name: str
     failure_domain: str
@@ -58,6 +63,7 @@
     metrics_address: str
     store_address: str
     bounds: GatewayBounds = GatewayBounds()
+    mesh_limit: int = FLAT_FLEET
 
 
 class BoundsTable(TypedDict, total=False):
@@ -83,6 +89,7 @@
     metrics_address: Required[Address]
     store_address: Required[Address]
     bounds: BoundsTable
+    mesh_limit: Annotated[int, Meta(ge=1, le=1000)]
 
 
 class SettingsFile:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 import orjson
 import trio
 
+from ashpond.gateway.fleetlinks import FLAT_FLEET
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
 from tests.servers import make_answer, read_request
@@ -37,11 +38,11 @@
 class Instance:
     """One instance as a process, which may be stopped and started again."""
 
-    def __init__(self, name: str, folder: Path, store: str, host: str):
+    def __init__(self, name: str, folder: Path, store: str, host: str, mesh_limit: int):
         self.path = folder / f"{name}.toml"
         self.log = (folder / f"{name}.log").open("ab")
         values = make_settings()._asdict()
-        del values["bounds"]
+        del values["bounds"], values["mesh_limit"]
         # Addresses of the loopback range of their own: soaks may run side by side.
         values = {k: v.replace("127.0.0.1", host) for k, v in values.items()}
         values |= {"name": name, "store_address": store}
@@ -50,6 +51,7 @@
             "grace_s": GRACE_SECONDS,
         }
         lines = [f'{key} = "{value}"' for key, value in values.items()]
+        lines.append(f"mesh_limit = {mesh_limit}")
         lines += ["[bounds]", *(f"{key} = {value}" for key, value in bounds.items())]
         self.path.write_text("\n".join(lines))
         self.address: str = values["callers_address"]
@@ -97,7 +99,9 @@
         self.store_proxies: list[Proxy] = []
         self.server_proxies: dict[str, Proxy] = {}
         self.instances: list[Instance] = []
-        self._instance_count = instances
+        # Every other seed plays instances in groups, whose readers ask the store.
+        self._mesh_limit = FLAT_FLEET if seed % 2 else 1
+        self._instance_count = instances if seed % 2 else instances + 2
         self._server_count = servers
         self._version = 1
         self._requests = 0
@@ -134,7 +138,9 @@
             await nursery.start(proxy.run)
             self.store_proxies.append(proxy)
             host = f"127.{self._seed % 250 + 1}.0.{number + 1}"
-            instance = Instance(f"i{number}", self.folder, proxy.address, host)
+            instance = Instance(
+                f"i{number}", self.folder, proxy.address, host, self._mesh_limit
+            )
             instance.start()
             self.instances.append(instance)
 
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -281,7 +281,9 @@
 def write_settings(path: str, revocation_ms: str) -> None:
     values = make_settings()._asdict()
     lines = [
-        f'{name} = "{value}"' for name, value in values.items() if name != "bounds"
+        f'{name} = "{value}"'
+        for name, value in values.items()
+        if isinstance(value, str)
     ]
     with open(path, "w", encoding="utf-8") as file:
         file.write("\n".join([*lines, "[bounds]", f"revocation_ms = {revocation_ms}"]))
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -14,12 +14,12 @@
 from ashpond.clients import peer
 from ashpond.clients.liveness import UNACKNOWLEDGED_MS, watch_liveness
 from ashpond.clients.peer import News, TableChanges
-from ashpond.gateway import fleetlinks, news as news_module
+from ashpond.gateway import news as news_module
 from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import Load
 from ashpond.gateway.feeds import Feed, Follower, TableNews
-from ashpond.gateway.fleetlinks import READER_GROUPS, Member
+from ashpond.gateway.fleetlinks import FLAT_FLEET, READER_GROUPS, Member
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.members import MEMBERS_TABLE, Members
 from ashpond.gateway.news import GROUP_NEWS_SECONDS, NewsHandlers, Newsroom
@@ -34,7 +34,14 @@
 
 
 class Instance:
-    def __init__(self, name: str, store: MemoryStore, port: int, domain: str = "d"):
+    def __init__(
+        self,
+        name: str,
+        store: MemoryStore,
+        port: int,
+        domain: str = "d",
+        mesh_limit: int = FLAT_FLEET,
+    ):
         self.table = make_table(make_server("a"))
         self.notices: list[ServerNotice] = []
         self.holdings: list[Holding] = []
@@ -62,6 +69,7 @@
                 self.on_table,
             ),
             WINDOW_SECONDS,
+            mesh_limit,
         )
 
     def keep_peers(self, peers: Container[str]) -> None:
@@ -209,12 +217,11 @@
 
 
 @pytest.fixture
-def grouped(monkeypatch: pytest.MonkeyPatch) -> list[Instance]:
+def grouped() -> list[Instance]:
     """Ten instances in two failure domains, too many for a full mesh."""
-    monkeypatch.setattr(fleetlinks, "FLAT_FLEET", 3)
     store = MemoryStore()
     return [
-        Instance(f"i{n}", store, find_free_port(), "north" if n % 2 else "south")
+        Instance(f"i{n}", store, find_free_port(), "north" if n % 2 else "south", 3)
         for n in range(10)
     ]
 
