Read the lease only when its turn to contend has come

Ruled out: passing the row on (its reader may be gone by then). Change: the turn is asked for before the row; a test with 40 instances read it 41 times before, at most 3 now.

--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -161,11 +161,11 @@
         return found
 
     async def _hold_lease(self, now: float) -> None:
+        if not self._may_contend(now):
+            return
         if not self._has_read:
             await self._read_lease(now)
             return
-        if not self._may_contend(now):
-            return
         if not self.lease.is_holder and now - self._read_at >= CONTEND_SECONDS:
             await self._read_lease(now)
         write = self.lease.plan_write(trio.current_time())
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -24,6 +24,7 @@
 )
 from ashpond.gateway.rollouts import (
     BOUND_SECONDS,
+    LEASE_TABLE,
     MANY_LOADING_SHARE,
     RolloutController,
 )
@@ -403,3 +404,15 @@
         assert await run_until_current(fleet, 2, 10.0) < 8.0
         nursery.cancel_scope.cancel()
     assert fleet.engines.most_loading == int(45 * MANY_LOADING_SHARE)
+
+
+async def test_who_need_not_contend_does_not_read_the_lease(
+    autojump_clock: object,
+) -> None:
+    fleet = Fleet(40)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        await run_until_current(fleet, 2, 10.0)
+        nursery.cancel_scope.cancel()
+    assert fleet.store.calls.count(f"read {LEASE_TABLE}") <= 3
