Use all cache stores; make old weights dearer by less among many engines

Cause: the grown sites declare three cache stores of 2.0 million tokens with 80 Gbit/s each; all instances used the first by name.

Change: each prompt's parts go to one store, by rendezvous on its last shared part; one that is down is passed over. Also, on trial: old weights cost 0.08 s in place of 0.25 above 12 engines, as the first engines with new weights were overrun by all; a fifth of the engines for short prompts in place of a quarter, 0.3 of them load at once, news between hubs every 0.12 s.

--- a/ashpond/gateway/cachestores.py
+++ b/ashpond/gateway/cachestores.py
@@ -1,8 +1,12 @@
-"""Follow what the cache stores hold, and whether they answer."""
+"""Follow what the cache stores hold, and whether they answer.
+
+The parts of a prompt go to one store, by rendezvous on what they are, so that all
+stores' memory and links are used.
+"""
 
 from __future__ import annotations
 
-__all__ = ["EVENTS_PREFIX", "CacheStores"]
+__all__ = ["EVENTS_PREFIX", "CacheStores", "StoreContents"]
 
 from collections.abc import Callable
 
@@ -13,6 +17,7 @@
 from ashpond.gateway.declared import CacheStore
 from ashpond.gateway.feeds import TableNews
 from ashpond.gateway.orders import CacheEvent, CacheEvents, EnginePort
+from ashpond.gateway.selection import rank_homes
 from ashpond.gateway.store import Row
 
 # One waiting call at a time; changes are left to gather between them (seconds).
@@ -30,8 +35,8 @@
 SEPARATOR = "\x1f"
 
 
-class CacheStores:
-    """What the one cache store in use holds, as its events tell.
+class StoreContents:
+    """What one cache store holds, as its events tell.
 
     A store answers a dozen callers at once: among many instances the readers ask it
     and pass its events on as changes of a table.
@@ -42,10 +47,11 @@
 
     def __init__(
         self,
+        store: CacheStore,
         is_reader: Callable[[], bool] = lambda: True,
         publish: Callable[[TableNews], None] = lambda news: None,
     ) -> None:
-        self.store: CacheStore | None = None
+        self.store = store
         self.is_up = False
         self._held: set[tuple[str, str]] = set()
         self._saving: dict[tuple[str, str], float] = {}
@@ -87,30 +93,19 @@
             key: at for key, at in self._saving.items() if now - at <= SAVING_SECONDS
         }
 
-    async def follow(
-        self,
-        get_stores: Callable[[], tuple[CacheStore, ...]],
-        engines: EnginePort,
-        log: DecisionLog,
-    ) -> None:
-        """Follow the first declared store until cancelled."""
+    async def follow(self, engines: EnginePort, log: DecisionLog) -> None:
+        """Follow the store until cancelled."""
         while True:
-            stores = get_stores()
-            wanted = stores[0] if stores else None
-            if wanted != self.store:
-                self._use(wanted)
-            if self.store is None:
-                await trio.sleep(IDLE_SECONDS)
-            elif self._is_told(trio.current_time()):
+            if self._is_told(trio.current_time()):
                 with trio.move_on_after(IDLE_SECONDS):
                     await self._told.wait()
             else:
-                await self._ask(self.store.address, engines, log)
+                await self._ask(engines, log)
 
     def take(self, news: TableNews) -> bool:
         """Take what a reader passes on; return whether it was worth hearing."""
         now = trio.current_time()
-        if self.store is None or news.table != self._name_events():
+        if news.table != self._name_events():
             # Another life of the store, or none known: ask it.
             self._told_at = float("-inf")
             return False
@@ -134,18 +129,19 @@
             return False
         return now - self._told_at < READERS_SILENCE_SECONDS
 
-    async def _ask(self, address: str, engines: EnginePort, log: DecisionLog) -> None:
+    async def _ask(self, engines: EnginePort, log: DecisionLog) -> None:
         """Ask the store once for its changes, and tell the others."""
         since = self._since
+        address = self.store.address
         answer = await engines.read_cache_events(address, since, WAIT_SECONDS)
         if not isinstance(answer, CacheEvents):
             if self.is_up:
-                log.note("cache_store_lost", reason=answer.reason)
+                log.note("cache_store_lost", store=address, reason=answer.reason)
             self.is_up = False
             await trio.sleep(RETRY_SECONDS)
             return
         if not self.is_up:
-            log.note("cache_store_up", epoch=answer.epoch, next=answer.next)
+            log.note("cache_store_up", store=address, epoch=answer.epoch)
         self.is_up = True
         if self._epoch is not None and answer.epoch != self._epoch:
             self._held.clear()
@@ -160,14 +156,7 @@
 
     def _name_events(self) -> str:
         """Return what the events of this life of the store are passed on as."""
-        address = self.store.address if self.store else ""
-        return f"{EVENTS_PREFIX}{address} {self._epoch}"
-
-    def _use(self, store: CacheStore | None) -> None:
-        self.store = store
-        self.is_up = False
-        self._epoch, self._since = None, 0
-        self._held.clear()
+        return f"{EVENTS_PREFIX}{self.store.address} {self._epoch}"
 
     def _wake(self) -> None:
         self._told.set()
@@ -182,6 +171,78 @@
                 self._held.discard(key)
 
 
+class CacheStores:
+    """All declared cache stores. Parameters are as for :class:`StoreContents`."""
+
+    def __init__(
+        self,
+        is_reader: Callable[[], bool] = lambda: True,
+        publish: Callable[[TableNews], None] = lambda news: None,
+    ) -> None:
+        self.by_address: dict[str, StoreContents] = {}
+        self._is_reader = is_reader
+        self._publish = publish
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    def pick(self, prompt: Prompt, wall: str) -> StoreContents | None:
+        """Return the store for the parts of a prompt, if one is up."""
+        up = [a for a, contents in self.by_address.items() if contents.is_up]
+        if not up or len(prompt.parts) < 2:
+            return None
+        address = rank_homes(prompt.parts[-2].id, wall, up)[0]
+        return self.by_address[address]
+
+    def count_up(self) -> int:
+        """Return how many stores answer."""
+        return sum(contents.is_up for contents in self.by_address.values())
+
+    def expire(self, now: float) -> None:
+        """Drop what has long been saved."""
+        for contents in self.by_address.values():
+            contents.expire(now)
+
+    def take(self, news: TableNews) -> bool:
+        """Take what a reader passes on; return whether it was worth hearing."""
+        address = news.table.removeprefix(EVENTS_PREFIX).partition(" ")[0]
+        contents = self.by_address.get(address)
+        return contents is not None and contents.take(news)
+
+    async def follow(
+        self,
+        get_stores: Callable[[], tuple[CacheStore, ...]],
+        engines: EnginePort,
+        log: DecisionLog,
+    ) -> None:
+        """Follow the declared stores until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                wanted = {store.address: store for store in get_stores()}
+                for address in self.by_address.keys() - wanted.keys():
+                    del self.by_address[address]
+                    self._scopes.pop(address).cancel()
+                for address in sorted(wanted.keys() - self.by_address.keys()):
+                    self._add(nursery, wanted[address], engines, log)
+                await trio.sleep(IDLE_SECONDS)
+
+    def _add(
+        self,
+        nursery: trio.Nursery,
+        store: CacheStore,
+        engines: EnginePort,
+        log: DecisionLog,
+    ) -> None:
+        contents = StoreContents(store, self._is_reader, self._publish)
+        scope = trio.CancelScope()
+        self.by_address[store.address] = contents
+        self._scopes[store.address] = scope
+
+        async def follow() -> None:
+            with scope:
+                await contents.follow(engines, log)
+
+        nursery.start_soon(follow)
+
+
 def _encode_events(name: str, since: int, answer: CacheEvents) -> TableNews:
     rows = tuple(
         Row(
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -43,7 +43,7 @@
 NEWS_SECONDS = 0.08
 HEARTBEAT_SECONDS = 0.6
 # In groups each step takes up to this; a load is heard of three steps later (seconds).
-GROUP_NEWS_SECONDS = 0.2
+GROUP_NEWS_SECONDS = 0.12
 # From one instance over two hubs to another: three steps, on machines that are busy.
 GROUP_LAG_SECONDS = 1.2
 # A peer that does not take a frame within this is connected to anew (seconds).
--- a/ashpond/gateway/places.py
+++ b/ashpond/gateway/places.py
@@ -17,6 +17,8 @@
 from ashpond.gateway.holdings import Holdings, make_salt
 from ashpond.gateway.selection import (
     FEW_SERVERS,
+    MANY_STALE_COST_SECONDS,
+    STALE_COST_SECONDS,
     Candidate,
     Demand,
     find_home_ranks,
@@ -206,15 +208,15 @@
         shared = find_shared_tokens(demand.prompt)
         if address is None and chosen.held_tokens < shared:
             address = self._guess_holder(states, sources, demand, chosen)
-        saves = self.stores.plan_save(salt, demand.prompt, now)
-        store = self.stores.store
+        store = self.stores.pick(demand.prompt, demand.wall)
+        saves = store is not None and store.plan_save(salt, demand.prompt, now)
         return place._replace(
             weights_version=state.weights.get(demand.model),
             salt=salt,
             fetch_from=address,
             held_tokens=chosen.held_tokens,
             fetch_tokens=chosen.fetch_tokens,
-            save_to=store.address if saves and store else None,
+            save_to=store.store.address if saves and store else None,
         )
 
     def _list_kept(
@@ -269,7 +271,7 @@
             holders = self.holdings.find_holders(salt, demand.prompt, now)
             here = {s: t for s, t in holders.items() if found.salts.get(s) == salt}
             found.held.update(here)
-            found.best[salt] = self._find_best(states, here, salt, demand.prompt)
+            found.best[salt] = self._find_best(states, here, salt, demand)
         return found
 
     def _find_best(
@@ -277,10 +279,13 @@
         states: Mapping[str, ServerState],
         holders: Mapping[str, int],
         salt: str,
-        prompt: Prompt,
+        demand: Demand,
     ) -> list[_Source]:
         """Return those that hold most of a prompt under a salt; engines first."""
-        stored = self.stores.count_tokens(salt, prompt)
+        if demand.prompt is None:
+            return []
+        contents = self.stores.pick(demand.prompt, demand.wall)
+        stored = contents.count_tokens(salt, demand.prompt) if contents else 0
         most = max(stored, *holders.values(), 0) if holders else stored
         if not most:
             return []
@@ -289,8 +294,8 @@
             for s, tokens in holders.items()
             if tokens == most
         ]
-        store = self.stores.store
-        if store is not None and stored == most:
+        if contents is not None and stored == most:
+            store = contents.store
             best.append(_Source(store.address, store.failure_domain, stored, True))
         return best
 
@@ -304,17 +309,18 @@
         declaration = self._get_declaration()
         service = declaration.services.get(demand.service) if declaration else None
         engine = service.engine if service else None
+        is_many = len(states) > FEW_SERVERS
         ranks: dict[str, int] = {}
         kept = list(states)
         if demand.prompt is not None:
             most = max(sources.held.values(), default=0)
             kept = self._list_kept(states, demand.prompt, demand.service)
-            are_few = len(states) <= FEW_SERVERS
             ranks = find_home_ranks(
-                demand.prompt, demand.wall, kept, most, are_few=are_few
+                demand.prompt, demand.wall, kept, most, are_few=not is_many
             )
         wanted = self._find_wanted(demand.model, now) if demand.model else 0
         fitting = set(kept)
+        stale_cost = MANY_STALE_COST_SECONDS if is_many else STALE_COST_SECONDS
         candidates = []
         for server_id, state in states.items():
             source = sources.choose(state.info)
@@ -333,6 +339,7 @@
                     fetch_tokens=source.tokens if source else 0,
                     fetches_from_store=bool(source and source.is_store),
                     is_for_size=server_id in fitting,
+                    stale_cost=stale_cost,
                 )
             )
         return candidates
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -40,7 +40,7 @@
 # Of many engines fewer: what one holds is lost with its load and read again, and
 # engines that read much slow down what they answer (measured, see the figures).
 MANY_ENGINES = 12
-MANY_LOADING_SHARE = 0.22
+MANY_LOADING_SHARE = 0.3
 # While fewer than this share of the engines work, loads wait for them to return,
 # but no longer than this after a target was named (seconds).
 WORKING_SHARE = 0.75
--- a/ashpond/gateway/selection.py
+++ b/ashpond/gateway/selection.py
@@ -8,6 +8,8 @@
 __all__ = [
     "Candidate",
     "Demand",
+    "MANY_STALE_COST_SECONDS",
+    "STALE_COST_SECONDS",
     "ScoredCandidate",
     "choose_server",
     "describe_candidate",
@@ -44,6 +46,9 @@
 DOMAIN_COST_SECONDS = 0.004
 # Old weights cost a fifth of the worth of an answer: as much as it being late.
 STALE_COST_SECONDS = 0.25
+# Among many servers the few that have the newest weights first would be overrun by
+# all: a request that waits there makes those behind it late as well.
+MANY_STALE_COST_SECONDS = 0.08
 # A failed answer costs about a whole objective.
 FAILURE_COST_SECONDS = 0.6
 COLD_COST_SECONDS = 0.05
@@ -62,10 +67,10 @@
 # answers that run: eight in a row make a pause that counts as late. Among many
 # servers, some are kept for prompts that take less than half a piece (tokens).
 SHORT_TOKENS = 2_048
-SHORT_SHARE = 0.25
+SHORT_SHARE = 0.2
 # A short prompt elsewhere is slowed down; a long one elsewhere slows many down.
 SHORT_MISFIT_SECONDS = 0.06
-LONG_MISFIT_SECONDS = 0.2
+LONG_MISFIT_SECONDS = 0.15
 SHORT_KEY = 3
 
 
@@ -90,7 +95,8 @@
     ``fetch_tokens`` how much another engine or a store has that it can fetch from.
     ``home_rank`` is its place in the order in which servers are home to the
     first part that none has read; ``memory_tokens`` is 0 for a plain server.
-    ``is_for_size`` tells whether it is kept for prompts of such a length.
+    ``is_for_size`` tells whether it is kept for prompts of such a length;
+    ``stale_cost`` is what weights count that are not the newest (seconds).
     """
 
     id: str
@@ -106,6 +112,7 @@
     fetch_tokens: int = 0
     fetches_from_store: bool = False
     is_for_size: bool = True
+    stale_cost: float = STALE_COST_SECONDS
 
 
 class ScoredCandidate(NamedTuple):
@@ -241,7 +248,7 @@
     if not candidate.is_local:
         seconds += DOMAIN_COST_SECONDS
     if not candidate.has_newest:
-        seconds += STALE_COST_SECONDS
+        seconds += candidate.stale_cost
     if not candidate.is_for_size and demand.prompt is not None:
         is_short = demand.prompt.tokens <= SHORT_TOKENS
         seconds += SHORT_MISFIT_SECONDS if is_short else LONG_MISFIT_SECONDS
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -39,7 +39,7 @@
             "held_here": lease.holds(now),
             "fence": lease.fence,
         },
-        "cache_store_up": gateway.stores.is_up,
+        "cache_stores_up": gateway.stores.count_up(),
         "waiting": gateway.places.waiting,
         "open_calls": gateway.ingress.open_calls,
         "log_lines_dropped": dict(gateway.log.dropped),
--- a/tests/test_cachestores.py
+++ b/tests/test_cachestores.py
@@ -75,11 +75,11 @@
         before = fleet.store.calls
         fleet.store.add("rules")
         await trio.sleep(1.5)
-        assert fleet.other.count_tokens("s", PROMPT) == 1000
+        assert fleet.other.by_address[STORE.address].count_tokens("s", PROMPT) == 1000
         fleet.store.add("rules", is_stored=False)
         fleet.store.add("shop")
         await trio.sleep(1.5)
-        assert fleet.other.count_tokens("s", PROMPT) == 0
+        assert fleet.other.by_address[STORE.address].count_tokens("s", PROMPT) == 0
         # Only the reader has asked: at most once a second and a pause.
         assert fleet.store.calls - before <= 5
         nursery.cancel_scope.cancel()
@@ -93,7 +93,7 @@
         fleet.passes_on = False
         fleet.store.add("rules")
         await trio.sleep(READERS_SILENCE_SECONDS + 1.5)
-        assert fleet.other.count_tokens("s", PROMPT) == 1000
+        assert fleet.other.by_address[STORE.address].count_tokens("s", PROMPT) == 1000
         nursery.cancel_scope.cancel()
 
 
@@ -108,7 +108,7 @@
         fleet.passes_on = True
         fleet.store.add("shop")
         await trio.sleep(2.5)
-        assert fleet.other.count_tokens("s", PROMPT) == 2000
+        assert fleet.other.by_address[STORE.address].count_tokens("s", PROMPT) == 2000
         nursery.cancel_scope.cancel()
 
 
@@ -119,11 +119,44 @@
         await trio.sleep(1.0)
         fleet.store.add("rules")
         await trio.sleep(1.5)
-        assert fleet.other.count_tokens("s", PROMPT) == 1000
+        assert fleet.other.by_address[STORE.address].count_tokens("s", PROMPT) == 1000
         fleet.store.epoch = 6
         fleet.store.events.clear()
         fleet.store.add("shop")
         await trio.sleep(4.0)
-        assert fleet.reader.count_tokens("s", PROMPT) == 0
-        assert fleet.other.count_tokens("s", PROMPT) == 0
+        assert fleet.reader.by_address[STORE.address].count_tokens("s", PROMPT) == 0
+        assert fleet.other.by_address[STORE.address].count_tokens("s", PROMPT) == 0
+        nursery.cancel_scope.cancel()
+
+
+async def test_the_parts_of_prompts_are_shared_out_over_all_stores(
+    autojump_clock: object,
+) -> None:
+    stores = [CacheStore(f"10.0.0.{n}:80", "north") for n in range(3)]
+    declared = list(stores)
+    contents = CacheStores()
+    stand_in = StandIn()
+    prompts = [make_prompt("rules", f"shop{n}", "own") for n in range(30)]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            contents.follow,
+            lambda: tuple(declared),
+            stand_in.build_port(),
+            DecisionLog("test"),
+        )
+        await trio.sleep(2.0)
+        picked = [contents.pick(prompt, "w") for prompt in prompts]
+        addresses = [one.store.address for one in picked if one is not None]
+        assert min(addresses.count(store.address) for store in stores) >= 4
+        # One that is down, or no longer declared, gets nothing; others keep theirs.
+        contents.by_address[stores[0].address].is_up = False
+        for prompt, address in zip(prompts, addresses, strict=True):
+            now = contents.pick(prompt, "w")
+            assert now is not None
+            assert now.store.address != stores[0].address
+            if address != stores[0].address:
+                assert now.store.address == address
+        declared.clear()
+        await trio.sleep(1.0)
+        assert contents.pick(prompts[0], "w") is None
         nursery.cancel_scope.cancel()
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from ashpond.gateway.budget import SendBudget
-from ashpond.gateway.cachestores import SAVING_SECONDS, CacheStores
+from ashpond.gateway.cachestores import SAVING_SECONDS, StoreContents
+from ashpond.gateway.declared import CacheStore
 from ashpond.gateway.directory import LAPSE_SECONDS, PEER_LOAD_SECONDS, Load
 from ashpond.gateway.holdings import KEPT_SECONDS, RETELL_SECONDS, Holdings
 from ashpond.gateway.orders import CacheEvent
@@ -176,8 +177,8 @@
     assert len(holdings.note_read("a", "salt", prompt, RETELL_SECONDS + 0.1)) == 2
 
 
-def make_stores(*parts: str) -> CacheStores:
-    stores = CacheStores()
+def make_stores(*parts: str) -> StoreContents:
+    stores = StoreContents(CacheStore("127.0.0.1:9", "north"))
     stores.is_up = True
     events = tuple(
         CacheEvent(number, "salt", part, True) for number, part in enumerate(parts)
--- a/tests/test_gateway_selection.py
+++ b/tests/test_gateway_selection.py
@@ -13,6 +13,7 @@
 from ashpond.gateway.holdings import Holdings, make_salt
 from ashpond.gateway.selection import (
     FEW_SERVERS,
+    SHORT_SHARE,
     choose_server,
     find_home_ranks,
     keep_for_size,
@@ -153,7 +154,7 @@
     short, long = (
         set(keep_for_size(prompt, names)) for prompt in (make_short(), make_prompt())
     )
-    assert len(short) == 5
+    assert len(short) == round(20 * SHORT_SHARE)
     assert short | long == set(names)
     assert not short & long
     assert keep_for_size(make_short(), names[::-1]) == keep_for_size(
