--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -139,6 +139,7 @@
             self.places.wake,
             self._measure_repeats_left,
             settings.bounds.lease_ms / MS,
+            lambda: self.news.measure_lag(),
         )
         self.dispatcher = Dispatcher(
             Tools(
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -58,6 +58,9 @@
 EARLY_BOUND_SECONDS = 2.5
 STREAMS_SECONDS = 0.4
 BOUND_LOOK_SECONDS = 0.04
+# What is sent just before the notice arrives is told by this share of the longest
+# time that news take.
+SETTLE_SHARE = 0.7
 # Repeats that have to be left for servers that fail.
 SPARE_REPEATS = 30
 # A load takes 0.8 s after the runs have ended; looks at its progress (seconds).
@@ -105,6 +108,7 @@
         on_change: Callable[[], None],
         measure_repeats_left: Callable[[str], float],
         lease_seconds: float,
+        measure_lag: Callable[[], float] = lambda: 0.0,
     ):
         self.name = name
         self.lease = Lease(name, make_lease_terms(lease_seconds))
@@ -119,6 +123,7 @@
         self._announce = announce
         self._on_change = on_change
         self._measure_repeats_left = measure_repeats_left
+        self._measure_news_lag = measure_lag
         self._ordering: set[str] = set()
         self._accepted: dict[str, int] = {}
         self._paused_until: dict[str, float] = {}
@@ -316,7 +321,7 @@
             waited = now - started
             if not load.requests:
                 return False
-            if not load.bound and waited >= STREAMS_SECONDS:
+            if not load.bound and waited >= self._settle_seconds():
                 left = self._measure_repeats_left(lag.state.info.service)
                 return left - load.requests >= SPARE_REPEATS
             is_early = self._measure_lag(started) < EARLY_SECONDS
@@ -325,6 +330,10 @@
             self._keep_closed(lag)
             await trio.sleep(BOUND_LOOK_SECONDS)
 
+    def _settle_seconds(self) -> float:
+        """Return when all requests that were on their way are known of."""
+        return max(STREAMS_SECONDS, SETTLE_SHARE * self._measure_news_lag())
+
     async def _order(self, lag: _Lag, cuts_runs: bool) -> bool:
         """Send the order; return whether the engine may be carrying it out."""
         info = lag.state.info
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -416,3 +416,24 @@
         await run_until_current(fleet, 2, 10.0)
         nursery.cancel_scope.cancel()
     assert fleet.store.calls.count(f"read {LEASE_TABLE}") <= 3
+
+
+async def test_no_stream_is_cut_before_late_news_of_other_requests(
+    autojump_clock: object,
+) -> None:
+    """Grown Khangai scale-1: 735 answers were cut, of requests sent moments before."""
+    fleet = Fleet(1, engines=1)
+    fleet.controllers[0]._measure_news_lag = lambda: 1.2
+    state = fleet.tables[0].by_id["s0"]
+    state.load = Load(4, bound=0)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        await trio.sleep(0.6)
+        state.load = Load(5, bound=1)
+        await trio.sleep(0.5)
+        assert not fleet.engines.orders
+        state.load = Load(4, bound=0)
+        await trio.sleep(0.3)
+        assert [sent.order.cuts_runs for sent in fleet.engines.orders] == [True]
+        nursery.cancel_scope.cancel()
