--- a/ashpond/decisions/leases.py
+++ b/ashpond/decisions/leases.py
@@ -10,7 +10,14 @@
 
 from __future__ import annotations
 
-__all__ = ["Lease", "LeaseRow", "LeaseTerms", "LeaseWrite", "TERM_SECONDS"]
+__all__ = [
+    "Lease",
+    "LeaseRow",
+    "LeaseTerms",
+    "LeaseWrite",
+    "TERM_SECONDS",
+    "make_lease_terms",
+]
 
 from typing import NamedTuple
 
@@ -20,6 +27,11 @@
 MARGIN_SECONDS = 0.5
 DELIVERY_BOUND_SECONDS = 1.0
 RENEW_SECONDS = 1.0
+# Of the time that orders of two holders must be apart: for how long a renewal lets
+# its holder order, and how long a successor waits after that, with a margin for
+# clocks that differ in rate. Short terms cost writes, long ones delay a takeover.
+VALID_SHARE = 0.28
+APART_SHARE = 1.05
 
 
 class LeaseTerms(NamedTuple):
@@ -43,6 +55,12 @@
     )
 
 
+def make_lease_terms(lease_seconds: float) -> LeaseTerms:
+    """Return terms that keep orders of two holders ``lease_seconds`` apart."""
+    valid = lease_seconds * VALID_SHARE
+    return LeaseTerms(valid, valid + lease_seconds * APART_SHARE, valid / 2)
+
+
 class LeaseRow(NamedTuple):
     """The stored lease; ``beat`` grows with each renewal."""
 
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -10,7 +10,7 @@
 import orjson
 import trio
 
-from ashpond.decisions.leases import Lease, LeaseRow, LeaseTerms
+from ashpond.decisions.leases import Lease, LeaseRow, make_lease_terms
 from ashpond.decisions.placement import rank_by_rendezvous
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import ServerState, ServerTable
@@ -28,11 +28,6 @@
 
 LEASE_TABLE = "ashpond-leases"
 LEASE_KEY = "weights"
-# Of the time that orders of two holders must be apart: for how long a renewal lets
-# its holder order, and how long a successor waits after that, with a margin for
-# clocks that differ in rate. Short terms cost writes, long ones delay a takeover.
-VALID_SHARE = 0.28
-APART_SHARE = 1.05
 RENDEZVOUS_KEY = 1
 # Of the engines that work, this share may be loading; the rest carries the traffic.
 # Loads take longer when more than that run at once (site sheets: 2 of 5, 18 of 45).
@@ -85,12 +80,6 @@
     version: int
 
 
-def make_lease_terms(lease_seconds: float) -> LeaseTerms:
-    """Return terms that keep orders of two holders ``lease_seconds`` apart."""
-    valid = lease_seconds * VALID_SHARE
-    return LeaseTerms(valid, valid + lease_seconds * APART_SHARE, valid / 2)
-
-
 class RolloutController:
     """One instance's part in keeping engines on the declared weights."""
 
