Count a weight target from the earliest time at which it may have been named

The bound was counted from when an instance had heard of the target; the last confirmation before that says since when it may have been named. Ruled out: a restart of the instance (it had none before 26 s).

Change: what must have the new weights is told by the last confirmation before the hearing, at most 3 s earlier (a time without the store does not count); what counts in full stays with the hearing.

--- a/ashpond/gateway/knowledge.py
+++ b/ashpond/gateway/knowledge.py
@@ -4,10 +4,23 @@
 
 __all__ = ["Knowledge"]
 
+from typing import NamedTuple
+
 from ashpond.gateway.declared import Declaration, WeightTarget
 
 # Requests on older weights count for less from 1.5 s after a target's acceptance.
 STALE_AFTER_SECONDS = 1.2
+# An instance hears of a target up to so long after its acceptance; longer ones are
+# times without the store, which do not count against the bound.
+LATE_SECONDS = 3.0
+
+
+class _Naming(NamedTuple):
+    """A version, when this instance heard of it, and the earliest it was accepted."""
+
+    version: int
+    heard_at: float
+    earliest: float
 
 
 class Knowledge:
@@ -20,7 +33,7 @@
         self.declaration: Declaration | None = None
         self.targets: dict[str, int] = {}
         self.confirmed_at = float("-inf")
-        self._target_times: dict[str, list[tuple[float, int]]] = {}
+        self._target_times: dict[str, list[_Naming]] = {}
 
     def adopt(self, declaration: Declaration) -> bool:
         """Take over a configuration unless it is older; return whether it is new."""
@@ -36,7 +49,11 @@
             return False
         self.targets[target.model] = target.version
         times = self._target_times.setdefault(target.model, [])
-        times.append((now, target.version))
+        # It was not there as of the last confirmation; at the start nothing is known.
+        earliest = max(self.confirmed_at, now - LATE_SECONDS)
+        if self.declaration is None:
+            earliest = now
+        times.append(_Naming(target.version, now, earliest))
         del times[:-8]
         return True
 
@@ -50,12 +67,16 @@
 
     def find_wanted_version(self, model: str, now: float) -> int:
         """Return the version on which requests count in full at ``now``."""
-        return self.find_version_named(model, now - STALE_AFTER_SECONDS)
+        found = 0
+        for naming in self._target_times.get(model, ()):
+            if naming.heard_at <= now - STALE_AFTER_SECONDS:
+                found = naming.version
+        return found
 
     def find_version_named(self, model: str, until: float) -> int:
-        """Return the newest version that was named by ``until``."""
+        """Return the newest version that may have been named by ``until``."""
         found = 0
-        for named_at, version in self._target_times.get(model, ()):
-            if named_at <= until:
-                found = version
+        for naming in self._target_times.get(model, ()):
+            if naming.earliest <= until:
+                found = naming.version
         return found
--- a/tests/test_cachestores.py
+++ b/tests/test_cachestores.py
@@ -102,13 +102,19 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(fleet.run)
         await trio.sleep(3.0)
+        calls = fleet.store.calls
         fleet.passes_on = False
         fleet.store.add("rules")
-        await trio.sleep(0.2)
+        while fleet.reader.by_address[STORE.address].count_tokens("s", PROMPT) == 0:
+            await trio.sleep(0.01)
         fleet.passes_on = True
         fleet.store.add("shop")
-        await trio.sleep(2.5)
+        # At once after the word that shows the gap, not after the readers' silence.
+        with trio.fail_after(READERS_SILENCE_SECONDS / 2):
+            while fleet.other.by_address[STORE.address].count_tokens("s", PROMPT) == 0:
+                await trio.sleep(0.01)
         assert fleet.other.by_address[STORE.address].count_tokens("s", PROMPT) == 2000
+        assert fleet.store.calls > calls
         nursery.cancel_scope.cancel()
 
 
