Keep hubs' links free: wide links first, stand-bys on heartbeats, few holdings a turn

A hub told 25 links eight times a second, with all holdings of the fleet: some 650 KB/s by estimate, on a link that carries 625. Its members were cut from the news as well.

Change: the members' rows carry the width of the link, widest first as hubs; the second candidate of another group gets heartbeats while the first is connected; at most twelve holdings a turn for each link of a group.

--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -95,7 +95,12 @@
             self.rng,
         )
         self.members = Members(
-            Member(settings.name, settings.peers_address, settings.failure_domain),
+            Member(
+                settings.name,
+                settings.peers_address,
+                settings.failure_domain,
+                settings.link_mbps,
+            ),
             platform.store,
             log,
             lambda: self.news.adjust_links(),
--- a/ashpond/gateway/fleetlinks.py
+++ b/ashpond/gateway/fleetlinks.py
@@ -29,11 +29,15 @@
 
 
 class Member(NamedTuple):
-    """An instance as its row in the members' table describes it."""
+    """An instance as its row in the members' table describes it.
+
+    ``link_mbps`` is what its network link carries, 0 if that is not known.
+    """
 
     name: str
     address: str
     failure_domain: str
+    link_mbps: float = 0.0
 
 
 class Links(NamedTuple):
@@ -42,8 +46,8 @@
     :param equals: those that it tells its own work, in a flat fleet.
     :param hubs: the candidates for the hub of its group that go before it, the first
         choice first; none if it is the first choice itself.
-    :param other_hubs: the candidates of the other groups; told while this instance
-        acts as the hub of its own.
+    :param other_hubs: the candidates of the other groups, the first choice of each
+        first; told while this instance acts as the hub of its own.
     :param group: the name of its group, empty in a flat fleet.
     :param is_candidate: whether it may be the hub of its group.
     :param is_reader: whether the hub of its group asks the store for the whole fleet.
@@ -51,7 +55,7 @@
 
     equals: tuple[Member, ...] = ()
     hubs: tuple[Member, ...] = ()
-    other_hubs: tuple[Member, ...] = ()
+    other_hubs: tuple[tuple[Member, ...], ...] = ()
     group: str = ""
     is_candidate: bool = False
     is_reader: bool = False
@@ -69,9 +73,11 @@
     groups = _form_groups(members)
     links = Links()
     readers = rank_by_rendezvous(READERS_KEY, list(groups))[:READER_GROUPS]
-    other_hubs: list[Member] = []
+    other_hubs: list[tuple[Member, ...]] = []
     for key, names in sorted(groups.items()):
         ranked = rank_by_rendezvous(xxhash.xxh3_64_intdigest(key.encode()), names)
+        # A hub sends ten times as much as a member: the widest links go first.
+        ranked.sort(key=lambda name: -members[name].link_mbps)
         first = [members[n] for n in ranked[:CANDIDATES]]
         if name in names:
             rank = ranked.index(name)
@@ -80,7 +86,7 @@
                 (), tuple(first[:rank]), (), key, is_candidate, key in readers
             )
         else:
-            other_hubs.extend(first)
+            other_hubs.append(tuple(first))
     return links._replace(other_hubs=tuple(other_hubs))
 
 
--- a/ashpond/gateway/members.py
+++ b/ashpond/gateway/members.py
@@ -45,9 +45,9 @@
 
     async def register(self) -> None:
         """Enter this instance into the members' table."""
-        value = orjson.dumps(
-            {"address": self.own.address, "failure_domain": self.own.failure_domain}
-        )
+        table = self.own._asdict()
+        del table["name"]
+        value = orjson.dumps(table)
         row = Row(MEMBERS_TABLE, self.own.name, value, 0)
         while not isinstance(await self._store.write([], [row]), Done):
             await trio.sleep(RETRY_SECONDS)
@@ -90,8 +90,12 @@
                 self.by_name.pop(row.key, None)
                 continue
             table = orjson.loads(row.value)
-            domain = table.get("failure_domain", "")
-            self.by_name[row.key] = Member(row.key, table["address"], domain)
+            self.by_name[row.key] = Member(
+                row.key,
+                table["address"],
+                table.get("failure_domain", ""),
+                table.get("link_mbps", 0.0),
+            )
         self._log.note(
             "members",
             count=len(self.by_name),
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -36,6 +36,8 @@
     Audience,
     Link,
     await_end,
+    receive_news,
+    strip_life,
 )
 
 LIFE_BYTES = 4
@@ -162,7 +164,11 @@
         wanted = {(Audience.EQUAL, member) for member in links.equals}
         wanted |= {(Audience.HUB, member) for member in links.hubs}
         if self._is_hub:
-            wanted |= {(Audience.OTHER_HUB, member) for member in links.other_hubs}
+            wanted |= {
+                (Audience.OTHER_HUB, member)
+                for candidates in links.other_hubs
+                for member in candidates
+            }
         for key in self._outgoing.keys() - wanted:
             self._outgoing.pop(key).scope.cancel()
         for audience, member in sorted(wanted - self._outgoing.keys(), key=str):
@@ -187,9 +193,8 @@
             self._keep_counted(now)
             if self._may_speak(now) != self._is_hub:
                 self.adjust_links()
-                self._log.note(
-                    "news_hub", is_hub=self._is_hub, hubs=_name(self.links.hubs)
-                )
+                hubs = _name(self.links.hubs)
+                self._log.note("news_hub", is_hub=self._is_hub, hubs=hubs)
 
     async def _feed_peer(self, link: Link, address: str) -> None:
         pause = RECONNECT_SECONDS
@@ -217,6 +222,7 @@
 
     async def _converse(self, link: Link, stream: PeerStream) -> str:
         """Send news, take those of a hub; return why the connection ended."""
+        link.is_connected = True
         try:
             if link.audience is not Audience.HUB:
                 return await await_end(lambda: self._send_news(link, stream))
@@ -224,6 +230,7 @@
                 lambda: self._send_news(link, stream), lambda: self._take_all(stream)
             )
         finally:
+            link.is_connected = False
             with trio.CancelScope(shield=True):
                 await stream.aclose()
 
@@ -270,7 +277,20 @@
             return self._is_hub
         if link.audience is Audience.HUB:
             hub = self.view.find_hub(trio.current_time())
-            return hub is None or _strip_life(hub) == link.name
+            return hub is None or strip_life(hub) == link.name
+        if link.audience is Audience.OTHER_HUB:
+            return self._is_first_reached(link)
+        return True
+
+    def _is_first_reached(self, link: Link) -> bool:
+        """Return whether no candidate goes before this one that can be reached."""
+        for candidates in self.links.other_hubs:
+            names = [member.name for member in candidates]
+            if link.name not in names:
+                continue
+            before = candidates[: names.index(link.name)]
+            links = [self._outgoing.get((Audience.OTHER_HUB, m)) for m in before]
+            return not any(other and other.is_connected for other in links)
         return True
 
     def _build_news(self, link: Link, work: Work) -> News:
@@ -288,7 +308,7 @@
         stream = PeerStream(raw, self.members.secret, MAX_FRAME_BYTES)
         try:
             await stream.authenticate(is_server=True)
-            message = await _receive_news(stream)
+            message = await receive_news(stream)
             self._take(message)
             if message.scope == Scope.MEMBER:
                 reason = await self._serve_member(message.sender, stream)
@@ -313,7 +333,7 @@
 
     async def _take_all(self, stream: PeerStream) -> None:
         while True:
-            self._take(await _receive_news(stream))
+            self._take(await receive_news(stream))
 
     def _take(self, message: News | TableChanges) -> None:
         try:
@@ -332,7 +352,7 @@
         now = trio.current_time()
         scope = digest.scope
         key = f"group {digest.group}" if scope is Scope.GROUP else sender
-        self.view.note(key, Source(_strip_life(sender), scope, now, digest.work))
+        self.view.note(key, Source(strip_life(sender), scope, now, digest.work))
         self._keep_counted(now)
         if key in self._counted:
             self._table.note_peer_loads(key, digest.work.loads, now)
@@ -378,15 +398,3 @@
 
 def _name(members: tuple[Member, ...]) -> list[str]:
     return [member.name for member in members]
-
-
-def _strip_life(life: str) -> str:
-    return life.rpartition("#")[0]
-
-
-async def _receive_news(stream: PeerStream) -> News | TableChanges:
-    """Return the next news; other messages are passed over."""
-    while True:
-        message = await stream.receive()
-        if isinstance(message, News | TableChanges):
-            return message
--- a/ashpond/gateway/newslinks.py
+++ b/ashpond/gateway/newslinks.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-__all__ = ["Audience", "Link", "PEER_ERRORS", "SCOPES", "await_end"]
+__all__ = [
+    "Audience",
+    "Link",
+    "PEER_ERRORS",
+    "SCOPES",
+    "await_end",
+    "receive_news",
+    "strip_life",
+]
 
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
@@ -10,6 +18,7 @@
 
 import trio
 
+from ashpond.clients.peer import News, PeerStream, TableChanges
 from ashpond.errors import FrameError
 from ashpond.gateway.feeds import TableNews
 from ashpond.gateway.fleetview import Scope
@@ -18,6 +27,9 @@
 
 # For a peer that is away; what it misses costs it some reading (entries).
 MAX_PENDING_HOLDINGS = 500
+# The same for one turn in a group: hubs pass the holdings of all on to some 17 links,
+# each holding has some 55 bytes, and a small machine's link carries 600 KB a second.
+MAX_GROUP_HOLDINGS = 12
 # The same of changes in the store; a peer that misses one asks the store (entries).
 MAX_PENDING_TABLES = 30
 # Ways in which a connection between instances ends.
@@ -58,6 +70,7 @@
         self.audience = audience
         self.name = name
         self.scope = trio.CancelScope()
+        self.is_connected = False
         self.notices: list[ServerNotice] = []
         self.holdings: list[Holding] = []
         self.tables: deque[TableNews] = deque(maxlen=MAX_PENDING_TABLES)
@@ -76,7 +89,9 @@
         """Keep news until the next turn."""
         self.notices.extend(notices)
         self.tables.extend(tables)
-        room = MAX_PENDING_HOLDINGS - len(self.holdings)
+        is_equal = self.audience is Audience.EQUAL
+        most = MAX_PENDING_HOLDINGS if is_equal else MAX_GROUP_HOLDINGS
+        room = most - len(self.holdings)
         self.holdings.extend(list(holdings)[: max(0, room)])
 
     def take(self) -> tuple[list[ServerNotice], list[Holding]]:
@@ -101,3 +116,16 @@
         for task in tasks:
             nursery.start_soon(run, task)
     return ", ".join(reasons)
+
+
+def strip_life(life: str) -> str:
+    """Return the name of the instance whose life this is."""
+    return life.rpartition("#")[0]
+
+
+async def receive_news(stream: PeerStream) -> News | TableChanges:
+    """Return the next news; other messages are passed over."""
+    while True:
+        message = await stream.receive()
+        if isinstance(message, News | TableChanges):
+            return message
--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -64,6 +64,7 @@
     store_address: str
     bounds: GatewayBounds = GatewayBounds()
     mesh_limit: int = FLAT_FLEET
+    link_mbps: float = 0.0
 
 
 class BoundsTable(TypedDict, total=False):
@@ -90,6 +91,7 @@
     store_address: Required[Address]
     bounds: BoundsTable
     mesh_limit: Annotated[int, Meta(ge=1, le=1000)]
+    link_mbps: Annotated[float, Meta(ge=0)]
 
 
 class SettingsFile:
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -24,7 +24,7 @@
 from ashpond.gateway.members import MEMBERS_TABLE, Members
 from ashpond.gateway.news import GROUP_NEWS_SECONDS, NewsHandlers, Newsroom
 from ashpond.gateway.newsitems import ServerNotice
-from ashpond.gateway.newslinks import Audience
+from ashpond.gateway.newslinks import MAX_GROUP_HOLDINGS, Audience, Link
 from ashpond.gateway.store import Row, StoreClock
 from ashpond.standins.tables import MemoryStore
 from tests.gateway_builders import make_server, make_table
@@ -373,3 +373,30 @@
     with listener, socket.create_connection(listener.getsockname()) as connection:
         assert connection.getsockname()[1] not in LISTENING_PORTS
     assert find_free_port() != find_free_port()
+
+
+def test_in_a_group_few_holdings_wait_for_a_turn() -> None:
+    """Hubs that passed all of them on had their links choked on a scale day."""
+    holdings = [Holding("a", "salt", f"part{n}") for n in range(100)]
+    for audience in Audience:
+        link = Link(audience, "i1")
+        link.add(holdings=holdings)
+        link.add(holdings=holdings)
+        most = MAX_GROUP_HOLDINGS if audience is not Audience.EQUAL else 200
+        assert len(link.holdings) == most
+
+
+async def test_a_group_is_told_all_by_its_first_candidate_only(
+    grouped: list[Instance],
+) -> None:
+    async with running(grouped):
+        hub = next(i for i in grouped if i.news.is_hub)
+        pairs = [names for names in hub.news.links.other_hubs if len(names) == 2]
+        assert pairs
+        links = {link.name: link for link in hub.news.list_links()}
+        first, second = (links[member.name] for member in pairs[0])
+        await wait_for(lambda: first.is_connected and second.is_connected)
+        assert hub.news._needs_all(first)
+        assert not hub.news._needs_all(second)
+        first.is_connected = False
+        assert hub.news._needs_all(second)
