Say it in the field's terms: reports, forwarding, acting as a hub

Comments, doc texts and private names only (and one method's name, date_relayed); no behaviour changes.

--- a/ashpond/gateway/cachestores.py
+++ b/ashpond/gateway/cachestores.py
@@ -27,7 +27,7 @@
 IDLE_SECONDS = 0.5
 # A part on its way to the store is not sent again within this (seconds).
 SAVING_SECONDS = 2.0
-# Without word from the readers for so long an instance asks the store itself.
+# After so long without news from the readers an instance asks the store (seconds).
 READERS_SILENCE_SECONDS = 3.0
 # What the events are passed on as: a table by this prefix, address and epoch, whose
 # rows are salt and part. Neither holds the separator.
@@ -103,7 +103,7 @@
                 await self._ask(engines, log)
 
     def take(self, news: TableNews) -> bool:
-        """Take what a reader passes on; return whether it was worth hearing."""
+        """Take what a reader has forwarded; return whether to forward it."""
         now = trio.current_time()
         if news.table != self._name_events():
             # Another life of the store, or none known: ask it.
@@ -202,7 +202,7 @@
             contents.expire(now)
 
     def take(self, news: TableNews) -> bool:
-        """Take what a reader passes on; return whether it was worth hearing."""
+        """Take what a reader has forwarded; return whether to forward it."""
         address = news.table.removeprefix(EVENTS_PREFIX).partition(" ")[0]
         contents = self.by_address.get(address)
         return contents is not None and contents.take(news)
--- a/ashpond/gateway/feeds.py
+++ b/ashpond/gateway/feeds.py
@@ -1,8 +1,8 @@
 """Follow the store's tables: operators' rows, backend servers, other instances.
 
 Among few instances each asks the store itself. Among many a few readers do, and pass
-on what they learn; the others ask only when they have heard nothing for a while, when
-they have missed a change, or to set their idea of the store's clock right.
+on what they learn; the others ask only when they have received nothing for a while,
+when they have missed a change, or to set their idea of the store's clock right.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 # Clocks drift by up to 0.1 ms a second: an instance that is told all the same asks
 # the store itself so often (seconds).
 RESYNC_SECONDS = 60.0
-# Word that makes an instance's knowledge younger by less is not passed on (seconds).
+# News that make an instance's knowledge younger by less are not forwarded (seconds).
 NEWS_WORTH_SECONDS = 0.2
 
 
@@ -35,7 +35,7 @@
 
     :param wait: how long one call may wait for a change (seconds).
     :param pause: how long changes are left to gather after an answer (seconds).
-    :param patience: without word from a reader for so long, ask the store (seconds).
+    :param patience: after so long without news from a reader, ask the store (seconds).
     :param on_rows: takes the snapshot, whether it is the whole table, and as of when
         on this process's clock.
     :param on_failure: is told of each call that brought nothing.
@@ -97,19 +97,19 @@
         while True:
             left = self._measure_patience(trio.current_time())
             if left > 0:
-                await self._await_word(left)
+                await self._await_news(left)
             else:
                 await self._ask()
 
     def take(self, news: TableNews) -> bool:
-        """Take what a reader passes on; return whether it was worth hearing."""
+        """Take what a reader has forwarded; return whether to forward it."""
         if self._version is None or news.after > self._version:
             # A change in between was missed, or nothing is known yet.
             self._has_gap = True
             self._wake()
             return False
         now = trio.current_time()
-        as_of = self._clock.date_told(news.store_time)
+        as_of = self._clock.date_relayed(news.store_time)
         if as_of is None or as_of > now:
             # The store's clock is not what it was: ask for it.
             self._has_gap = True
@@ -137,10 +137,10 @@
         """Return for how long this instance need not ask the store (seconds)."""
         if self._version is None or self._has_gap or self._is_reader():
             return 0.0
-        heard = self._as_of + self.feed.patience - now
-        return min(heard, self._asked_at + RESYNC_SECONDS - now)
+        until_stale = self._as_of + self.feed.patience - now
+        return min(until_stale, self._asked_at + RESYNC_SECONDS - now)
 
-    async def _await_word(self, seconds: float) -> None:
+    async def _await_news(self, seconds: float) -> None:
         with trio.move_on_after(seconds):
             await self._told.wait()
 
@@ -200,7 +200,7 @@
             self._log.note("store_lost", table=self.feed.table, reason=outcome.reason)
         self._is_lost = True
         self.feed.on_failure()
-        await self._await_word(self._retry)
+        await self._await_news(self._retry)
         is_reader = self._is_reader()
         limit = RETRY_LIMIT_SECONDS if is_reader else IDLE_RETRY_LIMIT_SECONDS
         self._retry = min(limit, self._retry * 2)
--- a/ashpond/gateway/fleetview.py
+++ b/ashpond/gateway/fleetview.py
@@ -11,7 +11,7 @@
 from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.directory import PEER_LOAD_SECONDS, Load
 
-# A hub that has been silent for longer is no longer gone by (seconds); it sends at
+# A hub that has been silent for longer is no longer relied on (seconds); it sends at
 # least every 0.6 s, and a busy machine may be late once.
 HUB_SILENCE_SECONDS = 1.3
 
@@ -64,7 +64,7 @@
         self._hubs = tuple(names)
 
     def note(self, key: str, source: Source) -> None:
-        """Take what a peer tells; ``key`` is its life, or the group it speaks for."""
+        """Take a peer's report; ``key`` is its life, or the group it reports for."""
         self._sources[key] = source
 
     def expire(self, now: float) -> None:
@@ -76,7 +76,7 @@
         }
 
     def find_hub(self, now: float) -> str | None:
-        """Return the life of the hub that this instance goes by.
+        """Return the life of the hub that this instance relies on.
 
         None if it has none: in a flat fleet, or as the hub of its group.
         """
@@ -90,7 +90,7 @@
     def list_counted(self, now: float) -> list[str]:
         """Return the lives whose work adds up to that of all other instances.
 
-        A hub's word covers everyone's, so that nothing else counts beside it.
+        A hub's report covers everyone's, so that nothing else counts beside it.
         """
         hub = self.find_hub(now)
         if hub is not None:
--- a/ashpond/gateway/knowledge.py
+++ b/ashpond/gateway/knowledge.py
@@ -10,16 +10,16 @@
 
 # Requests on older weights count for less from 1.5 s after a target's acceptance.
 STALE_AFTER_SECONDS = 1.2
-# An instance hears of a target up to so long after its acceptance; longer ones are
+# An instance learns of a target up to so long after its acceptance; longer ones are
 # times without the store, which do not count against the bound.
 LATE_SECONDS = 3.0
 
 
 class _Naming(NamedTuple):
-    """A version, when this instance heard of it, and the earliest it was accepted."""
+    """A version, when this instance learned of it, and the earliest it was accepted."""
 
     version: int
-    heard_at: float
+    learned_at: float
     earliest: float
 
 
@@ -69,7 +69,7 @@
         """Return the version on which requests count in full at ``now``."""
         found = 0
         for naming in self._target_times.get(model, ()):
-            if naming.heard_at <= now - STALE_AFTER_SECONDS:
+            if naming.learned_at <= now - STALE_AFTER_SECONDS:
                 found = naming.version
         return found
 
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -44,7 +44,7 @@
 # Loads are told at most so often in a flat fleet, and at least so often (seconds).
 NEWS_SECONDS = 0.08
 HEARTBEAT_SECONDS = 0.6
-# In groups each step takes up to this; a load is heard of three steps later (seconds).
+# In groups each of the three steps between two instances takes up to this (seconds).
 GROUP_NEWS_SECONDS = 0.12
 # From one instance over two hubs to another: three steps, on machines that are busy.
 GROUP_LAG_SECONDS = 1.2
@@ -54,15 +54,15 @@
 RECONNECT_SECONDS = 0.15
 RECONNECT_LIMIT_SECONDS = 2.4
 MAX_FRAME_BYTES = 1 << 20
-# Whether the hub still speaks is looked at so often (seconds).
+# Whether the hub still sends is checked so often (seconds).
 HUB_CHECK_SECONDS = 0.2
 
 
 class NewsHandlers(NamedTuple):
     """What is done with the news of others, and what is told of this instance.
 
-    ``keep_peers`` gets the senders whose words add up to the whole fleet's;
-    ``on_table`` returns whether others should hear of it as well.
+    ``keep_peers`` gets the senders whose reports add up to the whole fleet's;
+    ``on_table`` returns whether it should be forwarded.
     """
 
     on_notice: Callable[[ServerNotice], None]
@@ -104,7 +104,7 @@
 
     @property
     def is_hub(self) -> bool:
-        """Whether this instance speaks for its group at present."""
+        """Whether this instance acts as the hub of its group at present."""
         return self._is_hub
 
     def list_links(self) -> list[Link]:
@@ -128,7 +128,7 @@
         return not self.links.group or (self._is_hub and self.links.is_reader)
 
     def measure_lag(self) -> float:
-        """Return how late the work of others may be heard of, if that counts."""
+        """Return how late reports of others' work may arrive, 0 in a flat fleet."""
         return GROUP_LAG_SECONDS if self.links.group else 0.0
 
     def publish(self, news: TableNews) -> None:
@@ -160,7 +160,7 @@
             self._grouped_at = trio.current_time()
         self.links = links
         self.view.set_hubs(member.name for member in links.hubs)
-        self._is_hub = self._may_speak(trio.current_time())
+        self._is_hub = self._should_act_as_hub(trio.current_time())
         wanted = {(Audience.EQUAL, member) for member in links.equals}
         wanted |= {(Audience.HUB, member) for member in links.hubs}
         if self._is_hub:
@@ -176,7 +176,7 @@
             self._outgoing[audience, member] = link
             self._nursery.start_soon(self._feed_peer, link, member.address)
 
-    def _may_speak(self, now: float) -> bool:
+    def _should_act_as_hub(self, now: float) -> bool:
         """Return whether this instance should act as the hub of its group."""
         if not self.links.group or not self.links.is_candidate:
             return False
@@ -191,7 +191,7 @@
             now = trio.current_time()
             self.view.expire(now)
             self._keep_counted(now)
-            if self._may_speak(now) != self._is_hub:
+            if self._should_act_as_hub(now) != self._is_hub:
                 self.adjust_links()
                 hubs = _name(self.links.hubs)
                 self._log.note("news_hub", is_hub=self._is_hub, hubs=hubs)
@@ -272,7 +272,7 @@
         return [link for link in self.list_links() if self._needs_all(link)]
 
     def _needs_all(self, link: Link) -> bool:
-        """Return whether a peer goes by this link; a stand-by needs heartbeats."""
+        """Return whether a peer relies on this link; others need heartbeats only."""
         if link.audience is Audience.MEMBER:
             return self._is_hub
         if link.audience is Audience.HUB:
@@ -379,7 +379,7 @@
         holdings: Sequence[Holding] = (),
         tables: Sequence[TableNews] = (),
     ) -> None:
-        """Tell those who hear of it from this hub only."""
+        """Forward what others receive from this hub only."""
         if not self._is_hub or not (notices or holdings or tables):
             return
         links = [link for link in self._own_members if link.name != sender]
--- a/ashpond/gateway/newsitems.py
+++ b/ashpond/gateway/newsitems.py
@@ -92,7 +92,7 @@
 
 
 def decode_changes(changes: TableChanges) -> tuple[Scope, TableNews]:
-    """Return whose word a message is, and the changes of a table that it tells.
+    """Return the scope of a message, and the changes of a table that it holds.
 
     :raises FrameError: if it makes no sense.
     """
--- a/ashpond/gateway/newslinks.py
+++ b/ashpond/gateway/newslinks.py
@@ -1,4 +1,4 @@
-"""The peers that one instance tells, and what each has still to hear."""
+"""The peers that one instance sends news to, and what is queued for each."""
 
 from __future__ import annotations
 
--- a/ashpond/gateway/store.py
+++ b/ashpond/gateway/store.py
@@ -93,7 +93,7 @@
         self._offset = max(self._offset, offset)
         return snapshot.store_time + self._offset
 
-    def date_told(self, store_time: float) -> float | None:
+    def date_relayed(self, store_time: float) -> float | None:
         """Return the same for an answer to another instance, if it can be told."""
         return None if self._offset is None else store_time + self._offset
 
--- a/ashpond/gateway/storeview.py
+++ b/ashpond/gateway/storeview.py
@@ -24,7 +24,7 @@
 OPERATOR_WAIT_SHARE = 0.34
 SERVERS_WAIT_SECONDS = 5.0
 MEMBERS_WAIT_SECONDS = 20.0
-# Without word from the readers for so long after their wait, an instance asks the
+# After so long without news from the readers beyond their wait, an instance asks the
 # store itself: three steps between instances, and a slow answer (share of the bound).
 READERS_SILENCE_SHARE = 0.12
 # Changes of servers come in groups while weights are loaded (seconds).
