Add a thin laboratory and a report of losses from decision logs

Change: ashpond/emulator plays engines (batches, pieces, caches with eviction, links, loads, crashes), instances with the real dispatcher, places, selection, budget and rollouts, and clients with one retry, in virtual time (ashpond lab FILE). ashpond report losses reads decision logs; the sent line now has the route's objective. Not built: cache store, plain servers, hot keys, lost orders, plots, search, calibration.

--- a/ashpond/cli.py
+++ b/ashpond/cli.py
@@ -202,6 +202,20 @@
         click.echo(line)
 
 
+@report.command("losses")
+@click.argument("logs", nargs=-1, type=click.File("r"), metavar="[LOG]...")
+def report_losses(logs: tuple[TextIO, ...]) -> None:
+    """Show which routed requests were late or lost, when, and why.
+
+    Reads the decision logs LOG of all instances, or standard input.
+    """
+    from ashpond.gateway.explanations import read_lines
+    from ashpond.lossreport import find_losses, render_losses
+
+    text = itertools.chain.from_iterable(logs or (sys.stdin,))
+    click.echo(render_losses(*find_losses(read_lines(text))))
+
+
 @main.command()
 @click.argument("logs", nargs=-1, type=click.File("r"), metavar="[LOG]...")
 def replay(logs: tuple[TextIO, ...]) -> None:
@@ -218,6 +232,24 @@
     click.echo(f"{result.choices} choices, {len(result.changed)} would differ")
 
 
+@main.command("lab")
+@click.argument("experiment_file", metavar="EXPERIMENT")
+def run_lab(experiment_file: str) -> None:
+    """Play the scenarios of the file EXPERIMENT in virtual time, and show a table."""
+    from ashpond.emulator.experiments import load_experiment, measure, render_table
+
+    try:
+        experiment = load_experiment(experiment_file)
+    except InputError as error:
+        fail(str(error), BAD_INPUT)
+    seeds = range(1, experiment.seeds + 1)
+    results = {}
+    for name, scenario in experiment.scenarios.items():
+        with click.progressbar(seeds, label=name, file=sys.stderr) as shown:
+            results[name] = [measure(scenario._replace(seed=n)) for n in shown]
+    click.echo(render_table(results))
+
+
 @main.group()
 def gateway() -> None:
     """Instances that serve routed calls."""
--- /dev/null
+++ b/ashpond/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""A laboratory: the real decisions against emulated engines in virtual time."""
--- /dev/null
+++ b/ashpond/emulator/engines.py
@@ -0,0 +1,249 @@
+"""Model engines in virtual time: continuous batching, prefix caches, links."""
+
+from __future__ import annotations
+
+__all__ = ["EmulatedEngine", "EngineShape", "Run"]
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+import trio
+
+from ashpond.gateway.calls import Prompt
+
+
+class EngineShape(NamedTuple):
+    """What one engine can do; tokens and seconds.
+
+    A step makes one token of each answer that runs, and reads up to
+    ``chunk_tokens`` of the prompts that are not read yet.
+    """
+
+    slots: int = 64
+    memory_tokens: int = 100_000
+    step_seconds: float = 0.005
+    step_seconds_per_run: float = 0.000016
+    read_tokens_per_second: float = 40_000.0
+    chunk_tokens: int = 2_048
+    link_tokens_per_second: float = 140_000.0
+    load_seconds: float = 0.6
+    event_tokens: int = 4
+
+
+class Run:
+    """One request at an engine, and how far it has come."""
+
+    def __init__(self, prompt: Prompt, salt: str, output_tokens: int, urgency: int):
+        self.prompt = prompt
+        self.salt = salt
+        self.urgency = urgency
+        self.unread = 0
+        self.fetched_at = 0.0
+        self.left = output_tokens
+        self.has_begun = trio.Event()
+        self.has_ended = trio.Event()
+        self.is_broken = False
+        self.is_cancelled = False
+        self.begun_at: float | None = None
+        self.last_event_at: float | None = None
+        self.longest_pause = 0.0
+
+    @property
+    def own_tokens(self) -> int:
+        """Memory that the run holds besides shared parts."""
+        return self.prompt.parts[-1].tokens + self.prompt.max_output_tokens
+
+
+class EmulatedEngine:
+    """One engine; :meth:`run` works until cancelled.
+
+    ``tokens_read`` counts all that was read, ``tokens_read_again`` the shared parts
+    that some engine had read before under the same salt; ``ever_read`` is common to
+    the engines of a service.
+    """
+
+    def __init__(self, name: str, shape: EngineShape, ever_read: set[tuple[str, str]]):
+        self.name = name
+        self.shape = shape
+        self.is_down = False
+        self.version = 1
+        self.accepted_orders = 0
+        self.ordered_version: int | None = None
+        self._loaded_at = 0.0
+        self.tokens_read = 0
+        self.tokens_read_again = 0
+        self._ever_read = ever_read
+        self._waiting: list[Run] = []
+        self._running: list[Run] = []
+        self._cache: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._link_free_at = 0.0
+        self._wakeup = trio.Event()
+
+    @property
+    def requests(self) -> int:
+        """How many requests wait or run here."""
+        return len(self._waiting) + len(self._running)
+
+    def submit(self, run: Run, source: EmulatedEngine | None) -> None:
+        """Take a request; ``source`` is where to fetch shared parts from."""
+        now = trio.current_time()
+        run.fetched_at = now
+        if source is not None and not source.is_down:
+            run.fetched_at = self._fetch(run, source, now)
+        self._waiting.append(run)
+        self._waiting.sort(key=lambda waiting: waiting.urgency)
+        self._wake()
+
+    def crash(self) -> None:
+        """Lose all requests and all that is cached."""
+        self.is_down = True
+        for run in [*self._waiting, *self._running]:
+            self._break(run)
+        self._waiting.clear()
+        self._running.clear()
+        self._cache.clear()
+        self.ordered_version = None
+
+    def restart(self) -> None:
+        """Come back, empty."""
+        self.is_down = False
+
+    def order(self, version: int, *, cuts_runs: bool) -> None:
+        """Load a version once the runs have ended, or at once if they are cut."""
+        self.accepted_orders += 1
+        self.ordered_version = version
+        if cuts_runs:
+            for run in [*self._waiting, *self._running]:
+                self._break(run)
+            self._waiting.clear()
+            self._running.clear()
+        self._wake()
+
+    def holds(self, salt: str, part: str) -> bool:
+        """Return whether a part is cached under a salt."""
+        return (salt, part) in self._cache
+
+    async def run(self) -> None:
+        """Work step by step."""
+        while True:
+            now = trio.current_time()
+            self._admit(now)
+            if self._running:
+                await trio.sleep(self._read_some() + self._measure_step())
+                self._make_tokens(trio.current_time())
+            elif self.ordered_version is not None and not self._waiting:
+                await self._load(self.ordered_version)
+            else:
+                self._wakeup = trio.Event()
+                with trio.move_on_after(self._choose_idle_seconds(now)):
+                    await self._wakeup.wait()
+
+    async def _load(self, version: int) -> None:
+        await trio.sleep(self.shape.load_seconds)
+        if self.ordered_version == version:
+            self._cache.clear()
+            self.version = version
+            self.ordered_version = None
+
+    def _choose_idle_seconds(self, now: float) -> float:
+        later = [run.fetched_at - now for run in self._waiting if run.fetched_at > now]
+        return min(later, default=float("inf"))
+
+    def _fetch(self, run: Run, source: EmulatedEngine, now: float) -> float:
+        """Copy the parts that the source has; return when they are here."""
+        tokens = 0
+        for part in run.prompt.parts[:-1]:
+            key = (run.salt, part.id)
+            if key in self._cache:
+                continue
+            if key not in source._cache:
+                break
+            tokens += part.tokens
+            self._keep(key, part.tokens)
+        begins = max(now, self._link_free_at, source._link_free_at)
+        ends = begins + tokens / self.shape.link_tokens_per_second
+        self._link_free_at = source._link_free_at = ends
+        return ends if tokens else now
+
+    def _admit(self, now: float) -> None:
+        for run in list(self._waiting):
+            if len(self._running) >= self.shape.slots:
+                return
+            used = sum(other.own_tokens for other in self._running)
+            is_too_much = used + run.own_tokens > self.shape.memory_tokens
+            if self._running and is_too_much:
+                return
+            if run.fetched_at > now:
+                continue
+            self._waiting.remove(run)
+            if run.is_cancelled:
+                continue
+            run.unread = self._count_unread(run)
+            self._running.append(run)
+
+    def _count_unread(self, run: Run) -> int:
+        """Return what is to be read, and keep it as cached from now on."""
+        unread = run.prompt.parts[-1].tokens
+        has_gap = False
+        for part in run.prompt.parts[:-1]:
+            key = (run.salt, part.id)
+            has_gap = has_gap or key not in self._cache
+            if has_gap:
+                unread += part.tokens
+                if key in self._ever_read:
+                    self.tokens_read_again += part.tokens
+                self._ever_read.add(key)
+            self._keep(key, part.tokens)
+        return unread
+
+    def _keep(self, key: tuple[str, str], tokens: int) -> None:
+        self._cache[key] = tokens
+        self._cache.move_to_end(key)
+        used = sum(run.own_tokens for run in self._running)
+        while self._cache and used + sum(self._cache.values()) > (
+            self.shape.memory_tokens
+        ):
+            self._cache.popitem(last=False)
+
+    def _read_some(self) -> float:
+        """Read up to one piece of the prompts; return how long it takes."""
+        room = self.shape.chunk_tokens
+        for run in self._running:
+            piece = min(room, run.unread)
+            run.unread -= piece
+            room -= piece
+        read = self.shape.chunk_tokens - room
+        self.tokens_read += read
+        return read / self.shape.read_tokens_per_second
+
+    def _measure_step(self) -> float:
+        shape = self.shape
+        return shape.step_seconds + shape.step_seconds_per_run * len(self._running)
+
+    def _make_tokens(self, now: float) -> None:
+        for run in list(self._running):
+            if run.is_cancelled:
+                self._running.remove(run)
+            elif not run.unread:
+                self._make_token(run, now)
+
+    def _make_token(self, run: Run, now: float) -> None:
+        if run.begun_at is None:
+            run.begun_at = run.last_event_at = now
+            run.has_begun.set()
+        run.left -= 1
+        if run.left % self.shape.event_tokens == 0:
+            assert run.last_event_at is not None
+            run.longest_pause = max(run.longest_pause, now - run.last_event_at)
+            run.last_event_at = now
+        if run.left <= 0:
+            self._running.remove(run)
+            run.has_ended.set()
+
+    def _break(self, run: Run) -> None:
+        run.is_broken = True
+        run.has_begun.set()
+        run.has_ended.set()
+
+    def _wake(self) -> None:
+        self._wakeup.set()
--- /dev/null
+++ b/ashpond/emulator/experiments.py
@@ -0,0 +1,177 @@
+"""Run an experiment file: scenarios over seeds, and what callers got of each."""
+
+from __future__ import annotations
+
+__all__ = ["Experiment", "Figures", "load_experiment", "measure", "render_table"]
+
+import statistics
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from ashpond.emulator.engines import EngineShape
+from ashpond.emulator.scenarios import Crash, RequestKind, Scenario
+from ashpond.emulator.world import Outcome, run_scenario
+from ashpond.errors import InputError, InputProblem
+from ashpond.tables import load_toml
+
+# Worth is looked at by spans of the asking time; the two worst count (seconds).
+SPAN_SECONDS = 2.0
+WORST_SPANS = 2
+# A mean of few runs: its interval is about twice its standard error wide.
+ERRORS = 2.0
+
+
+class Figures(NamedTuple):
+    """What callers got in one run, as shares.
+
+    ``worth`` is what was earned of all that was asked, ``worst`` the same in the
+    worst seconds; ``paused`` answers had a pause over their limit.
+    """
+
+    worth: float
+    worst: float
+    late: float
+    unserved: float
+    paused: float
+    stale: float
+
+
+class Experiment(NamedTuple):
+    """Scenarios by name, each played with the same seeds."""
+
+    seeds: int
+    scenarios: dict[str, Scenario]
+
+
+class _ScenarioTable(msgspec.Struct, forbid_unknown_fields=True):
+    kinds: list[str]
+    seconds: float = 20.0
+    engines: int = 5
+    instances: int = 8
+    load: float = 1.0
+    crashes: list[Crash] = []
+    versions_at: list[float] = []
+    bound_seconds: float = 8.0
+
+
+class _ExperimentTable(msgspec.Struct, forbid_unknown_fields=True):
+    seeds: int
+    kinds: dict[str, dict[str, Any]]
+    scenarios: dict[str, _ScenarioTable]
+    engine: dict[str, Any] = {}
+
+
+def load_experiment(path: str) -> Experiment:
+    """Read and check an experiment file.
+
+    :raises InputError: naming file, key and reason of the first fault.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise InputError([InputProblem(path, "(file)", "", str(error))]) from error
+    table, problems = load_toml(path, text)
+    if problems:
+        raise InputError(problems)
+    checked = _convert(path, "(file)", table, _ExperimentTable)
+    shape = _fill(path, "engine", checked.engine, EngineShape)
+    kinds = {
+        name: _fill(path, f"kinds.{name}", {"name": name} | entry, RequestKind)
+        for name, entry in checked.kinds.items()
+    }
+    scenarios = {}
+    for name, entry in checked.scenarios.items():
+        key = f"scenarios.{name}"
+        unknown = [kind for kind in entry.kinds if kind not in kinds]
+        if unknown:
+            raise InputError(
+                [InputProblem(path, f"{key}.kinds", unknown[0], "no kind")]
+            )
+        if any(crash.engine >= entry.engines for crash in entry.crashes):
+            raise InputError([InputProblem(path, f"{key}.crashes", "", "no engine")])
+        scenarios[name] = _build_scenario(entry, kinds, shape)
+    return Experiment(checked.seeds, scenarios)
+
+
+def _convert(path: str, key: str, table: Any, wanted: Any) -> Any:
+    try:
+        return msgspec.convert(table, wanted)
+    except msgspec.ValidationError as error:
+        raise InputError([InputProblem(path, key, "", str(error))]) from error
+
+
+def _fill(path: str, key: str, table: dict[str, Any], wanted: Any) -> Any:
+    """Return a typed value; fields that the file leaves out have their defaults."""
+    unknown = [field for field in table if field not in wanted._fields]
+    if unknown:
+        problem = InputProblem(path, f"{key}.{unknown[0]}", "", "unknown key")
+        raise InputError([problem])
+    names = [field for field in wanted._fields if field not in wanted._field_defaults]
+    for name in names:
+        if name not in table:
+            problem = InputProblem(path, f"{key}.{name}", "", "this key is required")
+            raise InputError([problem])
+    values = wanted._field_defaults | table
+    return _convert(path, key, [values[field] for field in wanted._fields], wanted)
+
+
+def _build_scenario(
+    entry: _ScenarioTable, kinds: dict[str, RequestKind], shape: EngineShape
+) -> Scenario:
+    asked = [kinds[name] for name in entry.kinds]
+    return Scenario(
+        tuple(k._replace(per_second=k.per_second * entry.load) for k in asked),
+        seconds=entry.seconds,
+        engines=entry.engines,
+        instances=entry.instances,
+        shape=shape,
+        crashes=tuple(entry.crashes),
+        versions_at=tuple(entry.versions_at),
+        bound_seconds=entry.bound_seconds,
+    )
+
+
+def measure(scenario: Scenario) -> Figures:
+    """Play a scenario; return what callers got."""
+    outcomes = run_scenario(scenario)
+    count = max(1, len(outcomes))
+    spans: dict[int, list[Outcome]] = {}
+    for outcome in outcomes:
+        spans.setdefault(int(outcome.asked_at // SPAN_SECONDS), []).append(outcome)
+    worst = sorted(_share_earned(span) for span in spans.values())[:WORST_SPANS]
+    return Figures(
+        _share_earned(outcomes),
+        statistics.mean(worst) if worst else 1.0,
+        sum(o.first_after is not None and not o.is_in_time for o in outcomes) / count,
+        sum(o.first_after is None for o in outcomes) / count,
+        sum(o.has_paused for o in outcomes) / count,
+        sum(o.is_stale for o in outcomes) / count,
+    )
+
+
+def _share_earned(outcomes: Sequence[Outcome]) -> float:
+    owed = sum(outcome.kind.worth for outcome in outcomes)
+    return sum(outcome.earned for outcome in outcomes) / owed if owed else 1.0
+
+
+def render_table(results: dict[str, list[Figures]]) -> str:
+    """Return a row a scenario: means over the seeds, with the interval of the worth."""
+    head = "".join(f"{field:>10}" for field in Figures._fields)
+    lines = [f"{'scenario':20} {'seeds':>5}{head}  interval of worth"]
+    for name, figures in results.items():
+        means = [statistics.mean(values) for values in zip(*figures, strict=True)]
+        row = "".join(f"{mean:10.3f}" for mean in means)
+        lines.append(
+            f"{name:20} {len(figures):5d}{row}  ±{_find_interval(figures):.3f}"
+        )
+    return "\n".join(lines)
+
+
+def _find_interval(figures: Sequence[Figures]) -> float:
+    if len(figures) < 2:
+        return 0.0
+    deviation = statistics.stdev(entry.worth for entry in figures)
+    return ERRORS * deviation / len(figures) ** 0.5
--- /dev/null
+++ b/ashpond/emulator/wire.py
@@ -0,0 +1,197 @@
+"""Connections to emulated engines, in place of sockets."""
+
+from __future__ import annotations
+
+__all__ = ["EmulatedPool", "Memo", "build_codec", "build_engine_port", "make_address"]
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import trio
+
+from ashpond.clients.channels import ChannelError, Outgoing
+from ashpond.emulator.engines import EmulatedEngine, Run
+from ashpond.gateway.calls import AnswerMarks, Codec, Envelope, Headers, Instructions
+from ashpond.gateway.directory import BackendServer
+from ashpond.gateway.orders import (
+    EnginePort,
+    EngineReport,
+    OrderAccepted,
+    OrderOutcome,
+    OrderRefused,
+    WeightsOrder,
+)
+from ashpond.outcomes import NotRun
+
+NOT_RUN: Headers = [(b"not-run", b"1")]
+DEFAULT_URGENCY = 5
+# A call to an engine besides requests takes about this (seconds).
+ORDER_SECONDS = 0.003
+
+
+class Memo:
+    """What the router told the engines of each request, by the request's id.
+
+    ``outputs`` is how many tokens each answer has; ``runs`` are in order.
+    """
+
+    def __init__(self) -> None:
+        self.sent: dict[str, tuple[Envelope, Instructions]] = {}
+        self.outputs: dict[str, int] = {}
+        self.runs: dict[str, list[Run]] = {}
+
+
+def build_codec(memo: Memo) -> Codec:
+    """Return a codec that keeps instructions as they are."""
+
+    def write_headers(envelope: Envelope, instructions: Instructions) -> Headers:
+        memo.sent[envelope.request_id] = (envelope, instructions)
+        return []
+
+    def read_marks(headers: Headers) -> AnswerMarks:
+        return AnswerMarks(None, headers == NOT_RUN, None, None)
+
+    return Codec(lambda headers: None, write_headers, read_marks)
+
+
+class EmulatedResponse:
+    """The answer to a request: its first event, then the rest."""
+
+    def __init__(self, status: int, headers: Headers, run: Run | None):
+        self.status = status
+        self.headers = headers
+        self._run = run
+        self._has_first = False
+
+    async def read(self) -> bytes:
+        """Return the next piece, empty at the end.
+
+        :raises ChannelError: if the engine crashed.
+        """
+        if self._run is None:
+            return b""
+        if not self._has_first:
+            self._has_first = True
+            return b"id: 1\n\n"
+        run, self._run = self._run, None
+        try:
+            await run.has_ended.wait()
+        finally:
+            run.is_cancelled = not run.has_ended.is_set()
+        if run.is_broken:
+            raise ChannelError("the engine crashed", is_sent=True)
+        return b"id: 2\n\n"
+
+    async def read_all(self, limit: int) -> bytes:
+        """Return the whole answer."""
+        pieces = []
+        while piece := await self.read():
+            pieces.append(piece)
+        return b"".join(pieces)
+
+
+class EmulatedChannel(NamedTuple):
+    """A connection to one engine."""
+
+    engine: EmulatedEngine
+    pool: EmulatedPool
+
+    async def exchange(self, request: Outgoing) -> EmulatedResponse:
+        """Send a request; return its answer with the first event.
+
+        :raises ChannelError: if the engine crashes meanwhile.
+        """
+        assert request.request_id is not None
+        await trio.sleep(self.pool.delay)
+        envelope, instructions = self.pool.memo.sent[request.request_id]
+        prompt = envelope.prompt
+        assert prompt is not None
+        if self.engine.ordered_version is not None:
+            return EmulatedResponse(503, NOT_RUN, None)
+        if instructions.weights_version != self.engine.version:
+            return EmulatedResponse(421, [], None)
+        urgency = instructions.urgency
+        earlier = self.pool.memo.runs.setdefault(request.request_id, [])
+        run = Run(
+            prompt,
+            instructions.salt or "",
+            earlier[-1].left if earlier else self.pool.memo.outputs[request.request_id],
+            DEFAULT_URGENCY if urgency is None else urgency,
+        )
+        earlier.append(run)
+        source = self.pool.by_address.get(instructions.fetch_from or "")
+        self.engine.submit(run, source)
+        try:
+            await run.has_begun.wait()
+        finally:
+            run.is_cancelled = not run.has_begun.is_set()
+        if run.is_broken:
+            raise ChannelError("the engine crashed", is_sent=True)
+        return EmulatedResponse(200, [], run)
+
+    def close(self) -> None:
+        """Do nothing; a run that is not read to its end is cancelled."""
+
+
+class EmulatedPool:
+    """Gives out connections to engines.
+
+    :param delay: one way between instances and engines (seconds).
+    """
+
+    def __init__(self, engines: Mapping[str, EmulatedEngine], memo: Memo, delay: float):
+        self.memo = memo
+        self.delay = delay
+        self.by_address = {make_address(name): e for name, e in engines.items()}
+        self._engines = engines
+
+    async def acquire(self, owner: str, address: str) -> EmulatedChannel:
+        """Return a connection.
+
+        :raises ChannelError: if the engine is down.
+        """
+        await trio.sleep(self.delay)
+        if self._engines[owner].is_down:
+            raise ChannelError("refused", is_sent=False)
+        return EmulatedChannel(self._engines[owner], self)
+
+    def release(self, owner: str, channel: EmulatedChannel) -> None:
+        """Take a connection back."""
+
+    def forget(self, owner: str) -> None:
+        """Drop the connections to an engine."""
+
+
+def build_engine_port(engines: Mapping[str, EmulatedEngine]) -> EnginePort:
+    """Return the orders and reports of emulated engines."""
+
+    async def order(server: BackendServer, order: WeightsOrder) -> OrderOutcome:
+        engine = engines[server.id]
+        await trio.sleep(ORDER_SECONDS)
+        if engine.is_down:
+            return NotRun("refused")
+        if engine.ordered_version is not None:
+            return OrderRefused(409)
+        if engine.version == order.version:
+            return OrderAccepted(is_in_force=True)
+        engine.order(order.version, cuts_runs=order.cuts_runs)
+        return OrderAccepted(is_in_force=False)
+
+    async def report(server: BackendServer) -> EngineReport | NotRun:
+        engine = engines[server.id]
+        await trio.sleep(ORDER_SECONDS)
+        if engine.is_down:
+            return NotRun("refused")
+        is_loading = engine.ordered_version is not None
+        weights = dict.fromkeys(server.weights, engine.version)
+        return EngineReport(weights, is_loading, engine.accepted_orders)
+
+    async def read_cache_events(address: str, since: int, wait: float) -> NotRun:
+        return NotRun("no events here")
+
+    return EnginePort(order, report, read_cache_events)
+
+
+def make_address(name: str) -> str:
+    """Return the address under which an engine is known."""
+    return f"{name}:1"
--- /dev/null
+++ b/ashpond/emulator/world.py
@@ -0,0 +1,385 @@
+"""Play a scenario: clients, instances with the real decisions, engines."""
+
+from __future__ import annotations
+
+__all__ = ["Outcome", "play", "run_scenario"]
+
+import random
+from typing import NamedTuple
+
+import trio
+import trio.testing
+
+from ashpond.emulator.engines import EmulatedEngine, Run
+from ashpond.emulator.scenarios import Crash, RequestKind, Scenario
+from ashpond.emulator.wire import (
+    EmulatedPool,
+    Memo,
+    build_codec,
+    build_engine_port,
+    make_address,
+)
+from ashpond.gateway.admission import Accepted
+from ashpond.gateway.budget import SendBudget
+from ashpond.gateway.cachestores import CacheStores
+from ashpond.gateway.calls import Envelope, Headers, IncomingCall, Prompt, PromptPart
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.declared import (
+    Declaration,
+    EngineTraits,
+    IngressLimits,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    WeightTarget,
+)
+from ashpond.gateway.directory import BackendServer, ServerTable
+from ashpond.gateway.dispatch import Dispatcher
+from ashpond.gateway.holdings import Holding, Holdings
+from ashpond.gateway.knowledge import Knowledge
+from ashpond.gateway.newsitems import ServerNotice
+from ashpond.gateway.places import Places
+from ashpond.gateway.rollouts import RolloutController
+from ashpond.gateway.sends import Tools
+from ashpond.gateway.store import StoreClock
+from ashpond.standins.tables import MemoryStore
+
+SERVICE = "engines"
+MODEL = "m"
+WALL = "shared"
+RETRY_SHARE = 0.2
+RETRY_SLACK = 56.0
+RETRY_WINDOW = 10.0
+LEASE_SECONDS = 3.0
+# Instances hear of a notice after this, one way and a turn of their loops (seconds).
+NOTICE_DELAY = 0.004
+# The share of the bound at which older weights are left, as the application has it.
+REQUIRED_SHARE = 0.85
+# Answers on older weights cost a fifth from this after a version was named (seconds).
+STALE_AFTER = 1.5
+STALE_SHARE = 0.2
+
+
+class Outcome(NamedTuple):
+    """What became of one request, counted from its first try (seconds).
+
+    ``first_after`` is None if it was not served; ``held`` is how long tries that were
+    refused had waited, in all. ``is_stale`` answers began on replaced weights.
+    """
+
+    kind: RequestKind
+    asked_at: float
+    first_after: float | None
+    tries: int
+    held: float
+    has_paused: bool
+    is_stale: bool
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether the answer came within its objective, without long pauses."""
+        if self.first_after is None or self.has_paused:
+            return False
+        return self.first_after <= self.kind.objective
+
+    @property
+    def earned(self) -> float:
+        """What the answer is worth, of ``kind.worth``."""
+        if self.first_after is None:
+            return 0.0
+        share = 1.0 if self.is_in_time else self.kind.late_share
+        return self.kind.worth * (share - STALE_SHARE * self.is_stale)
+
+
+class _Reply:
+    def __init__(self) -> None:
+        self.status = 0
+        self.retry_after: float | None = None
+        self.first_at: float | None = None
+        self.is_whole = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        self.status = status
+        value = dict(headers).get(b"retry-after")
+        self.retry_after = float(value) if value else None
+        self.first_at = trio.current_time()
+
+    async def send(self, data: bytes) -> None:
+        pass
+
+    async def finish(self) -> None:
+        self.is_whole = True
+
+    async def abort(self) -> None:
+        pass
+
+
+class _Instance(NamedTuple):
+    table: ServerTable
+    holdings: Holdings
+    places: Places
+    knowledge: Knowledge
+    rollouts: RolloutController
+    dispatcher: Dispatcher
+
+
+class _World:
+    def __init__(self, scenario: Scenario):
+        self.scenario = scenario
+        self.rng = random.Random(scenario.seed)
+        self.outcomes: list[Outcome] = []
+        self.told: list[Holding] = []
+        ever_read: set[tuple[str, str]] = set()
+        names = [f"e{n}" for n in range(scenario.engines)]
+        self.engines = {n: EmulatedEngine(n, scenario.shape, ever_read) for n in names}
+        self.memo = Memo()
+        self.store = MemoryStore()
+        self.named: list[tuple[float, int]] = []
+        self.pool = EmulatedPool(self.engines, self.memo, scenario.delay)
+        self.instances = [self._build_instance(n) for n in range(scenario.instances)]
+        self.notices, self.heard = trio.open_memory_channel[ServerNotice](1_000)
+        self._count = 0
+
+    def _build_instance(self, number: int) -> _Instance:
+        scenario = self.scenario
+        table = ServerTable()
+        domains = [f"d{n % 4}" for n in range(scenario.engines)]
+        servers = [
+            BackendServer(
+                name, SERVICE, make_address(name), domain, scenario.shape.slots,
+                False, 0.0, {MODEL: 1},
+            )
+            for name, domain in zip(self.engines, domains, strict=True)
+        ]  # fmt: skip
+        table.replace_all(servers, 0.0, may_lapse=False)
+        traits = EngineTraits(
+            scenario.shape.slots, scenario.shape.memory_tokens, (MODEL,)
+        )
+        services = {SERVICE: Service(SERVICE, 400, traits)}
+        declaration = Declaration(1, {}, services, {}, False, IngressLimits())
+        knowledge = Knowledge()
+        knowledge.adopt(declaration)
+        holdings = Holdings()
+
+        def find_required(model: str, now: float) -> int:
+            bound = scenario.bound_seconds * REQUIRED_SHARE
+            return knowledge.find_version_named(model, now - bound)
+
+        rng = random.Random(f"{scenario.seed}/{number}")
+        places = Places(
+            table,
+            holdings,
+            CacheStores(),
+            f"d{number % 4}",
+            lambda: declaration,
+            knowledge.find_wanted_version,
+            find_required,
+            rng,
+        )
+        budget = SendBudget(RETRY_SHARE, RETRY_SLACK, RETRY_WINDOW, -RETRY_WINDOW)
+
+        def note_held(server_id: str, salt: str, prompt: Prompt) -> None:
+            now = trio.current_time()
+            self.told.extend(holdings.note_read(server_id, salt, prompt, now))
+
+        tools = Tools(
+            places,
+            self.pool,  # type: ignore[arg-type]
+            build_codec(self.memo),
+            b"id",
+            knowledge,
+            DecisionLog(f"i{number}"),
+            lambda service: budget,
+            lambda: scenario.instances,
+            note_held,
+            lambda server_id, seconds: None,
+            rng,
+        )
+        rollouts = RolloutController(
+            f"i{number}",
+            table,
+            knowledge,
+            self.store.build_port(),
+            StoreClock(),
+            build_engine_port(self.engines),
+            DecisionLog(f"i{number}"),
+            lambda: [f"i{n}" for n in range(scenario.instances)],
+            self._announce,
+            places.wake,
+            lambda service: budget.measure_left(1, trio.current_time()),
+            LEASE_SECONDS,
+        )
+        return _Instance(
+            table, holdings, places, knowledge, rollouts, Dispatcher(tools)
+        )
+
+    async def run(self) -> list[Outcome]:
+        """Play to the end; return the outcomes in the order of their ends."""
+        async with trio.open_nursery() as background:
+            for engine in self.engines.values():
+                background.start_soon(engine.run)
+            background.start_soon(self._spread_news)
+            background.start_soon(self._take_notices)
+            for instance in self.instances:
+                background.start_soon(instance.rollouts.run)
+                background.start_soon(self._tell_versions, instance)
+            async with trio.open_nursery() as nursery:
+                for crash in self.scenario.crashes:
+                    nursery.start_soon(self._strike, crash)
+                for kind in self.scenario.kinds:
+                    nursery.start_soon(self._send_all, kind, nursery)
+            background.cancel_scope.cancel()
+        return self.outcomes
+
+    async def _send_all(self, kind: RequestKind, nursery: trio.Nursery) -> None:
+        while True:
+            await trio.sleep(self.rng.expovariate(kind.per_second))
+            if trio.current_time() > self.scenario.seconds:
+                return
+            nursery.start_soon(self._ask, kind, self._build_prompt(kind))
+
+    def _build_prompt(self, kind: RequestKind) -> Prompt:
+        self._count += 1
+        subject = self.rng.randrange(kind.subjects)
+        own = max(1, round(self.rng.expovariate(1 / kind.own_tokens)))
+        parts = (
+            PromptPart(f"{kind.name}", kind.common_tokens),
+            PromptPart(f"{kind.name}/{subject}", kind.subject_tokens),
+            PromptPart(f"own/{self._count}", own),
+        )
+        tokens = sum(part.tokens for part in parts)
+        return Prompt(MODEL, tokens, kind.output_tokens, parts)
+
+    async def _ask(self, kind: RequestKind, prompt: Prompt) -> None:
+        asked_at = trio.current_time()
+        held = 0.0
+        tries = 0
+        served_at: float | None = None
+        while tries <= kind.retries:
+            tries += 1
+            request_id = f"{prompt.parts[-1].id}/{tries}"
+            self.memo.outputs[request_id] = kind.output_tokens
+            began = trio.current_time()
+            reply = await self._try(kind, prompt, request_id, began)
+            if reply.is_whole and reply.status == 200:
+                served_at = reply.first_at
+                break
+            held += trio.current_time() - began
+            if reply.retry_after is None:
+                break
+            await trio.sleep(reply.retry_after)
+        first_after = None if served_at is None else served_at - asked_at
+        runs = self.memo.runs.get(request_id, [])
+        outcome = Outcome(
+            kind,
+            asked_at,
+            first_after,
+            tries,
+            held,
+            _find_longest_pause(runs) > kind.longest_pause,
+            self._is_stale(request_id, runs),
+        )
+        self.outcomes.append(outcome)
+
+    def _is_stale(self, request_id: str, runs: list[Run]) -> bool:
+        if not runs or runs[0].begun_at is None:
+            return False
+        version = self.memo.sent[request_id][1].weights_version or 0
+        counts = [v for at, v in self.named if at + STALE_AFTER < runs[0].begun_at]
+        return version < max(counts, default=0)
+
+    async def _try(
+        self, kind: RequestKind, prompt: Prompt, request_id: str, now: float
+    ) -> _Reply:
+        instance = self.rng.choice(self.instances)
+        envelope = Envelope(request_id, kind.timeout, None, prompt, None, [])
+        call = IncomingCall("POST", "h", "/", b"/", envelope, b"", now)
+        route = Route(
+            kind.name, "h", "/", RouteKind.STREAM, (ServiceShare(SERVICE, 1.0),),
+            kind.timeout, kind.objective, 2 if kind.is_resumable else 1,
+            kind.priority, is_resumable=kind.is_resumable,
+        )  # fmt: skip
+        accepted = Accepted(route, None, now + kind.timeout, kind.priority, WALL)
+        reply = _Reply()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._leave_late, kind, reply, nursery.cancel_scope)
+            await instance.dispatcher.dispatch(call, accepted, reply)
+            nursery.cancel_scope.cancel()
+        return reply
+
+    async def _leave_late(
+        self, kind: RequestKind, reply: _Reply, scope: trio.CancelScope
+    ) -> None:
+        """Leave, as clients do, if the first event takes too long."""
+        await trio.sleep(kind.patience)
+        if reply.first_at is None:
+            scope.cancel()
+
+    async def _spread_news(self) -> None:
+        """Tell all instances of one another's work and holdings, late."""
+        told = [instance.table.list_own_loads() for instance in self.instances]
+        while True:
+            await trio.sleep(self.scenario.news_seconds)
+            now = trio.current_time()
+            for number, loads in enumerate(told):
+                for other, instance in enumerate(self.instances):
+                    if other != number:
+                        instance.table.note_peer_loads(f"i{number}", loads, now)
+            holdings, self.told = self.told, []
+            for instance in self.instances:
+                for holding in holdings:
+                    instance.holdings.note_told(holding, now)
+            told = [instance.table.list_own_loads() for instance in self.instances]
+
+    async def _strike(self, crash: Crash) -> None:
+        await trio.sleep(crash.at)
+        engine = list(self.engines.values())[crash.engine]
+        engine.crash()
+        await trio.sleep(crash.seconds)
+        engine.restart()
+
+    async def _tell_versions(self, instance: _Instance) -> None:
+        for number, at in enumerate(self.scenario.versions_at):
+            await trio.sleep_until(at)
+            if instance is self.instances[0]:
+                self.named.append((at, number + 2))
+            target = WeightTarget(MODEL, number + 2)
+            instance.knowledge.adopt_target(target, trio.current_time())
+
+    def _announce(self, notice: ServerNotice) -> None:
+        self.notices.send_nowait(notice)
+
+    async def _take_notices(self) -> None:
+        async for notice in self.heard:
+            await trio.sleep(NOTICE_DELAY)
+            now = trio.current_time()
+            for instance in self.instances:
+                instance.rollouts.note_progress()
+                state = instance.table.by_id[notice.server_id]
+                state.learn_weights(notice.model, notice.version)
+                if notice.closed_seconds:
+                    state.close_for(notice.closed_seconds, now)
+                else:
+                    state.reopen()
+                    instance.places.wake()
+
+
+def _find_longest_pause(runs: list[Run]) -> float:
+    """Return the longest pause between events of an answer, over all its runs."""
+    longest = max((run.longest_pause for run in runs), default=0.0)
+    for before, after in zip(runs, runs[1:], strict=False):
+        if before.last_event_at is not None and after.begun_at is not None:
+            longest = max(longest, after.begun_at - before.last_event_at)
+    return longest
+
+
+async def play(scenario: Scenario) -> list[Outcome]:
+    """Play a scenario on the clock of the running loop."""
+    return await _World(scenario).run()
+
+
+def run_scenario(scenario: Scenario) -> list[Outcome]:
+    """Play a scenario in virtual time."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(play, scenario, clock=clock)
--- a/ashpond/gateway/sends.py
+++ b/ashpond/gateway/sends.py
@@ -242,6 +242,7 @@
             "sent",
             server=place.state.info.id,
             weights=place.weights_version,
+            objective=self.call.route.objective,
             demand=describe_demand(self.call.demand),
             candidates=[describe_candidate(c) for c in place.candidates],
             held=place.held_tokens,
--- /dev/null
+++ b/ashpond/lossreport.py
@@ -0,0 +1,164 @@
+"""Say from decision logs which requests were late or lost, when, and why."""
+
+from __future__ import annotations
+
+__all__ = ["Cause", "Loss", "find_losses", "render_losses"]
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from ashpond.gateway.selection import read_candidate, read_demand
+
+Line = dict[str, Any]
+# Losses are counted by spans of the logs' time (seconds).
+SPAN_SECONDS = 2.0
+# A wait before the last send is the cause from this share of the objective on.
+WAIT_SHARE = 0.3
+NAMED_IDS = 3
+UNKNOWN_KEY = 401
+UNKNOWN_ROUTE = 404
+
+
+class Cause(StrEnum):
+    """Why a request was not answered in time.
+
+    A late answer has the largest of its parts as its cause; the router sees no
+    pauses within an answer, only what it passes on.
+    """
+
+    WAITED_HERE = "waited for a place"
+    SENT_AGAIN = "sent more than once"
+    QUEUED = "behind other prompts in the engine"
+    READ_SHARED = "shared parts were read"
+    READ_OWN = "its own part was read"
+    BUSY = "refused: no place"
+    UNINFORMED = "refused: knowledge too old"
+    FAILED = "failed at the backend server"
+    UNFINISHED = "no end is recorded"
+
+
+class Loss(NamedTuple):
+    """One request that was late or not served; ``at`` is the logs' time (seconds)."""
+
+    id: str
+    route: str
+    at: float
+    cause: Cause
+    is_late: bool
+
+
+class _Story(NamedTuple):
+    """The lines of one request, in order."""
+
+    sent: list[Line]
+    end: Line | None
+    first: Line
+
+
+def find_losses(lines: Iterable[Line]) -> tuple[list[Loss], Counter[str]]:
+    """Return the requests that were late or lost, and how many there were by route.
+
+    Requests that no configuration allows are left out.
+    """
+    by_id: dict[str, list[Line]] = defaultdict(list)
+    for line in lines:
+        if "id" in line:
+            by_id[line["id"]].append(line)
+    losses = []
+    totals: Counter[str] = Counter()
+    for request_id, own in by_id.items():
+        own.sort(key=lambda line: line["t"])
+        story = _read_story(own)
+        if story.end and story.end.get("status") in (UNKNOWN_KEY, UNKNOWN_ROUTE):
+            continue
+        route = own[0].get("route", "")
+        totals[route] += 1
+        cause = _find_cause(story)
+        if cause is not None:
+            is_late = bool(story.end and story.end["event"] == "ended")
+            losses.append(Loss(request_id, route, own[0]["t"], cause, is_late))
+    return losses, totals
+
+
+def _read_story(own: list[Line]) -> _Story:
+    sent = [line for line in own if line["event"] == "sent"]
+    ends = [line for line in own if line["event"] in ("ended", "refused", "broken_off")]
+    return _Story(sent, ends[-1] if ends else None, own[0])
+
+
+def _find_cause(story: _Story) -> Cause | None:
+    """Return why a request was late or not served, None if it was in time."""
+    end = story.end
+    if end is None:
+        return Cause.UNFINISHED
+    if end["event"] != "ended":
+        return _find_refusal_cause(story)
+    if end["status"] >= 500:
+        return Cause.FAILED
+    if not story.sent or "objective" not in story.sent[-1]:
+        return None
+    last = story.sent[-1]
+    if end.get("first_after", end["after"]) <= last["objective"]:
+        return None
+    if len(story.sent) > 1:
+        return Cause.SENT_AGAIN
+    if last["after"] > WAIT_SHARE * last["objective"]:
+        return Cause.WAITED_HERE
+    return _find_reading_cause(last)
+
+
+def _find_refusal_cause(story: _Story) -> Cause:
+    assert story.end is not None
+    if story.sent:
+        return Cause.FAILED
+    return Cause.UNINFORMED if "knowledge_age" in story.end else Cause.BUSY
+
+
+def _find_reading_cause(sent: Line) -> Cause:
+    """Return the largest part of what the engine had to read before it answered."""
+    demand = read_demand(sent["demand"])
+    candidates = [read_candidate(fields) for fields in sent["candidates"]]
+    chosen = next((c for c in candidates if c.id == sent["server"]), None)
+    if demand.prompt is None or chosen is None:
+        return Cause.QUEUED
+    own = demand.prompt.parts[-1].tokens if demand.prompt.parts else 0
+    found = max(sent["held"], sent["fetch"])
+    parts = {
+        Cause.QUEUED: chosen.load.unread_tokens,
+        Cause.READ_SHARED: max(0, demand.prompt.tokens - own - found),
+        Cause.READ_OWN: own,
+    }
+    return max(parts, key=lambda cause: parts[cause])
+
+
+def render_losses(losses: list[Loss], totals: Counter[str]) -> str:
+    """Return tables by cause and route, and by time, with ids to look at."""
+    if not totals:
+        return "no requests are recorded"
+    lines = [f"{'route':24} {'asked':>7} {'late':>6} {'lost':>6}"]
+    for route, total in sorted(totals.items()):
+        late = sum(loss.route == route and loss.is_late for loss in losses)
+        lost = sum(loss.route == route and not loss.is_late for loss in losses)
+        lines.append(f"{route:24} {total:7d} {late:6d} {lost:6d}")
+    lines.append("")
+    lines.append(f"{'cause':36} {'requests':>9}  some ids, for `ashpond explain`")
+    for cause, count in Counter(loss.cause for loss in losses).most_common():
+        ids = [loss.id for loss in losses if loss.cause is cause][:NAMED_IDS]
+        lines.append(f"{cause:36} {count:9d}  {' '.join(ids)}")
+    return "\n".join([*lines, "", *_render_spans(losses)])
+
+
+def _render_spans(losses: list[Loss]) -> list[str]:
+    if not losses:
+        return []
+    start = min(loss.at for loss in losses)
+    spans: dict[int, Counter[Cause]] = defaultdict(Counter)
+    for loss in losses:
+        spans[int((loss.at - start) // SPAN_SECONDS)][loss.cause] += 1
+    lines = [f"from second (0 is the first loss)  requests, by cause; {SPAN_SECONDS} s"]
+    for span, causes in sorted(spans.items()):
+        told = ", ".join(f"{count} {cause}" for cause, count in causes.most_common())
+        lines.append(f"{span * SPAN_SECONDS:8.0f} {sum(causes.values()):5d}  {told}")
+    return lines
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import zlib
 
 from ashpond.gateway.cachestores import CacheStores
 from ashpond.gateway.calls import Envelope, IncomingCall, Prompt, PromptPart
@@ -57,11 +58,17 @@
     return Declaration(**(values | changes))
 
 
+def make_address(server_id: str) -> str:
+    """Return an address of the server's own; nothing listens there."""
+    number = zlib.crc32(server_id.encode())
+    return f"127.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:9"
+
+
 def make_server(server_id: str = "s1", **changes: object) -> BackendServer:
     values: dict = {
         "id": server_id,
         "service": "reader",
-        "address": "127.0.0.1:9",
+        "address": make_address(server_id),
         "failure_domain": "north",
         "slots": 64,
         "is_draining": False,
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,129 @@
+"""The laboratory: engines in virtual time, scenarios, experiment files."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+import trio
+from click.testing import CliRunner
+
+from ashpond.cli import main
+from ashpond.emulator.engines import EmulatedEngine, EngineShape, Run
+from ashpond.emulator.experiments import load_experiment, measure
+from ashpond.emulator.scenarios import Crash, RequestKind, Scenario
+from ashpond.emulator.world import run_scenario
+from ashpond.errors import InputError
+from tests.gateway_builders import make_prompt
+
+SHAPE = EngineShape(step_seconds=0.005, read_tokens_per_second=40_000.0)
+CHECK = RequestKind("check", 10.0, 0.6, 6.0)
+EXPERIMENT = Path("examples/lab.toml")
+
+
+async def run_one(engine: EmulatedEngine, run: Run, **changes: object) -> float:
+    started = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(engine.run)
+        engine.submit(run, changes.get("source"))  # type: ignore[arg-type]
+        await run.has_begun.wait()
+        nursery.cancel_scope.cancel()
+    return trio.current_time() - started
+
+
+def make_run(own: str = "own") -> Run:
+    return Run(make_prompt("rules", "shop", own, tokens=4000), "salt", 10, 5)
+
+
+async def test_what_is_cached_is_not_read_again(autojump_clock: object) -> None:
+    engine = EmulatedEngine("e", SHAPE, set())
+    first = await run_one(engine, make_run())
+    assert 12_000 / 40_000 < first < 12_000 / 40_000 + 0.06
+    assert await run_one(engine, make_run("other")) < 4000 / 40_000 + 0.06
+    assert (engine.tokens_read, engine.tokens_read_again) == (16_000, 0)
+
+
+async def test_a_fetch_spares_reading_and_takes_its_time_on_the_link(
+    autojump_clock: object,
+) -> None:
+    ever_read: set[tuple[str, str]] = set()
+    source = EmulatedEngine("e1", SHAPE, ever_read)
+    await run_one(source, make_run())
+    other = EmulatedEngine("e2", SHAPE, ever_read)
+    seconds = await run_one(other, make_run("other"), source=source)
+    fetch = 8000 / SHAPE.link_tokens_per_second
+    assert fetch + 0.1 <= seconds < fetch + 0.1 + 0.06
+    assert other.tokens_read == 4000
+
+
+async def test_an_order_ends_the_runs_first_and_forgets_what_is_cached(
+    autojump_clock: object,
+) -> None:
+    engine = EmulatedEngine("e", SHAPE, set())
+    run = make_run()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(engine.run)
+        engine.submit(run, None)
+        await run.has_begun.wait()
+        engine.order(2, cuts_runs=False)
+        await run.has_ended.wait()
+        assert (engine.version, run.is_broken) == (1, False)
+        await trio.sleep(SHAPE.load_seconds + 0.1)
+        nursery.cancel_scope.cancel()
+    assert (engine.version, engine.holds("salt", "rules")) == (2, False)
+
+
+def test_the_same_seed_gives_the_same_outcomes() -> None:
+    scenario = Scenario((CHECK,), seconds=3.0, crashes=(Crash(1.0, 0),))
+    assert run_scenario(scenario) == run_scenario(scenario)
+    assert run_scenario(scenario) != run_scenario(scenario._replace(seed=2))
+
+
+def test_callers_get_what_the_scenarios_state() -> None:
+    """Shares of worth with seed 1, as measured: 1.0 calm, 0.978 with two crashes."""
+    calm = measure(Scenario((CHECK,), seconds=10.0))
+    assert calm.worth > 0.98
+    assert calm.unserved == 0
+    crashes = (Crash(3.0, 0), Crash(3.0, 1))
+    assert measure(Scenario((CHECK,), seconds=10.0, crashes=crashes)).worth > 0.95
+
+
+def test_the_standard_experiment_is_valid() -> None:
+    experiment = load_experiment(str(EXPERIMENT))
+    assert set(experiment.scenarios) == {"calm", "versions", "crashes", "burst"}
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key", "reason"),
+    [
+        ("seeds = 4", "seeds = 'x'", "seeds", "Expected `int`"),
+        ("worth = 3.6", "wort = 3.6", "kinds.check.wort", "unknown key"),
+        ("objective = 0.6\n", "", "kinds.check.objective", "required"),
+        ('["check", "note"]', '["chek"]', "scenarios.calm.kinds", "no kind"),
+        ("[[4.0, 0,", "[[4.0, 9,", "scenarios.crashes.crashes", "no engine"),
+    ],
+)
+def test_a_fault_names_file_key_and_reason(
+    tmp_path: Path, old: str, new: str, key: str, reason: str
+) -> None:
+    path = tmp_path / "lab.toml"
+    text = EXPERIMENT.read_text(encoding="utf-8")
+    assert old in text
+    path.write_text(text.replace(old, new, 1), encoding="utf-8")
+    with pytest.raises(InputError) as caught:
+        load_experiment(str(path))
+    problem = str(caught.value)
+    assert str(path) in problem
+    assert key in problem
+    assert reason in problem
+
+
+def test_the_command_shows_a_row_a_scenario(tmp_path: Path) -> None:
+    path = tmp_path / "lab.toml"
+    text = "seeds = 2\n[kinds.a]\nper_second = 5.0\nobjective = 0.6\ntimeout = 6.0\n"
+    text += '[scenarios.calm]\nkinds = ["a"]\nseconds = 2.0\n'
+    path.write_text(text, encoding="utf-8")
+    runs = [CliRunner().invoke(main, ["lab", str(path)]) for _ in range(2)]
+    assert runs[0].exit_code == 0
+    assert "calm" in runs[0].output
+    assert runs[0].output == runs[1].output
