Log calls that are cut with their connection, and hold-ups of the event loop

Cause: no line and no metric tells who ended a connection, after which idle time, under which limit, nor how long the event loop had been held up, so the hypotheses of the incident could not be told apart. Change: a line call_cut (idle time, limit, leaving, last hold-up, the handler's failure), a line loop_delayed, a counter and a histogram. The event loop is watched by its own instrument, without a task that wakes. No change of logic.

--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -25,7 +25,7 @@
 from ashpond.gateway.feeds import Feed, Follower, TableNews
 from ashpond.gateway.fleetlinks import Member
 from ashpond.gateway.holdings import Holding, Holdings
-from ashpond.gateway.ingress import Ingress, IngressPorts
+from ashpond.gateway.ingress import CutCall, Ingress, IngressPorts
 from ashpond.gateway.members import Members
 from ashpond.gateway.metrics import GatewayMetrics
 from ashpond.gateway.news import NewsHandlers, Newsroom
@@ -38,6 +38,7 @@
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
 from ashpond.gateway.status import render_status
 from ashpond.gateway.storeview import StoreView, build_feeds
+from ashpond.loopdelay import LoopDelay, LoopWatch
 from ashpond.outcomes import Refusal
 
 MS = 1000.0
@@ -51,6 +52,8 @@
 # Kept back from the grace period for the end of the process (seconds).
 GRACE_MARGIN_SECONDS = 0.4
 HOUSEKEEPING_SECONDS = 0.5
+# Hold-ups of the event loop from this length on leave a line (seconds).
+LOGGED_DELAY_SECONDS = 0.05
 # The settings file may change without a signal; it is read again so often.
 SETTINGS_SECONDS = 2.0
 
@@ -173,7 +176,9 @@
             self.is_ready,
             self.metrics.render,
             lambda: render_status(self),
+            self._on_cut_call,
         )
+        self.loop_watch = LoopWatch(self._on_loop_delay)
 
     @property
     def settings(self) -> GatewaySettings:
@@ -183,6 +188,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then let what is in flight end."""
         self.log.note("started", settings=self.settings._asdict())
+        self.loop_watch.start()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.log.run)
             nursery.start_soon(self._watch_signals)
@@ -217,6 +223,30 @@
     def _on_configuration(self) -> None:
         self.ingress.apply_limits()
 
+    def _on_cut_call(self, cut: CutCall) -> None:
+        cause = "failure" if cut.failure else "connection"
+        self.metrics.count_cut_call(cause)
+        self.log.note(
+            "call_cut",
+            id=cut.request_id,
+            cause=cause,
+            after=round(cut.after, 4),
+            idle_before=cut.idle_before and round(cut.idle_before, 3),
+            idle_limit=cut.idle_limit,
+            failure=cut.failure,
+            leaving=self.leaving.is_set(),
+            loop_delay=self.loop_watch.describe(),
+        )
+
+    def _on_loop_delay(self, delay: LoopDelay) -> None:
+        self.metrics.observe_delay(delay.seconds)
+        if delay.seconds >= LOGGED_DELAY_SECONDS:
+            self.log.note(
+                "loop_delayed",
+                seconds=round(delay.seconds, 3),
+                open_calls=self.ingress.open_calls,
+            )
+
     def _on_servers(self) -> None:
         self.places.wake()
 
--- a/ashpond/gateway/ingress.py
+++ b/ashpond/gateway/ingress.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Ingress", "IngressPorts"]
+__all__ = ["CutCall", "Ingress", "IngressPorts"]
 
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, cast
@@ -23,6 +23,8 @@
 BACKLOG = 1024
 # Connections are ended by idle time and shutdown, not by a count.
 MAX_REQUESTS = 1_000_000_000
+# Connections whose last answer's end is remembered, for the log only.
+MAX_IDLE_KNOWN = 4096
 STATUS_PATH = b"/status"
 METRICS_TYPE = b"text/plain; version=0.0.4"
 
@@ -47,6 +49,22 @@
     metrics: str
 
 
+class CutCall(NamedTuple):
+    """A call whose connection ended before its answer did.
+
+    ``after`` is the time since its request was read, ``idle_before`` how long the
+    connection had been idle before that, None for a connection's first request;
+    ``idle_limit`` the limit in force (all in seconds). ``failure`` is an error of the
+    handler, None if the connection ended by itself.
+    """
+
+    request_id: str
+    after: float
+    idle_before: float | None
+    idle_limit: float
+    failure: str | None = None
+
+
 class AsgiReply:
     """A :class:`Reply` on an ASGI connection.
 
@@ -55,6 +73,7 @@
     """
 
     def __init__(self, send: Send, *, is_last: Callable[[], bool]):
+        self.is_finished = False
         self._send = send
         self._is_last = is_last
 
@@ -72,6 +91,7 @@
 
     async def finish(self) -> None:
         """End the body."""
+        self.is_finished = True
         await self._send_shielded({"type": "http.response.body", "body": b""})
 
     async def abort(self) -> None:
@@ -94,6 +114,7 @@
         is_ready: Callable[[], bool],
         render_metrics: Callable[[], bytes],
         render_status: Callable[[], bytes],
+        note_cut: Callable[[CutCall], None] = lambda cut: None,
     ):
         self.is_leaving = False
         self.open_calls = 0
@@ -104,6 +125,8 @@
         self._is_ready = is_ready
         self._render_metrics = render_metrics
         self._render_status = render_status
+        self._note_cut = note_cut
+        self._ended_at: dict[Any, float] = {}
         self._config = Config()
 
     async def run(
@@ -180,9 +203,20 @@
                 refusal = Refusal(400, "no_id", "the request has no id")
                 await send_refusal(reply, refusal)
                 return
-            await self._handle_while_connected(call, receive, reply)
+            idle_before = self._measure_idle(scope["client"], received_at)
+            await self._handle_while_connected(call, receive, reply, idle_before)
         finally:
             self.open_calls -= 1
+            self._note_idle(scope["client"])
+
+    def _measure_idle(self, client: Any, now: float) -> float | None:
+        ended_at = self._ended_at.pop(client, None)
+        return None if ended_at is None else now - ended_at
+
+    def _note_idle(self, client: Any) -> None:
+        if len(self._ended_at) >= MAX_IDLE_KNOWN:
+            self._ended_at.clear()
+        self._ended_at[client] = trio.current_time()
 
     async def _read_body(self, receive: Receive, reply: AsgiReply) -> bytes | None:
         limit = self._get_limits().max_body_bytes
@@ -222,15 +256,33 @@
         )
 
     async def _handle_while_connected(
-        self, call: IncomingCall, receive: Receive, reply: AsgiReply
+        self,
+        call: IncomingCall,
+        receive: Receive,
+        reply: AsgiReply,
+        idle_before: float | None,
     ) -> None:
+        def note_cut(failure: str | None) -> None:
+            after = trio.current_time() - call.received_at
+            limit = self._config.keep_alive_timeout
+            request_id = call.envelope.request_id
+            cut = CutCall(request_id, after, idle_before, limit, failure)
+            self._note_cut(cut)
+
         async with trio.open_nursery() as nursery:
 
             async def cancel_at_disconnect() -> None:
                 while (await receive())["type"] != "http.disconnect":
                     pass
+                if not reply.is_finished:
+                    note_cut(None)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(cancel_at_disconnect)
-            await self._handle(call, reply)
+            try:
+                await self._handle(call, reply)
+            except Exception as error:
+                # The server ends the connection, or answers 500, and says nothing.
+                note_cut(repr(error))
+                raise
             nursery.cancel_scope.cancel()
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -7,6 +7,7 @@
 from aioprometheus import Counter, Histogram, Registry, render
 
 LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
+DELAY_BUCKETS = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5]
 
 
 class GatewayMetrics:
@@ -25,6 +26,25 @@
             buckets=LATENCY_BUCKETS,
             registry=self.registry,
         )
+        self.cut_calls = Counter(
+            "ashpond_gateway_cut_calls",
+            "Calls whose connection ended before their answer did, by cause",
+            registry=self.registry,
+        )
+        self.loop_delays = Histogram(
+            "ashpond_gateway_loop_delay_seconds",
+            "Hold-ups of the event loop of 25 ms and more",
+            buckets=DELAY_BUCKETS,
+            registry=self.registry,
+        )
+
+    def count_cut_call(self, cause: str) -> None:
+        """Count one call whose connection ended before its answer did."""
+        self.cut_calls.inc({"cause": cause})
+
+    def observe_delay(self, seconds: float) -> None:
+        """Take one hold-up of the event loop."""
+        self.loop_delays.observe({}, seconds)
 
     def count_refusal(self, kind: str) -> None:
         """Count one refusal."""
--- /dev/null
+++ b/ashpond/loopdelay.py
@@ -0,0 +1,73 @@
+"""How long the event loop was held up, as a cause of late or lost answers."""
+
+from __future__ import annotations
+
+__all__ = ["LoopDelay", "LoopWatch"]
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# A step of the event loop takes a few ms. A hold-up of this length (seconds) shows
+# in what clients see: a fifth of the tightest objective in use, 125 ms.
+NOTED_SECONDS = 0.025
+
+
+class LoopDelay(NamedTuple):
+    """One hold-up: when it ended on the runtime's clock, its length in seconds."""
+
+    ended_at: float
+    seconds: float
+
+
+class LoopWatch(trio.abc.Instrument):
+    """Measures each step of the event loop, and each wait that ends too late.
+
+    A step that takes long and a process that gets no processor look the same from
+    outside: whatever became ready meanwhile, requests as well as timers, is ready
+    in one and the same step.
+    """
+
+    def __init__(
+        self,
+        note: Callable[[LoopDelay], None],
+        clock: Callable[[], float] = trio.current_time,
+    ):
+        self.last: LoopDelay | None = None
+        self._note = note
+        self._clock = clock
+        self._step_began_at: float | None = None
+        self._wait_ends_at: float | None = None
+
+    def start(self) -> None:
+        """Watch the event loop of the present task until it ends."""
+        trio.lowlevel.add_instrument(self)
+
+    def describe(self) -> list[float] | None:
+        """Return length and age of the last hold-up, in seconds, for a log line."""
+        if self.last is None:
+            return None
+        age = self._clock() - self.last.ended_at
+        return [round(self.last.seconds, 3), round(age, 3)]
+
+    def before_io_wait(self, timeout: float) -> None:
+        """Take the end of a step, and when the wait for events has to end."""
+        now = self._clock()
+        self._wait_ends_at = now + timeout
+        if self._step_began_at is not None:
+            self._take(now, now - self._step_began_at)
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Take the end of a wait, which is the begin of a step."""
+        now = self._clock()
+        self._step_began_at = now
+        if self._wait_ends_at is not None:
+            self._take(now, now - self._wait_ends_at)
+
+    def _take(self, now: float, seconds: float) -> None:
+        if seconds >= NOTED_SECONDS:
+            self.last = LoopDelay(now, seconds)
+            self._note(self.last)
