Lose requests of kept connections in a test, on the code as it is

Cause looked for: who closes a connection whose request has just been passed on. Ruled out: a failing handler (the library answers 500) and a failing server (502).

--- /dev/null
+++ b/tests/kept_connections.py
@@ -0,0 +1,148 @@
+"""An ingress on loopback whose clients keep their connections, on a paused clock."""
+
+from __future__ import annotations
+
+import functools
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from ashpond.gateway import replies
+from ashpond.gateway.calls import IncomingCall, Reply
+from ashpond.gateway.declared import IngressLimits
+from ashpond.gateway.ingress import Ingress, IngressPorts
+from ashpond_platform.headers import CODEC
+from tests.newsroom import find_free_port
+
+# Steps of the event loop that a backend server takes for its answer: more than it
+# takes for the end of a connection to reach the handler.
+SERVER_STEPS = 20
+BODY = b"ok"
+GRACE_SECONDS = 5.0
+
+
+class Client:
+    """One kept connection; it sends without giving the event loop a turn."""
+
+    def __init__(self, address: str, name: str):
+        host, port = address.split(":")
+        self.name = name
+        self.count = 0
+        self._sock = socket.create_connection((host, int(port)))
+        self._sock.setblocking(False)
+
+    def send(self, *, drop: int = 0) -> str:
+        """Send one more request, but for its last ``drop`` bytes; return its id."""
+        self.count += 1
+        request_id = f"{self.name}-{self.count}"
+        head = f"POST /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: {request_id}\r\n"
+        data = f"{head}Content-Length: 0\r\n\r\n".encode()
+        try:
+            self._sock.send(data[: len(data) - drop])
+        except OSError:
+            # The connection has ended; reading tells.
+            return request_id
+        return request_id
+
+    def send_bytes(self, data: bytes) -> None:
+        self._sock.send(data)
+
+    async def read(self) -> bytes:
+        """Return one answer as it came, or what there is of it at the end."""
+        data = b""
+        while not data.endswith(BODY):
+            await trio.lowlevel.wait_readable(self._sock)
+            try:
+                piece = self._sock.recv(65_536)
+            except ConnectionResetError:
+                return data
+            if not piece:
+                return data
+            data += piece
+        return data
+
+    def is_open(self) -> bool:
+        """Return whether the other side has not ended the connection."""
+        try:
+            return bool(self._sock.recv(1))
+        except BlockingIOError:
+            return True
+        except ConnectionResetError:
+            return False
+
+    def close(self) -> None:
+        self._sock.close()
+
+
+class Desk:
+    """The ingress, its clients, and what it has passed on."""
+
+    def __init__(self) -> None:
+        self.limits = IngressLimits(idle_timeout=15.0)
+        self.passed_on: set[str] = set()
+        self.stop = trio.Event()
+        self.clients: list[Client] = []
+        ports = IngressPorts(*[f"127.0.0.1:{find_free_port()}" for _ in range(3)])
+        self.address = ports.callers
+        self.ingress = Ingress(
+            ports,
+            CODEC,
+            self._handle,
+            lambda: self.limits,
+            lambda: True,
+            lambda: b"",
+            lambda: b"",
+        )
+
+    async def _handle(self, call: IncomingCall, reply: Reply) -> None:
+        self.passed_on.add(call.envelope.request_id)
+        for _ in range(SERVER_STEPS):
+            await trio.lowlevel.checkpoint()
+        await replies.send_whole(reply, 200, b"text/plain", BODY)
+
+    def set_idle_limit(self, seconds: float) -> None:
+        self.limits = IngressLimits(idle_timeout=seconds)
+        self.ingress.apply_limits()
+
+    async def open(self, count: int) -> list[Client]:
+        """Return connections that are idle after a first answer."""
+        opened = [Client(self.address, f"c{n}") for n in range(count)]
+        self.clients += opened
+        for client in opened:
+            client.send()
+            assert (await client.read()).endswith(BODY)
+        await take_steps(SERVER_STEPS)
+        self.passed_on.clear()
+        return opened
+
+    async def find_lost(self, sent: dict[Client, str]) -> set[str]:
+        """Return the requests that were passed on and never answered.
+
+        :param sent: the last request of each client.
+        """
+        lost = set()
+        for client, request_id in sent.items():
+            answer = await client.read()
+            if request_id in self.passed_on and not answer.endswith(BODY):
+                lost.add(request_id)
+        return lost
+
+
+async def take_steps(count: int) -> None:
+    """Let the event loop take some steps."""
+    for _ in range(count):
+        await trio.lowlevel.checkpoint()
+
+
+@asynccontextmanager
+async def run_desk() -> AsyncIterator[Desk]:
+    desk = Desk()
+    async with trio.open_nursery() as nursery:
+        run = functools.partial(desk.ingress.run, desk.stop.wait, GRACE_SECONDS)
+        await nursery.start(run)
+        yield desk
+        for client in desk.clients:
+            client.close()
+        nursery.cancel_scope.cancel()
