Give each client connection one owner, which reads, times and closes it

Cause: hypercorn's idle timer is a task of its own. At the idle limit, or once the instance has left, it closes under a shield a connection whose request the reading task has just taken up; the handler passes the request on and then takes its client for gone. Ruled out: a longer limit or a margin (the window is one to three steps of the event loop, whatever the limit), a patch of the library's private parts, and an ASGI wrapper (it sees no connection between two requests). Change: listener, connections, exchanges and wire on h11; one task a connection, which looks at the socket last and then closes. Two more tests (limits that grow or shrink while a connection idles) failed on the old code: the first found the connection closed, the second waited for a close that did not come.

--- /dev/null
+++ b/ashpond/connections.py
@@ -0,0 +1,227 @@
+"""One HTTP/1.1 connection of a client, read, answered and closed by one task.
+
+A connection has one owner. The task that reads it also keeps its idle limit, and it
+closes only after a last look at the socket, with nothing awaited in between. Were the
+limit kept by a task of its own, that one could close a connection whose request the
+reader has just taken up: in one step of the event loop both are ready.
+"""
+
+from __future__ import annotations
+
+__all__ = ["Closed", "ClosedBy", "Connection", "ConnectionLimits"]
+
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+import h11
+import trio
+
+from ashpond.exchanges import Exchange
+from ashpond.wire import Wire
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+REQUEST_TIMEOUT = 408
+INTERNAL_ERROR = 500
+# After its last answer a connection is read on until the client has closed it, or for
+# so long (seconds): bytes that are left unread would reset it, and with it the answer.
+LINGER_SECONDS = 1.0
+
+
+class ConnectionLimits(NamedTuple):
+    """What a client may send, in bytes, and how long it may take, in seconds."""
+
+    max_header_bytes: int
+    header_timeout: float
+    idle_timeout: float
+
+
+class ClosedBy(StrEnum):
+    """Who ended a connection, or why this side did."""
+
+    CLIENT = "client"
+    IDLE_LIMIT = "idle_limit"
+    SHUTDOWN = "shutdown"
+    LAST_ANSWER = "last_answer"
+    BAD_REQUEST = "bad_request"
+    HEADER_TIMEOUT = "header_timeout"
+    BROKEN_ANSWER = "broken_answer"
+    FAILURE = "failure"
+    GRACE_PERIOD = "grace_period"
+
+
+class Closed(NamedTuple):
+    """The end of a connection.
+
+    ``idle`` is the time since its last answer, or since it was accepted, and
+    ``idle_limit`` the limit in force (seconds). ``has_call`` tells that a request had
+    been read and not answered to its end.
+    """
+
+    by: ClosedBy
+    requests: int
+    idle: float
+    idle_limit: float
+    has_call: bool
+    failure: str | None
+
+
+class Connection:
+    """A connection, from its accepting to its close.
+
+    :param handle: serves one request; an error that it raises ends the connection.
+    :param is_leaving: whether an answer should be the last one of its connection.
+    :param note_closed: is told how the connection has ended.
+    """
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        handle: Callable[[Exchange], Awaitable[None]],
+        get_limits: Callable[[], ConnectionLimits],
+        is_leaving: Callable[[], bool],
+        note_closed: Callable[[Closed], None],
+    ):
+        self._stream = stream
+        self._wire = Wire(stream, get_limits().max_header_bytes)
+        self._handle = handle
+        self._get_limits = get_limits
+        self._is_leaving = is_leaving
+        self._note_closed = note_closed
+        self._is_shutting_down = False
+        self._requests = 0
+        self._idle_since = trio.current_time()
+        self._idle_scope: trio.CancelScope | None = None
+        self._exchange: Exchange | None = None
+        self._closed_by = ClosedBy.CLIENT
+
+    async def run(self) -> None:
+        """Serve requests, one after the other, until the connection has to end."""
+        try:
+            while await self._wait_for_request():
+                if not await self._serve_request():
+                    break
+        except BaseException:
+            # Errors of the handler end in an answer; this is the end of the process.
+            self._closed_by = ClosedBy.GRACE_PERIOD
+            raise
+        finally:
+            self._close()
+
+    def shut_down(self) -> None:
+        """Close as soon as no request is in hand."""
+        self._is_shutting_down = True
+        self.apply_limits()
+
+    def apply_limits(self) -> None:
+        """Go by the limits now in force, also if the connection is idle already.
+
+        Clients go by the newest limit, whenever their connection became idle.
+        """
+        if self._idle_scope is not None:
+            self._idle_scope.deadline = self._find_idle_end()
+
+    def _find_idle_end(self) -> float:
+        if self._is_shutting_down:
+            return -float("inf")
+        return self._idle_since + self._get_limits().idle_timeout
+
+    async def _wait_for_request(self) -> bool:
+        """Return whether there is something to read; if not, it is time to close.
+
+        The limit only wakes this task. Whether anything has come is seen at the
+        socket, since the limit may run out in the step in which a request arrives.
+        """
+        self._idle_since = trio.current_time()
+        if self._wire.has_unread():
+            return True
+        with trio.CancelScope(deadline=self._find_idle_end()) as scope:
+            self._idle_scope = scope
+            await self._wire.wait_readable()
+        self._idle_scope = None
+        if not scope.cancelled_caught or self._wire.is_readable():
+            return True
+        self._closed_by = (
+            ClosedBy.SHUTDOWN if self._is_shutting_down else ClosedBy.IDLE_LIMIT
+        )
+        return False
+
+    async def _serve_request(self) -> bool:
+        """Serve one request; return whether the connection may carry another."""
+        idle = trio.current_time() - self._idle_since
+        request = await self._read_head()
+        if request is None:
+            return False
+        idle_before = idle if self._requests else None
+        self._requests += 1
+        self._exchange = Exchange(
+            self._wire, request, idle_before, self._get_limits(), self._is_last_answer
+        )
+        try:
+            await self._handle(self._exchange)
+        except Exception as error:
+            await self._answer_failure(self._exchange, error)
+            return False
+        if not self._exchange.is_finished:
+            if not self._exchange.is_client_gone:
+                self._closed_by = ClosedBy.BROKEN_ANSWER
+            return False
+        self._exchange = None
+        return await self._prepare_next()
+
+    def _is_last_answer(self) -> bool:
+        return self._is_shutting_down or self._is_leaving()
+
+    async def _read_head(self) -> h11.Request | None:
+        """Return the next request, None if none comes or it is not valid."""
+        with trio.move_on_after(self._get_limits().header_timeout) as scope:
+            event = await self._wire.read_event()
+        if scope.cancelled_caught:
+            self._closed_by = ClosedBy.HEADER_TIMEOUT
+            await self._refuse(REQUEST_TIMEOUT)
+            return None
+        if isinstance(event, h11.RemoteProtocolError):
+            self._closed_by = ClosedBy.BAD_REQUEST
+            self._wire.failure = str(event)
+            await self._refuse(event.error_status_hint)
+            return None
+        return event if isinstance(event, h11.Request) else None
+
+    async def _refuse(self, status: int) -> None:
+        await self._wire.refuse(status)
+        await self._linger()
+
+    async def _answer_failure(self, exchange: Exchange, error: Exception) -> None:
+        self._closed_by = ClosedBy.FAILURE
+        self._wire.failure = repr(error)
+        if not exchange.is_started:
+            await self._refuse(INTERNAL_ERROR)
+
+    async def _prepare_next(self) -> bool:
+        if self._wire.is_broken:
+            return False
+        if self._wire.start_next_cycle():
+            return True
+        self._closed_by = ClosedBy.LAST_ANSWER
+        await self._linger()
+        return False
+
+    async def _linger(self) -> None:
+        with trio.move_on_after(LINGER_SECONDS):
+            await self._wire.finish_sending()
+            while await self._wire.receive():
+                pass
+
+    def _close(self) -> None:
+        self._wire.close()
+        now = trio.current_time()
+        closed = Closed(
+            self._closed_by,
+            self._requests,
+            now - self._idle_since,
+            self._get_limits().idle_timeout,
+            self._exchange is not None,
+            self._wire.failure,
+        )
+        self._note_closed(closed)
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -11,6 +11,7 @@
 import trio
 
 from ashpond.clients.channels import ChannelPool
+from ashpond.connections import Closed, ClosedBy
 from ashpond.errors import SettingsError
 from ashpond.gateway.admission import admit_call
 from ashpond.gateway.budget import SendBudget, SendCounts
@@ -52,6 +53,8 @@
 # Kept back from the grace period for the end of the process (seconds).
 GRACE_MARGIN_SECONDS = 0.4
 HOUSEKEEPING_SECONDS = 0.5
+# Ends of idle connections that need no line.
+QUIET_ENDS = (ClosedBy.CLIENT, ClosedBy.LAST_ANSWER)
 # Hold-ups of the event loop from this length on leave a line (seconds).
 LOGGED_DELAY_SECONDS = 0.05
 # The settings file may change without a signal; it is read again so often.
@@ -177,6 +180,7 @@
             self.metrics.render,
             lambda: render_status(self),
             self._on_cut_call,
+            self._on_closed,
         )
         self.loop_watch = LoopWatch(self._on_loop_delay)
 
@@ -224,12 +228,11 @@
         self.ingress.apply_limits()
 
     def _on_cut_call(self, cut: CutCall) -> None:
-        cause = "failure" if cut.failure else "connection"
-        self.metrics.count_cut_call(cause)
+        self.metrics.count_cut_call(cut.by)
         self.log.note(
             "call_cut",
             id=cut.request_id,
-            cause=cause,
+            by=cut.by,
             after=round(cut.after, 4),
             idle_before=cut.idle_before and round(cut.idle_before, 3),
             idle_limit=cut.idle_limit,
@@ -238,6 +241,21 @@
             loop_delay=self.loop_watch.describe(),
         )
 
+    def _on_closed(self, closed: Closed) -> None:
+        self.metrics.count_closed(closed.by)
+        if closed.by in QUIET_ENDS and not closed.has_call:
+            return
+        self.log.note(
+            "connection_closed",
+            by=closed.by,
+            requests=closed.requests,
+            idle=round(closed.idle, 3),
+            idle_limit=closed.idle_limit,
+            has_call=closed.has_call,
+            failure=closed.failure,
+            loop_delay=self.loop_watch.describe(),
+        )
+
     def _on_loop_delay(self, delay: LoopDelay) -> None:
         self.metrics.observe_delay(delay.seconds)
         if delay.seconds >= LOGGED_DELAY_SECONDS:
--- a/ashpond/gateway/calls.py
+++ b/ashpond/gateway/calls.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-Headers = list[tuple[bytes, bytes]]
+from ashpond.wire import Headers
 
 
 class PromptPart(NamedTuple):
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -28,7 +28,12 @@
         )
         self.cut_calls = Counter(
             "ashpond_gateway_cut_calls",
-            "Calls whose connection ended before their answer did, by cause",
+            "Calls that ended before their answer did, by cause",
+            registry=self.registry,
+        )
+        self.closed = Counter(
+            "ashpond_gateway_connections_closed",
+            "Clients' connections that have ended, by cause",
             registry=self.registry,
         )
         self.loop_delays = Histogram(
@@ -39,8 +44,12 @@
         )
 
     def count_cut_call(self, cause: str) -> None:
-        """Count one call whose connection ended before its answer did."""
-        self.cut_calls.inc({"cause": cause})
+        """Count one call that ended before its answer did."""
+        self.cut_calls.inc({"cause": str(cause)})
+
+    def count_closed(self, cause: str) -> None:
+        """Count the end of one connection."""
+        self.closed.inc({"cause": str(cause)})
 
     def observe_delay(self, seconds: float) -> None:
         """Take one hold-up of the event loop."""
--- /dev/null
+++ b/ashpond/listener.py
@@ -0,0 +1,141 @@
+"""Accept connections, and let them end without losing a request."""
+
+from __future__ import annotations
+
+__all__ = ["Listener"]
+
+import errno
+from collections.abc import Awaitable, Callable, Mapping
+from typing import TYPE_CHECKING
+
+import trio
+from logbook import Logger
+
+from ashpond.addresses import parse_address
+from ashpond.connections import Closed, Connection, ConnectionLimits
+
+if TYPE_CHECKING:
+    from ashpond.exchanges import Exchange
+
+logger = Logger("ashpond.listener")
+
+Handle = Callable[["Exchange"], Awaitable[None]]
+
+BACKLOG = 1024
+# Without descriptors or memory for another connection, accepting pauses (seconds).
+ACCEPT_PAUSE_SECONDS = 0.1
+CAPACITY_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
+
+
+class Listener:
+    """Serves the connections of some addresses, each address by its own handler.
+
+    :param get_limits: the limits in force; after a change :meth:`apply_limits` tells
+        connections that are idle.
+    :param is_leaving: whether answers should end their connections.
+    """
+
+    def __init__(
+        self,
+        handlers: Mapping[str, Handle],
+        get_limits: Callable[[], ConnectionLimits],
+        is_leaving: Callable[[], bool] = lambda: False,
+        note_closed: Callable[[Closed], None] = lambda closed: None,
+    ):
+        self._handlers = dict(handlers)
+        self._get_limits = get_limits
+        self._is_leaving = is_leaving
+        self._note_closed = note_closed
+        self._connections: set[Connection] = set()
+        self._is_shutting_down = False
+
+    async def run(
+        self,
+        shutdown: Callable[[], Awaitable[object]],
+        grace_seconds: float,
+        task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until ``shutdown`` returns, then let requests in hand be answered."""
+        listeners = [
+            (await _listen(address), handle)
+            for address, handle in self._handlers.items()
+        ]
+        try:
+            async with trio.open_nursery() as connections:
+                async with trio.open_nursery() as accepting:
+                    for listener, handle in listeners:
+                        accepting.start_soon(
+                            self._accept, listener, handle, connections
+                        )
+                    task_status.started(list(self._handlers))
+                    await shutdown()
+                    accepting.cancel_scope.cancel()
+                await self._shut_down(listeners, connections)
+                connections.cancel_scope.deadline = trio.current_time() + grace_seconds
+        finally:
+            for listener, _ in listeners:
+                listener.socket.close()
+
+    async def _shut_down(
+        self,
+        listeners: list[tuple[trio.SocketListener, Handle]],
+        nursery: trio.Nursery,
+    ) -> None:
+        self._is_shutting_down = True
+        for listener, handle in listeners:
+            await self._accept_rest(listener, handle, nursery)
+            listener.socket.close()
+        for connection in self._connections:
+            connection.shut_down()
+
+    def apply_limits(self) -> None:
+        """Have idle connections go by the limits now in force."""
+        for connection in self._connections:
+            connection.apply_limits()
+
+    async def _accept(
+        self, listener: trio.SocketListener, handle: Handle, nursery: trio.Nursery
+    ) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                if error.errno not in CAPACITY_ERRORS:
+                    raise
+                logger.error("no connection can be accepted", error=repr(error))
+                await trio.sleep(ACCEPT_PAUSE_SECONDS)
+                continue
+            nursery.start_soon(self._serve, stream, handle)
+
+    async def _accept_rest(
+        self, listener: trio.SocketListener, handle: Handle, nursery: trio.Nursery
+    ) -> None:
+        """Take the connections that clients have made and nobody has accepted.
+
+        Closing the listener would reset them, with the requests that they carry.
+        """
+        while listener.socket.is_readable():
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                logger.error("a connection is left unaccepted", error=repr(error))
+                return
+            nursery.start_soon(self._serve, stream, handle)
+
+    async def _serve(self, stream: trio.SocketStream, handle: Handle) -> None:
+        connection = Connection(
+            stream, handle, self._get_limits, self._is_leaving, self._note_closed
+        )
+        self._connections.add(connection)
+        if self._is_shutting_down:
+            connection.shut_down()
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
+
+async def _listen(address: str) -> trio.SocketListener:
+    host, port = parse_address(address)
+    (listener,) = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+    return listener
--- /dev/null
+++ b/tests/listeners.py
@@ -0,0 +1,99 @@
+"""A listener on loopback whose connections tests open and watch."""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import trio
+
+from ashpond.connections import Closed, ConnectionLimits
+from ashpond.exchanges import Exchange
+from ashpond.listener import Listener
+from tests.newsroom import find_free_port
+
+LIMITS = ConnectionLimits(max_header_bytes=2000, header_timeout=3.0, idle_timeout=15.0)
+GRACE_SECONDS = 5.0
+POST = b"POST /x HTTP/1.1\r\nHost: a\r\n"
+REQUEST = POST + b"Content-Length: 2\r\n\r\nab"
+
+
+async def echo(exchange: Exchange) -> None:
+    """Answer with the request's body."""
+    body = b""
+    while piece := await exchange.read_piece():
+        body += piece
+    if not exchange.is_client_gone:
+        await answer(exchange, body)
+
+
+async def answer(exchange: Exchange, body: bytes = b"ok") -> None:
+    length = str(len(body)).encode()
+    await exchange.start(200, [(b"content-length", length)])
+    await exchange.send(body)
+    await exchange.finish()
+
+
+class Running:
+    def __init__(self) -> None:
+        self.address = f"127.0.0.1:{find_free_port()}"
+        self.stop = trio.Event()
+        self.closed: list[Closed] = []
+        self.is_leaving = False
+        self.limits = LIMITS
+        self.scope: trio.CancelScope | None = None
+
+    async def connect(self) -> trio.SocketStream:
+        host, port = self.address.split(":")
+        return await trio.open_tcp_stream(host, int(port))
+
+    async def ask(self, data: bytes) -> bytes:
+        """Send bytes on a connection of their own and return all that comes."""
+        stream = await self.connect()
+        async with stream:
+            await stream.send_all(data)
+            return await read_all(stream)
+
+
+async def read_all(stream: trio.SocketStream) -> bytes:
+    data = b""
+    try:
+        while piece := await stream.receive_some(65_536):
+            data += piece
+    except trio.BrokenResourceError:
+        return data
+    return data
+
+
+async def read_until(stream: trio.SocketStream, end: bytes) -> bytes:
+    data = b""
+    while not data.endswith(end):
+        piece = await stream.receive_some(65_536)
+        assert piece, data
+        data += piece
+    return data
+
+
+async def take_steps(count: int) -> None:
+    """Let the event loop take some steps."""
+    for _ in range(count):
+        await trio.lowlevel.checkpoint()
+
+
+@asynccontextmanager
+async def run_listener(
+    handle: Callable[[Exchange], Awaitable[None]] = echo,
+) -> AsyncIterator[Running]:
+    running = Running()
+    listener = Listener(
+        {running.address: handle},
+        lambda: running.limits,
+        lambda: running.is_leaving,
+        running.closed.append,
+    )
+    async with trio.open_nursery() as nursery:
+        run = functools.partial(listener.run, running.stop.wait, GRACE_SECONDS)
+        await nursery.start(run)
+        yield running
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,283 @@
+"""One connection of a client: what is answered, and who ends it."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from hypothesis import given, settings, strategies as st
+
+from ashpond.connections import ClosedBy
+from ashpond.exchanges import Exchange
+from ashpond.wire import READ_BYTES
+from tests.listeners import (
+    GRACE_SECONDS,
+    LIMITS,
+    POST,
+    REQUEST,
+    answer,
+    echo,
+    read_all,
+    read_until,
+    run_listener,
+    take_steps,
+)
+
+# Steps in which what was done on one side of a connection is seen on the other.
+STEPS = 20
+
+
+async def test_requests_of_one_connection_are_answered_in_their_order():
+    async with run_listener() as running:
+        stream = await running.connect()
+        async with stream:
+            pieces = [REQUEST, REQUEST.replace(b"ab", b"cd"), REQUEST]
+            await stream.send_all(b"".join(pieces))
+            data = await read_until(stream, b"ab")
+            while data.count(b"HTTP/1.1 200") < 3:
+                data += await stream.receive_some()
+    bodies = [answer[-2:] for answer in data.split(b"HTTP/1.1 200")[1:]]
+    assert bodies == [b"ab", b"cd", b"ab"]
+
+
+@settings(max_examples=25)
+@given(cuts=st.lists(st.integers(1, 2 * len(REQUEST) - 1), max_size=6))
+def test_requests_may_come_in_any_pieces(cuts):
+    async def play() -> bytes:
+        async with run_listener() as running:
+            stream = await running.connect()
+            async with stream:
+                data = REQUEST + REQUEST
+                ends = sorted({0, len(data), *cuts})
+                for begin, end in zip(ends, ends[1:], strict=False):
+                    await stream.send_all(data[begin:end])
+                    await take_steps(2)
+                seen = b""
+                while seen.count(b"ab") < 2:
+                    seen += await stream.receive_some()
+                return seen
+
+    assert trio.run(play).count(b"HTTP/1.1 200") == 2
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"no request\r\n\r\n", b"400"),
+        (POST + b"X: " + b"x" * 2000, b"431"),
+        (POST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", b"400"),
+        (POST + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nab", b"400"),
+    ],
+)
+async def test_what_is_no_request_is_refused_and_ends_the_connection(data, status):
+    async with run_listener() as running:
+        stream = await running.connect()
+        async with stream:
+            await stream.send_all(data)
+            seen = await read_all(stream)
+    assert seen.startswith(b"HTTP/1.1 " + status)
+    assert b"connection: close" in seen.lower()
+
+
+async def test_a_head_that_does_not_come_whole_is_refused(mock_clock):
+    async with run_listener() as running:
+        stream = await running.connect()
+        async with stream:
+            await stream.send_all(POST)
+            await take_steps(STEPS)
+            mock_clock.jump(LIMITS.header_timeout)
+            seen = await read_all(stream)
+        await take_steps(STEPS)
+    assert seen.startswith(b"HTTP/1.1 408")
+    assert [closed.by for closed in running.closed] == [ClosedBy.HEADER_TIMEOUT]
+
+
+async def test_a_body_that_does_not_come_whole_is_refused(mock_clock):
+    async with run_listener() as running:
+        stream = await running.connect()
+        async with stream:
+            await stream.send_all(REQUEST[:-1])
+            await take_steps(STEPS)
+            mock_clock.jump(LIMITS.idle_timeout)
+            seen = await read_all(stream)
+    assert seen.startswith(b"HTTP/1.1 408")
+
+
+async def test_a_client_that_waits_for_leave_to_send_its_body_gets_it():
+    async with run_listener() as running:
+        stream = await running.connect()
+        async with stream:
+            head = POST + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+            await stream.send_all(head)
+            assert (await read_until(stream, b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+            await stream.send_all(b"ab")
+            assert (await read_until(stream, b"ab")).startswith(b"HTTP/1.1 200")
+
+
+async def test_an_idle_connection_is_closed_at_its_limit_and_not_before(mock_clock):
+    async with run_listener() as running:
+        stream = await running.connect()
+        async with stream:
+            await stream.send_all(REQUEST)
+            await read_until(stream, b"ab")
+            await take_steps(STEPS)
+            mock_clock.jump(LIMITS.idle_timeout - 0.1)
+            await stream.send_all(REQUEST)
+            await read_until(stream, b"ab")
+            await take_steps(STEPS)
+            mock_clock.jump(LIMITS.idle_timeout)
+            assert await read_all(stream) == b""
+    (closed,) = running.closed
+    assert (closed.by, closed.requests) == (ClosedBy.IDLE_LIMIT, 2)
+    assert closed.idle == pytest.approx(LIMITS.idle_timeout)
+    assert not closed.has_call
+
+
+async def test_an_answer_of_a_leaving_instance_is_its_connections_last():
+    async with run_listener() as running:
+        running.is_leaving = True
+        stream = await running.connect()
+        async with stream:
+            await stream.send_all(REQUEST)
+            seen = await read_all(stream)
+        await take_steps(STEPS)
+    assert b"connection: close" in seen.lower()
+    assert seen.endswith(b"ab")
+    assert [closed.by for closed in running.closed] == [ClosedBy.LAST_ANSWER]
+
+
+async def test_a_failing_handler_is_answered_500_and_told():
+    async def fail(exchange: Exchange) -> None:
+        raise RuntimeError("broken")
+
+    async with run_listener(fail) as running:
+        seen = await running.ask(POST + b"Content-Length: 0\r\n\r\n")
+        await take_steps(STEPS)
+    assert seen.startswith(b"HTTP/1.1 500")
+    (closed,) = running.closed
+    assert (closed.by, closed.has_call) == (ClosedBy.FAILURE, True)
+    assert "broken" in (closed.failure or "")
+
+
+async def test_an_answer_that_is_not_ended_looks_broken():
+    async def stop_early(exchange: Exchange) -> None:
+        await echo_head(exchange)
+
+    async def echo_head(exchange: Exchange) -> None:
+        while await exchange.read_piece():
+            pass
+        await exchange.start(200, [])
+        await exchange.send(b"part")
+
+    async with run_listener(stop_early) as running:
+        seen = await running.ask(REQUEST)
+        await take_steps(STEPS)
+    assert b"part" in seen
+    assert not seen.endswith(b"0\r\n\r\n")
+    assert [closed.by for closed in running.closed] == [ClosedBy.BROKEN_ANSWER]
+
+
+@pytest.mark.parametrize("status", [200, 204, 304])
+async def test_an_answer_without_a_body_keeps_the_connection(status):
+    async def answer_head(exchange: Exchange) -> None:
+        while await exchange.read_piece():
+            pass
+        await exchange.start(status, [(b"content-length", b"5")][: status == 200])
+        await exchange.send(b"hello")
+        await exchange.finish()
+
+    method = b"HEAD" if status == 200 else b"GET"
+    async with run_listener(answer_head) as running:
+        stream = await running.connect()
+        async with stream:
+            for _ in range(2):
+                await stream.send_all(method + b" / HTTP/1.1\r\nHost: a\r\n\r\n")
+                seen = await read_until(stream, b"\r\n\r\n")
+                assert seen.startswith(f"HTTP/1.1 {status}".encode())
+
+
+async def test_a_client_that_leaves_is_noticed_while_its_request_is_in_hand():
+    left = trio.Event()
+
+    async def watch(exchange: Exchange) -> None:
+        while await exchange.read_piece():
+            pass
+        await exchange.wait_until_gone()
+        left.set()
+
+    async with run_listener(watch) as running:
+        stream = await running.connect()
+        await stream.send_all(REQUEST)
+        await take_steps(STEPS)
+        # A next request, and much more than one read takes, are not the end.
+        await stream.send_all(REQUEST)
+        await take_steps(STEPS)
+        assert not left.is_set()
+        await stream.aclose()
+        with trio.fail_after(20):
+            await left.wait()
+        await take_steps(STEPS)
+    (closed,) = running.closed
+    assert (closed.by, closed.has_call) == (ClosedBy.CLIENT, True)
+
+
+async def test_a_client_that_sends_on_and_on_is_not_read_without_end():
+    async def wait(exchange: Exchange) -> None:
+        while await exchange.read_piece():
+            pass
+        with trio.move_on_after(0):
+            await exchange.wait_until_gone()
+        await exchange.wait_until_gone()
+
+    async with run_listener(wait) as running:
+        stream = await running.connect()
+        async with stream:
+            await stream.send_all(REQUEST)
+            with trio.move_on_after(0.5) as scope:
+                while True:
+                    await stream.send_all(b"x" * READ_BYTES)
+    assert scope.cancelled_caught
+
+
+async def test_a_deadline_in_the_step_of_an_answer_does_not_cut_it(mock_clock):
+    async def answer_late(exchange: Exchange) -> None:
+        while await exchange.read_piece():
+            pass
+        with trio.move_on_after(1.0):
+            mock_clock.jump(1.0)
+            await answer(exchange)
+
+    async with run_listener(answer_late) as running:
+        stream = await running.connect()
+        async with stream:
+            await stream.send_all(REQUEST)
+            assert (await read_until(stream, b"ok")).startswith(b"HTTP/1.1 200")
+
+
+async def test_the_grace_period_ends_what_is_still_in_hand(mock_clock):
+    async def hang(exchange: Exchange) -> None:
+        while await exchange.read_piece():
+            pass
+        await trio.sleep_forever()
+
+    async with run_listener(hang) as running:
+        stream = await running.connect()
+        async with stream:
+            await stream.send_all(REQUEST)
+            await take_steps(STEPS)
+            running.stop.set()
+            await take_steps(STEPS)
+            assert running.closed == []
+            mock_clock.jump(GRACE_SECONDS)
+            assert await read_all(stream) == b""
+    (closed,) = running.closed
+    assert (closed.by, closed.has_call) == (ClosedBy.GRACE_PERIOD, True)
+
+
+async def test_connections_that_nobody_accepted_yet_are_served_at_shutdown():
+    async with run_listener(echo) as running:
+        await take_steps(STEPS)
+        stream = await running.connect()
+        async with stream:
+            await stream.send_all(REQUEST)
+            running.stop.set()
+            assert (await read_all(stream)).endswith(b"ab")
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -22,7 +22,7 @@
 
 import pytest
 
-from tests.kept_connections import run_desk, take_steps
+from tests.kept_connections import BODY, SERVER_STEPS, run_desk, take_steps
 
 CONNECTIONS = 20
 # The runtime runs tasks that are ready together in either order.
@@ -51,3 +51,25 @@
             await take_steps(steps)
             sent = {client: client.send() for client in clients}
             assert await desk.find_lost(sent) == set()
+
+
+async def test_a_connection_goes_by_a_limit_that_grew_while_it_was_idle(mock_clock):
+    """A client that knows the newest limit may use its connection for so long."""
+    async with run_desk() as desk:
+        desk.set_idle_limit(IDLE_SECONDS)
+        (client,) = await desk.open(1)
+        desk.set_idle_limit(15.0)
+        mock_clock.jump(IDLE_SECONDS)
+        await take_steps(20)
+        mock_clock.jump(10.0)
+        client.send()
+        assert (await client.read()).endswith(BODY)
+
+
+async def test_a_connection_goes_by_a_limit_that_shrank_while_it_was_idle(mock_clock):
+    async with run_desk() as desk:
+        (client,) = await desk.open(1)
+        desk.set_idle_limit(IDLE_SECONDS)
+        mock_clock.jump(IDLE_SECONDS)
+        await take_steps(SERVER_STEPS)
+        assert not client.is_open()
