Serve the callers' API by the listener that owns its connections

The callers' API and the stand-ins ran on hypercorn, whose idle timer closes a connection whose request the reader has taken up. Change: ashpond/asgi.py serves the quart applications on the listener; the connection class that shielded the last event of an answer from that server goes. Ruled out: two servers side by side, since the fault would stay in one of them.

--- a/ashpond/api/callers.py
+++ b/ashpond/api/callers.py
@@ -10,6 +10,7 @@
 
 import trio
 from quart import Response, request
+from quart_trio.asgi import TrioASGIHTTPConnection
 from werkzeug.exceptions import HTTPException
 
 from ashpond.call import Call, CallKind, Handler, Progress, Reply
@@ -17,7 +18,7 @@
 from ashpond.filters.parsing import RESUMABLE_HEADER
 from ashpond.outcomes import Refusal, RunState
 from ashpond.replies import make_json_reply, make_refusal_reply
-from ashpond.server import HttpConnection, make_app, read_body
+from ashpond.server import make_app, read_body
 from ashpond.tokens import read_stream_token
 
 if TYPE_CHECKING:
@@ -34,7 +35,7 @@
 MAX_EVENT_DIGITS = 12
 
 
-class CallerConnection(HttpConnection):
+class CallerConnection(TrioASGIHTTPConnection):
     """Frees what a call holds when its exchange ends, whichever way."""
 
     async def __call__(self, receive: Any, send: Any) -> None:
--- /dev/null
+++ b/ashpond/asgi.py
@@ -0,0 +1,105 @@
+"""Serve an ASGI application on connections that this program owns."""
+
+from __future__ import annotations
+
+__all__ = ["make_handler", "run_lifespan"]
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+from urllib.parse import unquote
+
+import trio
+
+from ashpond.errors import AshpondError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from ashpond.exchanges import Exchange
+
+Event = dict[str, Any]
+
+VERSIONS = {"version": "3.0", "spec_version": "2.3"}
+
+
+class StartError(AshpondError):
+    """The application says that it cannot start."""
+
+
+def make_handler(app: Any) -> Callable[[Exchange], Awaitable[None]]:
+    """Return a handler of exchanges that asks ``app``."""
+
+    async def handle(exchange: Exchange) -> None:
+        scope = _build_scope(exchange)
+        await app(scope, _make_receive(exchange), _make_send(exchange))
+
+    return handle
+
+
+def _build_scope(exchange: Exchange) -> Event:
+    path, _, query = exchange.target.partition(b"?")
+    return {
+        "type": "http",
+        "asgi": VERSIONS,
+        "http_version": exchange.http_version,
+        "method": exchange.method,
+        "scheme": "http",
+        "path": unquote(path.decode("ascii")),
+        "raw_path": path,
+        "query_string": query,
+        "root_path": "",
+        "headers": [(name.lower(), value) for name, value in exchange.headers],
+        "client": None,
+        "server": None,
+        "extensions": {},
+    }
+
+
+def _make_receive(exchange: Exchange) -> Callable[[], Awaitable[Event]]:
+    is_whole = False
+
+    async def receive() -> Event:
+        nonlocal is_whole
+        if is_whole:
+            await exchange.wait_until_gone()
+            return {"type": "http.disconnect"}
+        piece = await exchange.read_piece()
+        if piece is None:
+            return {"type": "http.disconnect"}
+        is_whole = not piece
+        return {"type": "http.request", "body": piece, "more_body": not is_whole}
+
+    return receive
+
+
+def _make_send(exchange: Exchange) -> Callable[[Event], Awaitable[None]]:
+    async def send(event: Event) -> None:
+        if event["type"] == "http.response.start":
+            await exchange.start(event["status"], list(event.get("headers", [])))
+            return
+        await exchange.send(bytes(event.get("body", b"")))
+        if not event.get("more_body", False):
+            await exchange.finish()
+
+    return send
+
+
+@asynccontextmanager
+async def run_lifespan(app: Any) -> AsyncIterator[None]:
+    """Start ``app``, and have it shut down at the end.
+
+    :raises StartError: if it cannot start.
+    """
+    tell, told = trio.open_memory_channel[Event](1)
+    answer, answers = trio.open_memory_channel[Event](1)
+    scope = {"type": "lifespan", "asgi": VERSIONS, "state": {}}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(app, scope, told.receive, answer.send)
+        await tell.send({"type": "lifespan.startup"})
+        started = await answers.receive()
+        if started["type"] != "lifespan.startup.complete":
+            raise StartError(str(started.get("message", "")))
+        yield
+        await tell.send({"type": "lifespan.shutdown"})
+        await answers.receive()
+        nursery.cancel_scope.cancel()
--- a/ashpond/connections.py
+++ b/ashpond/connections.py
@@ -24,9 +24,12 @@
 
 REQUEST_TIMEOUT = 408
 INTERNAL_ERROR = 500
-# After its last answer a connection is read on until the client has closed it, or for
-# so long (seconds): bytes that are left unread would reset it, and with it the answer.
+# After its last answer a connection is read on until the client has closed it, or has
+# sent nothing for so long (seconds): bytes that are left unread would reset it, and
+# with it the answer.
 LINGER_SECONDS = 1.0
+# However much comes, it is not read for longer than this (seconds).
+MAX_LINGER_SECONDS = 10.0
 
 
 class ConnectionLimits(NamedTuple):
@@ -164,8 +167,7 @@
             await self._answer_failure(self._exchange, error)
             return False
         if not self._exchange.is_finished:
-            if not self._exchange.is_client_gone:
-                self._closed_by = ClosedBy.BROKEN_ANSWER
+            await self._end_unanswered(self._exchange)
             return False
         self._exchange = None
         return await self._prepare_next()
@@ -198,6 +200,13 @@
         if not exchange.is_started:
             await self._refuse(INTERNAL_ERROR)
 
+    async def _end_unanswered(self, exchange: Exchange) -> None:
+        if exchange.is_client_gone:
+            return
+        self._closed_by = ClosedBy.BROKEN_ANSWER
+        if not exchange.is_started:
+            await self._refuse(INTERNAL_ERROR)
+
     async def _prepare_next(self) -> bool:
         if self._wire.is_broken:
             return False
@@ -208,10 +217,13 @@
         return False
 
     async def _linger(self) -> None:
-        with trio.move_on_after(LINGER_SECONDS):
+        with trio.move_on_after(MAX_LINGER_SECONDS):
             await self._wire.finish_sending()
-            while await self._wire.receive():
-                pass
+            is_ended = False
+            while not is_ended:
+                with trio.move_on_after(LINGER_SECONDS) as scope:
+                    is_ended = not await self._wire.receive()
+                is_ended = is_ended or scope.cancelled_caught
 
     def _close(self) -> None:
         self._wire.close()
--- a/ashpond/listener.py
+++ b/ashpond/listener.py
@@ -102,7 +102,7 @@
             except OSError as error:
                 if error.errno not in CAPACITY_ERRORS:
                     raise
-                logger.error("no connection can be accepted", error=repr(error))
+                logger.error("accepting_paused", extra={"error": repr(error)})
                 await trio.sleep(ACCEPT_PAUSE_SECONDS)
                 continue
             nursery.start_soon(self._serve, stream, handle)
@@ -118,7 +118,7 @@
             try:
                 stream = await listener.accept()
             except OSError as error:
-                logger.error("a connection is left unaccepted", error=repr(error))
+                logger.error("connection_unaccepted", extra={"error": repr(error)})
                 return
             nursery.start_soon(self._serve, stream, handle)
 
--- a/ashpond/server.py
+++ b/ashpond/server.py
@@ -2,48 +2,41 @@
 
 from __future__ import annotations
 
-__all__ = ["HttpConnection", "make_app", "read_body", "run_app"]
+__all__ = ["make_app", "read_body", "run_app"]
 
 import logging
-from collections.abc import Awaitable, Callable
-from typing import Any, cast
+from typing import TYPE_CHECKING, cast
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
+from logbook import Logger
 from quart import request
 from quart_trio import QuartTrio
-from quart_trio.asgi import TrioASGIHTTPConnection
 
-MAX_BODY_BYTES = 64 << 20
-BACKLOG = 1024
-SHUTDOWN_SECONDS = 2
-
-
-class HttpConnection(TrioASGIHTTPConnection):
-    """One exchange, whose last event is sent whole.
-
-    The server closes the exchange in the midst of sending that event, which
-    cancels the sending task before it has told that the connection is idle. An
-    idle connection that nobody knows to be idle would hold up a shutdown.
-    """
+from ashpond.asgi import make_handler, run_lifespan
+from ashpond.connections import Closed, ClosedBy, ConnectionLimits
+from ashpond.listener import Listener
 
-    async def __call__(self, receive: Any, send: Any) -> None:
-        """Serve one exchange."""
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
 
-        async def send_whole(event: Any) -> None:
-            is_body = event["type"] == "http.response.body"
-            is_last = is_body and not event.get("more_body", False)
-            with trio.CancelScope(shield=is_last):
-                await send(event)
+logger = Logger("ashpond.server")
 
-        await super().__call__(receive, send_whole)
+MAX_BODY_BYTES = 64 << 20
+SHUTDOWN_SECONDS = 2
+# Clients keep connections for minutes; a head comes in one piece or a few.
+LIMITS = ConnectionLimits(max_header_bytes=16_384, header_timeout=15, idle_timeout=75)
+# Ends that are a matter of course.
+QUIET_ENDS = (
+    ClosedBy.CLIENT,
+    ClosedBy.IDLE_LIMIT,
+    ClosedBy.SHUTDOWN,
+    ClosedBy.LAST_ANSWER,
+)
 
 
 def make_app(name: str, max_body_bytes: int = MAX_BODY_BYTES) -> QuartTrio:
     """Return an application without time limits of its own."""
     app = QuartTrio(name)
-    app.asgi_http_class = HttpConnection
     app.config["RESPONSE_TIMEOUT"] = None
     app.config["BODY_TIMEOUT"] = None
     app.config["MAX_CONTENT_LENGTH"] = max_body_bytes
@@ -59,19 +52,21 @@
 async def run_app(
     app: QuartTrio,
     address: str,
-    shutdown: Callable[[], Awaitable[None]],
+    shutdown: Callable[[], Awaitable[object]],
     *,
     graceful_seconds: float = SHUTDOWN_SECONDS,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve ``app`` until ``shutdown`` returns, then let answers in flight end."""
-    config = Config()
-    config.bind = [address]
-    config.backlog = BACKLOG
-    config.graceful_timeout = graceful_seconds
-    config.keep_alive_timeout = 75
-    config.errorlog = None
-    config.accesslog = None
-    await serve(
-        app, config, shutdown_trigger=shutdown, mode="asgi", task_status=task_status
+    listener = Listener(
+        {address: make_handler(app)}, lambda: LIMITS, note_closed=_note_closed
     )
+    async with run_lifespan(app):
+        await listener.run(shutdown, graceful_seconds, task_status)
+
+
+def _note_closed(closed: Closed) -> None:
+    if closed.by in QUIET_ENDS and not closed.has_call:
+        return
+    fields = {name: value for name, value in closed._asdict().items() if value}
+    logger.notice("connection_cut", extra=fields)
--- /dev/null
+++ b/tests/test_asgi.py
@@ -0,0 +1,93 @@
+"""ASGI applications on the program's own connections."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+import trio
+
+from ashpond.asgi import StartError, make_handler, run_lifespan
+from tests.listeners import POST, REQUEST, read_until, run_listener
+
+
+async def test_an_application_gets_the_request_and_its_answer_is_sent():
+    scopes: list[dict[str, Any]] = []
+
+    async def app(scope, receive, send):
+        scopes.append(scope)
+        event = {"more_body": True}
+        body = b""
+        while event["more_body"]:
+            event = await receive()
+            body += event["body"]
+        headers = [(b"x-a", b"1"), (b"content-length", b"2")]
+        start = {"type": "http.response.start", "status": 201, "headers": headers}
+        await send(start)
+        await send({"type": "http.response.body", "body": body, "more_body": True})
+        await send({"type": "http.response.body"})
+
+    async with run_listener(make_handler(app)) as running:
+        stream = await running.connect()
+        async with stream:
+            target = REQUEST.replace(b"/x ", b"/a%20b/c?d=%2F ")
+            await stream.send_all(target)
+            seen = await read_until(stream, b"ab")
+    assert seen.startswith(b"HTTP/1.1 201")
+    assert b"x-a: 1" in seen
+    (scope,) = scopes
+    assert (scope["path"], scope["raw_path"]) == ("/a b/c", b"/a%20b/c")
+    assert scope["query_string"] == b"d=%2F"
+    assert (b"host", b"a") in scope["headers"]
+
+
+async def test_an_application_is_told_that_its_client_has_left():
+    told = trio.Event()
+
+    async def app(scope, receive, send):
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        told.set()
+
+    async with run_listener(make_handler(app)) as running:
+        stream = await running.connect()
+        await stream.send_all(POST + b"Content-Length: 0\r\n\r\n")
+        await stream.aclose()
+        with trio.fail_after(20):
+            await told.wait()
+
+
+async def test_an_application_that_answers_nothing_is_answered_for():
+    async def app(scope, receive, send):
+        await receive()
+
+    async with run_listener(make_handler(app)) as running:
+        seen = await running.ask(POST + b"Content-Length: 0\r\n\r\n")
+    assert seen.startswith(b"HTTP/1.1 500")
+
+
+async def test_an_application_is_started_and_shut_down():
+    events: list[str] = []
+
+    async def app(scope, receive, send):
+        for _ in range(2):
+            event = (await receive())["type"]
+            events.append(event)
+            await send({"type": f"{event}.complete"})
+
+    async with run_lifespan(app):
+        assert events == ["lifespan.startup"]
+    assert events == ["lifespan.startup", "lifespan.shutdown"]
+
+
+async def test_an_application_that_cannot_start_says_why():
+    async def app(scope, receive, send):
+        await receive()
+        await send({"type": "lifespan.startup.failed", "message": "no table"})
+
+    with pytest.raises(ExceptionGroup) as caught:
+        async with run_lifespan(app):
+            raise AssertionError("it has started")
+    (error,) = caught.value.exceptions
+    assert isinstance(error, StartError)
+    assert str(error) == "no table"
