End sends to clients that take nothing with the grace period

Cause: sends are shielded, so a client that reads nothing could hold a stopping instance for up to 10 s, beyond its grace period. Change: the shutdown sets the end of sends as well; a connection that broke is a checkpoint, so that a handler that goes on writing is cancelled; a client that left between two looks cannot hold up the last accepting.

--- a/ashpond/connections.py
+++ b/ashpond/connections.py
@@ -112,9 +112,10 @@
         finally:
             self._close()
 
-    def shut_down(self) -> None:
-        """Close as soon as no request is in hand."""
+    def shut_down(self, grace_ends_at: float) -> None:
+        """Close as soon as no request is in hand, and send nothing after the grace."""
         self._is_shutting_down = True
+        self._wire.end_sending_at(grace_ends_at)
         self.apply_limits()
 
     def apply_limits(self) -> None:
@@ -169,6 +170,8 @@
         if not self._exchange.is_finished:
             await self._end_unanswered(self._exchange)
             return False
+        if self._wire.is_broken:
+            return False
         self._exchange = None
         return await self._prepare_next()
 
@@ -208,8 +211,6 @@
             await self._refuse(INTERNAL_ERROR)
 
     async def _prepare_next(self) -> bool:
-        if self._wire.is_broken:
-            return False
         if self._wire.start_next_cycle():
             return True
         self._closed_by = ClosedBy.LAST_ANSWER
--- a/ashpond/listener.py
+++ b/ashpond/listener.py
@@ -47,7 +47,7 @@
         self._is_leaving = is_leaving
         self._note_closed = note_closed
         self._connections: set[Connection] = set()
-        self._is_shutting_down = False
+        self._grace_ends_at: float | None = None
 
     async def run(
         self,
@@ -70,8 +70,9 @@
                     task_status.started(list(self._handlers))
                     await shutdown()
                     accepting.cancel_scope.cancel()
-                await self._shut_down(listeners, connections)
-                connections.cancel_scope.deadline = trio.current_time() + grace_seconds
+                grace_ends_at = trio.current_time() + grace_seconds
+                connections.cancel_scope.deadline = grace_ends_at
+                await self._shut_down(listeners, connections, grace_ends_at)
         finally:
             for listener, _ in listeners:
                 listener.socket.close()
@@ -80,13 +81,14 @@
         self,
         listeners: list[tuple[trio.SocketListener, Handle]],
         nursery: trio.Nursery,
+        grace_ends_at: float,
     ) -> None:
-        self._is_shutting_down = True
+        self._grace_ends_at = grace_ends_at
         for listener, handle in listeners:
             await self._accept_rest(listener, handle, nursery)
             listener.socket.close()
         for connection in self._connections:
-            connection.shut_down()
+            connection.shut_down(grace_ends_at)
 
     def apply_limits(self) -> None:
         """Have idle connections go by the limits now in force."""
@@ -115,20 +117,22 @@
         Closing the listener would reset them, with the requests that they carry.
         """
         while listener.socket.is_readable():
-            try:
-                stream = await listener.accept()
-            except OSError as error:
-                logger.error("connection_unaccepted", extra={"error": repr(error)})
-                return
-            nursery.start_soon(self._serve, stream, handle)
+            # A client that has left meanwhile leaves nothing to accept.
+            with trio.move_on_after(ACCEPT_PAUSE_SECONDS):
+                try:
+                    stream = await listener.accept()
+                except OSError as error:
+                    logger.error("connection_unaccepted", extra={"error": repr(error)})
+                    return
+                nursery.start_soon(self._serve, stream, handle)
 
     async def _serve(self, stream: trio.SocketStream, handle: Handle) -> None:
         connection = Connection(
             stream, handle, self._get_limits, self._is_leaving, self._note_closed
         )
         self._connections.add(connection)
-        if self._is_shutting_down:
-            connection.shut_down()
+        if self._grace_ends_at is not None:
+            connection.shut_down(self._grace_ends_at)
         try:
             await connection.run()
         finally:
--- a/ashpond/wire.py
+++ b/ashpond/wire.py
@@ -34,6 +34,8 @@
         self.is_broken = False
         self.failure: str | None = None
         self._stream = stream
+        self._sending: trio.CancelScope | None = None
+        self._last_send_at = float("inf")
         self._conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=max_header_bytes
         )
@@ -103,15 +105,23 @@
         """
         for piece in _cut(data):
             if self.is_broken:
+                await trio.lowlevel.checkpoint()
                 return
-            with trio.move_on_after(SEND_SECONDS, shield=True) as scope:
+            end = min(trio.current_time() + SEND_SECONDS, self._last_send_at)
+            with trio.CancelScope(deadline=end, shield=True) as self._sending:
                 try:
                     await self._stream.send_all(piece)
                 except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                     self._break(f"sending failed: {error.__cause__!r}")
-            if scope.cancelled_caught:
+            if self._sending.cancelled_caught:
                 self._break("the client takes nothing")
 
+    def end_sending_at(self, end: float) -> None:
+        """Send nothing after ``end``, on the runtime's clock."""
+        self._last_send_at = end
+        if self._sending is not None:
+            self._sending.deadline = min(self._sending.deadline, end)
+
     def _break(self, failure: str) -> None:
         """Give the connection up; whoever reads it finds its end."""
         self.is_broken = True
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 from hypothesis import given, settings, strategies as st
 
 from ashpond.connections import ClosedBy
@@ -273,6 +274,31 @@
     assert (closed.by, closed.has_call) == (ClosedBy.GRACE_PERIOD, True)
 
 
+async def test_a_client_that_takes_nothing_does_not_outlast_the_grace_period(
+    mock_clock,
+):
+    async def flood(exchange: Exchange) -> None:
+        while await exchange.read_piece():
+            pass
+        await exchange.start(200, [])
+        for _ in range(1000):
+            await exchange.send(b"x" * READ_BYTES)
+        await exchange.finish()
+
+    async with run_listener(flood) as running:
+        stream = await running.connect()
+        async with stream:
+            await stream.send_all(REQUEST)
+            # Until the buffers between both are full and nothing more is taken.
+            await trio.testing.wait_all_tasks_blocked()
+            running.stop.set()
+            await take_steps(STEPS)
+            mock_clock.jump(GRACE_SECONDS)
+            await take_steps(STEPS)
+            (closed,) = running.closed
+    assert (closed.by, closed.has_call) == (ClosedBy.GRACE_PERIOD, True)
+
+
 async def test_connections_that_nobody_accepted_yet_are_served_at_shutdown():
     async with run_listener(echo) as running:
         await take_steps(STEPS)
