--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -11,12 +11,12 @@
 import trio
 
 from ashpond.clients.channels import ChannelPool
-from ashpond.connections import Closed, ClosedBy
 from ashpond.errors import SettingsError
 from ashpond.gateway.admission import admit_call
 from ashpond.gateway.budget import SendBudget, SendCounts
 from ashpond.gateway.cachestores import EVENTS_PREFIX, CacheStores
 from ashpond.gateway.calls import IncomingCall, Prompt, Reply
+from ashpond.gateway.connectionlog import ConnectionLog
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.declared import (
     CacheStore,
@@ -26,7 +26,7 @@
 from ashpond.gateway.feeds import Feed, Follower, TableNews
 from ashpond.gateway.fleetlinks import Member
 from ashpond.gateway.holdings import Holding, Holdings
-from ashpond.gateway.ingress import CutCall, Ingress, IngressPorts
+from ashpond.gateway.ingress import Ingress, IngressPorts
 from ashpond.gateway.members import Members
 from ashpond.gateway.metrics import GatewayMetrics
 from ashpond.gateway.news import NewsHandlers, Newsroom
@@ -39,7 +39,6 @@
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
 from ashpond.gateway.status import render_status
 from ashpond.gateway.storeview import StoreView, build_feeds
-from ashpond.loopdelay import LoopDelay, LoopWatch
 from ashpond.outcomes import Refusal
 
 MS = 1000.0
@@ -53,10 +52,6 @@
 # Kept back from the grace period for the end of the process (seconds).
 GRACE_MARGIN_SECONDS = 0.4
 HOUSEKEEPING_SECONDS = 0.5
-# Ends of idle connections that need no line.
-QUIET_ENDS = (ClosedBy.CLIENT, ClosedBy.LAST_ANSWER)
-# Hold-ups of the event loop from this length on leave a line (seconds).
-LOGGED_DELAY_SECONDS = 0.05
 # The settings file may change without a signal; it is read again so often.
 SETTINGS_SECONDS = 2.0
 
@@ -167,6 +162,9 @@
                 self.rng,
             )
         )
+        self.connection_log = ConnectionLog(
+            log, self.metrics, lambda: self.ingress.open_calls, self.leaving.is_set
+        )
         self.ingress = Ingress(
             IngressPorts(
                 settings.callers_address,
@@ -179,10 +177,9 @@
             self.is_ready,
             self.metrics.render,
             lambda: render_status(self),
-            self._on_cut_call,
-            self._on_closed,
+            self.connection_log.note_cut,
+            self.connection_log.note_closed,
         )
-        self.loop_watch = LoopWatch(self._on_loop_delay)
 
     @property
     def settings(self) -> GatewaySettings:
@@ -192,7 +189,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then let what is in flight end."""
         self.log.note("started", settings=self.settings._asdict())
-        self.loop_watch.start()
+        self.connection_log.watch.start()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.log.run)
             nursery.start_soon(self._watch_signals)
@@ -227,44 +224,6 @@
     def _on_configuration(self) -> None:
         self.ingress.apply_limits()
 
-    def _on_cut_call(self, cut: CutCall) -> None:
-        self.metrics.count_cut_call(cut.by)
-        self.log.note(
-            "call_cut",
-            id=cut.request_id,
-            by=cut.by,
-            after=round(cut.after, 4),
-            idle_before=cut.idle_before and round(cut.idle_before, 3),
-            idle_limit=cut.idle_limit,
-            failure=cut.failure,
-            leaving=self.leaving.is_set(),
-            loop_delay=self.loop_watch.describe(),
-        )
-
-    def _on_closed(self, closed: Closed) -> None:
-        self.metrics.count_closed(closed.by)
-        if closed.by in QUIET_ENDS and not closed.has_call:
-            return
-        self.log.note(
-            "connection_closed",
-            by=closed.by,
-            requests=closed.requests,
-            idle=round(closed.idle, 3),
-            idle_limit=closed.idle_limit,
-            has_call=closed.has_call,
-            failure=closed.failure,
-            loop_delay=self.loop_watch.describe(),
-        )
-
-    def _on_loop_delay(self, delay: LoopDelay) -> None:
-        self.metrics.observe_delay(delay.seconds)
-        if delay.seconds >= LOGGED_DELAY_SECONDS:
-            self.log.note(
-                "loop_delayed",
-                seconds=round(delay.seconds, 3),
-                open_calls=self.ingress.open_calls,
-            )
-
     def _on_servers(self) -> None:
         self.places.wake()
 
--- /dev/null
+++ b/ashpond/gateway/connectionlog.py
@@ -0,0 +1,80 @@
+"""Record how calls and connections end, and how the event loop was held up."""
+
+from __future__ import annotations
+
+__all__ = ["ConnectionLog"]
+
+from typing import TYPE_CHECKING
+
+from ashpond.connections import Closed, ClosedBy
+from ashpond.loopdelay import LoopDelay, LoopWatch
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ashpond.gateway.decisionlog import DecisionLog
+    from ashpond.gateway.ingress import CutCall
+    from ashpond.gateway.metrics import GatewayMetrics
+
+# Hold-ups of the event loop from this length on leave a line (seconds).
+LOGGED_DELAY_SECONDS = 0.05
+# Ends of idle connections that need no line.
+QUIET_ENDS = (ClosedBy.CLIENT, ClosedBy.LAST_ANSWER)
+
+
+class ConnectionLog:
+    """Counts every end, and leaves a line for those that may need an explanation.
+
+    :param count_calls: how many calls are open.
+    :param is_leaving: whether the instance is about to stop.
+    """
+
+    def __init__(
+        self,
+        log: DecisionLog,
+        metrics: GatewayMetrics,
+        count_calls: Callable[[], int],
+        is_leaving: Callable[[], bool],
+    ):
+        self.watch = LoopWatch(self._note_delay)
+        self._log = log
+        self._metrics = metrics
+        self._count_calls = count_calls
+        self._is_leaving = is_leaving
+
+    def note_cut(self, cut: CutCall) -> None:
+        """Record a call that ended before its answer did."""
+        self._metrics.count_cut_call(cut.by)
+        self._log.note(
+            "call_cut",
+            id=cut.request_id,
+            by=cut.by,
+            after=round(cut.after, 4),
+            idle_before=cut.idle_before and round(cut.idle_before, 3),
+            idle_limit=cut.idle_limit,
+            failure=cut.failure,
+            leaving=self._is_leaving(),
+            loop_delay=self.watch.describe(),
+        )
+
+    def note_closed(self, closed: Closed) -> None:
+        """Record the end of a connection."""
+        self._metrics.count_closed(closed.by)
+        if closed.by in QUIET_ENDS and not closed.has_call:
+            return
+        self._log.note(
+            "connection_closed",
+            by=closed.by,
+            requests=closed.requests,
+            idle=round(closed.idle, 3),
+            idle_limit=closed.idle_limit,
+            has_call=closed.has_call,
+            failure=closed.failure,
+            loop_delay=self.watch.describe(),
+        )
+
+    def _note_delay(self, delay: LoopDelay) -> None:
+        self._metrics.observe_delay(delay.seconds)
+        if delay.seconds >= LOGGED_DELAY_SECONDS:
+            seconds = round(delay.seconds, 3)
+            self._log.note("loop_delayed", seconds=seconds, calls=self._count_calls())
