--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -20,9 +20,21 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import pytest
+import trio
+import trio.testing
+from hypothesis import example, given, settings, strategies as st
 
-from tests.kept_connections import BODY, SERVER_STEPS, run_desk, take_steps
+from tests.kept_connections import (
+    BODY,
+    SERVER_STEPS,
+    Client,
+    Desk,
+    run_desk,
+    take_steps,
+)
 
 CONNECTIONS = 20
 # The runtime runs tasks that are ready together in either order.
@@ -73,3 +85,96 @@
         mock_clock.jump(IDLE_SECONDS)
         await take_steps(SERVER_STEPS)
         assert not client.is_open()
+
+
+class Action(NamedTuple):
+    """One step of a play: what is done, to which client, how much of it."""
+
+    kind: str
+    client: int = 0
+    amount: float = 0.0
+
+
+clients = st.integers(0, 2)
+actions = st.one_of(
+    st.builds(Action, st.just("send"), clients),
+    st.builds(Action, st.just("send_twice"), clients),
+    st.builds(Action, st.just("send_half"), clients),
+    st.builds(Action, st.just("leave"), clients),
+    st.builds(
+        Action, st.just("jump"), st.just(0), st.sampled_from([0.5, 1.9, 2.0, 15.0])
+    ),
+    st.builds(Action, st.just("limit"), st.just(0), st.sampled_from([0.5, 2.0, 15.0])),
+    st.builds(Action, st.just("steps"), st.just(0), st.integers(1, 30)),
+    st.builds(Action, st.just("stop"), st.just(0)),
+)
+
+
+class Play:
+    """Carries out actions; nothing but ``steps`` gives the event loop a turn."""
+
+    def __init__(self, desk: Desk, clock: trio.testing.MockClock, opened: list[Client]):
+        self.desk = desk
+        self.clock = clock
+        self.clients = opened
+        self.left: set[Client] = set()
+        self.halves: dict[Client, bytes] = {}
+        self.sent: dict[Client, list[str]] = {client: [] for client in opened}
+
+    async def do(self, action: Action) -> None:
+        client = self.clients[action.client]
+        if action.kind == "jump":
+            self.clock.jump(action.amount)
+        elif action.kind == "limit":
+            self.desk.set_idle_limit(action.amount)
+        elif action.kind == "steps":
+            await take_steps(int(action.amount))
+        elif action.kind == "stop":
+            self.desk.stop.set()
+        elif client not in self.left:
+            self.act(client, action.kind)
+
+    def act(self, client: Client, kind: str) -> None:
+        if kind == "leave":
+            self.left.add(client)
+            client.close()
+            return
+        if kind == "send_half" and client not in self.halves:
+            data = client.make_request()
+            self.sent[client].append(client.last_id)
+            self.halves[client] = data[20:]
+            client.send_bytes(data[:20])
+            return
+        client.send_bytes(self.halves.pop(client, b""))
+        for _ in range(2 if kind == "send_twice" else 1):
+            self.sent[client].append(client.send())
+
+    async def find_lost(self) -> set[str]:
+        """Return what was passed on and never answered, though its client stayed."""
+        await take_steps(200)
+        lost = set()
+        for client in self.clients:
+            if client in self.left:
+                continue
+            taken = [r for r in self.sent[client] if r in self.desk.passed_on]
+            if client.read_now().count(b"HTTP/1.1 200") < len(taken):
+                lost.update(taken)
+        return lost
+
+
+@settings(max_examples=150)
+@given(plan=st.lists(actions, min_size=3, max_size=12))
+@example(
+    plan=[Action("limit", amount=2.0), Action("send", 1), Action("jump", amount=2.0)]
+)
+@example(plan=[Action("stop"), Action("steps", amount=5), Action("send", 2)])
+def test_whatever_ends_a_connection_what_was_taken_up_is_answered(plan):
+    async def play(clock: trio.testing.MockClock) -> set[str]:
+        async with run_desk() as desk:
+            playing = Play(desk, clock, await desk.open(3))
+            for action in plan:
+                await playing.do(action)
+            return await playing.find_lost()
+
+    clock = trio.testing.MockClock()
+    assert trio.run(play, clock, clock=clock) == set()
