Ask the store about a gap that shows while a call to it is out

Cause: an instance that others tell of changes notes a gap when it missed one, and asks the store at once. If a call was out, its answer, made before the change, cleared the note. The knowledge stayed truthful about its age, but the change was taken up only when the readers' patience (3 s in the test) ran out or more news came. Ruled out: a change that is never taken up (the next news show the gap again; silence ends the patience). Change: the note is cleared when a call begins, set again if the call fails, and one that is set meanwhile stays. That costs at most one call that does not wait. The new test before it:

FAILED test_a_gap_that_shows_while_a_call_is_out_is_asked_for assert other.rows == {"a": b"1", "b": b"2"} AssertionError: assert {} == {'a': b'1', 'b': b'2'}

Time until the change was taken up, same script on the mock clock: 3.000 s before, 0.004 s after. tests/test_feeds.py and tests/test_cachestores.py after it: 17 passed.

--- a/ashpond/gateway/feeds.py
+++ b/ashpond/gateway/feeds.py
@@ -152,12 +152,17 @@
         """Ask the store once, and tell the others."""
         feed = self.feed
         after = self._version
+        had_gap = self._has_gap
+        # One that shows while the call is out may be newer than its answer.
+        self._has_gap = False
         outcome: Done | HistoryLost | Unavailable | Unknown
         if after is None:
             outcome = await self._store.read(feed.table)
         else:
-            wait = 0.0 if self._has_gap else feed.wait
+            wait = 0.0 if had_gap else feed.wait
             outcome = await self._store.follow(feed.table, after, wait)
+        if not isinstance(outcome, Done):
+            self._has_gap |= had_gap
         if isinstance(outcome, HistoryLost):
             self._log.note("feed_restarted", table=feed.table, after=after)
             self._version = None
@@ -169,7 +174,6 @@
         if self._is_lost:
             self._log.note("store_regained", table=feed.table, version=snapshot.version)
         self._is_lost = False
-        self._has_gap = False
         self._retry = RETRY_SECONDS
         self._asked_at = trio.current_time()
         self._adopt(snapshot, after)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -160,6 +160,41 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_gap_that_shows_while_a_call_is_out_is_asked_for(
+    autojump_clock: object,
+) -> None:
+    """An answer made before a change was missed does not count the gap as closed.
+
+    Evidence: looked for after an incident in which one task acted on what it had
+    known before another went on; the change was taken up 3.0 s later, not at once.
+    """
+    store = MemoryStore()
+    other = Followed(store)
+    other.is_reader = False
+    answer_made, told = trio.Event(), trio.Event()
+    follow = store.follow
+
+    async def follow_slowly(table: str, after: int, wait: float) -> Any:
+        answer = await follow(table, after, wait)
+        if not told.is_set():
+            answer_made.set()
+            await told.wait()
+        return answer
+
+    other.follower._store = store.build_port()._replace(follow=follow_slowly)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(other.run)
+        await answer_made.wait()
+        store.put("t", "a", b"1")
+        store.put("t", "b", b"2")
+        news = TableNews("t", 1, 2, 0.0, (Row("t", "b", b"2", 2),))
+        assert not other.follower.take(news)
+        told.set()
+        await trio.sleep(0.1)
+        assert other.rows == {"a": b"1", "b": b"2"}
+        nursery.cancel_scope.cancel()
+
+
 async def test_old_news_change_nothing(autojump_clock: object) -> None:
     store = MemoryStore()
     other = Followed(store)
