Judge a connection to a server by when its answer came

Cause, two of one kind: the program went by when it noticed, not by when it came. 1. An event loop that was held up learns of a time limit and of the answer in one step. An answer of one read was taken; one that takes more (above 64 KB) was thrown away with its connection, and the call counted as silent or late though its answer was there. 2. A connection counted as idle from its release. While a slow client or the loop holds up a stream, the server has written its end and counts its own idle time: one idle for 5 s at a server that allows 1 s was given out, where only an end that had arrived by then was seen. A request that crosses with the server's end may not be repeated.

Ruled out by reading and test: anything between the look at a connection and the first byte on it (no step of the loop lies between); a repeat of a request whose connection ended as it was written (counts as run, both paths of exchange); a connection of the pool in use that forget closes (it has idle ones only).

Change: what is there when a time limit passes is still read, without waiting, up to the limit of an answer's size; streams end at their limit as before. Idle time counts from the last read before the one that found the end there, or from the end's arrival if it was waited for.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -74,7 +74,7 @@
         """
         pieces = []
         size = 0
-        while piece := await self.read():
+        while piece := await self.channel.read_body(takes_ready=True):
             size += len(piece)
             if size > limit:
                 raise ChannelError("the answer is too large", is_sent=True)
@@ -85,12 +85,18 @@
 class Channel:
     """One connection."""
 
-    def __init__(self, stream: trio.SocketStream):
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        clock: Callable[[], float] = trio.current_time,
+    ):
         self._stream = stream
+        self._clock = clock
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
         self._is_sent = False
         self._is_whole = False
         self._idle_seconds = DEFAULT_IDLE_SECONDS
+        self._read_at = 0.0
         self._idle_since = 0.0
 
     async def exchange(self, request: Outgoing) -> Response:
@@ -100,6 +106,7 @@
         """
         self._is_sent = False
         self._is_whole = False
+        self._read_at = self._clock()
         head = h11.Request(
             method=request.method, target=request.target, headers=request.headers
         )
@@ -149,9 +156,9 @@
 
     async def _read_head(self, request: Outgoing) -> Response:
         for _ in range(MAX_STALE_ANSWERS):
-            event = await self._next_event()
+            event = await self._next_event(takes_ready=True)
             while isinstance(event, h11.InformationalResponse):
-                event = await self._next_event()
+                event = await self._next_event(takes_ready=True)
             if not isinstance(event, h11.Response):
                 raise ChannelError("no answer came", is_sent=True)
             headers = [(bytes(name), bytes(value)) for name, value in event.headers]
@@ -180,25 +187,26 @@
         except h11.ProtocolError as error:
             raise ChannelError("the connection is closing", is_sent=True) from error
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, *, takes_ready: bool = False) -> bytes:
         """Return the next piece of the body, empty at its complete end.
 
+        :param takes_ready: also take what is there when a time limit has passed.
         :raises ChannelError: if the answer breaks off.
         """
-        event = await self._next_event()
+        event = await self._next_event(takes_ready=takes_ready)
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return b""
         raise ChannelError("the answer broke off", is_sent=True)
 
-    async def _next_event(self) -> object:
+    async def _next_event(self, *, takes_ready: bool) -> object:
         try:
             while True:
                 event = self._conn.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await self._stream.receive_some(READ_BYTES)
+                data = await self._receive(takes_ready=takes_ready)
                 if not data and self._conn.their_state is h11.SEND_RESPONSE:
                     reason = "the server ended the connection without an answer"
                     raise ChannelError(reason, is_sent=True)
@@ -208,6 +216,18 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
             raise ChannelError(f"reading failed: {error!r}", is_sent=True) from error
 
+    async def _receive(self, *, takes_ready: bool) -> bytes:
+        # An event loop that was held up learns of a time limit and of the answer at
+        # once. What is there was there in time; taking it does not wait.
+        is_ready = self._stream.socket.is_readable()
+        with trio.CancelScope(shield=is_ready and takes_ready):
+            data = await self._stream.receive_some(READ_BYTES)
+        last_read_at, self._read_at = self._read_at, self._clock()
+        # If this is the end, the server has been idle since it wrote it: what was
+        # there already may have come at any time since the last read.
+        self._idle_since = last_read_at if is_ready else self._read_at
+        return bytes(data)
+
     def _note_idle_limit(self, headers: Headers) -> None:
         for name, value in headers:
             if name == b"keep-alive":
@@ -215,7 +235,7 @@
                 if seconds is not None:
                     self._idle_seconds = seconds * IDLE_SHARE
 
-    def make_idle(self, now: float) -> bool:
+    def make_idle(self) -> bool:
         """Prepare for another request; return whether that is possible."""
         if not self._is_whole or self._conn.trailing_data != (b"", False):
             return False
@@ -224,7 +244,6 @@
         if self._conn.their_state is not h11.DONE:
             return False
         self._conn.start_next_cycle()
-        self._idle_since = now
         return True
 
     def is_usable(self, now: float) -> bool:
@@ -294,11 +313,11 @@
             sock.close()
             raise
         self.opened += 1
-        return Channel(trio.SocketStream(sock))
+        return Channel(trio.SocketStream(sock), self._clock)
 
     def release(self, owner: str, channel: Channel) -> None:
         """Take back a connection after a complete exchange."""
-        if channel.make_idle(self._clock()):
+        if channel.make_idle():
             self._idle.setdefault(owner, []).append(channel)
         else:
             channel.close()
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 
 import pytest
 import trio
+import trio.testing
 
+from ashpond.clients import channels
 from ashpond.clients.channels import Channel, ChannelError, ChannelPool, Outgoing
 from tests.servers import make_answer, read_request, run_server
 
@@ -143,6 +146,110 @@
         assert await ask(pool, address, make_request()) == b"2"
 
 
+class Wire:
+    """A connection of a pool whose other end a test holds as a plain socket."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.pool = ChannelPool()
+
+    async def connect(self) -> Channel:
+        self.channel = await self.pool.acquire("s1", self.address)
+        self.server, _ = self._listener.accept()
+        return self.channel
+
+    def arrive(self, data: bytes) -> None:
+        """Have bytes arrive, or the end, without a step of the event loop."""
+        if data:
+            self.server.sendall(data)
+        else:
+            self.server.close()
+        select.select([self.channel._stream.socket], [], [])
+
+    def close(self) -> None:
+        self.channel.close()
+        self.server.close()
+        self._listener.close()
+
+
+@pytest.mark.parametrize("read_bytes", [65_536, 16])
+@pytest.mark.parametrize("body", [b"", b"x" * (channels.INLINE_BODY_BYTES + 1)])
+async def test_an_answer_that_is_there_is_not_lost_to_a_time_limit(
+    read_bytes: int,
+    body: bytes,
+    monkeypatch: pytest.MonkeyPatch,
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    """An event loop that is held up sees a time limit and the answer at once.
+
+    Evidence: looked for after an incident in which a close and a request met in one
+    step of the loop; an answer that took more than one read was thrown away.
+    """
+    wire = Wire()
+    channel = await wire.connect()
+    monkeypatch.setattr(channels, "READ_BYTES", read_bytes)
+    bodies: list[bytes] = []
+
+    async def exchange() -> None:
+        with trio.move_on_after(1.0):
+            response = await channel.exchange(make_request(body))
+            bodies.append(await response.read_all(1 << 20))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(exchange)
+        await trio.testing.wait_all_tasks_blocked()
+        wire.arrive(make_answer(b"whole" * 20))
+        mock_clock.jump(1.5)
+    assert bodies == [b"whole" * 20]
+    wire.close()
+
+
+@pytest.mark.parametrize("arrived", [b"", make_answer(b"whole" * 20)[:-1]])
+async def test_a_time_limit_ends_an_answer_that_is_not_all_there(
+    arrived: bytes,
+    monkeypatch: pytest.MonkeyPatch,
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    wire = Wire()
+    channel = await wire.connect()
+    monkeypatch.setattr(channels, "READ_BYTES", 16)
+    bodies: list[bytes] = []
+
+    async def exchange() -> None:
+        with trio.move_on_after(1.0) as scope:
+            response = await channel.exchange(make_request())
+            bodies.append(await response.read_all(1 << 20))
+        assert scope.cancelled_caught
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(exchange)
+        await trio.testing.wait_all_tasks_blocked()
+        if arrived:
+            wire.arrive(arrived)
+        mock_clock.jump(1.5)
+    assert not bodies
+    wire.close()
+
+
+@pytest.mark.parametrize("body", [b"", b"x" * (channels.INLINE_BODY_BYTES + 1)])
+async def test_a_request_on_a_connection_that_ends_may_have_run(body: bytes) -> None:
+    """The server's end and the request may cross: nobody can tell, so never again."""
+    wire = Wire()
+    channel = await wire.connect()
+    wire.arrive(make_answer())
+    response = await channel.exchange(make_request())
+    assert await response.read_all(100) == b"ok"
+    wire.pool.release("s1", channel)
+    assert await wire.pool.acquire("s1", wire.address) is channel
+    wire.arrive(b"")
+    assert not channel.is_usable(trio.current_time())
+    with pytest.raises(ChannelError) as caught:
+        await channel.exchange(make_request(body))
+    assert caught.value.is_sent
+    wire.close()
+
+
 async def test_nothing_was_sent_where_nobody_listens() -> None:
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listeners[0].socket.getsockname()[1]
@@ -152,6 +259,52 @@
     assert not caught.value.is_sent
 
 
+async def test_idle_time_counts_from_when_the_answer_may_have_ended(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    """While a slow client holds up a stream, the server has ended it and is idle.
+
+    Evidence: looked for after requests were lost on kept connections; one idle for
+    5 s at a server that allows 1 s was given out for the next request.
+    """
+    wire = Wire()
+    channel = await wire.connect()
+    answer = make_answer(b"stream", extra="Keep-Alive: timeout=1\r\n")
+    wire.arrive(answer[:-3])
+    response = await channel.exchange(make_request())
+    assert await response.read() == b"str"
+    wire.arrive(answer[-3:])
+    mock_clock.jump(5.0)
+    assert await response.read() == b"eam"
+    assert not await response.read()
+    assert channel.make_idle()
+    assert not channel.is_usable(trio.current_time())
+    wire.close()
+
+
+async def test_idle_time_does_not_count_the_wait_for_an_answer(
+    mock_clock: trio.testing.MockClock,
+) -> None:
+    wire = Wire()
+    channel = await wire.connect()
+
+    async def exchange() -> None:
+        response = await channel.exchange(make_request())
+        assert await response.read_all(100) == b"ok"
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(exchange)
+        await trio.testing.wait_all_tasks_blocked()
+        mock_clock.jump(5.0)
+        wire.arrive(make_answer(extra="Keep-Alive: timeout=1\r\n"))
+    assert channel.make_idle()
+    mock_clock.jump(0.6)
+    assert channel.is_usable(trio.current_time())
+    mock_clock.jump(0.2)
+    assert not channel.is_usable(trio.current_time())
+    wire.close()
+
+
 def make_idle_channel(idle_seconds: float) -> Channel:
     class _Socket:
         def is_readable(self) -> bool:
