Tell a peer again what was on its way when their connection ended

Cause: facts count as told once they are collected for a message. The side that opened a link forgot this when the link failed; the side that answers, and a link that was given up as no longer wanted, did not. So when one side ended the connection (a time limit while the answer travelled, a new choice of links) its facts counted as told and did not come again on the next one. Ruled out: facts sent twice on one connection (test). Change: what a connection was told is forgotten with it, on both sides and whoever ends it; that costs a full set of facts on the next one.

--- a/ashpond/controllers/members.py
+++ b/ashpond/controllers/members.py
@@ -150,7 +150,8 @@
                 try:
                     await self._talk(address)
                 except LINK_FAILURES:
-                    self.table.forget_link(address)
+                    # The link is made anew after a pause, and starts from nothing.
+                    pass
                 if trio.current_time() - began > MAX_PAUSE_SECONDS:
                     pause = self._settings.timing.gossip
                 await trio.sleep(pause * random.uniform(0.5, 1.0))
@@ -168,6 +169,8 @@
                 with trio.move_on_after(self._settings.timing.gossip):
                     await self._wake.wait()
         finally:
+            # What was on its way may not have arrived, whoever ended the connection.
+            self.table.forget_link(address)
             await stream.aclose()
 
     async def _exchange(self, address: str, stream: PeerStream) -> None:
--- a/ashpond/controllers/peers.py
+++ b/ashpond/controllers/peers.py
@@ -73,12 +73,19 @@
             self._metrics.refused_peers.inc({})
             await stream.aclose()
             return
+        senders: set[str] = set()
         try:
             while True:
-                await self._answer(stream, await stream.receive())
+                message = await stream.receive()
+                if isinstance(message, Facts):
+                    senders.add(message.sender)
+                await self._answer(stream, message)
         except (FrameError, trio.BrokenResourceError, trio.ClosedResourceError):
             return
         finally:
+            # What was on its way may not have arrived, whoever ended the connection.
+            for sender in senders:
+                self._members.table.forget_link(sender)
             await stream.aclose()
 
     async def _answer(self, stream: PeerStream, message: PeerMessage) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,8 +16,11 @@
     parse_message,
     unpack_value,
 )
-from ashpond.controllers.members import make_fact
+from ashpond.controllers.members import MembersController, make_fact
+from ashpond.controllers.peers import PeerServer
 from ashpond.errors import FrameError
+from ashpond.metrics import Metrics
+from tests.builders import make_settings
 
 SECRET = "s" * 16
 LIMIT = 4096
@@ -96,3 +99,84 @@
 def test_facts_of_the_wrong_form_are_passed_over(item):
     fact = make_fact(item)
     assert fact is None or fact.origin is not None
+
+
+class Told:
+    """An instance that answers peers with its facts."""
+
+    def __init__(self) -> None:
+        settings = make_settings()
+        metrics = Metrics()
+        self.members = MembersController(settings, None, metrics)  # type: ignore[arg-type]
+        self.members.put_own_fact()
+        self.server = PeerServer(
+            settings,
+            self.members,
+            None,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            metrics,
+        )
+
+    async def connect(self, nursery: trio.Nursery) -> PeerStream:
+        left, right = trio.testing.memory_stream_pair()
+        nursery.start_soon(self.server._serve, right)
+        client = PeerStream(left, SECRET, LIMIT)
+        await client.authenticate(is_server=False)
+        return client
+
+
+async def test_facts_whose_connection_ended_are_told_again() -> None:
+    """A peer gives up a connection while the answer to it is on its way.
+
+    Evidence: looked for after requests were lost because one side closed what the
+    other had taken up; the answer's facts counted as told and never came again.
+    """
+    told = Told()
+    async with trio.open_nursery() as nursery:
+        client = await told.connect(nursery)
+        await client.send(Facts("peer", []))
+        await trio.testing.wait_all_tasks_blocked()
+        await client.aclose()
+        await trio.testing.wait_all_tasks_blocked()
+        again = await told.connect(nursery)
+        await again.send(Facts("peer", []))
+        answer = await again.receive()
+        nursery.cancel_scope.cancel()
+    assert isinstance(answer, Facts)
+    assert [fact[0] for fact in answer.facts] == [told.members.address]
+
+
+async def test_facts_on_a_link_that_is_given_up_are_told_again() -> None:
+    """A link that is wanted no more is cut while its facts are on their way.
+
+    Evidence: looked for with the test above; facts in flight counted as told when
+    the same peer was linked to again.
+    """
+    members = Told().members
+    link = trio.CancelScope()
+
+    async def serve(stream: trio.SocketStream) -> None:
+        peer = PeerStream(stream, SECRET, LIMIT)
+        await peer.authenticate(is_server=True)
+        assert isinstance(await peer.receive(), Facts)
+        link.cancel()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        await members._run_link(address, link)
+        nursery.cancel_scope.cancel()
+    told = members.collect_facts(address).facts
+    assert [fact[0] for fact in told] == [members.address]
+
+
+async def test_facts_are_told_once_on_a_connection() -> None:
+    told = Told()
+    async with trio.open_nursery() as nursery:
+        client = await told.connect(nursery)
+        for count in (1, 0):
+            await client.send(Facts("peer", []))
+            answer = await client.receive()
+            assert isinstance(answer, Facts) and len(answer.facts) == count
+        nursery.cancel_scope.cancel()
