Close an engine's response whose caller leaves as its head comes

Cause: a response was noted for closing only after the wait for it had ended, which is a step of its own for repeatable calls (the watch on a silent engine ends with it). A caller who left in that step cancelled the call with the response in nobody's hand. The same for a caller who returned for a stream and left before its first event: a generator that has not begun closes nothing when it is closed. The connection then stays until the collector finds it. Ruled out: calls that may not be repeated (no watch, no such step), a stream that goes on elsewhere (nothing between the answer and its holder), the time limit of the answer's head (the answer was kept). Change: both are noted with the call in the step in which the answer comes; close_response moves beside the relay. The new tests before it:

FAILED test_an_answer_that_comes_as_the_caller_leaves_is_closed FAILED test_a_resumed_stream_that_nobody_begins_to_read_is_closed assert response.is_closed: assert False

tests/test_dispatch.py and tests/test_streams.py after it: 29 passed.

--- a/ashpond/filters/dispatch.py
+++ b/ashpond/filters/dispatch.py
@@ -21,7 +21,7 @@
 from ashpond.clients.service import PlainAnswer, PlainRequest, send_plain
 from ashpond.decisions.placement import BLOCK_TOKENS
 from ashpond.decisions.retries import GiveUp, RetryBudget, decide_retry
-from ashpond.filters.relay import StreamSource, relay_stream
+from ashpond.filters.relay import StreamSource, close_response, relay_stream
 from ashpond.filters.resumption import make_cancel, resume_same
 from ashpond.outcomes import Answered, MaybeRun, NotRun, Refusal, RunState
 from ashpond.replies import make_refusal_reply
@@ -40,7 +40,6 @@
 STREAM_HEADER = "Ashpond-Stream"
 ATTEMPT_HEADER = "Ashpond-Attempt"
 STALL_SECONDS = 10.0
-CLOSE_SECONDS = 1.0
 SILENCE_CHECK_SECONDS = 0.25
 NO_SERVER_RETRY_SECONDS = 1.0
 UNAVAILABLE = 503
@@ -208,7 +207,6 @@
         if not isinstance(outcome, Answered):
             return outcome
         answer: EngineAnswer = outcome.response
-        call.exits.push_async_callback(close_response, answer)
         self._note_engine_answer(call, attempt, answer)
         if call.streamed and answer.status == OK:
             return self._start_relay(call, attempt, answer)
@@ -253,6 +251,9 @@
                 if call.repeatable:
                     nursery.start_soon(self._cancel_if_silent, attempt, nursery)
                 outcome = await self._open(call, attempt, after=0)
+                if isinstance(outcome, Answered):
+                    # At once: the caller's end may be the next step.
+                    call.exits.push_async_callback(close_response, outcome.response)
                 nursery.cancel_scope.cancel()
         return outcome
 
@@ -324,9 +325,3 @@
             return answer
         await answer.response.aclose()
         return None
-
-
-async def close_response(answer: EngineAnswer) -> None:
-    """Close an engine's response, also while the task is being cancelled."""
-    with trio.move_on_after(CLOSE_SECONDS, shield=True):
-        await answer.response.aclose()
--- a/ashpond/filters/relay.py
+++ b/ashpond/filters/relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["StreamSource", "relay_stream"]
+__all__ = ["StreamSource", "close_response", "relay_stream"]
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TYPE_CHECKING, NamedTuple
@@ -153,3 +153,9 @@
     """Return the event that tells the caller that the stream is not complete."""
     refusal = Refusal(FAILED_STATUS, "stream_cut", reason, RunState.OUTCOME_UNKNOWN)
     return make_error_event(refusal)
+
+
+async def close_response(answer: EngineAnswer) -> None:
+    """Close an engine's response, also while the task is being cancelled."""
+    with trio.move_on_after(CLEAN_UP_SECONDS, shield=True):
+        await answer.response.aclose()
--- a/ashpond/filters/resumption.py
+++ b/ashpond/filters/resumption.py
@@ -10,7 +10,7 @@
 
 from ashpond.call import Call, Reply
 from ashpond.clients.engine import EngineAnswer, cancel_stream, resume_stream
-from ashpond.filters.relay import StreamSource, relay_stream
+from ashpond.filters.relay import StreamSource, close_response, relay_stream
 from ashpond.outcomes import Answered, Refusal, RunState
 
 if TYPE_CHECKING:
@@ -82,6 +82,8 @@
         if answer is None:
             text = "the engine no longer has the stream"
             return Refusal(GONE, "stream_gone", text, RunState.OUTCOME_UNKNOWN)
+        # A body that nobody begins to read closes nothing.
+        call.exits.push_async_callback(close_response, answer)
         source = StreamSource(reopen, make_cancel(client, call))
         body = relay_stream(call, answer, source, metrics, after)
         headers = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,14 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 import trio
+import trio.testing
 
-from ashpond.clients.engine import EngineRequest, send_request
+from ashpond.call import Call
+from ashpond.clients.engine import EngineAnswer, EngineRequest, send_request
 from ashpond.clients.http import make_client
 from ashpond.clients.service import PlainRequest, send_plain
+from ashpond.filters import resumption
+from ashpond.filters.dispatch import Dispatcher, _Attempt
 from ashpond.outcomes import Answered, MaybeRun, NotRun
+from ashpond.tokens import StreamToken
+from tests.builders import make_call, make_settings
 
 Server = Callable[[trio.SocketStream], Awaitable[None]]
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
@@ -111,3 +119,71 @@
     await listener.aclose()
     outcome = await send_to(f"127.0.0.1:{port}", kind)
     assert outcome == NotRun(outcome.reason, unreached=True)
+
+
+class OpenedResponse:
+    """An engine's response whose head has come."""
+
+    def __init__(self) -> None:
+        self.is_closed = False
+
+    async def aclose(self) -> None:
+        self.is_closed = True
+
+
+async def test_an_answer_that_comes_as_the_caller_leaves_is_closed() -> None:
+    """The head of an engine's answer and the caller's end come in one step.
+
+    Evidence: looked for after an incident in which a close and a request met in one
+    step; nobody held the response, and nothing closed it.
+    """
+    none: Any = None
+    response: Any = OpenedResponse()
+    caller = trio.CancelScope()
+
+    class Leaving(Dispatcher):
+        async def _open(self, call: Call, attempt: _Attempt, after: int) -> Answered:
+            await trio.testing.wait_all_tasks_blocked()
+            caller.cancel()
+            return Answered(EngineAnswer("x", 200, "i1", "s1", "w1", None, response))
+
+        async def _cancel_if_silent(
+            self, attempt: _Attempt, nursery: trio.Nursery
+        ) -> None:
+            await trio.sleep_forever()
+
+    dispatcher = Leaving(
+        make_settings(), none, none, none, none, none, none, make_client(0.5, 0.5)
+    )
+    call = make_call()
+    with caller:
+        await dispatcher._open_patiently(call, none)
+    await call.exits.aclose()
+    assert response.is_closed
+
+
+async def test_a_resumed_stream_that_nobody_begins_to_read_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A caller returns for its stream and leaves before its first event is read.
+
+    Evidence: looked for with the test above; a generator that has not begun has
+    nothing to end, so nothing closed the engine's response.
+    """
+    response: Any = OpenedResponse()
+
+    async def resume_at_once(*args: object) -> EngineAnswer:
+        return EngineAnswer("x", 200, "i1", "s1", "w1", None, response)
+
+    class Engines:
+        servers = {"e1": SimpleNamespace(config=SimpleNamespace(address="x"))}
+
+    monkeypatch.setattr(resumption, "_resume", resume_at_once)
+    none: Any = None
+    engines: Any = Engines()
+    resume = resumption.make_resumption(none, engines, none)
+    call = make_call()
+    reply: Any = await resume(call, StreamToken("e1", "i1", "s1", "desk"), 0)
+    await reply.body.aclose()
+    await call.exits.aclose()
+    assert response.is_closed
