Keep a claimed stream that is whole though its caller leaves

Cause: a stream under an idempotency key was kept for repeats once the engine had ended its connection, up to 1 s after the end event. A caller has all with the end event and often leaves then: the call was cancelled, its claim stayed open, and a repeat of a request that had been answered in full was refused as of unknown outcome. The engine was also told to cancel a stream that it had ended. Ruled out: whole answers that are no streams (kept in the step in which they come), streams that broke off (kept neither before nor after; test). Change: the relay says that the stream is whole before it hands on the end event; the claim is finished when the stream is closed, whichever way. The new tests before it:

FAILED test_a_whole_stream_is_kept_though_the_caller_leaves[False] FAILED test_a_whole_stream_is_kept_though_the_caller_leaves[True] assert len(claims.kept) == 1: assert 0 == 1

tests/test_streams.py and tests/test_dispatch.py after it: 33 passed.

--- a/ashpond/call.py
+++ b/ashpond/call.py
@@ -24,13 +24,17 @@
 
 
 class Progress:
-    """What has become of a call so far, for accounts and limits."""
+    """What has become of a call so far, for accounts and limits.
+
+    ``is_whole`` tells that a stream has come to its end event.
+    """
 
     def __init__(self) -> None:
         self.team = ""
         self.service = ""
         self.first_token_at: float | None = None
         self.failed = False
+        self.is_whole = False
         self.run = RunState.NOT_RUN
 
 
--- a/ashpond/filters/idempotency.py
+++ b/ashpond/filters/idempotency.py
@@ -66,9 +66,10 @@
             async for part in body:
                 parts.append(part)
                 yield part
-            if not call.progress.failed:
-                claims.finish(claim, pack_reply(reply, b"".join(parts)))
         finally:
+            # A caller who has the end event may leave before the engine's own end.
+            if call.progress.is_whole:
+                claims.finish(claim, pack_reply(reply, b"".join(parts)))
             await body.aclose()  # type: ignore[attr-defined]
 
     return claim_once
--- a/ashpond/filters/relay.py
+++ b/ashpond/filters/relay.py
@@ -58,10 +58,12 @@
             try:
                 async for batch in batches:
                     taken = take_batch(batch, order)
+                    # Before it is handed on: with the end a caller may leave.
+                    finished = taken.is_end
+                    call.progress.is_whole = finished
                     if taken.chunk:
                         chunks += 1
                         yield taken.chunk
-                    finished = taken.is_end
                     if finished or taken.is_cut:
                         break
             except (httpx.HTTPError, httpx.StreamError):
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,12 +6,17 @@
 
 import httpx
 import pytest
+import trio
 from hypothesis import given, settings, strategies as st
 
+from ashpond.call import Call, Reply
 from ashpond.clients.engine import EngineAnswer, StreamEvent
+from ashpond.controllers.claims import Claim
 from ashpond.decisions.streams import Continue, Fail, StreamOrder, plan_continuation
+from ashpond.filters.idempotency import make_idempotency
 from ashpond.filters.relay import StreamSource, relay_stream, take_batch
 from ashpond.metrics import Metrics
+from ashpond.outcomes import RunState
 from tests.builders import make_call
 
 LENGTH = 6
@@ -115,6 +120,83 @@
     assert asked == ["a:1", "b:1"]
 
 
+class HangingResponse(FakeResponse):
+    """Sends all events, and never ends."""
+
+    def __init__(self, numbers: list[int]) -> None:
+        super().__init__(numbers, 0, 500)
+
+    async def aiter_raw(self) -> Any:
+        yield self.text
+        await trio.sleep_forever()
+
+
+class KeptAnswers:
+    """The part of the claims that a stream's end is told to."""
+
+    def __init__(self) -> None:
+        self.kept: list[bytes] = []
+        self.released = 0
+
+    async def claim(self, key: str, digest: str, ttl: float) -> Claim:
+        return Claim(key, "a1", 1, digest, ttl)
+
+    def finish(self, claim: Claim, answer: bytes) -> None:
+        self.kept.append(answer)
+
+    def release(self, claim: Claim) -> None:
+        self.released += 1
+
+
+async def read_and_leave(numbers: list[int], *, reads_on: bool) -> tuple[Any, list]:
+    """Return what was kept of a claimed stream, and which streams were cancelled."""
+    claims: Any = KeptAnswers()
+    cancelled: list[EngineAnswer] = []
+
+    async def reopen(_: EngineAnswer, plan: Continue) -> EngineAnswer | None:
+        return None
+
+    async def cancel(answer: EngineAnswer) -> None:
+        cancelled.append(answer)
+
+    async def answer(call: Call) -> Reply:
+        call.progress.run = RunState.RUN
+        source = StreamSource(reopen, cancel)
+        first = make_answer(HangingResponse(numbers))
+        return Reply(200, {}, relay_stream(call, first, source, Metrics(), 0))
+
+    claim_once = make_idempotency(claims, Metrics())
+    reply: Any = await claim_once(make_call(idempotency_key="k1"), answer)
+    with trio.CancelScope() as caller:
+        async for _ in reply.body:
+            if not reads_on:
+                break
+            caller.cancel()
+    await reply.body.aclose()
+    return claims, cancelled
+
+
+@pytest.mark.parametrize("reads_on", [False, True])
+async def test_a_whole_stream_is_kept_though_the_caller_leaves(reads_on: bool) -> None:
+    """A caller has the end event and leaves before the engine ends its connection.
+
+    Evidence: looked for after answers were lost as a connection closed; a stream that
+    was whole was not kept, so its repeat was refused as of unknown outcome.
+    """
+    numbers = list(range(1, LENGTH + 1))
+    claims, cancelled = await read_and_leave(numbers, reads_on=reads_on)
+    assert len(claims.kept) == 1
+    assert claims.kept[0].endswith(WHOLE)
+    assert not cancelled
+
+
+@pytest.mark.parametrize("reads_on", [False, True])
+async def test_a_stream_that_is_not_whole_is_not_kept(reads_on: bool) -> None:
+    claims, cancelled = await read_and_leave([1, 2, 3], reads_on=reads_on)
+    assert not claims.kept and not claims.released
+    assert len(cancelled) == 1
+
+
 def test_events_before_a_gap_in_one_batch_are_passed_on():
     batch = [StreamEvent(n, b"%d;" % n, False) for n in (1, 2, 4)]
     order = StreamOrder()
