Tell a peer on its next connection what did not go out on the last

Cause: notices and holdings were taken from a link's queue before the message with them went out. If the connection ended meanwhile (an error, the time limit for sending, or the other direction failing) they were gone, though the queue is kept over connections for just that. A notice that an engine has its new weights is told once: without it a peer keeps the server closed for its pause and then asks it for the old weights. Ruled out: changes of tables (a peer sees the gap and asks the store), loads (told in full on each connection), members of a group (their queue is made anew with each connection). Change: what did not go out whole is put back before what has come since; a message too large for a frame is still dropped, it would end each connection. What went out and was not read by the other side stays lost.

--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -247,14 +247,27 @@
                     await stream.send(changes)
             is_due = now - sent_at >= HEARTBEAT_SECONDS
             if is_due or sent is None or self._has_news(link, work, sent):
-                with trio.fail_after(SEND_SECONDS):
-                    await stream.send(self._build_news(link, work))
+                await self._send_digest(link, stream, work)
                 sent = work
                 sent_at = now
             with trio.move_on_after(self._choose_pause()):
                 while not (link.is_urgent and self._needs_all(link)):
                     await self._wakeup.wait()
 
+    async def _send_digest(self, link: Link, stream: PeerStream, work: Work) -> None:
+        notices, holdings = link.take()
+        news = self._build_news(link, work, notices, holdings)
+        try:
+            with trio.fail_after(SEND_SECONDS):
+                await stream.send(news)
+        except FrameError:
+            # Too large: it would end the next connection as well.
+            raise
+        except BaseException:
+            # The peer takes nothing of a message that did not go out whole.
+            link.put_back(notices, holdings)
+            raise
+
     def _build_work(self, link: Link, now: float) -> Work:
         own = Work(self._table.list_own_loads(), self._handlers.list_sends())
         if link.audience is Audience.OTHER_HUB:
@@ -293,8 +306,13 @@
             return not any(other and other.is_connected for other in links)
         return True
 
-    def _build_news(self, link: Link, work: Work) -> News:
-        notices, holdings = link.take()
+    def _build_news(
+        self,
+        link: Link,
+        work: Work,
+        notices: list[ServerNotice],
+        holdings: list[Holding],
+    ) -> News:
         scope = SCOPES[link.audience]
         digest = Digest(scope, self.links.group, work, notices, holdings)
         return encode_news(self._life, digest)
--- a/ashpond/gateway/newslinks.py
+++ b/ashpond/gateway/newslinks.py
@@ -89,10 +89,8 @@
         """Keep news until the next turn."""
         self.notices.extend(notices)
         self.tables.extend(tables)
-        is_equal = self.audience is Audience.EQUAL
-        most = MAX_PENDING_HOLDINGS if is_equal else MAX_GROUP_HOLDINGS
-        room = most - len(self.holdings)
-        self.holdings.extend(list(holdings)[: max(0, room)])
+        self.holdings.extend(holdings)
+        self._limit_holdings()
 
     def take(self) -> tuple[list[ServerNotice], list[Holding]]:
         """Return the notices and holdings that wait, which are then told."""
@@ -100,6 +98,16 @@
         holdings, self.holdings = self.holdings, []
         return notices, holdings
 
+    def put_back(self, notices: list[ServerNotice], holdings: list[Holding]) -> None:
+        """Keep what was taken and not told, before what has come since."""
+        self.notices[:0] = notices
+        self.holdings[:0] = holdings
+        self._limit_holdings()
+
+    def _limit_holdings(self) -> None:
+        is_equal = self.audience is Audience.EQUAL
+        del self.holdings[MAX_PENDING_HOLDINGS if is_equal else MAX_GROUP_HOLDINGS :]
+
 
 async def await_end(*tasks: Callable[[], Awaitable[None]]) -> str:
     """Run tasks until one of them fails; return the reason."""
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from typing import Any
 
 import pytest
 import trio
@@ -10,6 +11,7 @@
 from ashpond.clients import peer
 from ashpond.clients.liveness import UNACKNOWLEDGED_MS, watch_liveness
 from ashpond.clients.peer import News, TableChanges
+from ashpond.errors import FrameError
 from ashpond.gateway import news as news_module
 from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.directory import Load
@@ -148,6 +150,55 @@
     assert find_free_port() != find_free_port()
 
 
+class FailingStream:
+    """A connection on which no message goes out whole."""
+
+    def __init__(self, error: Exception | None) -> None:
+        self.error = error
+        self.is_sending = trio.Event()
+
+    async def send(self, message: object) -> None:
+        self.is_sending.set()
+        if self.error is not None:
+            raise self.error
+        await trio.sleep_forever()
+
+    async def aclose(self) -> None:
+        return
+
+
+@pytest.mark.parametrize("error", [trio.BrokenResourceError(), None])
+async def test_news_that_did_not_go_out_are_told_on_the_next_connection(
+    error: Exception | None, instances: list[Instance], autojump_clock: object
+) -> None:
+    """A link ends, by an error or the time limit for sending, in the midst of news.
+
+    Evidence: looked for after requests were lost because one side closed what the
+    other had taken up; a notice that an engine has its weights was told to no one.
+    """
+    link = Link(Audience.EQUAL, "i1")
+    notice, newer = ServerNotice("a", "m1", 2, 0.0), ServerNotice("a", "m1", 3, 0.0)
+    holding = Holding("a", "salt", "rules")
+    link.add([notice], [holding])
+    stream: Any = FailingStream(error)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instances[0].news._converse, link, stream)
+        await stream.is_sending.wait()
+        link.add([newer])
+    assert link.take() == ([notice, newer], [holding])
+
+
+async def test_news_too_large_for_a_frame_are_not_kept(
+    instances: list[Instance],
+) -> None:
+    """Kept, they would end each connection to that peer."""
+    link = Link(Audience.EQUAL, "i1")
+    link.add([ServerNotice("a", "m1", 2, 0.0)])
+    stream: Any = FailingStream(FrameError("too large"))
+    await instances[0].news._converse(link, stream)
+    assert link.take() == ([], [])
+
+
 def test_in_a_group_few_holdings_wait_for_a_turn() -> None:
     """Hubs that passed all of them on had their links choked on a scale day."""
     holdings = [Holding("a", "salt", f"part{n}") for n in range(100)]
