--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import httpx
 import pytest
 import trio
 import trio.testing
@@ -84,8 +85,10 @@
 ]
 
 
-async def send_to(address: str, kind: str) -> object:
-    client = make_client(0.5, 0.5, keep_alive=False)
+async def send_to(
+    address: str, kind: str, client: httpx.AsyncClient | None = None
+) -> object:
+    client = client or make_client(0.5, 0.5, keep_alive=False)
     if kind == "plain":
         plain = PlainRequest("POST", "/x", "", {}, b"body", "a1", 0.5)
         return await send_plain(client, address, plain)
@@ -121,6 +124,51 @@
     assert outcome == NotRun(outcome.reason, unreached=True)
 
 
+@pytest.mark.parametrize("kind", ["plain", "engine"])
+async def test_a_kept_connection_that_ends_never_repeats_a_request(kind: str) -> None:
+    """httpx keeps connections; a server may end one as it takes the next request."""
+    requests = 0
+
+    async def answer_once(stream: trio.SocketStream) -> None:
+        nonlocal requests
+        await read_request(stream)
+        requests += 1
+        await stream.send_all(HEAD + b"X-Attempt-Id: a1\r\n\r\nwhole")
+        await read_request(stream)
+        requests += 1
+        await trio.aclose_forcefully(stream)
+
+    client = make_client(0.5, 0.5)
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, answer_once, 0)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        outcomes = [await send_to(address, kind, client) for _ in range(2)]
+        nursery.cancel_scope.cancel()
+    assert [type(outcome) for outcome in outcomes] == [Answered, MaybeRun]
+    assert requests == 2
+
+
+@pytest.mark.parametrize("kind", ["plain", "engine"])
+async def test_a_kept_connection_that_has_ended_is_not_used(kind: str) -> None:
+    ended = trio.Event()
+
+    async def answer_and_end(stream: trio.SocketStream) -> None:
+        await read_request(stream)
+        await stream.send_all(HEAD + b"X-Attempt-Id: a1\r\n\r\nwhole")
+        await stream.aclose()
+        ended.set()
+
+    client = make_client(0.5, 0.5)
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, answer_and_end, 0)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        for _ in range(2):
+            assert isinstance(await send_to(address, kind, client), Answered)
+            await ended.wait()
+            await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+
+
 class OpenedResponse:
     """An engine's response whose head has come."""
 
--- a/tests/test_gateway_selection.py
+++ b/tests/test_gateway_selection.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 import trio
 import trio.testing
 from hypothesis import given, strategies as st
@@ -11,6 +12,7 @@
 from ashpond.gateway.calls import Prompt
 from ashpond.gateway.directory import Load
 from ashpond.gateway.holdings import Holdings, make_salt
+from ashpond.gateway.places import Place
 from ashpond.gateway.selection import (
     FEW_SERVERS,
     SHORT_SHARE,
@@ -285,3 +287,35 @@
     assert place.state.info.id == "b"
     table.by_id["b"].close_for(5.0, now)
     assert await places.take(make_demand(make_prompt()), 1, now) is None
+
+
+@pytest.mark.parametrize("is_given_first", [False, True])
+async def test_a_place_given_in_the_step_of_a_cancel_is_not_lost(
+    is_given_first: bool,
+) -> None:
+    """A request's caller leaves in the step in which it is given its place."""
+    table = make_table(make_server("a", slots=1))
+    places = make_places(table)
+    now = trio.current_time()
+    held = []
+    while place := await places.take(make_demand(), 1, now):
+        held.append(place)
+    taken: list[Place | None] = []
+    caller = trio.CancelScope()
+
+    async def wait() -> None:
+        with caller:
+            taken.append(await places.take(make_demand(), 1, now + 60.0))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait)
+        while not places.waiting:
+            await trio.lowlevel.checkpoint()
+        if not is_given_first:
+            caller.cancel()
+        places.give_back(held[0])
+        assert not places.waiting
+        caller.cancel()
+    # It was handed over for use, or it is free again.
+    assert len(taken) == is_given_first
+    assert table.by_id["a"].load.requests == len(held) - 1 + len(taken)
