Decide whether an order cuts streams after the engine's report, not before

Cause: whether requests that cannot move are at an engine was looked at, then the engine was asked for its count of orders (up to 0.3 s), then the order to cut its runs was sent. A request that cannot be repeated and became known in between was cut with the streams. It is the class of the lost requests on kept connections: a close decided before an await, carried out after another task has taken up work. Ruled out: engines whose count is known (no wait), the lease (looked at in the step of the order), an order of another holder meanwhile (the engine refuses by the count, 409). Change: the count is asked for first; between the look at the requests and the order nothing is waited for. What a peer sends and has not told yet is not covered by this.

--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -262,6 +262,9 @@
         self._close(lag)
         try:
             await trio.sleep(NOTICE_SECONDS)
+            await self._count_orders(lag)
+            # Nothing is waited for between this and the order: what is decided here
+            # would not hold for requests that come meanwhile.
             cuts_runs = await self._await_bound_requests(lag, started)
             is_up = await self._order(lag, cuts_runs) and await self._await_weights(
                 lag, trio.current_time()
@@ -323,14 +326,19 @@
         """Return when all requests that were on their way are known of."""
         return max(STREAMS_SECONDS, SETTLE_SHARE * self._measure_news_lag())
 
+    async def _count_orders(self, lag: _Lag) -> None:
+        """Ask the engine how many orders it has accepted, unless that is known."""
+        info = lag.state.info
+        if info.id in self._accepted:
+            return
+        report = await self._engines.report(info)
+        if isinstance(report, EngineReport):
+            self._accepted[info.id] = report.accepted_orders
+            lag.state.learn_weights(lag.model, report.weights.get(lag.model, 0))
+
     async def _order(self, lag: _Lag, cuts_runs: bool) -> bool:
         """Send the order; return whether the engine may be carrying it out."""
         info = lag.state.info
-        if info.id not in self._accepted:
-            report = await self._engines.report(info)
-            if isinstance(report, EngineReport):
-                self._accepted[info.id] = report.accepted_orders
-                lag.state.learn_weights(lag.model, report.weights.get(lag.model, 0))
         if not self.lease.holds(trio.current_time()):
             return False
         order = WeightsOrder(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -353,3 +353,38 @@
         await run_until_current(fleet, 2, 5.0)
         nursery.cancel_scope.cancel()
     assert [sent.order.cuts_runs for sent in fleet.engines.orders] == [False]
+
+
+async def test_streams_are_not_cut_beside_a_request_that_came_during_a_report(
+    autojump_clock: object,
+) -> None:
+    """The engine's report takes a while, and so may news of others' requests.
+
+    Evidence: looked for after an incident in which a close was decided before, and
+    carried out after, another task had taken up work; the order cut the request.
+    """
+    fleet = Fleet(1, engines=1)
+    state = fleet.tables[0].by_id["s0"]
+    state.load = Load(3, 0, 0, bound=0)
+    reported = trio.Event()
+
+    async def report_slowly(server: BackendServer) -> EngineReport | NotRun:
+        report = await fleet.engines.report(server)
+        if not reported.is_set():
+            await trio.sleep(0.2)
+            state.load = Load(4, 0, 0, bound=1)
+            reported.set()
+        return report
+
+    port = fleet.engines.build_port()._replace(report=report_slowly)
+    fleet.controllers[0]._engines = port
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        await reported.wait()
+        await trio.sleep(0.5)
+        assert fleet.engines.orders == []
+        state.load = Load(3, 0, 0, bound=0)
+        await run_until_current(fleet, 2, 5.0)
+        nursery.cancel_scope.cancel()
+    assert [sent.order.cuts_runs for sent in fleet.engines.orders] == [True]
