--- a/ashpond/filters/relay.py
+++ b/ashpond/filters/relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["StreamSource", "relay_stream"]
+__all__ = ["StreamSource", "close_response", "relay_stream"]
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TYPE_CHECKING, NamedTuple
@@ -58,10 +58,12 @@
             try:
                 async for batch in batches:
                     taken = take_batch(batch, order)
+                    # Before it is handed on: with the end a caller may leave.
+                    finished = taken.is_end
+                    call.progress.is_whole = finished
                     if taken.chunk:
                         chunks += 1
                         yield taken.chunk
-                    finished = taken.is_end
                     if finished or taken.is_cut:
                         break
             except (httpx.HTTPError, httpx.StreamError):
@@ -153,3 +155,9 @@
     """Return the event that tells the caller that the stream is not complete."""
     refusal = Refusal(FAILED_STATUS, "stream_cut", reason, RunState.OUTCOME_UNKNOWN)
     return make_error_event(refusal)
+
+
+async def close_response(answer: EngineAnswer) -> None:
+    """Close an engine's response, also while the task is being cancelled."""
+    with trio.move_on_after(CLEAN_UP_SECONDS, shield=True):
+        await answer.response.aclose()
