--- a/ashpond/connections.py
+++ b/ashpond/connections.py
@@ -23,7 +23,11 @@
     from collections.abc import Awaitable, Callable
 
 REQUEST_TIMEOUT = 408
+HEADERS_TOO_LARGE = 431
 INTERNAL_ERROR = 500
+NOT_IMPLEMENTED = 501
+# A method that would turn the connection into a tunnel.
+TUNNEL_METHOD = b"CONNECT"
 # After its last answer a connection is read on until the client has closed it, or has
 # sent nothing for so long (seconds): bytes that are left unread would reset it, and
 # with it the answer.
@@ -50,6 +54,7 @@
     BAD_REQUEST = "bad_request"
     HEADER_TIMEOUT = "header_timeout"
     BROKEN_ANSWER = "broken_answer"
+    ANSWER_NOT_TAKEN = "answer_not_taken"
     FAILURE = "failure"
     GRACE_PERIOD = "grace_period"
 
@@ -140,12 +145,16 @@
         self._idle_since = trio.current_time()
         if self._wire.has_unread():
             return True
-        with trio.CancelScope(deadline=self._find_idle_end()) as scope:
-            self._idle_scope = scope
-            await self._wire.wait_readable()
-        self._idle_scope = None
-        if not scope.cancelled_caught or self._wire.is_readable():
-            return True
+        while True:
+            with trio.CancelScope(deadline=self._find_idle_end()) as scope:
+                self._idle_scope = scope
+                await self._wire.wait_readable()
+            self._idle_scope = None
+            if not scope.cancelled_caught or self._wire.is_readable():
+                return True
+            # The limit may have grown since it ran out.
+            if trio.current_time() >= self._find_idle_end():
+                break
         self._closed_by = (
             ClosedBy.SHUTDOWN if self._is_shutting_down else ClosedBy.IDLE_LIMIT
         )
@@ -165,13 +174,11 @@
         try:
             await self._handle(self._exchange)
         except Exception as error:
-            await self._answer_failure(self._exchange, error)
+            await self._end_failed(self._exchange, error)
             return False
         if not self._exchange.is_finished:
             await self._end_unanswered(self._exchange)
             return False
-        if self._wire.is_broken:
-            return False
         self._exchange = None
         return await self._prepare_next()
 
@@ -180,38 +187,52 @@
 
     async def _read_head(self) -> h11.Request | None:
         """Return the next request, None if none comes or it is not valid."""
-        with trio.move_on_after(self._get_limits().header_timeout) as scope:
+        limits = self._get_limits()
+        with trio.move_on_after(limits.header_timeout) as scope:
             event = await self._wire.read_event()
         if scope.cancelled_caught:
-            self._closed_by = ClosedBy.HEADER_TIMEOUT
-            await self._refuse(REQUEST_TIMEOUT)
+            await self._refuse(REQUEST_TIMEOUT, ClosedBy.HEADER_TIMEOUT)
             return None
         if isinstance(event, h11.RemoteProtocolError):
-            self._closed_by = ClosedBy.BAD_REQUEST
             self._wire.failure = str(event)
-            await self._refuse(event.error_status_hint)
+            await self._refuse(event.error_status_hint, ClosedBy.BAD_REQUEST)
+            return None
+        if not isinstance(event, h11.Request):
+            return None
+        if _measure_head(event) > limits.max_header_bytes:
+            await self._refuse(HEADERS_TOO_LARGE, ClosedBy.BAD_REQUEST)
+            return None
+        if event.method == TUNNEL_METHOD:
+            await self._refuse(NOT_IMPLEMENTED, ClosedBy.BAD_REQUEST)
             return None
-        return event if isinstance(event, h11.Request) else None
+        return event
 
-    async def _refuse(self, status: int) -> None:
+    async def _refuse(self, status: int, by: ClosedBy) -> None:
+        self._closed_by = by
         await self._wire.refuse(status)
         await self._linger()
 
-    async def _answer_failure(self, exchange: Exchange, error: Exception) -> None:
-        self._closed_by = ClosedBy.FAILURE
+    async def _end_failed(self, exchange: Exchange, error: Exception) -> None:
         self._wire.failure = repr(error)
-        if not exchange.is_started:
-            await self._refuse(INTERNAL_ERROR)
+        self._closed_by = ClosedBy.FAILURE
+        if exchange.is_finished:
+            await self._linger()
+        elif not exchange.is_started:
+            await self._refuse(INTERNAL_ERROR, ClosedBy.FAILURE)
 
     async def _end_unanswered(self, exchange: Exchange) -> None:
-        if exchange.is_client_gone:
-            return
-        self._closed_by = ClosedBy.BROKEN_ANSWER
-        if not exchange.is_started:
-            await self._refuse(INTERNAL_ERROR)
+        if self._wire.is_stalled:
+            self._closed_by = ClosedBy.ANSWER_NOT_TAKEN
+        elif exchange.is_refused:
+            self._closed_by = ClosedBy.BAD_REQUEST
+            await self._linger()
+        elif not exchange.is_client_gone and not self._wire.is_broken:
+            self._closed_by = ClosedBy.BROKEN_ANSWER
+            if not exchange.is_started:
+                await self._refuse(INTERNAL_ERROR, ClosedBy.BROKEN_ANSWER)
 
     async def _prepare_next(self) -> bool:
-        if self._wire.start_next_cycle():
+        if self._wire.start_next_cycle(self._get_limits().max_header_bytes):
             return True
         self._closed_by = ClosedBy.LAST_ANSWER
         await self._linger()
@@ -227,14 +248,23 @@
                 is_ended = is_ended or scope.cancelled_caught
 
     def _close(self) -> None:
-        self._wire.close()
-        now = trio.current_time()
+        exchange = self._exchange
+        if exchange is not None and exchange.would_look_complete():
+            self._wire.reset()
+        else:
+            self._wire.close()
         closed = Closed(
             self._closed_by,
             self._requests,
-            now - self._idle_since,
+            trio.current_time() - self._idle_since,
             self._get_limits().idle_timeout,
-            self._exchange is not None,
+            exchange is not None,
             self._wire.failure,
         )
         self._note_closed(closed)
+
+
+def _measure_head(request: h11.Request) -> int:
+    """Return the size of a request's head in bytes, but for its separators."""
+    fields = sum(len(name) + len(value) for name, value in request.headers)
+    return len(request.method) + len(request.target) + fields
--- a/ashpond/exchanges.py
+++ b/ashpond/exchanges.py
@@ -17,14 +17,16 @@
     from ashpond.wire import Headers, Wire
 
 REQUEST_TIMEOUT = 408
+OLD_VERSION = "1.0"
 NO_BODY_STATUSES = (204, 304)
 
 
 class Exchange:
-    """A request whose head has been read.
+    """A request whose head has been read, and its answer.
 
     ``idle_before`` is how long its connection had been idle (seconds), None for the
-    first request. The head of the answer is written together with what follows it.
+    first request. ``is_finished`` tells that the whole answer has been written.
+    ``is_refused`` tells that the body was not valid or did not come in time.
     """
 
     def __init__(
@@ -35,19 +37,20 @@
         limits: ConnectionLimits,
         is_last: Callable[[], bool],
     ):
-        self.method = request.method.decode("ascii").upper()
+        self.method = request.method.decode("ascii")
         self.target: bytes = request.target
         self.headers: Headers = request.headers.raw_items()
         self.http_version = request.http_version.decode("ascii")
         self.idle_before = idle_before
         self.is_started = False
         self.is_finished = False
+        self.is_refused = False
         self.is_client_gone = False
         self._wire = wire
         self._limits = limits
         self._is_last = is_last
         self._has_body = True
-        self._head = b""
+        self._head: list[h11.Event] = []
 
     async def read_piece(self) -> bytes | None:
         """Return the next piece of the body, empty at its end.
@@ -58,49 +61,75 @@
         with trio.move_on_after(self._limits.idle_timeout) as scope:
             event = await self._wire.read_event()
         if scope.cancelled_caught:
-            self.is_client_gone = True
-            await self._wire.refuse(REQUEST_TIMEOUT)
+            await self._refuse(REQUEST_TIMEOUT, "the body does not come")
             return None
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return b""
-        self.is_client_gone = True
         if isinstance(event, h11.RemoteProtocolError):
-            await self._wire.refuse(event.error_status_hint)
+            await self._refuse(event.error_status_hint, str(event))
+            return None
+        self.is_client_gone = True
         return None
 
+    async def _refuse(self, status: int, failure: str) -> None:
+        self.is_refused = True
+        self._wire.failure = failure
+        await self._wire.refuse(status)
+
+    async def notice_end(self) -> bool:
+        """Return whether the client has left by now; wait for nothing.
+
+        A client that sends nothing more but still reads cannot be told from one that
+        has left, and is taken for it.
+        """
+        if not self._wire.has_unread() and self._wire.is_readable():
+            self.is_client_gone = not await self._wire.read_ahead()
+        return self.is_client_gone
+
     async def wait_until_gone(self) -> None:
-        """Return once the client has ended the connection."""
+        """Return once the client has ended the connection.
+
+        One that has sent a whole read of further requests is read no more, and its end
+        is not seen before they are.
+        """
         while await self._wire.read_ahead():
             pass
         self.is_client_gone = True
 
     async def start(self, status: int, headers: Headers) -> None:
         """Begin the answer; its head is written with its first piece or its end."""
-        self.is_started = True
-        self._has_body = self.method != "HEAD" and status not in NO_BODY_STATUSES
         headers = list(headers)
         if not any(name.lower() == b"date" for name, _ in headers):
             headers.append((b"date", formatdate(usegmt=True).encode()))
         if self._is_last() or not self._wire.is_request_whole():
             headers.append((b"connection", b"close"))
-        response = h11.Response(status_code=status, headers=headers)
-        self._head = self._wire.encode(response)
+        self._head = [h11.Response(status_code=status, headers=headers)]
+        self._has_body = self.method != "HEAD" and status not in NO_BODY_STATUSES
+        self.is_started = True
 
     async def send(self, data: bytes) -> None:
         """Write a piece of the body."""
         if data and self._has_body:
-            await self._write(self._wire.encode(h11.Data(data=data)))
+            await self._send(h11.Data(data=data))
 
     async def finish(self) -> None:
         """End the body as complete."""
-        self.is_finished = True
-        await self._write(self._wire.encode(h11.EndOfMessage()))
+        await self._send(h11.EndOfMessage())
+        self.is_finished = not self._wire.is_broken
 
     async def abort(self) -> None:
         """Do nothing: a connection whose answer has no end is closed without one."""
 
-    async def _write(self, data: bytes) -> None:
-        head, self._head = self._head, b""
-        await self._wire.write(head + data)
+    def would_look_complete(self) -> bool:
+        """Return whether an end of the connection would pass for the answer's end.
+
+        Towards old clients an answer may have no other end than its connection's.
+        """
+        is_cut = self.is_started and not self.is_finished
+        return is_cut and self.http_version == OLD_VERSION
+
+    async def _send(self, event: h11.Event) -> None:
+        head, self._head = self._head, []
+        await self._wire.send(*head, event)
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -49,6 +49,8 @@
 REQUIRED_SHARE = 0.85
 # From SIGTERM until new connections stop arriving: two checks, a second apart.
 LEAVE_SECONDS = 2.6
+# For a slow store to take this instance off the list of members.
+LEAVE_LIST_SECONDS = 1.0
 # Kept back from the grace period for the end of the process (seconds).
 GRACE_MARGIN_SECONDS = 0.4
 HOUSEKEEPING_SECONDS = 0.5
@@ -376,6 +378,8 @@
 
     async def _wait_to_close(self) -> None:
         await self.leaving.wait()
-        with trio.move_on_after(1.0):
+        # Counted from here, whatever the store takes: the grace period is.
+        closes_at = trio.current_time() + LEAVE_SECONDS
+        with trio.move_on_after(LEAVE_LIST_SECONDS):
             await self.members.leave()
-        await trio.sleep(LEAVE_SECONDS)
+        await trio.sleep_until(closes_at)
--- a/ashpond/gateway/connectionlog.py
+++ b/ashpond/gateway/connectionlog.py
@@ -60,7 +60,7 @@
     def note_closed(self, closed: Closed) -> None:
         """Record the end of a connection."""
         self._metrics.count_closed(closed.by)
-        if closed.by in QUIET_ENDS and not closed.has_call:
+        if closed.by in QUIET_ENDS and not closed.has_call and not closed.failure:
             return
         self._log.note(
             "connection_closed",
--- a/ashpond/gateway/ingress.py
+++ b/ashpond/gateway/ingress.py
@@ -141,7 +141,8 @@
         self.open_calls += 1
         try:
             body = await self._read_body(exchange)
-            if body is None:
+            # Of what arrived while the event loop was held up, the client may be gone.
+            if body is None or await exchange.notice_end():
                 return
             call = self._build_call(exchange, body, received_at)
             if call is None:
--- a/ashpond/listener.py
+++ b/ashpond/listener.py
@@ -135,6 +135,9 @@
             connection.shut_down(self._grace_ends_at)
         try:
             await connection.run()
+        except* Exception as group:
+            # Of a handler that failed as the grace period ended: no other may suffer.
+            logger.error("connection_failed", extra={"error": repr(group.exceptions)})
         finally:
             self._connections.discard(connection)
 
--- a/ashpond/wire.py
+++ b/ashpond/wire.py
@@ -5,21 +5,20 @@
 __all__ = ["Headers", "Wire"]
 
 import socket
+import struct
 from contextlib import suppress
-from typing import TYPE_CHECKING
 
 import h11
 import trio
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
 Headers = list[tuple[bytes, bytes]]
 
+# The socket option that makes a close a reset: on, 0 seconds.
+LINGER_NOT = struct.pack("ii", 1, 0)
 READ_BYTES = 65_536
 WRITE_BYTES = 65_536
-# A client that takes none of a piece of ``WRITE_BYTES`` for so long is gone (seconds):
-# twice the longest pause after which callers are known to give up an answer.
+# A client that has not taken a piece of ``WRITE_BYTES`` after so long is taken for gone
+# (seconds): at 6.5 KB a second it still gets its answer.
 SEND_SECONDS = 10.0
 
 
@@ -27,18 +26,20 @@
     """Reads and writes one connection.
 
     Once the client is gone ``is_broken`` is set and nothing is written any more; who
-    reads then finds the end. ``failure`` says what went wrong, for the log.
+    reads then finds the end. ``is_stalled`` tells that it took nothing. ``failure``
+    says what went wrong, for the log.
     """
 
     def __init__(self, stream: trio.SocketStream, max_header_bytes: int):
         self.is_broken = False
+        self.is_stalled = False
         self.failure: str | None = None
         self._stream = stream
         self._sending: trio.CancelScope | None = None
         self._last_send_at = float("inf")
-        self._conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=max_header_bytes
-        )
+        self._max_header_bytes = max_header_bytes
+        self._conn = _make_parser(max_header_bytes)
+        self._write_lock = trio.Lock()
 
     def has_unread(self) -> bool:
         """Return whether bytes of a next request have been received."""
@@ -90,31 +91,39 @@
         return bool(data)
 
     async def _send_continue(self) -> None:
-        event = h11.InformationalResponse(status_code=100, headers=[])
-        await self.write(self.encode(event))
-
-    def encode(self, event: h11.Event) -> bytes:
-        """Return the bytes of an event of an answer."""
-        return self._conn.send(event) or b""
+        await self.send(h11.InformationalResponse(status_code=100, headers=[]))
 
-    async def write(self, data: bytes) -> None:
-        """Write bytes of an answer.
+    async def send(self, *events: h11.Event) -> None:
+        """Write events of an answer.
 
         Shielded: an answer that is ready is delivered, also if the call's deadline
-        passes in the step in which it came.
+        passes in the step in which it came. Locked: one task may answer while another
+        still reads and tells the client to go on with its body.
+
+        :raises h11.LocalProtocolError: if the events make no valid answer.
         """
-        for piece in _cut(data):
-            if self.is_broken:
-                await trio.lowlevel.checkpoint()
-                return
-            end = min(trio.current_time() + SEND_SECONDS, self._last_send_at)
-            with trio.CancelScope(deadline=end, shield=True) as self._sending:
-                try:
-                    await self._stream.send_all(piece)
-                except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                    self._break(f"sending failed: {error.__cause__!r}")
-            if self._sending.cancelled_caught:
-                self._break("the client takes nothing")
+        if self.is_broken:
+            # A handler that goes on writing must not miss its cancellation.
+            await trio.lowlevel.checkpoint()
+            return
+        with trio.CancelScope(shield=True):
+            async with self._write_lock:
+                data = b"".join(self._conn.send(event) or b"" for event in events)
+                for start in range(0, len(data), WRITE_BYTES):
+                    await self._write(data[start : start + WRITE_BYTES])
+
+    async def _write(self, piece: bytes) -> None:
+        if self.is_broken:
+            return
+        end = min(trio.current_time() + SEND_SECONDS, self._last_send_at)
+        with trio.CancelScope(deadline=end) as self._sending:
+            try:
+                await self._stream.send_all(piece)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                self._break(f"sending failed: {error.__cause__!r}")
+        if self._sending.cancelled_caught:
+            self.is_stalled = True
+            self._break("the client takes nothing")
 
     def end_sending_at(self, end: float) -> None:
         """Send nothing after ``end``, on the runtime's clock."""
@@ -134,22 +143,35 @@
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
-        data = self.encode(h11.Response(status_code=status, headers=headers))
-        await self.write(data + self.encode(h11.EndOfMessage()))
+        response = h11.Response(status_code=status, headers=headers)
+        await self.send(response, h11.EndOfMessage())
 
     def is_request_whole(self) -> bool:
         """Return whether all of the present request has been read."""
         return self._conn.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
-    def start_next_cycle(self) -> bool:
+    def start_next_cycle(self, max_header_bytes: int) -> bool:
         """Return whether another request may follow the one that was answered."""
         if self._conn.our_state is not h11.DONE:
             return False
         if self._conn.their_state is not h11.DONE:
             return False
-        self._conn.start_next_cycle()
+        if max_header_bytes == self._max_header_bytes:
+            self._conn.start_next_cycle()
+        else:
+            self._renew_parser(max_header_bytes)
         return True
 
+    def _renew_parser(self, max_header_bytes: int) -> None:
+        """Read on with another limit; bytes that have come already are kept."""
+        rest, is_ended = self._conn.trailing_data
+        self._max_header_bytes = max_header_bytes
+        self._conn = _make_parser(max_header_bytes)
+        if rest:
+            self._conn.receive_data(rest)
+        if is_ended:
+            self._conn.receive_data(b"")
+
     async def finish_sending(self) -> None:
         """Tell the client that nothing more comes."""
         with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
@@ -159,11 +181,14 @@
         """Close at once."""
         self._stream.socket.close()
 
+    def reset(self) -> None:
+        """Close so that the client sees an error, not an end."""
+        with suppress(OSError):
+            self._stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT
+            )
+        self._stream.socket.close()
+
 
-def _cut(data: bytes) -> Iterator[bytes]:
-    if len(data) <= WRITE_BYTES:
-        if data:
-            yield data
-        return
-    for start in range(0, len(data), WRITE_BYTES):
-        yield data[start : start + WRITE_BYTES]
+def _make_parser(max_header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
