Count only the events that were sent as sent in the stand-in engine

Cause: after a send the stand-in engine noted the tokens made by then as sent, also those that it had made during the send. On a busy machine a send outlasts a token, so events were left out; the instance took each gap for a cut, and at the sixth in one stream ended it with the error event "the stream was cut too often".

Ruled out: the instance's side. It passed on what it got, saw the gaps, and said that the stream is not complete.

Change: what was put together before the send is what counts as sent after it.

--- a/ashpond/standins/engine.py
+++ b/ashpond/standins/engine.py
@@ -184,9 +184,12 @@
                 await stream.work.changed.wait()
             if stream.work.cancelled:
                 return
-            ready = range(sent + 1, stream.work.made + 1)
+            # More tokens are made while these are sent: only those whose events
+            # were put together here count as sent.
+            made = stream.work.made
+            ready = range(sent + 1, made + 1)
             yield b"".join(stream.make_event(name, number) for number in ready)
-            sent = stream.work.made
+            sent = made
             if model.faults.cut_after and sent >= model.faults.cut_after:
                 model.faults.cut_after = 0
                 raise ConnectionResetError("told to cut the stream")
