--- a/ashpond/gateway/fleetlinks.py
+++ b/ashpond/decisions/fleetlinks.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Links", "Member", "plan_links"]
+__all__ = ["Links", "Member", "list_names", "plan_links"]
 
 import math
 from collections.abc import Mapping
@@ -61,6 +61,11 @@
     is_reader: bool = False
 
 
+def list_names(members: tuple[Member, ...]) -> list[str]:
+    """Return the names of members, in their order."""
+    return [member.name for member in members]
+
+
 def plan_links(
     members: Mapping[str, Member], name: str, mesh_limit: int = FLAT_FLEET
 ) -> Links:
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from ashpond.decisions.budget import SendBudget
 from ashpond.emulator.engines import EmulatedEngine
 from ashpond.emulator.scenarios import Scenario
 from ashpond.emulator.wire import (
@@ -18,7 +19,6 @@
     build_engine_port,
     make_address,
 )
-from ashpond.gateway.budget import SendBudget
 from ashpond.gateway.cachestores import CacheStores
 from ashpond.gateway.calls import Prompt
 from ashpond.gateway.decisionlog import DecisionLog
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -11,9 +11,10 @@
 import trio
 
 from ashpond.clients.channels import ChannelPool
+from ashpond.decisions.budget import SendBudget, SendCounts
+from ashpond.decisions.fleetlinks import Member
 from ashpond.errors import SettingsError
 from ashpond.gateway.admission import admit_call
-from ashpond.gateway.budget import SendBudget, SendCounts
 from ashpond.gateway.cachestores import EVENTS_PREFIX, CacheStores
 from ashpond.gateway.calls import IncomingCall, Prompt, Reply
 from ashpond.gateway.connectionlog import ConnectionLog
@@ -24,13 +25,12 @@
 )
 from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.feeds import Feed, Follower, TableNews
-from ashpond.gateway.fleetlinks import Member
 from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.ingress import Ingress, IngressPorts
 from ashpond.gateway.members import Members
 from ashpond.gateway.metrics import GatewayMetrics
-from ashpond.gateway.news import NewsHandlers, Newsroom
-from ashpond.gateway.newsitems import ServerNotice
+from ashpond.gateway.news import Newsroom
+from ashpond.gateway.newsitems import NewsHandlers, ServerNotice
 from ashpond.gateway.places import Places
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.replies import send_refusal
--- a/ashpond/gateway/fleetview.py
+++ b/ashpond/gateway/fleetview.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from ashpond.gateway.budget import SendCounts
+from ashpond.decisions.budget import SendCounts
 from ashpond.gateway.directory import PEER_LOAD_SECONDS, Load
 
 # A hub that has been silent for longer is no longer relied on (seconds); it sends at
--- a/ashpond/gateway/members.py
+++ b/ashpond/gateway/members.py
@@ -10,8 +10,8 @@
 import orjson
 import trio
 
+from ashpond.decisions.fleetlinks import Member
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.fleetlinks import Member
 from ashpond.gateway.store import Condition, Row, Snapshot, Store
 from ashpond.outcomes import Conflict, Done
 
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -2,28 +2,33 @@
 
 from __future__ import annotations
 
-__all__ = ["NewsHandlers", "Newsroom"]
+__all__ = ["Newsroom"]
 
 import secrets
-from collections.abc import Callable, Container, Sequence
-from typing import NamedTuple
+from collections.abc import Sequence
 
 import trio
 
 from ashpond.addresses import parse_address
 from ashpond.clients.liveness import watch_liveness
 from ashpond.clients.peer import News, PeerStream, TableChanges, connect_peer
+from ashpond.decisions.fleetlinks import (
+    FLAT_FLEET,
+    Links,
+    Member,
+    list_names,
+    plan_links,
+)
 from ashpond.errors import FrameError
-from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import ServerTable
 from ashpond.gateway.feeds import TableNews
-from ashpond.gateway.fleetlinks import FLAT_FLEET, Links, Member, plan_links
 from ashpond.gateway.fleetview import FleetView, Scope, Source, Work
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.members import Members
 from ashpond.gateway.newsitems import (
     Digest,
+    NewsHandlers,
     ServerNotice,
     decode_changes,
     decode_news,
@@ -58,21 +63,6 @@
 HUB_CHECK_SECONDS = 0.2
 
 
-class NewsHandlers(NamedTuple):
-    """What is done with the news of others, and what is told of this instance.
-
-    ``keep_peers`` gets the senders whose reports add up to the whole fleet's;
-    ``on_table`` returns whether it should be forwarded.
-    """
-
-    on_notice: Callable[[ServerNotice], None]
-    on_holding: Callable[[Holding], None]
-    list_sends: Callable[[], dict[str, SendCounts]]
-    on_sends: Callable[[str, str, SendCounts], None]
-    keep_peers: Callable[[Container[str]], None]
-    on_table: Callable[[TableNews], bool]
-
-
 class Newsroom:
     """Sends news to other instances and takes theirs."""
 
@@ -156,7 +146,7 @@
             return
         links = plan_links(self.members.by_name, self._name, self._mesh_limit)
         if links.group != self.links.group:
-            self._log.note("news_group", group=links.group, hubs=_name(links.hubs))
+            self._log.note("news_group", group=links.group, hubs=list_names(links.hubs))
             self._grouped_at = trio.current_time()
         self.links = links
         self.view.set_hubs(member.name for member in links.hubs)
@@ -193,7 +183,7 @@
             self._keep_counted(now)
             if self._should_act_as_hub(now) != self._is_hub:
                 self.adjust_links()
-                hubs = _name(self.links.hubs)
+                hubs = list_names(self.links.hubs)
                 self._log.note("news_hub", is_hub=self._is_hub, hubs=hubs)
 
     async def _feed_peer(self, link: Link, address: str) -> None:
@@ -412,7 +402,3 @@
     def _wake(self) -> None:
         self._wakeup.set()
         self._wakeup = trio.Event()
-
-
-def _name(members: tuple[Member, ...]) -> list[str]:
-    return [member.name for member in members]
--- a/ashpond/gateway/newsitems.py
+++ b/ashpond/gateway/newsitems.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "Digest",
+    "NewsHandlers",
     "ServerNotice",
     "decode_changes",
     "decode_news",
@@ -11,11 +12,12 @@
     "encode_news",
 ]
 
+from collections.abc import Callable, Container
 from typing import NamedTuple
 
 from ashpond.clients.peer import News, TableChanges
+from ashpond.decisions.budget import SendCounts
 from ashpond.errors import FrameError
-from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.directory import Load
 from ashpond.gateway.feeds import TableNews
 from ashpond.gateway.fleetview import Scope, Work
@@ -51,6 +53,21 @@
     holdings: list[Holding]
 
 
+class NewsHandlers(NamedTuple):
+    """What is done with the news of others, and what is told of this instance.
+
+    ``keep_peers`` gets the senders whose reports add up to the whole fleet's;
+    ``on_table`` returns whether it should be forwarded.
+    """
+
+    on_notice: Callable[[ServerNotice], None]
+    on_holding: Callable[[Holding], None]
+    list_sends: Callable[[], dict[str, SendCounts]]
+    on_sends: Callable[[str, str, SendCounts], None]
+    keep_peers: Callable[[Container[str]], None]
+    on_table: Callable[[TableNews], bool]
+
+
 def encode_news(sender: str, digest: Digest) -> News:
     """Return the message that tells a digest; ``sender`` is a life."""
     return News(
--- a/ashpond/gateway/sends.py
+++ b/ashpond/gateway/sends.py
@@ -26,8 +26,9 @@
     Outgoing,
     Response,
 )
+from ashpond.decisions.budget import SendBudget
+from ashpond.decisions.eventstream import EventCutter
 from ashpond.gateway.admission import Accepted
-from ashpond.gateway.budget import SendBudget
 from ashpond.gateway.calls import (
     AnswerMarks,
     Codec,
@@ -44,7 +45,6 @@
     LOADING_PAUSE_SECONDS,
     ServerState,
 )
-from ashpond.gateway.eventstream import EventCutter
 from ashpond.gateway.knowledge import Knowledge
 from ashpond.gateway.places import Place, Places
 from ashpond.gateway.replies import drop_connection_headers
--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -17,8 +17,8 @@
 import msgspec
 from msgspec import Meta
 
+from ashpond.decisions.fleetlinks import FLAT_FLEET
 from ashpond.errors import InputProblem, SettingsError
-from ashpond.gateway.fleetlinks import FLAT_FLEET
 from ashpond.tables import MAX_SHOWN, load_toml
 
 # ``msgspec`` and not ``pydantic``, whose import takes a quarter of the start: after
--- a/tests/newsroom.py
+++ b/tests/newsroom.py
@@ -8,15 +8,15 @@
 
 import trio
 
-from ashpond.gateway.budget import SendCounts
+from ashpond.decisions.budget import SendCounts
+from ashpond.decisions.fleetlinks import FLAT_FLEET, Member
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import Load
 from ashpond.gateway.feeds import Feed, Follower, TableNews
-from ashpond.gateway.fleetlinks import FLAT_FLEET, Member
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.members import MEMBERS_TABLE, Members
-from ashpond.gateway.news import NewsHandlers, Newsroom
-from ashpond.gateway.newsitems import ServerNotice
+from ashpond.gateway.news import Newsroom
+from ashpond.gateway.newsitems import NewsHandlers, ServerNotice
 from ashpond.gateway.newslinks import Audience
 from ashpond.gateway.store import StoreClock
 from ashpond.standins.tables import MemoryStore
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -11,8 +11,8 @@
 import trio.testing
 
 from ashpond.clients.channels import ChannelError, Outgoing
+from ashpond.decisions.budget import SendBudget
 from ashpond.gateway.admission import admit_call
-from ashpond.gateway.budget import SendBudget
 from ashpond.gateway.calls import Headers
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.declared import Declaration, Route, RouteKind
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,7 +13,7 @@
 import orjson
 import trio
 
-from ashpond.gateway.fleetlinks import FLAT_FLEET
+from ashpond.decisions.fleetlinks import FLAT_FLEET
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
 from tests.servers import make_answer, read_request
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies as st
 
-from ashpond.gateway.eventstream import EventCutter
+from ashpond.decisions.eventstream import EventCutter
 
 
 def make_stream(count: int) -> bytes:
--- a/tests/test_fleetlinks.py
+++ b/tests/test_fleetlinks.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies as st
 
-from ashpond.gateway.fleetlinks import CANDIDATES, FLAT_FLEET, Member, plan_links
+from ashpond.decisions.fleetlinks import CANDIDATES, FLAT_FLEET, Member, plan_links
 
 
 def make_members(count: int, domains: int = 4) -> dict[str, Member]:
--- a/tests/test_fleetview.py
+++ b/tests/test_fleetview.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ashpond.gateway.budget import SendCounts
+from ashpond.decisions.budget import SendCounts
 from ashpond.gateway.directory import PEER_LOAD_SECONDS, Load
 from ashpond.gateway.fleetview import (
     HUB_SILENCE_SECONDS,
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ashpond.gateway.budget import SendBudget
+from ashpond.decisions.budget import SendBudget
 from ashpond.gateway.cachestores import SAVING_SECONDS, StoreContents
 from ashpond.gateway.declared import CacheStore
 from ashpond.gateway.directory import LAPSE_SECONDS, PEER_LOAD_SECONDS, Load
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -11,9 +11,9 @@
 from ashpond.clients import peer
 from ashpond.clients.liveness import UNACKNOWLEDGED_MS, watch_liveness
 from ashpond.clients.peer import News, TableChanges
+from ashpond.decisions.budget import SendCounts
 from ashpond.errors import FrameError
 from ashpond.gateway import news as news_module
-from ashpond.gateway.budget import SendCounts
 from ashpond.gateway.directory import Load
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.members import Members
--- a/tests/test_news_groups.py
+++ b/tests/test_news_groups.py
@@ -9,9 +9,9 @@
 import pytest
 import trio
 
+from ashpond.decisions.fleetlinks import READER_GROUPS
 from ashpond.gateway.directory import Load
 from ashpond.gateway.feeds import TableNews
-from ashpond.gateway.fleetlinks import READER_GROUPS
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.news import GROUP_NEWS_SECONDS
 from ashpond.gateway.newsitems import ServerNotice
