Soak with clients that keep connections, series of faults and a check for lost requests

Cause: the soak sent each request on a connection of its own, one fault after the other, and nothing asked whether a request that had reached a server was answered. So it could not see that a connection was ended in the step of the event loop in which its next request was read.

Change: clients that keep connections and send after idle times around the idle limit, an older or the newest one, and around the close of a leaving instance; series of pauses, SIGTERM, SIGHUP, SIGKILL and changes of limits, timeouts and keys, several at once; LOST for a request that reached an unharmed server and got no whole answer, with excuses for SIGKILL, a stop longer than the client's patience, the end of the grace period, and a limit that runs out within a stream. Signals and harm are kept with their times. Two faults that stop one instance at once no longer start it twice. Options for instances, clients, series and worlds at once; split by job.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,9 +1,12 @@
-"""Run the soak: ``python -m tests.soak SEED [COUNT] [SECONDS]``."""
+"""Run the soak: ``python -m tests.soak SEED [COUNT] [SECONDS] [OPTIONS]``."""
 
 from __future__ import annotations
 
 import sys
 import tempfile
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from pathlib import Path
 
 import click
@@ -11,25 +14,60 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "platform"))
 
-from tests.soak.world import World  # noqa: E402
+from tests.soak.world import Play, World  # noqa: E402
+
+
+def play_seed(play: Play, seconds: float, seed: int) -> tuple[str, list[str]]:
+    """Play one seed; return a line on it, and what was broken."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    world = World(seed, folder, play)
+    broken = trio.run(world.run, seconds)
+    served = sum(s.status == 200 and s.is_whole for s in world.seen)
+    kept = sum(s.way.uses > 0 for s in world.seen)
+    line = (
+        f"seed {seed}: {served} of {len(world.seen)} served, "
+        f"{kept} on used connections, {len(broken)} broken"
+    )
+    return (f"{line}, logs: {folder}" if broken else line), broken
+
+
+def play_seeds(
+    play: Callable[[int], tuple[str, list[str]]], seeds: Iterable[int], worlds: int
+) -> Iterator[tuple[str, list[str]]]:
+    """Play seeds, several at once if asked; give their results in order."""
+    if worlds == 1:
+        yield from map(play, seeds)
+        return
+    with ProcessPoolExecutor(worlds) as pool:
+        yield from pool.map(play, seeds)
 
 
 @click.command()
 @click.argument("seed", type=int)
 @click.argument("count", type=int, default=1)
 @click.argument("seconds", type=float, default=12.0)
-def main(seed: int, count: int, seconds: float) -> None:
+@click.option("--instances", type=int, help="Instances; else 3 or 5 by the seed.")
+@click.option("--servers", type=int, default=3, show_default=True)
+@click.option("--keepers", type=int, default=100, show_default=True)
+@click.option("--series", type=int, default=4, show_default=True)
+@click.option("--worlds", type=int, default=1, help="Seeds played at once.")
+def main(
+    seed: int,
+    count: int,
+    seconds: float,
+    instances: int | None,
+    servers: int,
+    keepers: int,
+    series: int,
+    worlds: int,
+) -> None:
     """Play COUNT seeds from SEED on, each for SECONDS; exit 1 if one failed."""
+    play = Play(instances, servers, keepers, series)
     failed = 0
-    for number in range(seed, seed + count):
-        folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
-        world = World(number, folder)
-        broken = trio.run(world.run, seconds)
-        served = sum(s.status == 200 and s.is_whole for s in world.seen)
-        click.echo(f"seed {number}: {served} of {len(world.seen)} served, {broken}")
-        if broken:
-            failed += 1
-            click.echo(f"logs: {folder}")
+    seeds = range(seed, seed + count)
+    for line, broken in play_seeds(partial(play_seed, play, seconds), seeds, worlds):
+        failed += bool(broken)
+        click.echo("\n  ".join([line, *broken]))
     sys.exit(1 if failed else 0)
 
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from enum import StrEnum
 from typing import NamedTuple
 
 import h11
@@ -10,6 +11,40 @@
 
 KINDS = {"once": ("POST", "/n/"), "again": ("GET", "/i/"), "stream": ("POST", "/s/")}
 PATIENCE_SECONDS = 4.0
+# A client stays for this long after its patience, for an answer that says so.
+STAY_SECONDS = 1.5
+
+
+class Ending(StrEnum):
+    """How a request ended for its client."""
+
+    ANSWERED = "answered"
+    CLOSED = "closed"
+    RESET = "reset"
+    NOT_CONNECTED = "not connected"
+    GIVEN_UP = "given up"
+
+
+class Answer(NamedTuple):
+    """What came on a connection after a request; status 0 for none."""
+
+    status: int = 0
+    body: bytes = b""
+    ending: Ending = Ending.GIVEN_UP
+
+
+class Way(NamedTuple):
+    """The connection of a request, and what was before it (seconds).
+
+    ``life_began_at`` is the start of the process that the instance then was.
+    ``idle_limit`` is the newest limit at sending, ``uses`` the earlier requests.
+    """
+
+    instance: str = ""
+    life_began_at: float = 0.0
+    idle_before: float = 0.0
+    idle_limit: float = 0.0
+    uses: int = 0
 
 
 class Seen(NamedTuple):
@@ -22,34 +57,69 @@
     status: int
     body: bytes
     is_whole: bool
+    ending: Ending
+    ended_at: float
+    way: Way
 
 
-async def ask(address: str, kind: str, request_id: str, key: str) -> Seen:
+async def ask(
+    address: str, kind: str, request_id: str, key: str, way: Way | None = None
+) -> Seen:
     """Send one request on a connection of its own; return what came."""
     sent_at = trio.current_time()
-    status, body, is_whole = 0, b"", False
-    with trio.move_on_after(PATIENCE_SECONDS + 1.5):
+    answer = Answer()
+    with trio.move_on_after(PATIENCE_SECONDS + STAY_SECONDS):
+        host, port = address.split(":")
         try:
-            host, port = address.split(":")
             stream = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            answer = Answer(ending=Ending.NOT_CONNECTED)
+        else:
             async with stream:
                 conn = h11.Connection(h11.CLIENT)
-                await stream.send_all(_make_request(conn, kind, request_id, key))
-                while not is_whole:
-                    event = conn.next_event()
-                    if event is h11.NEED_DATA:
-                        conn.receive_data(await stream.receive_some(65_536))
-                    elif isinstance(event, h11.Response):
-                        status = event.status_code
-                    elif isinstance(event, h11.Data):
-                        body += bytes(event.data)
-                    elif isinstance(event, h11.EndOfMessage):
-                        is_whole = True
-                    else:
-                        break
-        except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
-            pass
-    return Seen(request_id, kind, key, sent_at, status, body, is_whole)
+                answer = await exchange(stream, conn, kind, request_id, key)
+    return make_seen(request_id, kind, key, sent_at, answer, way or Way())
+
+
+def make_seen(
+    request_id: str, kind: str, key: str, sent_at: float, answer: Answer, way: Way
+) -> Seen:
+    """Return the end of a request, which has come now."""
+    is_whole = answer.ending is Ending.ANSWERED
+    now = trio.current_time()
+    end = (answer.status, answer.body, is_whole, answer.ending, now, way)
+    return Seen(request_id, kind, key, sent_at, *end)
+
+
+async def exchange(
+    stream: trio.SocketStream,
+    conn: h11.Connection,
+    kind: str,
+    request_id: str,
+    key: str,
+) -> Answer:
+    """Send one request on a connection; return what came until patience ends."""
+    status, body = 0, b""
+    with trio.move_on_after(PATIENCE_SECONDS + STAY_SECONDS):
+        try:
+            await stream.send_all(_make_request(conn, kind, request_id, key))
+            while True:
+                event = conn.next_event()
+                if event is h11.NEED_DATA:
+                    conn.receive_data(await stream.receive_some(65_536))
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    body += bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    return Answer(status, body, Ending.ANSWERED)
+                else:
+                    return Answer(status, body, Ending.CLOSED)
+        except (OSError, trio.BrokenResourceError):
+            return Answer(status, body, Ending.RESET)
+        except h11.RemoteProtocolError:
+            return Answer(status, body, Ending.CLOSED)
+    return Answer(status, body)
 
 
 def _make_request(conn: h11.Connection, kind: str, request_id: str, key: str) -> bytes:
--- /dev/null
+++ b/tests/soak/instances.py
@@ -0,0 +1,126 @@
+"""Instances as processes, and the signals that were sent to them."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+import trio
+
+from tests.test_gateway_ingress import make_settings
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+# As in the users' deployments.
+REVOCATION_SECONDS = 5.0
+GRACE_SECONDS = 4.0
+
+
+class Sent(NamedTuple):
+    """One signal, and when it was sent on the soak's clock."""
+
+    at: float
+    number: signal.Signals
+
+
+class Instance:
+    """One instance as a process, which may be stopped and started again."""
+
+    def __init__(self, name: str, folder: Path, store: str, host: str, mesh_limit: int):
+        self.name = name
+        self.path = folder / f"{name}.toml"
+        self.log = (folder / f"{name}.log").open("ab")
+        values = make_settings()._asdict()
+        del values["bounds"], values["mesh_limit"], values["link_mbps"]
+        # Addresses of the loopback range of their own: soaks may run side by side.
+        values = {k: v.replace("127.0.0.1", host) for k, v in values.items()}
+        values |= {"name": name, "store_address": store}
+        bounds = {
+            "revocation_ms": REVOCATION_SECONDS * 1000,
+            "grace_s": GRACE_SECONDS,
+        }
+        lines = [f'{key} = "{value}"' for key, value in values.items()]
+        lines.append(f"mesh_limit = {mesh_limit}")
+        lines += ["[bounds]", *(f"{key} = {value}" for key, value in bounds.items())]
+        self.path.write_text("\n".join(lines))
+        self.address: str = values["callers_address"]
+        self.process: subprocess.Popen[bytes] | None = None
+        self.started_at = 0.0
+        self.answered_at = 0.0
+        self.is_restarting = False
+        self.signals: list[Sent] = []
+
+    @property
+    def is_up(self) -> bool:
+        """Whether this life has answered: its signal handlers are in place."""
+        return self.answered_at > self.started_at and not self.is_restarting
+
+    def start(self) -> None:
+        """Start the process, unless another fault's end has done so."""
+        if self.process is not None and self.process.poll() is None:
+            return
+        self.started_at = trio.current_time()
+        self.process = subprocess.Popen(
+            [sys.executable, "platform/serve.py"],
+            cwd=ROOT,
+            env={**os.environ, "ASHPOND_NODE_FILE": str(self.path)},
+            stdout=self.log,
+            stderr=self.log,
+        )
+
+    def send(self, number: int) -> None:
+        """Send a signal, if the process is there."""
+        if self.process is not None and self.process.poll() is None:
+            self.signals.append(Sent(trio.current_time(), signal.Signals(number)))
+            self.process.send_signal(number)
+
+    async def stop(self, number: int) -> None:
+        """End the process by a signal and wait for its end."""
+        process = self.process
+        self.send(signal.SIGCONT)
+        self.send(number)
+        with trio.move_on_after(GRACE_SECONDS + 1):
+            while process is not None and process.poll() is None:
+                await trio.sleep(0.02)
+        if process is self.process:
+            self.send(signal.SIGKILL)
+        if process is not None:
+            process.wait()
+
+    async def restart(self, number: int, down_seconds: float) -> None:
+        """End the process, wait and start it; the end of the play waits for it."""
+        # Who is stopped has to be started again.
+        with trio.CancelScope(shield=True):
+            self.is_restarting = True
+            await self.stop(number)
+            await trio.sleep(down_seconds)
+            self.start()
+            self.is_restarting = False
+
+    def find_sent(self, number: int, since: float, until: float) -> Sent | None:
+        """Return the first signal of this number in a time."""
+        sent = (s for s in self.signals if since <= s.at <= until)
+        return next((s for s in sent if s.number == number), None)
+
+    def find_last(self, until: float) -> Sent | None:
+        """Return the last signal up to a time."""
+        return next((s for s in reversed(self.signals) if s.at <= until), None)
+
+    def measure_stopped(self, since: float, until: float) -> float:
+        """Return for how long of a time the process was stopped by SIGSTOP."""
+        seconds = 0.0
+        stopped_at: float | None = None
+        end = Sent(until, signal.SIGCONT)
+        for sent in [*(s for s in self.signals if s.at < until), end]:
+            if sent.number == signal.SIGSTOP:
+                stopped_at = sent.at if stopped_at is None else stopped_at
+            elif stopped_at is not None and sent.number in ENDS_OF_STOP:
+                seconds += max(0.0, sent.at - max(stopped_at, since))
+                stopped_at = None
+        return seconds
+
+
+ENDS_OF_STOP = (signal.SIGCONT, signal.SIGKILL)
--- /dev/null
+++ b/tests/soak/keepers.py
@@ -0,0 +1,135 @@
+"""Clients that keep a connection for many requests, with idle times between."""
+
+from __future__ import annotations
+
+import random
+import select
+import signal
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from ashpond.gateway.application import LEAVE_SECONDS
+from tests.soak.clients import Ending, Way, choose_kind, exchange, make_seen
+from tests.soak.instances import Instance
+
+if TYPE_CHECKING:
+    from tests.soak.world import World
+
+# Idle times go a little over the limit, as some clients know an older one.
+LONGEST_SHARE = 1.1
+# Clients that know the newest limit use a connection up to four fifths of it.
+KNOWING_SHARES = (0.5, 0.8)
+# Around the end of a limit (seconds): most before it, so that they are still taken.
+EDGE_SECONDS = (-0.2, 0.03)
+# Steps in which a waiting client looks for newer limits and signals.
+LOOK_SECONDS = 0.01
+RECONNECT_SECONDS = 0.1
+# Connections that are opened before there is a request for them, as pools do.
+OPENED_EARLY_SHARE = 0.3
+
+Idle = Callable[[Instance, float, float], Awaitable[None]]
+
+
+class Keeper:
+    """One client; it takes another connection only if the one it has was ended."""
+
+    def __init__(self, world: World, rng: random.Random):
+        self._world = world
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Use one connection after the other until cancelled."""
+        while True:
+            instance = self._rng.choice(self._world.instances)
+            way = Way(instance.name, instance.started_at)
+            host, port = instance.address.split(":")
+            try:
+                stream = await trio.open_tcp_stream(host, int(port))
+            except OSError:
+                await trio.sleep(RECONNECT_SECONDS)
+                continue
+            async with stream:
+                await self._use(stream, instance, way)
+
+    async def _use(
+        self, stream: trio.SocketStream, instance: Instance, way: Way
+    ) -> None:
+        conn = h11.Connection(h11.CLIENT)
+        is_opened_early = self._rng.random() < OPENED_EARLY_SHARE
+        while True:
+            idle_since = trio.current_time()
+            if way.uses or is_opened_early:
+                await self._idle(instance, idle_since)
+            if has_ended(stream):
+                return
+            idle = trio.current_time() - idle_since
+            limit = self._world.idle_limit
+            way = way._replace(idle_before=idle, idle_limit=limit)
+            if not await self._ask(stream, conn, instance, way):
+                return
+            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
+            way = way._replace(uses=way.uses + 1)
+
+    async def _ask(
+        self,
+        stream: trio.SocketStream,
+        conn: h11.Connection,
+        instance: Instance,
+        way: Way,
+    ) -> bool:
+        kind = choose_kind(self._rng)
+        # Half with the key that stays, or a long play's requests are mostly refused.
+        key = self._rng.choice(
+            [self._world.keys[0], self._rng.choice(self._world.keys)]
+        )
+        request_id = self._world.make_id()
+        sent_at = trio.current_time()
+        answer = await exchange(stream, conn, kind, request_id, key)
+        seen = make_seen(request_id, kind, key, sent_at, answer, way)
+        self._world.note(seen, instance)
+        return answer.ending is Ending.ANSWERED
+
+    async def _idle(self, instance: Instance, since: float) -> None:
+        limit = self._world.idle_limit
+        ways: list[Idle] = [
+            self._idle_any,
+            self._idle_to_edge,
+            self._idle_knowing,
+            self._idle_to_close,
+        ]
+        await self._rng.choice(ways)(instance, since, limit)
+
+    async def _idle_any(self, _: Instance, since: float, limit: float) -> None:
+        await trio.sleep_until(since + limit * self._rng.uniform(0, LONGEST_SHARE))
+
+    async def _idle_to_edge(self, _: Instance, since: float, limit: float) -> None:
+        await trio.sleep_until(since + limit + self._rng.uniform(*EDGE_SECONDS))
+
+    async def _idle_knowing(self, _: Instance, since: float, __: float) -> None:
+        share = self._rng.uniform(*KNOWING_SHARES)
+        while trio.current_time() < since + self._world.idle_limit * share:
+            await trio.sleep(LOOK_SECONDS)
+
+    async def _idle_to_close(
+        self, instance: Instance, since: float, limit: float
+    ) -> None:
+        """Wait until a leaving instance closes its connections, or the limit ends."""
+        early = self._rng.uniform(*EDGE_SECONDS)
+        end = since + limit + early
+        while (now := trio.current_time()) < end:
+            await trio.sleep(min(LOOK_SECONDS, end - now))
+            sent = instance.find_sent(signal.SIGTERM, instance.started_at, now)
+            if sent is not None:
+                end = min(end, sent.at + LEAVE_SECONDS + early)
+
+
+def has_ended(stream: trio.SocketStream) -> bool:
+    """Return whether the other side has ended a connection on which none waits."""
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -27,8 +27,25 @@
 
     def __init__(self, target: str):
         self.target = target
-        self.harm = Harm.NONE
         self.address = ""
+        self._harms: list[tuple[float, Harm]] = [(0.0, Harm.NONE)]
+
+    @property
+    def harm(self) -> Harm:
+        """What it does now."""
+        return self._harms[-1][1]
+
+    @harm.setter
+    def harm(self, harm: Harm) -> None:
+        self._harms.append((trio.current_time(), harm))
+
+    def was_harmed(self, since: float, until: float) -> bool:
+        """Return whether it did any harm in a time."""
+        ends = [at for at, _ in self._harms[1:]] + [float("inf")]
+        return any(
+            harm is not Harm.NONE and at <= until and end >= since
+            for (at, harm), end in zip(self._harms, ends, strict=True)
+        )
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Listen until cancelled."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -2,93 +2,53 @@
 
 from __future__ import annotations
 
-import os
 import random
 import signal
-import subprocess
-import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any, NamedTuple
 
 import orjson
 import trio
 
+from ashpond.gateway.declared import IngressLimits
 from ashpond.gateway.fleetlinks import FLAT_FLEET
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
 from tests.servers import make_answer, read_request
-from tests.soak.clients import Seen, ask, choose_kind
+from tests.soak.checks import LEAST_SERVED, check
+from tests.soak.clients import Seen, Way, ask, choose_kind
+from tests.soak.faults import IDLE_LIMITS_MS, Faults, Series
+from tests.soak.instances import Instance
+from tests.soak.keepers import Keeper
 from tests.soak.proxy import Harm, Proxy
-from tests.soak.servers import EVENTS, Ledger, Server, make_body, make_event
-from tests.test_gateway_ingress import make_settings
+from tests.soak.servers import Ledger, Server
 from tests.test_platform_rows import ROUTE, SERVER
 from tests.test_platform_store import answer_call
 
-ROOT = Path(__file__).resolve().parent.parent.parent
-# As in the users' deployments.
-REVOCATION_SECONDS = 5.0
-GRACE_SECONDS = 4.0
 # Instances that were restarted need a second or two, on a busy machine more.
 PATIENCE_SECONDS = 30.0
 REQUEST_SECONDS = 0.04
-FAULT_SECONDS = (0.3, 1.5)
-LEAST_SERVED = 0.9
-
-
-class Instance:
-    """One instance as a process, which may be stopped and started again."""
-
-    def __init__(self, name: str, folder: Path, store: str, host: str, mesh_limit: int):
-        self.path = folder / f"{name}.toml"
-        self.log = (folder / f"{name}.log").open("ab")
-        values = make_settings()._asdict()
-        del values["bounds"], values["mesh_limit"], values["link_mbps"]
-        # Addresses of the loopback range of their own: soaks may run side by side.
-        values = {k: v.replace("127.0.0.1", host) for k, v in values.items()}
-        values |= {"name": name, "store_address": store}
-        bounds = {
-            "revocation_ms": REVOCATION_SECONDS * 1000,
-            "grace_s": GRACE_SECONDS,
-        }
-        lines = [f'{key} = "{value}"' for key, value in values.items()]
-        lines.append(f"mesh_limit = {mesh_limit}")
-        lines += ["[bounds]", *(f"{key} = {value}" for key, value in bounds.items())]
-        self.path.write_text("\n".join(lines))
-        self.address: str = values["callers_address"]
-        self.process: subprocess.Popen[bytes] | None = None
-
-    def start(self) -> None:
-        """Start the process."""
-        self.process = subprocess.Popen(
-            [sys.executable, "platform/serve.py"],
-            cwd=ROOT,
-            env={**os.environ, "ASHPOND_NODE_FILE": str(self.path)},
-            stdout=self.log,
-            stderr=self.log,
-        )
-
-    def send(self, number: int) -> None:
-        """Send a signal, if the process is there."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    async def stop(self, number: int) -> None:
-        """End the process by a signal and wait for its end."""
-        self.send(signal.SIGCONT)
-        self.send(number)
-        with trio.move_on_after(GRACE_SECONDS + 1):
-            while self.process is not None and self.process.poll() is None:
-                await trio.sleep(0.02)
-        self.send(signal.SIGKILL)
-        if self.process is not None:
-            self.process.wait()
+SINGLE_FAULTS = 2
+# Enough for the many removals of series, while some are left to be served.
+SERIES_KEYS = 16
+
+
+class Play(NamedTuple):
+    """Who takes part; without keepers and series only single faults are played."""
+
+    instances: int | None = None
+    servers: int = 3
+    keepers: int = 0
+    series: int = 0
 
 
 class World:
     """Everything of one run with one seed."""
 
-    def __init__(self, seed: int, folder: Path, instances: int = 3, servers: int = 3):
-        self._seed = seed
+    def __init__(self, seed: int, folder: Path, play: Play | None = None):
+        self.seed = seed
+        self.play = play or Play()
         self.rng = random.Random(seed)
         self.folder = folder
         self.memory = MemoryStore()
@@ -101,11 +61,26 @@
         self.instances: list[Instance] = []
         # Every other seed plays instances in groups, whose readers ask the store.
         self._mesh_limit = FLAT_FLEET if seed % 2 else 1
-        self._instance_count = instances if seed % 2 else instances + 2
-        self._server_count = servers
+        self._instance_count = self.play.instances or (3 if seed % 2 else 5)
         self._version = 1
         self._requests = 0
+        self.begun_at = 0.0
         self.keys = ["k1", "k2", "k3", "k4"]
+        # Its own, so that the single faults of a seed stay the same.
+        self._series_rng = random.Random(f"series {seed}")
+        self._limits: dict[str, Any] = {}
+        self._timeout_ms: Any = ROUTE["timeout_ms"]
+        if self.play.series:
+            count = range(1, SERIES_KEYS + 1)
+            self.keys = [f"k{number}" for number in count]
+            first = self._series_rng.randint(*IDLE_LIMITS_MS)
+            self._limits = {"idle_timeout_ms": first}
+
+    @property
+    def idle_limit(self) -> float:
+        """The newest idle limit, in seconds."""
+        default = IngressLimits().idle_timeout
+        return self._limits.get("idle_timeout_ms", default * 1000) / 1000
 
     async def run(self, seconds: float) -> list[str]:
         """Play faults for some seconds, settle, and return what was broken."""
@@ -114,10 +89,7 @@
             try:
                 await self._wait_until_served()
                 with trio.move_on_after(seconds):
-                    async with trio.open_nursery() as playing:
-                        playing.start_soon(self._send_requests)
-                        for _ in range(2):
-                            playing.start_soon(self._play_faults)
+                    await self._play()
                 await self._heal()
                 settled = await self._await_service()
             finally:
@@ -126,18 +98,32 @@
                         await instance.stop(signal.SIGKILL)
                         instance.log.close()
             nursery.cancel_scope.cancel()
-        return self._check(settled)
+        return check(self, settled)
+
+    async def _play(self) -> None:
+        self.begun_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_requests)
+            for _ in range(SINGLE_FAULTS):
+                nursery.start_soon(Faults(self).run)
+            for _ in range(self.play.series):
+                nursery.start_soon(Series(self, self._fork_rng()).run)
+            for _ in range(self.play.keepers):
+                nursery.start_soon(Keeper(self, self._fork_rng()).run)
+
+    def _fork_rng(self) -> random.Random:
+        return random.Random(self._series_rng.random())
 
     async def _open(self, nursery: trio.Nursery) -> None:
         store = await self._listen(nursery, self._serve_store)
         self._write_configuration()
-        for number in range(self._server_count):
+        for number in range(self.play.servers):
             await self._add_server(nursery, f"s{number}")
         for number in range(self._instance_count):
             proxy = Proxy(store)
             await nursery.start(proxy.run)
             self.store_proxies.append(proxy)
-            host = f"127.{self._seed % 250 + 1}.0.{number + 1}"
+            host = f"127.{self.seed % 250 + 1}.0.{number + 1}"
             instance = Instance(
                 f"i{number}", self.folder, proxy.address, host, self._mesh_limit
             )
@@ -175,6 +161,7 @@
     def _write_configuration(self) -> None:
         self._version += 1
         base = {**ROUTE, "backends": None, "service": "s1", "max_attempts": 3}
+        base["timeout_ms"] = self._timeout_ms
         kinds = {
             "/n/": ("non_idempotent", False),
             "/i/": ("idempotent", False),
@@ -190,18 +177,56 @@
             "routes": routes,
             "services": [{"name": "s1"}],
             "tenants": [{"name": "t", "api_keys": keys}],
+            "limits": self._limits,
         }
         self.memory.put(OPERATOR_TABLE, "config", orjson.dumps(table))
 
+    def set_idle_limit(self, limit_ms: int) -> None:
+        """Change the idle limit."""
+        self._limits = {"idle_timeout_ms": limit_ms}
+        self._write_configuration()
+
+    def set_timeout(self, timeout_ms: int) -> None:
+        """Change the limit of all routes."""
+        self._timeout_ms = timeout_ms
+        self._write_configuration()
+
+    def remove_key(self, rng: random.Random) -> None:
+        """Remove one key, but never the first."""
+        left = [key for key in self.keys[1:] if key not in self.removed_keys]
+        if left:
+            self.removed_keys[rng.choice(left)] = trio.current_time()
+            self._write_configuration()
+
+    def find_instance(self, name: str) -> Instance | None:
+        """Return the instance of this name."""
+        return next((i for i in self.instances if i.name == name), None)
+
     async def _wait_until_served(self) -> None:
         with trio.fail_after(60):
             for instance in self.instances:
                 while (await self._ask(instance, "again")).status != 200:
                     await trio.sleep(0.1)
 
-    async def _ask(self, instance: Instance, kind: str, key: str = "k1") -> Seen:
+    def make_id(self) -> str:
+        """Return the id of the next request."""
         self._requests += 1
-        return await ask(instance.address, kind, f"r{self._requests}", key)
+        return f"r{self._requests}"
+
+    def note(self, seen: Seen, instance: Instance) -> None:
+        """Keep the end of a request for the checks."""
+        self.seen.append(seen)
+        self._note_answer(seen, instance)
+
+    def _note_answer(self, seen: Seen, instance: Instance) -> None:
+        if seen.is_whole:
+            instance.answered_at = max(instance.answered_at, seen.sent_at)
+
+    async def _ask(self, instance: Instance, kind: str, key: str = "k1") -> Seen:
+        way = Way(instance.name, instance.started_at)
+        seen = await ask(instance.address, kind, self.make_id(), key, way)
+        self._note_answer(seen, instance)
+        return seen
 
     async def _send_requests(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -214,68 +239,6 @@
         key = self.rng.choice(self.keys)
         self.seen.append(await self._ask(instance, choose_kind(self.rng), key))
 
-    async def _play_faults(self) -> None:
-        faults = [
-            self._harm_store,
-            self._harm_server,
-            self._harm_server,
-            self._freeze,
-            self._kill,
-            self._terminate,
-            self._take_store_down,
-            self._remove_key,
-            self._forget_history,
-        ]
-        while True:
-            await self.rng.choice(faults)(self.rng.uniform(*FAULT_SECONDS))
-
-    async def _harm_store(self, seconds: float) -> None:
-        await self._harm(self.rng.choice(self.store_proxies), seconds)
-
-    async def _harm_server(self, seconds: float) -> None:
-        await self._harm(self.rng.choice(list(self.server_proxies.values())), seconds)
-
-    async def _harm(self, proxy: Proxy, seconds: float) -> None:
-        proxy.harm = self.rng.choice([harm for harm in Harm if harm is not Harm.NONE])
-        await trio.sleep(seconds)
-        proxy.harm = Harm.NONE
-
-    async def _freeze(self, seconds: float) -> None:
-        instance = self.rng.choice(self.instances)
-        instance.send(signal.SIGSTOP)
-        await trio.sleep(seconds)
-        instance.send(signal.SIGCONT)
-
-    async def _kill(self, seconds: float) -> None:
-        await self._restart(signal.SIGKILL, seconds)
-
-    async def _terminate(self, seconds: float) -> None:
-        await self._restart(signal.SIGTERM, seconds)
-
-    async def _restart(self, number: int, seconds: float) -> None:
-        instance = self.rng.choice(self.instances)
-        # The play may end meanwhile; who is stopped has to be started again.
-        with trio.CancelScope(shield=True):
-            await instance.stop(number)
-            await trio.sleep(seconds / 2)
-            instance.start()
-
-    async def _take_store_down(self, seconds: float) -> None:
-        self.memory.is_down = True
-        await trio.sleep(seconds)
-        self.memory.is_down = False
-
-    async def _remove_key(self, seconds: float) -> None:
-        left = [key for key in self.keys[1:] if key not in self.removed_keys]
-        if left:
-            self.removed_keys[self.rng.choice(left)] = trio.current_time()
-            self._write_configuration()
-        await trio.sleep(seconds)
-
-    async def _forget_history(self, seconds: float) -> None:
-        self.memory.forget_history()
-        await trio.sleep(seconds)
-
     async def _heal(self) -> None:
         self.memory.is_down = False
         for proxy in [*self.store_proxies, *self.server_proxies.values()]:
@@ -303,29 +266,3 @@
                     asked += 1
                     served += seen.status == 200 and seen.is_whole
         return served / asked
-
-    def _check(self, settled: float) -> list[str]:
-        broken = [f for seen in self.seen for f in self._check_one(seen)]
-        if settled < LEAST_SERVED:
-            broken.append(f"only {settled:.2f} served after the faults")
-        return broken
-
-    def _check_one(self, seen: Seen) -> list[str]:
-        runs = self.ledger.runs.get(seen.request_id, [])
-        broken = []
-        if any(run.key_leaked for run in runs):
-            broken.append(f"{seen.request_id}: a server saw the key")
-        if seen.kind == "once" and len(runs) > 1:
-            broken.append(f"{seen.request_id}: ran {len(runs)} times")
-        if seen.status in (408, 421, 429, 503) and seen.kind == "once" and runs:
-            broken.append(f"{seen.request_id}: answered {seen.status} but ran")
-        if seen.status == 200 and seen.is_whole:
-            expected = make_body(seen.request_id)
-            if seen.kind == "stream":
-                expected = b"".join(make_event(n) for n in range(1, EVENTS + 1))
-            if seen.body != expected:
-                broken.append(f"{seen.request_id}: another answer than its own")
-        removed_at = self.removed_keys.get(seen.key, float("inf"))
-        if runs and seen.sent_at > removed_at + REVOCATION_SECONDS:
-            broken.append(f"{seen.request_id}: ran with a key removed long before")
-        return broken
