--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -246,7 +246,9 @@
 
     async def _send_digest(self, link: Link, stream: PeerStream, work: Work) -> None:
         notices, holdings = link.take()
-        news = self._build_news(link, work, notices, holdings)
+        scope = SCOPES[link.audience]
+        digest = Digest(scope, self.links.group, work, notices, holdings)
+        news = encode_news(self._life, digest)
         try:
             with trio.fail_after(SEND_SECONDS):
                 await stream.send(news)
@@ -296,17 +298,6 @@
             return not any(other and other.is_connected for other in links)
         return True
 
-    def _build_news(
-        self,
-        link: Link,
-        work: Work,
-        notices: list[ServerNotice],
-        holdings: list[Holding],
-    ) -> News:
-        scope = SCOPES[link.audience]
-        digest = Digest(scope, self.links.group, work, notices, holdings)
-        return encode_news(self._life, digest)
-
     def _choose_pause(self) -> float:
         return GROUP_NEWS_SECONDS if self.links.group else NEWS_SECONDS
 
