Start the stopped instance again also if its test fails

When the shutdown's test failed, four later ones lacked the instance that it had stopped. The checks are the same. Two tests of the file passed.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -94,12 +94,15 @@
     streams = [threads.submit(ask, instance, body) for _ in range(8)]
     wait_for(lambda: count_running(fleet) >= 8)
     instance.popen.send_signal(signal.SIGTERM)
-    for stream in streams:
-        text = stream.result().text
-        assert read_events(text) == list(range(1, 152)), text[-SHOWN_CHARACTERS:]
-    assert instance.popen.wait(PATIENCE_SECONDS) == 0
-    assert ask(fleet.instances[0]).status_code == 200
-    restart(fleet, 2)
+    try:
+        for stream in streams:
+            text = stream.result().text
+            assert read_events(text) == list(range(1, 152)), text[-SHOWN_CHARACTERS:]
+        assert instance.popen.wait(PATIENCE_SECONDS) == 0
+        assert ask(fleet.instances[0]).status_code == 200
+    finally:
+        # Later tests need the instance, also if this one fails.
+        restart(fleet, 2)
 
 
 def test_a_stream_that_is_cut_goes_on(fleet):
