Ask the store at once where knowledge is old already

Cause: an instance that has heard no reader for 0.46 of the revocation bound asked the store by the same call as a reader, which waits for a change for up to 0.34 of the bound. 0.80 lies beyond the 0.75 from which keys are refused: 0.25 s of each 4.0 s with a bound of 5 s, for as long as no reader is heard. So did a reader after an outage.

Ruled out: a shorter patience (others would ask in calm times), a shorter wait for all (readers' calls in calm times), a shorter wait for this call only (0.17 of the bound is the most that a store which answers in 0.6 s leaves; a change that comes while nobody waits is seen after the patience now as before). The call that sets the clock right once a minute goes on waiting, as its knowledge is young.

Change: a call that begins when the patience has run out does not wait at the store.

--- a/ashpond/gateway/feeds.py
+++ b/ashpond/gateway/feeds.py
@@ -137,8 +137,12 @@
         """Return for how long this instance need not ask the store (seconds)."""
         if self._version is None or self._has_gap or self._is_reader():
             return 0.0
-        until_stale = self._as_of + self.feed.patience - now
-        return min(until_stale, self._asked_at + RESYNC_SECONDS - now)
+        return min(
+            self._measure_until_stale(now), self._asked_at + RESYNC_SECONDS - now
+        )
+
+    def _measure_until_stale(self, now: float) -> float:
+        return self._as_of + self.feed.patience - now
 
     async def _await_news(self, seconds: float) -> None:
         with trio.move_on_after(seconds):
@@ -159,7 +163,9 @@
         if after is None:
             outcome = await self._store.read(feed.table)
         else:
-            wait = 0.0 if had_gap else feed.wait
+            # What is old already must not grow older while a call waits for a change.
+            is_stale = self._measure_until_stale(trio.current_time()) <= 0
+            wait = 0.0 if had_gap or is_stale else feed.wait
             outcome = await self._store.follow(feed.table, after, wait)
         if not isinstance(outcome, Done):
             self._has_gap |= had_gap
