Let others know when a reader has read a table anew

Cause: a reader whose history the store has dropped reads the whole table, and told no one. The others saw the gap by its next news: up to a wait later (1.7 s, 5 s, 20 s for the members), and never if it was not their reader any more by then.

Ruled out: passing on the rows that were read (which ones were removed meanwhile cannot be told from them); the same after a first read (a start would send others to the store for nothing; held by a test).

Change: after such a reading the reader passes on that the table stands at its version, without rows. Who knows less sees a gap and asks, as it did at the next news before.

What a member is told by a hub that leaves its work at that very news is open.

--- a/ashpond/gateway/feeds.py
+++ b/ashpond/gateway/feeds.py
@@ -89,6 +89,7 @@
         self._asked_at = float("-inf")
         self._has_gap = False
         self._is_lost = False
+        self._is_restarted = False
         self._retry = RETRY_SECONDS
         self._told = trio.Event()
 
@@ -172,6 +173,7 @@
         if isinstance(outcome, HistoryLost):
             self._log.note("feed_restarted", table=feed.table, after=after)
             self._version = None
+            self._is_restarted = True
             return
         if not isinstance(outcome, Done):
             await self._wait_after(outcome)
@@ -195,15 +197,23 @@
             return
         self._version = snapshot.version
         self.feed.on_rows(snapshot, after is None, as_of)
-        if after is not None and self._is_reader():
-            news = TableNews(
-                self.feed.table,
-                after,
-                snapshot.version,
-                snapshot.store_time,
-                snapshot.rows,
+        if self._is_reader():
+            self._tell(snapshot, after)
+
+    def _tell(self, snapshot: Snapshot, after: int | None) -> None:
+        rows = snapshot.rows
+        if after is None:
+            if not self._is_restarted:
+                return
+            # Which rows were removed meanwhile is not known: who knows less sees from
+            # this that it has missed a change, and asks.
+            after, rows = snapshot.version, ()
+        self._is_restarted = False
+        self._publish(
+            TableNews(
+                self.feed.table, after, snapshot.version, snapshot.store_time, rows
             )
-            self._publish(news)
+        )
 
     async def _wait_after(self, outcome: Unavailable | Unknown) -> None:
         if not self._is_lost:
