Pass on to its group what a hub has asked the store for itself

Cause: a hub that is no reader and sees a gap asks the store and keeps the answer to itself. Its members see the gap by later news, up to 20 s later for the members' table, and until then may rely on an instance that no longer acts as their hub.

Ruled out: passing on the news that showed the gap (each member would ask the store, and three tests hold that such news are not forwarded); telling the other hubs as well (after a lost history each of them would send the others to the store).

Change: the answer to a call that closes a gap is published; one that is no reader tells its own group only. Members then need no call for it, unless history was lost.

Open: a hub that leaves its work tells its members by no word of its own; one with an older list, for whatever reason, relies on it until the next news or 20.6 s of silence, and meanwhile its work is not counted elsewhere.

--- a/ashpond/gateway/feeds.py
+++ b/ashpond/gateway/feeds.py
@@ -66,7 +66,7 @@
     """Keeps what one feed is for up to date.
 
     :param is_reader: whether this instance asks the store for others as well.
-    :param publish: tells the others what a call has brought.
+    :param publish: tells those that rely on this instance what a call has brought.
     """
 
     def __init__(
@@ -184,11 +184,11 @@
         self._is_lost = False
         self._retry = RETRY_SECONDS
         self._asked_at = trio.current_time()
-        self._adopt(snapshot, after)
+        self._adopt(snapshot, after, had_gap)
         if snapshot.rows:
             await trio.sleep(feed.pause)
 
-    def _adopt(self, snapshot: Snapshot, after: int | None) -> None:
+    def _adopt(self, snapshot: Snapshot, after: int | None, had_gap: bool) -> None:
         as_of = self._clock.date(snapshot)
         self._as_of = max(self._as_of, as_of)
         # While the call was out, readers may have told of later changes.
@@ -197,7 +197,8 @@
             return
         self._version = snapshot.version
         self.feed.on_rows(snapshot, after is None, as_of)
-        if self._is_reader():
+        # What a hub missed has not reached its group either.
+        if self._is_reader() or had_gap:
             self._tell(snapshot, after)
 
     def _tell(self, snapshot: Snapshot, after: int | None) -> None:
--- a/ashpond/gateway/news.py
+++ b/ashpond/gateway/news.py
@@ -122,8 +122,9 @@
         return GROUP_LAG_SECONDS if self.links.group else 0.0
 
     def publish(self, news: TableNews) -> None:
-        """Tell the fleet what the store has answered."""
-        self._pass_on(Scope.MEMBER, self._life, tables=[news])
+        """Tell the fleet what the store answered, or as no reader the own group."""
+        scope = Scope.MEMBER if self.is_reader else Scope.GROUP
+        self._pass_on(scope, self._life, tables=[news])
 
     async def run(
         self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
--- a/tests/test_news_groups.py
+++ b/tests/test_news_groups.py
@@ -108,6 +108,24 @@
         await wait_for(lambda: all(news in i.tables for i in others))
 
 
+async def test_what_a_hub_asks_for_itself_goes_to_its_own_group_only(
+    grouped: list[Instance],
+) -> None:
+    """Other hubs that heard of each such answer would ask the store in turn."""
+    news = TableNews("op", 6, 7, 1000.5, (Row("op", "config", b"new", 7),))
+
+    def list_hubs() -> list[Instance]:
+        hubs = [i for i in grouped if i.news.is_hub and not i.news.is_reader]
+        return [hub for hub in hubs if hub.list_names(Audience.MEMBER)]
+
+    async with running(grouped):
+        await wait_for(lambda: bool(list_hubs()))
+        hub = list_hubs()[0]
+        hub.news.publish(news)
+        told = {link.audience for link in hub.news.list_links() if news in link.tables}
+        assert told == {Audience.MEMBER}
+
+
 async def test_what_a_stand_by_need_not_hear_keeps_no_one_busy(
     grouped: list[Instance],
 ) -> None:
