--- a/ashpond/gateway/feeds.py
+++ b/ashpond/gateway/feeds.py
@@ -66,7 +66,7 @@
     """Keeps what one feed is for up to date.
 
     :param is_reader: whether this instance asks the store for others as well.
-    :param publish: tells the others what a call has brought.
+    :param publish: tells those that rely on this instance what a call has brought.
     """
 
     def __init__(
@@ -89,6 +89,7 @@
         self._asked_at = float("-inf")
         self._has_gap = False
         self._is_lost = False
+        self._is_restarted = False
         self._retry = RETRY_SECONDS
         self._told = trio.Event()
 
@@ -137,8 +138,12 @@
         """Return for how long this instance need not ask the store (seconds)."""
         if self._version is None or self._has_gap or self._is_reader():
             return 0.0
-        until_stale = self._as_of + self.feed.patience - now
-        return min(until_stale, self._asked_at + RESYNC_SECONDS - now)
+        return min(
+            self._measure_until_stale(now), self._asked_at + RESYNC_SECONDS - now
+        )
+
+    def _measure_until_stale(self, now: float) -> float:
+        return self._as_of + self.feed.patience - now
 
     async def _await_news(self, seconds: float) -> None:
         with trio.move_on_after(seconds):
@@ -159,13 +164,16 @@
         if after is None:
             outcome = await self._store.read(feed.table)
         else:
-            wait = 0.0 if had_gap else feed.wait
+            # What is old already must not grow older while a call waits for a change.
+            is_stale = self._measure_until_stale(trio.current_time()) <= 0
+            wait = 0.0 if had_gap or is_stale else feed.wait
             outcome = await self._store.follow(feed.table, after, wait)
         if not isinstance(outcome, Done):
             self._has_gap |= had_gap
         if isinstance(outcome, HistoryLost):
             self._log.note("feed_restarted", table=feed.table, after=after)
             self._version = None
+            self._is_restarted = True
             return
         if not isinstance(outcome, Done):
             await self._wait_after(outcome)
@@ -176,11 +184,11 @@
         self._is_lost = False
         self._retry = RETRY_SECONDS
         self._asked_at = trio.current_time()
-        self._adopt(snapshot, after)
+        self._adopt(snapshot, after, had_gap)
         if snapshot.rows:
             await trio.sleep(feed.pause)
 
-    def _adopt(self, snapshot: Snapshot, after: int | None) -> None:
+    def _adopt(self, snapshot: Snapshot, after: int | None, had_gap: bool) -> None:
         as_of = self._clock.date(snapshot)
         self._as_of = max(self._as_of, as_of)
         # While the call was out, readers may have told of later changes.
@@ -189,15 +197,24 @@
             return
         self._version = snapshot.version
         self.feed.on_rows(snapshot, after is None, as_of)
-        if after is not None and self._is_reader():
-            news = TableNews(
-                self.feed.table,
-                after,
-                snapshot.version,
-                snapshot.store_time,
-                snapshot.rows,
+        # What a hub missed has not reached its group either.
+        if self._is_reader() or had_gap:
+            self._tell(snapshot, after)
+
+    def _tell(self, snapshot: Snapshot, after: int | None) -> None:
+        rows = snapshot.rows
+        if after is None:
+            if not self._is_restarted:
+                return
+            # Which rows were removed meanwhile is not known: who knows less sees from
+            # this that it has missed a change, and asks.
+            after, rows = snapshot.version, ()
+        self._is_restarted = False
+        self._publish(
+            TableNews(
+                self.feed.table, after, snapshot.version, snapshot.store_time, rows
             )
-            self._publish(news)
+        )
 
     async def _wait_after(self, outcome: Unavailable | Unknown) -> None:
         if not self._is_lost:
