Say deadline and timeout in four comments

The field's words for what the comments called a time limit. Comments and docstrings only, no change of code; linter and formatter clean, the tests of channels and news passed.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -190,7 +190,7 @@
     async def read_body(self, *, takes_ready: bool = False) -> bytes:
         """Return the next piece of the body, empty at its complete end.
 
-        :param takes_ready: also take what is there when a time limit has passed.
+        :param takes_ready: also take what is there when a deadline has passed.
         :raises ChannelError: if the answer breaks off.
         """
         event = await self._next_event(takes_ready=takes_ready)
@@ -217,7 +217,7 @@
             raise ChannelError(f"reading failed: {error!r}", is_sent=True) from error
 
     async def _receive(self, *, takes_ready: bool) -> bytes:
-        # An event loop that was held up learns of a time limit and of the answer at
+        # An event loop that was held up learns of a deadline and of the answer at
         # once. What is there was there in time; taking it does not wait.
         is_ready = self._stream.socket.is_readable()
         with trio.CancelScope(shield=is_ready and takes_ready):
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -181,7 +181,7 @@
     monkeypatch: pytest.MonkeyPatch,
     mock_clock: trio.testing.MockClock,
 ) -> None:
-    """An event loop that is held up sees a time limit and the answer at once.
+    """An event loop that is held up sees a deadline and the answer at once.
 
     Evidence: looked for after an incident in which a close and a request met in one
     step of the loop; an answer that took more than one read was thrown away.
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -171,7 +171,7 @@
 async def test_news_that_did_not_go_out_are_told_on_the_next_connection(
     error: Exception | None, instances: list[Instance], autojump_clock: object
 ) -> None:
-    """A link ends, by an error or the time limit for sending, in the midst of news.
+    """A link ends, by an error or the timeout of sending, in the midst of news.
 
     Evidence: looked for after requests were lost because one side closed what the
     other had taken up; a notice that an engine has its weights was told to no one.
