--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -28,7 +28,7 @@
     IngressLimits,
     Service,
 )
-from ashpond.gateway.directory import BackendServer, ServerTable
+from ashpond.gateway.directory import BackendServer, ServerState, ServerTable
 from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.knowledge import Knowledge
@@ -88,9 +88,9 @@
         bound = around.scenario.bound_seconds * REQUIRED_SHARE
         return knowledge.find_version_named(model, now - bound)
 
-    def note_held(server_id: str, salt: str, prompt: Prompt) -> None:
+    def note_held(state: ServerState, salt: str, prompt: Prompt) -> None:
         now = trio.current_time()
-        around.tell(holdings.note_read(server_id, salt, prompt, now))
+        around.tell(holdings.note_read(state.info.id, salt, prompt, now))
 
     places = Places(
         table,
@@ -112,7 +112,7 @@
         lambda service: budget,
         lambda: around.scenario.instances,
         note_held,
-        lambda server_id, seconds: None,
+        lambda state, seconds: None,
         rng,
     )
     rollouts = _build_rollouts(number, around, table, knowledge, places, budget)
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -23,10 +23,12 @@
     CacheStore,
     IngressLimits,
 )
+from ashpond.gateway.directory import ServerState, StartOrder
 from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.feeds import Feed, Follower, TableNews
 from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.ingress import Ingress, IngressPorts
+from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.members import Members
 from ashpond.gateway.metrics import GatewayMetrics
 from ashpond.gateway.news import Newsroom
@@ -74,16 +76,23 @@
         self.pool = pool
         self.log = log
         self.rng = random.Random()
+        self.metrics = GatewayMetrics()
+        self.invalid_rows = InvalidRows(log, self.metrics.count_invalid_row)
         self.view = StoreView(
-            platform, pool, log, self._on_configuration, self._on_servers
+            platform,
+            pool,
+            log,
+            self.invalid_rows,
+            self._on_configuration,
+            self._on_servers,
         )
         self.knowledge = self.view.knowledge
         self.table = self.view.table
+        self.table.on_new_start = self._on_new_start
         self.holdings = Holdings()
         self.stores = CacheStores(
             lambda: self.news.is_reader, lambda news: self.news.publish(news)
         )
-        self.metrics = GatewayMetrics()
         self.budgets: dict[str, SendBudget] = {}
         self.started_at = trio.current_time()
         self.leaving = trio.Event()
@@ -107,6 +116,7 @@
             platform.store,
             log,
             lambda: self.news.adjust_links(),
+            self.invalid_rows,
         )
         self.news = Newsroom(
             self.members,
@@ -148,6 +158,8 @@
             self._measure_repeats_left,
             settings.bounds.lease_ms / MS,
             lambda: self.news.measure_lag(),
+            self.invalid_rows,
+            self._has_service,
         )
         self.dispatcher = Dispatcher(
             Tools(
@@ -234,9 +246,35 @@
         bound = self.settings.bounds.weights_ms / MS * REQUIRED_SHARE
         return self.knowledge.find_version_named(model, now - bound)
 
+    def _has_service(self, service: str) -> bool:
+        declaration = self.knowledge.declaration
+        return declaration is not None and service in declaration.services
+
+    def _on_new_start(self, state: ServerState) -> None:
+        """Forget what is known, beside the table, of a server's earlier start.
+
+        Calls in flight there end with their connections, which the server's end has
+        broken; none of them counts as not run, whatever the new start knows.
+        """
+        server_id = state.info.id
+        self.holdings.forget_server(server_id)
+        self.pool.forget(server_id)
+        self.rollouts.forget_start(server_id)
+        self.log.note(
+            "server_started_anew",
+            server=server_id,
+            born=state.info.born,
+            weights=state.weights,
+        )
+        self.places.wake()
+
     def _on_notice(self, notice: ServerNotice) -> None:
-        state = self.table.by_id.get(notice.server_id)
         now = trio.current_time()
+        told = {notice.model: notice.version} if notice.version else {}
+        order = self.table.note_start(notice.server_id, notice.born, now, told)
+        if order is StartOrder.OLDER:
+            return
+        state = self.table.by_id.get(notice.server_id)
         if notice.is_unreached:
             if state is not None:
                 state.note_unreached_by_peer(notice.closed_seconds, now)
@@ -251,16 +289,23 @@
             state.reopen()
             self.places.wake()
 
-    def _note_held(self, server_id: str, salt: str, prompt: Prompt) -> None:
+    def _note_held(self, state: ServerState, salt: str, prompt: Prompt) -> None:
+        if not self.table.is_current(state):
+            return
         now = trio.current_time()
-        for holding in self.holdings.note_read(server_id, salt, prompt, now):
+        info = state.info
+        for holding in self.holdings.note_read(info.id, salt, prompt, now, info.born):
             self.news.tell_holding(holding)
 
-    def _announce_unreached(self, server_id: str, seconds: float) -> None:
-        self.news.announce(ServerNotice(server_id, "", 0, seconds, True))
+    def _announce_unreached(self, state: ServerState, seconds: float) -> None:
+        info = state.info
+        self.news.announce(ServerNotice(info.id, "", 0, seconds, True, born=info.born))
 
     def _on_holding(self, holding: Holding) -> None:
-        self.holdings.note_told(holding, trio.current_time())
+        now = trio.current_time()
+        order = self.table.note_start(holding.server_id, holding.born, now)
+        if order is not StartOrder.OLDER:
+            self.holdings.note_told(holding, now)
 
     def _get_budget(self, service: str) -> SendBudget:
         budget = self._find_budget(service)
--- a/ashpond/gateway/decisionlog.py
+++ b/ashpond/gateway/decisionlog.py
@@ -20,6 +20,8 @@
 # How often the queue is written out (seconds).
 FLUSH_SECONDS = 0.1
 MAX_WRITE_BYTES = 60_000
+# Of a line that JSON cannot hold, so many characters are kept.
+MAX_ODD_LINE = 2000
 
 
 class DecisionLog:
@@ -67,7 +69,16 @@
         pieces = []
         size = 0
         while self._lines and size < MAX_WRITE_BYTES:
-            piece = orjson.dumps(self._lines.popleft(), default=str) + b"\n"
+            piece = _encode_line(self._lines.popleft())
             size += len(piece)
             pieces.append(piece)
         return b"".join(pieces)
+
+
+def _encode_line(line: dict[str, Any]) -> bytes:
+    try:
+        return orjson.dumps(line, default=str) + b"\n"
+    except TypeError:
+        # A number of more than 64 bits, or a text that is no Unicode: as text.
+        text = ascii(line)[:MAX_ODD_LINE]
+        return orjson.dumps({"event": line["event"], "line": text}) + b"\n"
--- a/ashpond/gateway/directory.py
+++ b/ashpond/gateway/directory.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
-__all__ = ["BackendServer", "Load", "ServerState", "ServerTable"]
-
-from collections.abc import Container
+__all__ = [
+    "NO_LOAD",
+    "PEER_LOAD_SECONDS",
+    "BackendServer",
+    "Load",
+    "ServerState",
+    "ServerTable",
+    "StartOrder",
+    "compare_starts",
+]
+
+from collections.abc import Callable, Container, Mapping
+from enum import Enum, auto
 from typing import NamedTuple
 
 # After a refusal because it is full, a server is given this long (seconds).
@@ -26,10 +36,11 @@
 
 
 class BackendServer(NamedTuple):
-    """One life of a backend server; after a restart it has another id.
+    """One start of a backend server, as its entry tells.
 
     ``weights`` maps models to versions; ``cold_seconds`` is how much longer it
-    stays slow after its start.
+    stays slow after its start. A server may start again under its id: ``born`` is
+    the Unix time of its start in ms, None where it does not tell.
     """
 
     id: str
@@ -40,6 +51,26 @@
     is_draining: bool
     cold_seconds: float
     weights: dict[str, int]
+    born: int | None = None
+
+
+class StartOrder(Enum):
+    """Whether what is told is of the start that is known of a server."""
+
+    SAME = auto()
+    NEWER = auto()
+    OLDER = auto()
+
+
+def compare_starts(known: int | None, told: int | None) -> StartOrder:
+    """Return which start a message is about.
+
+    One that names none is believed to be about the start that is known: those that
+    send it have heard of no other, or know a server that never tells its start.
+    """
+    if known is None or told is None or known == told:
+        return StartOrder.SAME
+    return StartOrder.NEWER if told > known else StartOrder.OLDER
 
 
 class Load(NamedTuple):
@@ -88,11 +119,13 @@
         self.unreached = 0
         self.answered_at = float("-inf")
         self.misdirected = False
+        # Its entry cannot be read: it names no server to use, until it can again.
+        self.is_entry_invalid = False
         self.vanished_at: float | None = None
 
     def is_present(self) -> bool:
         """Return whether the server is there and stays, as far as is known."""
-        if self.info.is_draining or self.misdirected:
+        if self.info.is_draining or self.misdirected or self.is_entry_invalid:
             return False
         return self.vanished_at is None
 
@@ -136,25 +169,41 @@
 
 
 class ServerTable:
-    """All known backend servers."""
+    """All known backend servers.
+
+    ``on_new_start`` is called with the state of a server whose earlier start has
+    ended: what else is known of that start has to go as well.
+    """
 
     def __init__(self) -> None:
         self.by_id: dict[str, ServerState] = {}
         self.is_known = False
+        self.on_new_start: Callable[[ServerState], None] = lambda state: None
         self._peer_loads: dict[str, tuple[float, dict[str, Load]]] = {}
         # The sum of the peers' loads, and until when none of them is too old.
         self._totals: dict[str, Load] = {}
         self._totals_until = float("-inf")
 
     def replace_all(
-        self, servers: list[BackendServer], now: float, *, may_lapse: bool
+        self,
+        servers: list[BackendServer],
+        now: float,
+        *,
+        may_lapse: bool,
+        invalid: Container[str] = (),
     ) -> None:
-        """Take over a whole list."""
+        """Take over a whole list.
+
+        :param invalid: the ids whose entries are there and cannot be read.
+        """
         self.is_known = True
         for server in servers:
             self.update(server, now)
-        for gone in self.by_id.keys() - {server.id for server in servers}:
-            self.remove(gone, now, may_lapse=may_lapse)
+        for missing in self.by_id.keys() - {server.id for server in servers}:
+            if missing in invalid:
+                self.note_invalid(missing)
+            else:
+                self.remove(missing, now, may_lapse=may_lapse)
 
     def update(self, server: BackendServer, now: float) -> None:
         """Take over a new or changed entry."""
@@ -162,11 +211,70 @@
         if state is None:
             self.by_id[server.id] = ServerState(server, now)
             return
-        state.info = server
+        order = compare_starts(state.info.born, server.born)
+        if order is StartOrder.OLDER:
+            return
+        if order is StartOrder.NEWER:
+            self._begin_anew(ServerState(server, now))
+            return
+        born = state.info.born if server.born is None else server.born
+        state.info = server._replace(born=born)
+        state.is_entry_invalid = False
         state.vanished_at = None
         for model, version in server.weights.items():
             state.learn_weights(model, version)
 
+    def note_start(
+        self,
+        server_id: str,
+        born: int | None,
+        now: float,
+        weights: Mapping[str, int] | None = None,
+    ) -> StartOrder:
+        """Take what a report or a peer says of a server's start.
+
+        :param weights: what the new start is known to have, if that is told; else
+            it is believed to have what the server's entry said last.
+        """
+        state = self.by_id.get(server_id)
+        if state is None:
+            return StartOrder.SAME
+        order = compare_starts(state.info.born, born)
+        if order is StartOrder.SAME and state.info.born is None:
+            state.info = state.info._replace(born=born)
+        if order is StartOrder.NEWER:
+            known = {**state.info.weights, **(weights or {})}
+            anew = ServerState(state.info._replace(born=born, weights=known), now)
+            # Of these its entry tells, which has not been heard of anew.
+            anew.vanished_at = state.vanished_at
+            anew.is_entry_invalid = state.is_entry_invalid
+            self._begin_anew(anew)
+        return order
+
+    def _begin_anew(self, state: ServerState) -> None:
+        """Forget all that was known of a server before its new start."""
+        server_id = state.info.id
+        self.by_id[server_id] = state
+        for _, loads in self._peer_loads.values():
+            loads.pop(server_id, None)
+        self._totals_until = float("-inf")
+        self.on_new_start(state)
+
+    def is_current(self, state: ServerState) -> bool:
+        """Return whether a server still runs as it did when ``state`` was made."""
+        return self.by_id.get(state.info.id) is state
+
+    def note_invalid(self, server_id: str) -> None:
+        """Send nothing more to a server whose entry cannot be read any more.
+
+        The entry that it was known by is no longer there, and the writer may be
+        another. What is in flight there goes on, and what is known of it stays: its
+        next good entry takes it back into use.
+        """
+        state = self.by_id.get(server_id)
+        if state is not None:
+            state.is_entry_invalid = True
+
     def remove(self, server_id: str, now: float, *, may_lapse: bool) -> None:
         """Drop an entry.
 
@@ -218,6 +326,7 @@
             for state in states
             if state.vanished_at is not None
             and not state.misdirected
+            and not state.is_entry_invalid
             and now >= state.closed_until
         ]
 
--- a/ashpond/gateway/holdings.py
+++ b/ashpond/gateway/holdings.py
@@ -17,11 +17,12 @@
 
 
 class Holding(NamedTuple):
-    """An engine has read a part under a salt."""
+    """An engine has read a part under a salt, since its start at ``born``."""
 
     server_id: str
     salt: str
     part: str
+    born: int | None = None
 
 
 def make_salt(wall: str, model: str, version: int | None) -> str:
@@ -37,12 +38,17 @@
         self._told_at: dict[Holding, float] = {}
 
     def note_read(
-        self, server_id: str, salt: str, prompt: Prompt, now: float
+        self,
+        server_id: str,
+        salt: str,
+        prompt: Prompt,
+        now: float,
+        born: int | None = None,
     ) -> list[Holding]:
         """Note that an engine has read a prompt; return what peers should hear."""
         news = []
         for part in prompt.parts[:-1]:
-            holding = Holding(server_id, salt, part.id)
+            holding = Holding(server_id, salt, part.id, born)
             self._note(holding, now)
             if now - self._told_at.get(holding, float("-inf")) >= RETELL_SECONDS:
                 self._told_at[holding] = now
@@ -83,6 +89,11 @@
         """Drop all that an engine held."""
         for servers in self._used_at.values():
             servers.pop(server_id, None)
+        self._told_at = {
+            holding: at
+            for holding, at in self._told_at.items()
+            if holding.server_id != server_id
+        }
 
     def expire(self, now: float) -> None:
         """Drop what has aged."""
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -36,6 +36,11 @@
             "Clients' connections that have ended, by cause",
             registry=self.registry,
         )
+        self.invalid_rows = Counter(
+            "ashpond_gateway_invalid_rows",
+            "Rows of the store that could not be read, by table",
+            registry=self.registry,
+        )
         self.loop_delays = Histogram(
             "ashpond_gateway_loop_delay_seconds",
             "Stalls of the event loop of 25 ms and more",
@@ -51,6 +56,10 @@
         """Count the end of one connection."""
         self.closed.inc({"cause": str(cause)})
 
+    def count_invalid_row(self, table: str) -> None:
+        """Count one version of a row that cannot be read."""
+        self.invalid_rows.inc({"table": table})
+
     def observe_delay(self, seconds: float) -> None:
         """Take one stall of the event loop."""
         self.loop_delays.observe({}, seconds)
--- a/ashpond/gateway/newsitems.py
+++ b/ashpond/gateway/newsitems.py
@@ -15,6 +15,8 @@
 from collections.abc import Callable, Container
 from typing import NamedTuple
 
+import msgspec
+
 from ashpond.clients.peer import News, TableChanges
 from ashpond.decisions.budget import SendCounts
 from ashpond.errors import FrameError
@@ -30,7 +32,8 @@
 
     ``version`` 0 tells nothing of the weights; ``closed_seconds`` is how long the
     server should get no new work, 0 that it may again. ``is_unreached`` tells
-    that the sender could not connect, and nothing of orders.
+    that the sender could not connect, and nothing of orders. ``born`` is the start
+    of the server that the sender speaks of, None if it knows none.
     """
 
     server_id: str
@@ -38,6 +41,7 @@
     version: int
     closed_seconds: float
     is_unreached: bool = False
+    born: int | None = None
 
 
 class Digest(NamedTuple):
@@ -68,6 +72,14 @@
     on_table: Callable[[TableNews], bool]
 
 
+class _Change(NamedTuple):
+    """One row of a message of changes, without its table."""
+
+    key: str
+    value: bytes | None
+    version: int
+
+
 def encode_news(sender: str, digest: Digest) -> News:
     """Return the message that tells a digest; ``sender`` is a life."""
     return News(
@@ -87,16 +99,17 @@
     :raises FrameError: if it makes no sense.
     """
     try:
-        loads = {str(key): Load(*map(int, v)) for key, v in news.loads.items()}
-        sends = {str(k): SendCounts(*map(int, v)) for k, v in news.sends.items()}
         return Digest(
             Scope(news.scope),
             news.group,
-            Work(loads, sends),
-            [ServerNotice(*fields) for fields in news.notices],
-            [Holding(*fields) for fields in news.holdings],
+            Work(
+                msgspec.convert(news.loads, dict[str, Load]),
+                msgspec.convert(news.sends, dict[str, SendCounts]),
+            ),
+            msgspec.convert(news.notices, list[ServerNotice]),
+            msgspec.convert(news.holdings, list[Holding]),
         )
-    except (TypeError, ValueError) as error:
+    except ValueError as error:
         raise FrameError(f"news that make no sense: {error!r}") from error
 
 
@@ -116,10 +129,10 @@
     try:
         scope = Scope(changes.scope)
         rows = tuple(
-            Row(changes.table, str(key), value, int(version))
-            for key, value, version in changes.rows
+            Row(changes.table, key, value, version)
+            for key, value, version in msgspec.convert(changes.rows, list[_Change])
         )
-    except (TypeError, ValueError) as error:
+    except ValueError as error:
         raise FrameError(f"changes that make no sense: {error!r}") from error
     return scope, TableNews(
         changes.table, changes.after, changes.version, changes.store_time, rows
--- a/ashpond/gateway/orders.py
+++ b/ashpond/gateway/orders.py
@@ -53,11 +53,16 @@
 
 
 class EngineReport(NamedTuple):
-    """The state of an engine as of some 100 ms ago."""
+    """The state of an engine as of some 100 ms ago.
+
+    ``accepted_orders`` counts from the engine's start, which ``born`` tells (Unix
+    time in ms, None where it does not tell).
+    """
 
     weights: dict[str, int]
     is_loading: bool
     accepted_orders: int
+    born: int | None = None
 
 
 class CacheEvent(NamedTuple):
--- a/ashpond/gateway/places.py
+++ b/ashpond/gateway/places.py
@@ -326,6 +326,9 @@
         stale_cost = MANY_STALE_COST_SECONDS if is_many else STALE_COST_SECONDS
         candidates = []
         for server_id, state in states.items():
+            if engine is not None and demand.model and not state.weights:
+                # It has loaded nothing, or did not say what.
+                continue
             source = sources.choose(state.info)
             candidates.append(
                 Candidate(
--- a/ashpond/gateway/ports.py
+++ b/ashpond/gateway/ports.py
@@ -11,11 +11,15 @@
 from ashpond.gateway.declared import Declaration, WeightTarget
 from ashpond.gateway.directory import BackendServer
 from ashpond.gateway.orders import EnginePort
-from ashpond.gateway.store import Row, Store
+from ashpond.gateway.store import InvalidRow, Row, Store
 
 
 class Platform(NamedTuple):
-    """Everything outside that an adapter provides."""
+    """Everything outside that an adapter provides.
+
+    The decoders answer an :class:`InvalidRow` for a row that is not whole, and None
+    for one that was removed or is of no use here; they raise nothing.
+    """
 
     store: Store
     engines: EnginePort
@@ -23,5 +27,5 @@
     id_header: bytes
     operator_table: str
     servers_table: str
-    decode_operator_row: Callable[[Row], Declaration | WeightTarget | None]
-    decode_server_row: Callable[[Row], BackendServer | None]
+    decode_operator_row: Callable[[Row], Declaration | WeightTarget | InvalidRow | None]
+    decode_server_row: Callable[[Row], BackendServer | InvalidRow | None]
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -5,15 +5,17 @@
 __all__ = ["RolloutController", "LEASE_TABLE"]
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
+import msgspec
 import orjson
 import trio
 
 from ashpond.decisions.leases import Lease, LeaseRow, make_lease_terms
 from ashpond.decisions.placement import rank_by_rendezvous
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.directory import ServerState, ServerTable
+from ashpond.gateway.directory import ServerState, ServerTable, StartOrder
+from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.knowledge import Knowledge
 from ashpond.gateway.newsitems import ServerNotice
 from ashpond.gateway.orders import (
@@ -23,8 +25,8 @@
     OrderRefused,
     WeightsOrder,
 )
-from ashpond.gateway.store import Condition, Row, Store, StoreClock
-from ashpond.outcomes import Done, NotRun
+from ashpond.gateway.store import Condition, InvalidRow, Row, Store, StoreClock
+from ashpond.outcomes import Done, MaybeRun, NotRun
 
 LEASE_TABLE = "ashpond-leases"
 LEASE_KEY = "weights"
@@ -74,6 +76,20 @@
 CONTEND_SECONDS = 0.5
 
 
+# Numbers of the lease go into calls and logs, which hold no more than 64 bits.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+
+
+class _StoredLease(msgspec.Struct):
+    holder: str
+    fence: Count
+    beat: Count
+    renewed_at: float
+
+
+_LEASE_DECODER = msgspec.json.Decoder(_StoredLease)
+
+
 class _Lag(NamedTuple):
     state: ServerState
     model: str
@@ -98,6 +114,8 @@
         measure_repeats_left: Callable[[str], float],
         lease_seconds: float,
         measure_lag: Callable[[], float] = lambda: 0.0,
+        invalid_rows: InvalidRows | None = None,
+        has_service: Callable[[str], bool] = lambda service: True,
     ):
         self.name = name
         self.lease = Lease(name, make_lease_terms(lease_seconds))
@@ -113,6 +131,8 @@
         self._on_change = on_change
         self._measure_repeats_left = measure_repeats_left
         self._measure_news_lag = measure_lag
+        self._invalid_rows = invalid_rows or InvalidRows(log)
+        self._has_service = has_service
         self._ordering: set[str] = set()
         self._accepted: dict[str, int] = {}
         self._paused_until: dict[str, float] = {}
@@ -122,6 +142,11 @@
         self._has_read = False
         self._was_holder = False
 
+    def forget_start(self, server_id: str) -> None:
+        """Forget what was known of a server before its new start."""
+        self._accepted.pop(server_id, None)
+        self._paused_until.pop(server_id, None)
+
     def note_progress(self) -> None:
         """Note that some instance is bringing engines up to date."""
         self.progress_at = trio.current_time()
@@ -146,7 +171,8 @@
     def _find_lagging(self) -> list[_Lag]:
         found = []
         for state in self._table.by_id.values():
-            if not state.is_present():
+            # An entry may name a service that is not declared: nothing is asked of it.
+            if not state.is_present() or not self._has_service(state.info.service):
                 continue
             for model in state.info.weights:
                 target = self._knowledge.targets.get(model, 0)
@@ -213,12 +239,28 @@
         if not rows:
             self.lease.on_read(None, 0, now)
             return
-        table = orjson.loads(rows[0].value)
-        row = LeaseRow(table["holder"], table["fence"], table["beat"])
-        age = max(0.0, snapshot.store_time - table["renewed_at"])
+        row, renewed_at = self._decode_lease(rows[0], snapshot.store_time)
+        age = max(0.0, snapshot.store_time - renewed_at)
         self.lease.on_read(row, rows[0].version, trio.current_time(), age)
         self._log.note("lease_read", holder=row.holder, fence=row.fence, age=age)
 
+    def _decode_lease(self, row: Row, store_time: float) -> tuple[LeaseRow, float]:
+        """Return the lease as stored, and the store's time of its last renewal.
+
+        One that cannot be read is taken for held by nobody known, and renewed just
+        now. Its fencing number is not known either: the row's version is no less, as
+        each raise of that number was a write to the store.
+        """
+        try:
+            table = _LEASE_DECODER.decode(row.value or b"")
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            self._invalid_rows.note(
+                InvalidRow(row.table, row.key, row.version, str(error))
+            )
+            return LeaseRow("", max(row.version, self.lease.fence), 0), store_time
+        self._invalid_rows.clear(row.table, row.key)
+        return LeaseRow(table.holder, table.fence, table.beat), table.renewed_at
+
     def _start_orders(self, nursery: trio.Nursery, lagging: list[_Lag]) -> None:
         now = trio.current_time()
         waiting = [
@@ -278,7 +320,7 @@
             self._closed_at.pop(server_id, None)
             lag.state.reopen()
             version = lag.state.weights.get(lag.model, 0)
-            self._announce(ServerNotice(server_id, lag.model, version, 0.0))
+            self._tell(lag, version, 0.0)
             self._on_change()
         self._log.note(
             "weights_order_done",
@@ -294,7 +336,13 @@
         self._closed_at[server_id] = now
         lag.state.close_for(CLOSED_SECONDS, now)
         self.note_progress()
-        self._announce(ServerNotice(server_id, lag.model, 0, CLOSED_SECONDS))
+        self._tell(lag, 0, CLOSED_SECONDS)
+
+    def _tell(self, lag: _Lag, version: int, closed_seconds: float) -> None:
+        info = lag.state.info
+        self._announce(
+            ServerNotice(info.id, lag.model, version, closed_seconds, born=info.born)
+        )
 
     def _keep_closed(self, lag: _Lag) -> None:
         closed_at = self._closed_at.get(lag.state.info.id, float("-inf"))
@@ -331,16 +379,30 @@
         info = lag.state.info
         if info.id in self._accepted:
             return
-        report = await self._engines.report(info)
+        report = await self._ask_report(lag)
         if isinstance(report, EngineReport):
             self._accepted[info.id] = report.accepted_orders
             lag.state.learn_weights(lag.model, report.weights.get(lag.model, 0))
 
+    async def _ask_report(self, lag: _Lag) -> EngineReport | NotRun | MaybeRun:
+        """Ask an engine for its state; one of another start tells nothing here."""
+        report = await self._engines.report(lag.state.info)
+        if not isinstance(report, EngineReport):
+            return report
+        now = trio.current_time()
+        server_id = lag.state.info.id
+        order = self._table.note_start(server_id, report.born, now, report.weights)
+        if order is not StartOrder.SAME or not self._table.is_current(lag.state):
+            return MaybeRun("a report of another start")
+        return report
+
     async def _order(self, lag: _Lag, cuts_runs: bool) -> bool:
         """Send the order; return whether the engine may be carrying it out."""
         info = lag.state.info
         if not self.lease.holds(trio.current_time()):
             return False
+        if not self._table.is_current(lag.state):
+            return False
         order = WeightsOrder(
             lag.model,
             lag.version,
@@ -360,6 +422,9 @@
             cuts_runs=cuts_runs,
             outcome=str(outcome),
         )
+        if not self._table.is_current(lag.state):
+            # Which start has taken it is not known: the new one is asked.
+            return False
         if isinstance(outcome, OrderAccepted):
             if not outcome.is_in_force and info.id in self._accepted:
                 self._accepted[info.id] += 1
@@ -383,7 +448,9 @@
         while trio.current_time() - started < LOAD_LIMIT_SECONDS:
             if lag.state.weights.get(lag.model, 0) >= lag.version:
                 return True
-            report = await self._engines.report(lag.state.info)
+            report = await self._ask_report(lag)
+            if not self._table.is_current(lag.state):
+                return False
             if isinstance(report, EngineReport):
                 lag.state.learn_weights(lag.model, report.weights.get(lag.model, 0))
                 if lag.state.weights.get(lag.model, 0) >= lag.version:
--- a/ashpond/gateway/sends.py
+++ b/ashpond/gateway/sends.py
@@ -70,8 +70,8 @@
     log: DecisionLog
     get_budget: Callable[[str], SendBudget]
     count_instances: Callable[[], int]
-    note_held: Callable[[str, str, Prompt], None]
-    announce_unreached: Callable[[str, float], None]
+    note_held: Callable[[ServerState, str, Prompt], None]
+    announce_unreached: Callable[[ServerState, float], None]
     rng: random.Random
 
 
@@ -269,7 +269,7 @@
         )
         if not is_sent:
             pause = state.note_unreached(trio.current_time())
-            self.tools.announce_unreached(state.info.id, pause)
+            self.tools.announce_unreached(state, pause)
             self.tools.pool.forget(state.info.id)
             return Unrun(reason)
         state.note_answer(trio.current_time(), failed=True)
@@ -397,4 +397,4 @@
         prompt = self.call.request.envelope.prompt
         salt = self._place.salt
         if prompt is not None and salt is not None:
-            self.tools.note_held(self._place.state.info.id, salt, prompt)
+            self.tools.note_held(self._place.state, salt, prompt)
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -28,6 +28,7 @@
         "configuration": declaration.version if declaration else None,
         "knowledge_age_seconds": round(age, 3) if declaration else None,
         "weight_targets": gateway.knowledge.targets,
+        "invalid_rows": [row._asdict() for row in gateway.invalid_rows.list_all()],
         "members": sorted(gateway.members.by_name),
         "news": {
             "group": gateway.news.links.group,
@@ -63,6 +64,8 @@
         "address": state.info.address,
         "open": state.is_open(now),
         "draining": state.info.is_draining,
+        "entry_invalid": state.is_entry_invalid,
+        "born": state.info.born,
         "weights": state.weights,
         "load": gateway.table.sum_load(state.info.id, now)._asdict(),
         "failure_share": round(state.failure_share, 3),
--- a/ashpond/gateway/store.py
+++ b/ashpond/gateway/store.py
@@ -5,6 +5,7 @@
 __all__ = [
     "Condition",
     "HistoryLost",
+    "InvalidRow",
     "Row",
     "Snapshot",
     "Store",
@@ -26,6 +27,15 @@
     version: int
 
 
+class InvalidRow(NamedTuple):
+    """A row whose value is not what its table holds, and why."""
+
+    table: str
+    key: str
+    version: int
+    reason: str
+
+
 class Condition(NamedTuple):
     """A row must stand at ``version``; 0 for a row that does not exist."""
 
--- a/ashpond/gateway/storeview.py
+++ b/ashpond/gateway/storeview.py
@@ -11,12 +11,13 @@
 from ashpond.clients.channels import ChannelPool
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.declared import Declaration, WeightTarget
-from ashpond.gateway.directory import ServerTable
+from ashpond.gateway.directory import BackendServer, ServerTable
 from ashpond.gateway.feeds import Feed
+from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.knowledge import Knowledge
 from ashpond.gateway.members import MEMBERS_TABLE, Members
 from ashpond.gateway.ports import Platform
-from ashpond.gateway.store import Row, Snapshot, StoreClock
+from ashpond.gateway.store import InvalidRow, Row, Snapshot, StoreClock
 
 # A waiting call to the store also shows that nothing newer exists. With a slow
 # store's answer (0.6 s) its wait stays below the age at which an instance is no
@@ -36,6 +37,11 @@
 class StoreView:
     """Configuration, weight targets and servers, as the store's feeds tell them.
 
+    A row that cannot be read is passed over and noted in ``invalid_rows``; all others
+    of its snapshot hold. A configuration that cannot be read leaves the one before it
+    in force, with the keys it has: refusing all calls for one bad row would cost far
+    more than the late revocation, which the next good one brings.
+
     :param on_configuration: is called after a new configuration.
     :param on_servers: is called after a change of servers.
     """
@@ -45,6 +51,7 @@
         platform: Platform,
         pool: ChannelPool,
         log: DecisionLog,
+        invalid_rows: InvalidRows,
         on_configuration: Callable[[], None],
         on_servers: Callable[[], None],
     ):
@@ -54,6 +61,7 @@
         self._platform = platform
         self._pool = pool
         self._log = log
+        self._invalid_rows = invalid_rows
         self._on_configuration = on_configuration
         self._on_servers = on_servers
         self._failed_at = float("-inf")
@@ -69,6 +77,10 @@
         now = trio.current_time()
         for row in snapshot.rows:
             found = self._platform.decode_operator_row(row)
+            if isinstance(found, InvalidRow):
+                self._invalid_rows.note(found)
+                continue
+            self._invalid_rows.clear(row.table, row.key)
             if isinstance(found, Declaration) and self.knowledge.adopt(found):
                 self._on_configuration()
                 self._log.note(
@@ -88,18 +100,40 @@
         """Take over rows of the servers' table."""
         now = trio.current_time()
         may_lapse = now - self._failed_at < RECENT_OUTAGE_SECONDS
-        decode = self._platform.decode_server_row
         if is_whole:
-            servers = [server for row in snapshot.rows if (server := decode(row))]
-            self.table.replace_all(servers, now, may_lapse=may_lapse)
-            self._log.note("servers", count=len(servers), version=snapshot.version)
+            self._take_all_servers(snapshot, now, may_lapse)
         else:
             for row in snapshot.rows:
                 self._on_server_row(row, now, may_lapse)
         self._on_servers()
 
+    def _take_all_servers(
+        self, snapshot: Snapshot, now: float, may_lapse: bool
+    ) -> None:
+        decoded = {row.key: self._decode_server(row) for row in snapshot.rows}
+        servers = [s for s in decoded.values() if isinstance(s, BackendServer)]
+        invalid = {key for key, s in decoded.items() if isinstance(s, InvalidRow)}
+        self.table.replace_all(servers, now, may_lapse=may_lapse, invalid=invalid)
+        self._log.note(
+            "servers",
+            count=len(servers),
+            invalid=len(invalid),
+            version=snapshot.version,
+        )
+
+    def _decode_server(self, row: Row) -> BackendServer | InvalidRow | None:
+        found = self._platform.decode_server_row(row)
+        if isinstance(found, InvalidRow):
+            self._invalid_rows.note(found)
+        else:
+            self._invalid_rows.clear(row.table, row.key)
+        return found
+
     def _on_server_row(self, row: Row, now: float, may_lapse: bool) -> None:
-        server = self._platform.decode_server_row(row)
+        server = self._decode_server(row)
+        if isinstance(server, InvalidRow):
+            self.table.note_invalid(row.key)
+            return
         if server is None:
             self.table.remove(row.key, now, may_lapse=may_lapse)
             self._log.note("server_gone", server=row.key, may_lapse=may_lapse)
@@ -114,6 +148,7 @@
             address=server.address,
             is_draining=server.is_draining,
             weights=server.weights,
+            born=server.born,
             row_version=row.version,
         )
 
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,196 @@
+"""Build instances that share engines and news, and bring the engines up to date."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import trio
+
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.declared import WeightTarget
+from ashpond.gateway.directory import BackendServer, ServerTable
+from ashpond.gateway.knowledge import Knowledge
+from ashpond.gateway.newsitems import ServerNotice
+from ashpond.gateway.orders import (
+    CacheEvents,
+    EnginePort,
+    EngineReport,
+    OrderAccepted,
+    OrderOutcome,
+    OrderRefused,
+    WeightsOrder,
+)
+from ashpond.gateway.rollouts import (
+    RolloutController,
+)
+from ashpond.gateway.store import StoreClock
+from ashpond.outcomes import MaybeRun, NotRun
+from ashpond.standins.tables import MemoryStore
+from tests.gateway_builders import MODEL, make_server, make_table
+
+LOAD_SECONDS = 0.8
+LEASE_SECONDS = 3.0
+
+
+class SentOrder(NamedTuple):
+    at: float
+    server_id: str
+    order: WeightsOrder
+
+
+class Engines:
+    """Engines that load, and that may lose orders or carry them out late."""
+
+    def __init__(self, servers: list[BackendServer]):
+        self.versions = {server.id: 1 for server in servers}
+        self.accepted = dict.fromkeys(self.versions, 0)
+        self.born = dict.fromkeys(self.versions, 1000)
+        self.loading = dict.fromkeys(self.versions, 0)
+        self.load_seconds = LOAD_SECONDS
+        self.most_loading = 0
+        self.orders: list[SentOrder] = []
+        self.lost = 0
+        self.down: set[str] = set()
+        self.nursery: trio.Nursery | None = None
+
+    def build_port(self) -> EnginePort:
+        return EnginePort(self.order, self.report, self.read_cache_events)
+
+    async def order(self, server: BackendServer, order: WeightsOrder) -> OrderOutcome:
+        self.orders.append(SentOrder(trio.current_time(), server.id, order))
+        if server.id in self.down:
+            return NotRun("refused")
+        if self.lost:
+            self.lost -= 1
+            await trio.sleep(0.3)
+            assert self.nursery is not None
+            self.nursery.start_soon(self._carry_out_late, server.id, order)
+            return MaybeRun("no answer")
+        return self._carry_out(server.id, order)
+
+    async def _carry_out_late(self, server_id: str, order: WeightsOrder) -> None:
+        await trio.sleep(6.0)
+        self._carry_out(server_id, order)
+
+    def _carry_out(self, server_id: str, order: WeightsOrder) -> OrderOutcome:
+        if order.expected_orders not in (None, self.accepted[server_id]):
+            return OrderRefused(409)
+        if self.loading[server_id]:
+            return OrderRefused(409)
+        if self.versions[server_id] == order.version:
+            return OrderAccepted(is_in_force=True)
+        self.accepted[server_id] += 1
+        self.loading[server_id] = order.version
+        self.most_loading = max(
+            self.most_loading, sum(map(bool, self.loading.values()))
+        )
+        assert self.nursery is not None
+        self.nursery.start_soon(self._load, server_id)
+        return OrderAccepted(is_in_force=False)
+
+    def start_anew(self, server_id: str) -> None:
+        """End an engine, and start it again with the weights that it had."""
+        self.born[server_id] += 1
+        self.accepted[server_id] = 0
+        self.loading[server_id] = 0
+
+    async def _load(self, server_id: str) -> None:
+        born = self.born[server_id]
+        await trio.sleep(self.load_seconds)
+        if self.born[server_id] != born:
+            return
+        self.versions[server_id] = self.loading[server_id]
+        self.loading[server_id] = 0
+
+    async def report(self, server: BackendServer) -> EngineReport | NotRun:
+        if server.id in self.down:
+            return NotRun("refused")
+        return EngineReport(
+            {MODEL: self.versions[server.id]},
+            bool(self.loading[server.id]),
+            self.accepted[server.id],
+            self.born[server.id],
+        )
+
+    async def read_cache_events(
+        self, address: str, since: int, wait: float
+    ) -> CacheEvents | NotRun:
+        return NotRun("none here")
+
+
+class Fleet:
+    """Instances that share a store, engines and news."""
+
+    def __init__(self, instances: int, engines: int = 5):
+        servers = [make_server(f"s{n}") for n in range(engines)]
+        self.engines = Engines(servers)
+        self.store = MemoryStore()
+        self.repeats_left = 100.0
+        self.tables: list[ServerTable] = []
+        self.controllers: list[RolloutController] = []
+        self.knowledge: list[Knowledge] = []
+        names = [f"i{n}" for n in range(instances)]
+        for name in names:
+            table = make_table(*servers)
+            knowledge = Knowledge()
+            self.tables.append(table)
+            self.knowledge.append(knowledge)
+            self.controllers.append(
+                RolloutController(
+                    name,
+                    table,
+                    knowledge,
+                    self.store.build_port(),
+                    StoreClock(),
+                    self.engines.build_port(),
+                    DecisionLog(name),
+                    lambda: names,
+                    self.announce,
+                    lambda: None,
+                    lambda service: self.repeats_left,
+                    LEASE_SECONDS,
+                )
+            )
+        self.scopes: list[trio.CancelScope] = []
+
+    def announce(self, notice: ServerNotice) -> None:
+        for table, controller in zip(self.tables, self.controllers, strict=True):
+            controller.note_progress()
+            state = table.by_id.get(notice.server_id)
+            if state is not None:
+                state.learn_weights(notice.model, notice.version)
+
+    def name_version(self, version: int) -> None:
+        for knowledge in self.knowledge:
+            knowledge.adopt_target(WeightTarget(MODEL, version), trio.current_time())
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        self.engines.nursery = nursery
+        for controller in self.controllers:
+            scope = trio.CancelScope()
+            self.scopes.append(scope)
+            nursery.start_soon(self._run_one, controller, scope)
+
+    async def _run_one(
+        self, controller: RolloutController, scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            await controller.run()
+
+    def list_holders(self) -> list[str]:
+        return list(dict.fromkeys(sent.order.holder for sent in self.engines.orders))
+
+    def assert_holders_apart(self) -> None:
+        orders = self.engines.orders
+        for earlier, later in zip(orders, orders[1:], strict=False):
+            if earlier.order.holder != later.order.holder:
+                assert later.at - earlier.at >= LEASE_SECONDS
+            assert later.order.fence >= earlier.order.fence
+
+
+async def run_until_current(fleet: Fleet, version: int, limit: float) -> float:
+    started = trio.current_time()
+    with trio.fail_after(limit):
+        while set(fleet.engines.versions.values()) != {version}:
+            await trio.sleep(0.05)
+    return trio.current_time() - started
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -22,6 +22,8 @@
 from ashpond.gateway.holdings import Holdings
 from ashpond.gateway.places import Places
 from ashpond.gateway.selection import Candidate, Demand
+from ashpond.gateway.settings import GatewaySettings
+from tests.ports import find_free_port
 
 HOST = "desk.example"
 KEY = "key-of-desk"
@@ -144,3 +146,18 @@
     table = ServerTable()
     table.replace_all(list(servers), 0.0, may_lapse=False)
     return table
+
+
+def make_settings() -> GatewaySettings:
+    """Return settings whose addresses are free at present."""
+    addresses = {
+        name: f"127.0.0.1:{find_free_port()}"
+        for name in (
+            "callers_address",
+            "readiness_address",
+            "peers_address",
+            "metrics_address",
+            "store_address",
+        )
+    }
+    return GatewaySettings(name="i0", failure_domain="north", **addresses)
--- a/tests/kept_connections.py
+++ b/tests/kept_connections.py
@@ -14,7 +14,7 @@
 from ashpond.gateway.declared import IngressLimits
 from ashpond.gateway.ingress import Ingress, IngressPorts
 from ashpond_platform.headers import CODEC
-from tests.newsroom import find_free_port
+from tests.ports import find_free_port
 
 # Steps of the event loop that a backend server takes for its answer: more than it
 # takes for the end of a connection to reach the handler.
--- a/tests/listeners.py
+++ b/tests/listeners.py
@@ -11,7 +11,7 @@
 from ashpond.connections import Closed, ConnectionLimits
 from ashpond.exchanges import Exchange
 from ashpond.listener import Listener
-from tests.newsroom import find_free_port
+from tests.ports import find_free_port
 
 LIMITS = ConnectionLimits(max_header_bytes=2000, header_timeout=3.0, idle_timeout=15.0)
 GRACE_SECONDS = 5.0
--- a/tests/newsroom.py
+++ b/tests/newsroom.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import random
-import socket
 from collections.abc import Callable, Container
 
 import trio
 
+from ashpond.clients.peer import News
 from ashpond.decisions.budget import SendCounts
 from ashpond.decisions.fleetlinks import FLAT_FLEET, Member
 from ashpond.gateway.decisionlog import DecisionLog
@@ -28,6 +27,20 @@
 WINDOW_SECONDS = 10.0
 
 
+def make_news(**changes: object) -> News:
+    """Return the message of a digest that tells a little of everything."""
+    values: dict = {
+        "sender": "i1#1",
+        "scope": "own",
+        "group": "",
+        "loads": {"a": [1, 100, 200, 0]},
+        "notices": [["a", "m1", 2, 0.5, False, None]],
+        "holdings": [["a", "salt", "part", None]],
+        "sends": {"reader": [1, 0]},
+    }
+    return News(**(values | changes))
+
+
 class Instance:
     def __init__(
         self,
@@ -103,24 +116,3 @@
     with trio.fail_after(PATIENCE_SECONDS):
         while not condition():
             await trio.sleep(0.01)
-
-
-# Below the ports that outgoing connections take by themselves (32768 and up): one of
-# those may be the very port that a test has found free a moment ago.
-LISTENING_PORTS = range(10_240, 32_000)
-_handed_out: set[int] = set()
-
-
-def find_free_port() -> int:
-    # A quarter of the ports at most is ever looked at; a shuffle of all takes longer.
-    for _ in range(len(LISTENING_PORTS) // 4):
-        port = random.choice(LISTENING_PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in _handed_out:
-            _handed_out.add(port)
-            return port
-    raise RuntimeError("no port is free")
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from tests.test_gateway_ingress import make_settings
+from tests.gateway_builders import make_settings
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 # As in the users' deployments.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,6 +15,7 @@
 from ashpond.gateway.declared import IngressLimits
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
+from tests.row_builders import ROUTE, SERVER
 from tests.servers import make_answer, read_request
 from tests.soak.checks import LEAST_SERVED, check
 from tests.soak.clients import Seen, Way, ask, choose_kind
@@ -23,7 +24,6 @@
 from tests.soak.keepers import Keeper
 from tests.soak.proxy import Harm, Proxy
 from tests.soak.servers import Ledger, Server
-from tests.test_platform_rows import ROUTE, SERVER
 from tests.test_platform_store import answer_call
 
 # Instances that were restarted need a second or two, on a busy machine more.
--- /dev/null
+++ b/tests/test_damaged_rows.py
@@ -0,0 +1,407 @@
+"""Rows that any writer may have damaged: they name nothing to use, all others hold.
+
+One entry that is not whole ended the process that read it, and each of its starts
+after that, on every instance. Others were taken for servers: one with "x" slots, one
+at the address "nowhere", one whose state nobody knows.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import orjson
+import pytest
+import trio
+from hypothesis import example, given, strategies as st
+
+from ashpond.clients.peer import TableChanges
+from ashpond.decisions.leases import Lease, LeaseRow
+from ashpond.errors import FrameError
+from ashpond.gateway.declared import Declaration, WeightTarget
+from ashpond.gateway.directory import BackendServer
+from ashpond.gateway.invalidrows import MAX_ROWS, InvalidRows
+from ashpond.gateway.members import (
+    SECRET_KEY,
+    SECRET_TABLE,
+    decode_member_row,
+)
+from ashpond.gateway.newsitems import decode_changes, decode_news
+from ashpond.gateway.rollouts import LEASE_KEY, LEASE_TABLE
+from ashpond.gateway.store import InvalidRow, Row
+from ashpond_platform.engines import decode_cache_events, decode_report
+from ashpond_platform.rows import decode_operator_row, decode_server_row
+from tests.fleet import Fleet, run_until_current
+from tests.gateway_builders import (
+    make_demand,
+    make_places,
+    make_prompt,
+    make_server,
+    make_table,
+)
+from tests.newsroom import make_news
+from tests.row_builders import (
+    CONFIGURATION,
+    ROUTE,
+    SERVER,
+    FollowedView,
+    make_row,
+    omit,
+)
+
+DAMAGED_SERVERS: dict[str, bytes] = {
+    "not UTF-8": b"\xff\xfe\x00",
+    "empty": b"",
+    "cut off": orjson.dumps(SERVER)[:-9],
+    "a list": b"[]",
+    "a number": b"7",
+    "nothing": b"null",
+    "a text": b'"ready"',
+    "deep": b"[" * 100_000,
+    "a lone surrogate": b'{"service": "\\ud800"}',
+    **{
+        f"without {field}": orjson.dumps(omit(SERVER, field))
+        for field in (
+            "service",
+            "address",
+            "zone",
+            "version",
+            "slots",
+            "state",
+            "cold_ms",
+            "seq",
+            "models",
+        )
+    },
+    **{
+        f"{field} is {value!r}": json.dumps(SERVER | {field: value}).encode()
+        for field, value in (
+            ("service", ["s1"]),
+            ("service", None),
+            ("address", 7),
+            ("address", "nowhere"),
+            ("address", "10.0.0.1:99999"),
+            ("address", ""),
+            ("zone", 3),
+            ("version", 1),
+            ("slots", "x"),
+            ("slots", 0),
+            ("slots", -4),
+            ("slots", 2.5),
+            ("slots", True),
+            ("state", "asleep"),
+            ("state", None),
+            ("cold_ms", "500"),
+            ("cold_ms", -1),
+            ("seq", "4"),
+            ("models", "m1"),
+            ("models", [{"name": "m1"}]),
+            ("models", [{"name": "m1", "version": "x"}]),
+            ("models", [{"name": "m\n1", "version": 1}]),
+            ("born", "yesterday"),
+            ("born", 1.5),
+            ("born", None),
+            ("born", 2**70),
+        )
+    },
+}
+DAMAGED_CONFIGURATIONS: dict[str, bytes] = {
+    "not UTF-8": b"\xff",
+    "a list": b"[]",
+    **{
+        f"without {field}": orjson.dumps(omit(CONFIGURATION, field))
+        for field in ("version", "routes", "services")
+    },
+    **{
+        f"{field} is {value!r}": orjson.dumps(CONFIGURATION | {field: value})
+        for field, value in (
+            ("version", "8"),
+            ("routes", {}),
+            ("routes", [omit(ROUTE, "kind")]),
+            ("routes", [ROUTE | {"kind": "unheard-of"}]),
+            ("routes", [ROUTE | {"backends": []}]),
+            ("routes", [ROUTE | {"backends": [{"service": "s", "weight": 0}]}]),
+            ("services", [{"name": "kv", "kv_store_addr": "nowhere"}]),
+            ("tenants", [{"name": "two words\r\n", "api_keys": ["k"]}]),
+            ("tenants", [{"name": "t1", "api_keys": "k1"}]),
+        )
+    },
+}
+# Knowledge is confirmed at least so often while the store answers (seconds).
+BOUND_AGE = 2.0
+values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=9), inner)
+    ),
+    max_leaves=8,
+)
+
+
+@st.composite
+def damage(draw: st.DrawFn, good: dict[str, Any]) -> bytes:
+    """Return the JSON of a good value with some fields changed, or any bytes."""
+    if draw(st.integers(0, 4)) == 0:
+        return draw(st.binary(max_size=60))
+    fields = draw(st.lists(st.sampled_from(sorted(good)), min_size=1, max_size=3))
+    changed = dict(good)
+    for field in fields:
+        if draw(st.booleans()):
+            changed.pop(field, None)
+        else:
+            changed[field] = draw(values)
+    data = json.dumps(changed).encode()
+    return data[: draw(st.integers(0, len(data)))] if draw(st.booleans()) else data
+
+
+@pytest.mark.parametrize("value", DAMAGED_SERVERS.values(), ids=DAMAGED_SERVERS)
+def test_a_damaged_entry_names_no_server(value: bytes) -> None:
+    found = decode_server_row(Row("servers", "i-1", value, 5))
+    assert isinstance(found, InvalidRow)
+    assert found.reason
+
+
+@pytest.mark.parametrize("key", ["", "two words", "line\r\nbreak", "\u20ac", "x" * 300])
+def test_an_id_that_fits_no_header_names_no_server(key: str) -> None:
+    assert isinstance(decode_server_row(make_row(key, SERVER)), InvalidRow)
+
+
+@pytest.mark.parametrize(
+    "value", DAMAGED_CONFIGURATIONS.values(), ids=DAMAGED_CONFIGURATIONS
+)
+def test_a_damaged_configuration_is_none(value: bytes) -> None:
+    assert isinstance(decode_operator_row(Row("op", "config", value, 5)), InvalidRow)
+
+
+def test_fields_that_are_not_known_here_do_no_harm() -> None:
+    entry = SERVER | {"colour": ["blue"], "adapters": 3}
+    assert isinstance(decode_server_row(make_row("i-1", entry)), BackendServer)
+
+
+@given(damage(SERVER))
+def test_no_entry_of_a_server_raises(value: bytes) -> None:
+    found = decode_server_row(Row("servers", "i-1", value, 1))
+    assert isinstance(found, BackendServer | InvalidRow)
+
+
+@given(damage(CONFIGURATION), st.sampled_from(["config", "version/m1"]))
+@example(b'{"model": "m1", "version": 0}', "version/m1")
+def test_no_row_of_the_operator_raises(value: bytes, key: str) -> None:
+    found = decode_operator_row(Row("op", key, value, 1))
+    assert isinstance(found, Declaration | WeightTarget | InvalidRow)
+
+
+@given(damage({"address": "127.0.0.1:9", "failure_domain": "d", "link_mbps": 10.0}))
+def test_no_row_of_a_member_raises(value: bytes) -> None:
+    decode_member_row(Row("ashpond-members", "i2", value, 1))
+
+
+@given(damage({"models": [{"name": "m", "version": 1}], "busy": False, "seq": 2}))
+def test_a_report_raises_one_error_only(value: bytes) -> None:
+    try:
+        decode_report(value)
+    except (ValueError, RecursionError):
+        return
+
+
+@given(
+    damage(
+        {
+            "boot_epoch": 1,
+            "next": 9,
+            "lost": False,
+            "events": [[1, "+", "s", "p", 8, "m"], "x", [2, "-", "s", "p", 8, "m"]],
+        }
+    )
+)
+def test_cache_events_raise_one_error_only(value: bytes) -> None:
+    try:
+        decode_cache_events(value)
+    except (ValueError, RecursionError):
+        return
+
+
+def test_one_damaged_cache_event_loses_no_other() -> None:
+    events = [[1, "+", "s", "p", 8, "m"], ["x"], [2, "-", "s", "p", 8, "m"]]
+    data = {"boot_epoch": 1, "next": 9, "lost": False, "events": events}
+    found = decode_cache_events(orjson.dumps(data))
+    assert [event.number for event in found.events] == [1, 2]
+    assert found.is_gap
+
+
+@given(st.sampled_from(["loads", "notices", "holdings", "sends"]), values)
+def test_news_of_a_peer_raise_one_error_only(field: str, value: object) -> None:
+    message = make_news(**{field: value})
+    try:
+        decode_news(message)
+    except FrameError:
+        return
+
+
+def test_a_notice_with_a_text_for_seconds_is_refused() -> None:
+    message = make_news(notices=[["a", "m", 1, "soon", False, None]])
+    with pytest.raises(FrameError):
+        decode_news(message)
+
+
+@given(st.lists(values, max_size=3))
+def test_changes_told_by_a_peer_raise_one_error_only(rows: list[Any]) -> None:
+    try:
+        decode_changes(TableChanges("i", "own", "t", 0, 1, 0.0, rows))
+    except FrameError:
+        return
+
+
+def test_an_engine_that_has_no_model_yet_is_no_engine_to_use() -> None:
+    places = make_places(make_table(make_server("a", weights={})))
+    assert places._find(make_demand(make_prompt()), 0.0) is None
+    # A server of a plain service has none, whatever a client's headers say.
+    plain = make_server("p", weights={}, service="plain")
+    places = make_places(make_table(plain))
+    assert places._find(make_demand(make_prompt(), "plain"), 0.0) is not None
+
+
+async def test_good_entries_hold_beside_damaged_ones(autojump_clock: object) -> None:
+    followed = FollowedView()
+    followed.put_server("good")
+    for number, value in enumerate(DAMAGED_SERVERS.values()):
+        followed.store.put("servers", f"bad{number}", value)
+    followed.store.put("op", "config", orjson.dumps(CONFIGURATION))
+    async with trio.open_nursery() as nursery:
+        followed.start(nursery)
+        await trio.sleep(1.0)
+        assert followed.list_usable() == ["good"]
+        followed.put_server("later")
+        followed.store.put("servers", "bad-later", b"{")
+        await trio.sleep(1.0)
+        assert followed.list_usable() == ["good", "later"]
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_known_server_whose_entry_turns_bad_gets_nothing_new(
+    autojump_clock: object,
+) -> None:
+    followed = FollowedView()
+    followed.put_server("a")
+    followed.put_server("b")
+    async with trio.open_nursery() as nursery:
+        followed.start(nursery)
+        await trio.sleep(1.0)
+        state = followed.view.table.by_id["a"]
+        followed.store.put("servers", "a", b"{}")
+        await trio.sleep(1.0)
+        assert followed.list_usable() == ["b"]
+        # Read whole, as after lost history, it is the same.
+        followed.store.forget_history()
+        await trio.sleep(8.0)
+        assert followed.list_usable() == ["b"]
+        followed.put_server("a", seq=5)
+        await trio.sleep(1.0)
+        assert followed.list_usable() == ["a", "b"]
+        assert followed.view.table.is_current(state)
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_bad_configuration_leaves_the_good_one_in_force(
+    autojump_clock: object,
+) -> None:
+    followed = FollowedView()
+    followed.store.put("op", "config", orjson.dumps(CONFIGURATION))
+    async with trio.open_nursery() as nursery:
+        followed.start(nursery)
+        await trio.sleep(1.0)
+        for value in DAMAGED_CONFIGURATIONS.values():
+            followed.store.put("op", "config", value)
+            await trio.sleep(0.1)
+        knowledge = followed.view.knowledge
+        assert knowledge.declaration is not None
+        assert set(knowledge.declaration.teams_by_key) == {"k1", "k2"}
+        assert knowledge.measure_age(trio.current_time()) < BOUND_AGE
+        # The next good one takes a key away, whatever came between.
+        tenants = [{"name": "t1", "api_keys": ["k1"]}]
+        newer = CONFIGURATION | {"version": 9, "tenants": tenants}
+        followed.store.put("op", "config", orjson.dumps(newer))
+        await trio.sleep(0.5)
+        assert set(knowledge.declaration.teams_by_key) == {"k1"}
+        nursery.cancel_scope.cancel()
+
+
+async def test_each_damaged_version_is_told_once(autojump_clock: object) -> None:
+    followed = FollowedView()
+    followed.store.put("servers", "a", b"{")
+    async with trio.open_nursery() as nursery:
+        followed.start(nursery)
+        await trio.sleep(1.0)
+        followed.store.forget_history()
+        await trio.sleep(8.0)
+        assert followed.invalid == ["servers"]
+        followed.store.put("servers", "a", b"[")
+        await trio.sleep(1.0)
+        assert followed.invalid == ["servers", "servers"]
+        assert followed.list_events().count("row_invalid") == 2
+        nursery.cancel_scope.cancel()
+
+
+def test_what_is_remembered_of_damaged_rows_is_bounded() -> None:
+    followed = FollowedView()
+    rows = InvalidRows(followed.log)
+    for number in range(MAX_ROWS + 50):
+        rows.note(InvalidRow("servers", f"s{number}", 1, "why"))
+    assert len(rows.list_all()) == MAX_ROWS
+    rows.clear("servers", f"s{MAX_ROWS}")
+    assert len(rows.list_all()) == MAX_ROWS - 1
+
+
+async def test_a_damaged_row_of_a_member_names_no_instance(
+    autojump_clock: object,
+) -> None:
+    followed = FollowedView()
+    followed.store.put("ashpond-members", "i", b"\xff")
+    followed.store.put("ashpond-members", "i2", b'{"address": "nowhere"}')
+    followed.store.put("ashpond-members", "i3", b'{"address": "127.0.0.1:3"}')
+    async with trio.open_nursery() as nursery:
+        followed.start(nursery)
+        await trio.sleep(1.0)
+        # What its own row should hold, an instance knows.
+        assert sorted(followed.members.by_name) == ["i", "i3"]
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"short"])
+async def test_a_damaged_secret_is_replaced(
+    value: bytes, autojump_clock: object
+) -> None:
+    followed = FollowedView()
+    other = FollowedView()
+    other.members._store = followed.store.build_port()
+    followed.store.put(SECRET_TABLE, SECRET_KEY, value)
+    with trio.fail_after(5.0):
+        await followed.members.agree_secret()
+        await other.members.agree_secret()
+    assert followed.members.secret == other.members.secret
+
+
+async def test_a_damaged_lease_is_taken_over_with_a_higher_fence(
+    autojump_clock: object,
+) -> None:
+    fleet = Fleet(2)
+    earlier = {"holder": "gone", "fence": 40, "beat": 0, "renewed_at": 0.0}
+    for _ in range(50):
+        # Each raise of the fence is a write, so that it never passes the version.
+        fleet.store.put(LEASE_TABLE, LEASE_KEY, orjson.dumps(earlier))
+    fleet.store.put(LEASE_TABLE, LEASE_KEY, b'{"holder": 7}')
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        await run_until_current(fleet, 2, 20.0)
+        nursery.cancel_scope.cancel()
+    assert min(sent.order.fence for sent in fleet.engines.orders) > 40
+
+
+def test_a_lease_that_cannot_be_read_is_waited_out() -> None:
+    lease = Lease("i1")
+    lease.on_read(LeaseRow("", 9, 0), 9, 0.0)
+    assert lease.plan_write(lease.terms.silence / 2) is None
+    write = lease.plan_write(lease.terms.silence + 0.1)
+    assert write is not None
+    assert write.row.fence == 10
--- a/tests/test_decisionlog.py
+++ b/tests/test_decisionlog.py
@@ -49,3 +49,14 @@
     assert ids == [str(number) for number in range(MAX_QUEUED)]
     os.close(reader)
     os.close(writer)
+
+
+def test_a_line_that_json_cannot_hold_is_written_as_text() -> None:
+    read, write = os.pipe()
+    log = DecisionLog("i0", write)
+    log.note("odd", number=2**70, text="\ud800")
+    log.note("next")
+    log.flush()
+    lines = [orjson.loads(line) for line in os.read(read, 9000).splitlines()]
+    assert [line["event"] for line in lines] == ["odd", "next"]
+    assert str(2**70) in lines[0]["line"]
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -17,16 +17,16 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.settings import (
     GatewayBounds,
-    GatewaySettings,
     SettingsFile,
     parse_gateway_settings,
 )
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.composition import build_platform
 from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
-from tests.newsroom import find_free_port, wait_for
+from tests.gateway_builders import make_settings
+from tests.newsroom import wait_for
+from tests.row_builders import CONFIGURATION, ROUTE, SERVER
 from tests.servers import make_answer, read_request, run_server
-from tests.test_platform_rows import CONFIGURATION, ROUTE, SERVER
 
 # Time enough that no test ends because a request's time is over.
 LONG_ROUTE = {**ROUTE, "backends": None, "service": "s1", "timeout_ms": 120_000}
@@ -75,20 +75,6 @@
             return await read_request(stream)
 
 
-def make_settings() -> GatewaySettings:
-    addresses = {
-        name: f"127.0.0.1:{find_free_port()}"
-        for name in (
-            "callers_address",
-            "readiness_address",
-            "peers_address",
-            "metrics_address",
-            "store_address",
-        )
-    }
-    return GatewaySettings(name="i0", failure_domain="north", **addresses)
-
-
 @asynccontextmanager
 async def run_gateway(
     server_address: str, *, is_known: bool = True
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -20,7 +20,8 @@
 from ashpond.gateway.newsitems import ServerNotice
 from ashpond.gateway.newslinks import MAX_GROUP_HOLDINGS, Audience, Link
 from ashpond.standins.tables import MemoryStore
-from tests.newsroom import LISTENING_PORTS, Instance, find_free_port, wait_for
+from tests.newsroom import Instance, wait_for
+from tests.ports import LISTENING_PORTS, find_free_port
 
 
 @pytest.fixture
--- a/tests/test_news_groups.py
+++ b/tests/test_news_groups.py
@@ -18,7 +18,8 @@
 from ashpond.gateway.newslinks import Audience
 from ashpond.gateway.store import Row
 from ashpond.standins.tables import MemoryStore
-from tests.newsroom import Instance, find_free_port, wait_for
+from tests.newsroom import Instance, wait_for
+from tests.ports import find_free_port
 
 
 @pytest.fixture
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import orjson
 import pytest
+from hypothesis import given, strategies as st
 
 from ashpond.gateway.calls import Instructions, PromptPart
+from ashpond.gateway.selection import describe_demand
 from ashpond_platform.headers import read_envelope, read_marks, write_headers
+from tests.gateway_builders import make_demand
 
 REQUEST = [
     (b"Host", b"jepu9.example"),
@@ -100,3 +104,40 @@
     marks = read_marks([(b"x-weight-versions", b"4"), (b"x-not-executed", b"1")])
     assert (marks.weights_version, marks.is_not_run) == (4, True)
     assert read_marks([(b"x-weight-versions", b"odd")]).weights_version is None
+
+
+@pytest.mark.parametrize("text", ["\u00b2", "9" * 30, "-1", "", "1.0", "9" * 5000])
+def test_a_version_that_is_no_number_of_64_bits_is_not_there(text: str) -> None:
+    """A superscript two counts as a digit, and ended the instance that read it."""
+    marks = read_marks([(b"x-weight-versions", text.encode("latin-1"))])
+    assert marks.weights_version is None
+
+
+@pytest.mark.parametrize("counts", ["9" * 30 + ",1", "-5,1", "1,-5", "9" * 4000 + ",1"])
+def test_token_counts_that_no_prompt_has_are_not_believed(counts: str) -> None:
+    """A client's 30 digits ended the log and the news of its instance, and so it."""
+    headers = [(b"x-request-id", b"i"), (b"x-model", b"m")]
+    headers.append((b"x-token-counts", counts.encode()))
+    envelope = read_envelope(headers)
+    assert envelope is not None
+    assert envelope.prompt is None
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(
+                [b"x-deadline-ms", b"x-token-counts", b"x-prompt-prefix", b"x-model"]
+            ),
+            st.binary(max_size=12) | st.sampled_from([b"nan", b"inf", b"1,2", b"a:1"]),
+        )
+    )
+)
+def test_headers_of_a_client_always_make_a_log_line(
+    headers: list[tuple[bytes, bytes]],
+) -> None:
+    envelope = read_envelope([(b"x-request-id", b"i"), *headers])
+    assert envelope is not None
+    orjson.dumps(describe_demand(make_demand(envelope.prompt)))
+    allowed = min(4.0, 4.0 if envelope.patience is None else envelope.patience)
+    assert allowed <= 4.0
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -15,9 +15,10 @@
 
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
+from tests.gateway_builders import make_settings
+from tests.row_builders import CONFIGURATION, SERVER
 from tests.servers import make_answer, read_request, run_server
-from tests.test_gateway_ingress import ROUTES, answer_all, make_request, make_settings
-from tests.test_platform_rows import CONFIGURATION, SERVER
+from tests.test_gateway_ingress import ROUTES, answer_all, make_request
 from tests.test_platform_store import answer_call
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_platform_rows.py
+++ b/tests/test_platform_rows.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import orjson
-
 from ashpond.gateway.declared import (
     CacheStore,
     RouteKind,
@@ -13,49 +11,7 @@
 )
 from ashpond.gateway.store import Row
 from ashpond_platform.rows import decode_operator_row, decode_server_row
-
-ROUTE = {
-    "name": "r1",
-    "host": "a.example",
-    "prefix": "/x/",
-    "kind": "stream",
-    "timeout_ms": 4000,
-    "target_latency_ms": 600,
-    "priority": 1,
-    "backends": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
-    "max_attempts": 1,
-    "anonymous": False,
-    "resumable": True,
-}
-CONFIGURATION = {
-    "version": 7,
-    "routes": [ROUTE, {**ROUTE, "host": "b.example", "backends": None, "service": "s"}],
-    "services": [
-        {"name": "s1", "engine": {"slots": 64, "kv_capacity_tokens": 9, "models": []}},
-        {"name": "kv", "kv_store_addr": "172.20.0.2:8781", "zone": "ub-south"},
-        {"name": "plain", "max_conns": 110},
-    ],
-    "limits": {"max_header_bytes": 9000, "idle_timeout_ms": 15000},
-    "tenants": [
-        {"name": "t1", "api_keys": ["k1", "k2"], "priority": 1, "isolated": True},
-        {"name": "t2", "api_keys": []},
-    ],
-}
-SERVER = {
-    "service": "s1",
-    "address": "10.128.0.9:8080",
-    "zone": "ub-north",
-    "version": "v1",
-    "slots": 64,
-    "state": "ready",
-    "cold_ms": 500,
-    "models": [{"name": "m1", "version": 3, "adapters": []}],
-    "seq": 4,
-}
-
-
-def make_row(key: str, value: object) -> Row:
-    return Row("op", key, orjson.dumps(value), 1)
+from tests.row_builders import CONFIGURATION, SERVER, make_row
 
 
 def test_a_configuration_is_read_whole() -> None:
--- a/tests/test_rollout_pace.py
+++ b/tests/test_rollout_pace.py
@@ -7,7 +7,7 @@
 from ashpond.gateway.directory import Load
 from ashpond.gateway.newsitems import ServerNotice
 from ashpond.gateway.rollouts import BOUND_SECONDS, LEASE_TABLE, MANY_LOADING_SHARE
-from tests.test_rollouts import Fleet, run_until_current
+from tests.fleet import Fleet, run_until_current
 
 
 async def test_streams_are_cut_once_the_requests_that_cannot_move_have_ended(
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -11,7 +11,7 @@
 from ashpond.server import LIMITS, make_app, read_body, run_app
 from tests.kept_connections import BODY, Client
 from tests.listeners import POST, REQUEST, read_all, take_steps
-from tests.newsroom import find_free_port
+from tests.ports import find_free_port
 
 CONNECTIONS = 10
 ROUNDS = 5
--- /dev/null
+++ b/tests/test_server_starts.py
@@ -0,0 +1,330 @@
+"""A backend server may start again under its id: what was known of it goes, at once.
+
+An engine that had started anew with older weights was taken to have the newer ones,
+its count of orders was the old one, so that each order was refused, and its prompt
+parts were fetched from it though it held nothing.
+"""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+import trio
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from ashpond.clients.channels import ChannelPool
+from ashpond.gateway.application import Gateway
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.directory import (
+    BackendServer,
+    Load,
+    ServerState,
+    StartOrder,
+    compare_starts,
+)
+from ashpond.gateway.holdings import Holding
+from ashpond.gateway.newsitems import ServerNotice, decode_news, encode_news
+from ashpond.gateway.selection import Demand
+from ashpond.gateway.settings import SettingsFile
+from ashpond.standins.tables import MemoryStore
+from ashpond_platform.composition import build_platform
+from ashpond_platform.engines import decode_report
+from ashpond_platform.rows import decode_server_row
+from tests.fleet import Fleet, run_until_current
+from tests.gateway_builders import (
+    MODEL,
+    make_prompt,
+    make_server,
+    make_settings,
+    make_table,
+)
+from tests.newsroom import make_news
+from tests.row_builders import SERVER, make_row
+
+SALT = "salt"
+PROMPT = make_prompt()
+
+
+class IdleChannel:
+    def __init__(self) -> None:
+        self.is_closed = False
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+def make_gateway() -> Gateway:
+    pool = ChannelPool()
+    platform = build_platform(MemoryStore().build_port(), pool)
+    log = DecisionLog("i0", 2)
+    return Gateway(SettingsFile("", make_settings()), platform, pool, log)
+
+
+def make_used_gateway(**changes: object) -> Gateway:
+    """Return an instance that knows much of one start of server "a"."""
+    gateway = make_gateway()
+    gateway.table.update(make_server("a", born=1000, **changes), 0.0)
+    state = gateway.table.by_id["a"]
+    state.learn_weights(MODEL, 3)
+    state.load = Load(5, 100, 100)
+    state.note_unreached(0.0)
+    gateway._note_held(state, SALT, PROMPT)
+    gateway.table.note_peer_loads("p", {"a": Load(4)}, 0.0)
+    gateway.rollouts._accepted["a"] = 7
+    gateway.pool._idle["a"] = [IdleChannel()]  # type: ignore[list-item]
+    return gateway
+
+
+def assert_forgotten(gateway: Gateway) -> ServerState:
+    state = gateway.table.by_id["a"]
+    assert state.load == Load()
+    assert gateway.table.sum_load("a", 0.1) == Load()
+    assert state.unreached == 0
+    assert state.is_open(0.1)
+    assert not gateway.holdings.find_holders(SALT, PROMPT, trio.current_time())
+    assert "a" not in gateway.rollouts._accepted
+    assert gateway.pool.count_idle("a") == 0
+    return state
+
+
+@pytest.mark.parametrize(
+    ("known", "told", "order"),
+    [
+        (None, None, StartOrder.SAME),
+        (5, None, StartOrder.SAME),
+        (None, 5, StartOrder.SAME),
+        (5, 5, StartOrder.SAME),
+        (5, 6, StartOrder.NEWER),
+        (6, 5, StartOrder.OLDER),
+    ],
+)
+def test_starts_are_told_apart(
+    known: int | None, told: int | None, order: StartOrder
+) -> None:
+    assert compare_starts(known, told) is order
+
+
+def test_an_entry_and_a_report_tell_the_start() -> None:
+    entry = decode_server_row(make_row("a", SERVER))
+    assert isinstance(entry, BackendServer)
+    assert entry.born == SERVER["born"]
+    report = {"models": [], "busy": False, "seq": 0, "born": 1234}
+    assert decode_report(orjson.dumps(report)).born == 1234
+
+
+async def test_a_new_start_seen_first_in_the_store() -> None:
+    gateway = make_used_gateway()
+    idle = gateway.pool._idle["a"][0]
+    gateway.table.update(make_server("a", born=2000, weights={MODEL: 1}), 0.0)
+    assert assert_forgotten(gateway).weights == {MODEL: 1}
+    assert idle.is_closed  # type: ignore[attr-defined]
+
+
+async def test_a_new_start_seen_first_by_a_report() -> None:
+    gateway = make_used_gateway()
+    order = gateway.table.note_start("a", 2000, 0.0, {MODEL: 2})
+    assert order is StartOrder.NEWER
+    assert assert_forgotten(gateway).weights == {MODEL: 2}
+
+
+async def test_a_new_start_seen_first_by_a_peer() -> None:
+    gateway = make_used_gateway()
+    gateway._on_notice(ServerNotice("a", MODEL, 2, 0.0, born=2000))
+    assert assert_forgotten(gateway).weights == {MODEL: 2}
+
+
+async def test_a_new_start_told_with_what_it_has_read() -> None:
+    gateway = make_used_gateway()
+    parts = [part.id for part in PROMPT.parts[:-1]]
+    gateway._on_holding(Holding("a", SALT, parts[0], 2000))
+    now = trio.current_time()
+    # Of its weights nothing was told: what its entry said last is believed.
+    assert gateway.table.by_id["a"].weights == {MODEL: 1}
+    assert gateway.holdings.find_holders(SALT, PROMPT, now) == {"a": 1000}
+
+
+async def test_late_word_of_the_old_start_changes_nothing() -> None:
+    gateway = make_used_gateway()
+    gateway.table.update(make_server("a", born=2000), 0.0)
+    state = gateway.table.by_id["a"]
+    gateway._on_notice(ServerNotice("a", MODEL, 9, 5.0, born=1000))
+    gateway._on_holding(Holding("a", SALT, PROMPT.parts[0].id, 1000))
+    gateway.table.update(make_server("a", born=1000, weights={MODEL: 9}), 0.0)
+    assert gateway.table.note_start("a", 1000, 0.0, {MODEL: 9}) is StartOrder.OLDER
+    assert gateway.table.by_id["a"] is state
+    assert assert_forgotten(gateway).weights == {MODEL: 1}
+
+
+async def test_two_starts_within_a_heartbeat_told_out_of_order() -> None:
+    gateway = make_used_gateway()
+    gateway._on_notice(ServerNotice("a", MODEL, 1, 0.0, born=3000))
+    state = gateway.table.by_id["a"]
+    gateway.table.update(make_server("a", born=2000, is_draining=True), 0.0)
+    assert gateway.table.by_id["a"] is state
+    gateway.table.update(make_server("a", born=3000), 0.0)
+    assert gateway.table.by_id["a"] is state
+
+
+async def test_word_of_the_same_start_is_no_change() -> None:
+    gateway = make_used_gateway()
+    state = gateway.table.by_id["a"]
+    gateway.table.update(make_server("a", born=1000), 0.0)
+    gateway._on_notice(ServerNotice("a", MODEL, 3, 0.0, born=1000))
+    gateway._on_notice(ServerNotice("a", MODEL, 3, 0.0))
+    assert gateway.table.by_id["a"] is state
+    assert state.load == Load(5, 100, 100)
+    assert gateway.rollouts._accepted == {"a": 7}
+
+
+async def test_a_server_that_never_told_its_start_learns_one_and_goes_on() -> None:
+    gateway = make_gateway()
+    gateway.table.update(make_server("a"), 0.0)
+    state = gateway.table.by_id["a"]
+    gateway._on_notice(ServerNotice("a", MODEL, 1, 0.0, born=1000))
+    assert gateway.table.by_id["a"] is state
+    assert state.info.born == 1000
+    gateway.table.update(make_server("a"), 0.0)
+    assert state.info.born == 1000
+
+
+async def test_a_leaving_server_stays_so_until_its_new_entry_says_otherwise() -> None:
+    gateway = make_used_gateway(is_draining=True)
+    gateway.table.note_start("a", 2000, 0.0, {MODEL: 2})
+    assert not gateway.table.by_id["a"].is_present()
+    gateway.table.update(make_server("a", born=2000), 0.0)
+    assert gateway.table.by_id["a"].is_present()
+
+
+async def test_a_call_in_flight_at_the_old_start_counts_nothing_at_the_new_one() -> (
+    None
+):
+    gateway = make_gateway()
+    gateway.table.update(make_server("a", born=1000), 0.0)
+    demand = Demand("reader", MODEL, PROMPT, "wall")
+    place = await gateway.places.take(demand, 0, trio.current_time())
+    assert place is not None
+    gateway.table.update(make_server("a", born=2000), 0.0)
+    state = gateway.table.by_id["a"]
+    place = gateway.places.note_read(place)
+    gateway._note_held(place.state, SALT, PROMPT)
+    gateway.places.give_back(place)
+    assert state.load == Load()
+    assert not gateway.holdings.find_holders(SALT, PROMPT, trio.current_time())
+
+
+async def test_news_carry_the_start() -> None:
+    notices = [["a", "m1", 2, 0.5, False, 1234]]
+    holdings = [["a", "salt", "part", 1234]]
+    digest = decode_news(make_news(notices=notices, holdings=holdings))
+    assert digest.notices[0].born == 1234
+    assert digest.holdings[0].born == 1234
+    assert encode_news("i1#1", digest).notices == notices
+
+
+async def test_an_order_to_an_engine_that_starts_anew_is_given_again(
+    autojump_clock: object,
+) -> None:
+    fleet = Fleet(3, engines=2)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        # An order was accepted before, so that counts of both starts differ.
+        fleet.name_version(2)
+        await run_until_current(fleet, 2, 10.0)
+        fleet.name_version(3)
+        while fleet.engines.loading["s0"] != 3:
+            await trio.sleep(0.01)
+        fleet.engines.start_anew("s0")
+        await run_until_current(fleet, 3, 10.0)
+        nursery.cancel_scope.cancel()
+    last = [o.order for o in fleet.engines.orders if o.server_id == "s0"][-1]
+    assert last.expected_orders == 0
+    fleet.assert_holders_apart()
+
+
+async def test_a_late_order_for_the_old_start_is_not_carried_out_by_the_new(
+    autojump_clock: object,
+) -> None:
+    fleet = Fleet(1, engines=1)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        await run_until_current(fleet, 2, 10.0)
+        # The engine has taken one order; the next is lost and comes 6 s later.
+        fleet.engines.lost = 1
+        fleet.name_version(3)
+        while fleet.engines.lost:
+            await trio.sleep(0.01)
+        fleet.engines.start_anew("s0")
+        await run_until_current(fleet, 3, 5.0)
+        fleet.name_version(4)
+        await run_until_current(fleet, 4, 10.0)
+        await trio.sleep(8.0)
+        nursery.cancel_scope.cancel()
+    assert fleet.engines.versions == {"s0": 4}
+
+
+class StartsMachine(RuleBasedStateMachine):
+    """A server starts again and again; word of each start comes in any order.
+
+    The model keeps what each start has really read and loaded. What is believed may
+    be behind, and is never of an older start than one that was heard of.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = make_table(make_server("a", born=0))
+        self.table.on_new_start = self.on_new_start
+        self.heard = 0
+        self.started = 0
+        self.weights = {0: 1}
+        self.restarts = 0
+
+    def on_new_start(self, state: ServerState) -> None:
+        self.restarts += 1
+
+    @rule(older=st.integers(0, 1))
+    def start_anew(self, older: int) -> None:
+        had = self.weights[self.started]
+        self.started += 1
+        self.weights[self.started] = max(1, had - older)
+
+    @rule()
+    def load(self) -> None:
+        self.weights[self.started] += 1
+
+    @rule(born=st.integers(0, 9))
+    def tell_by_entry(self, born: int) -> None:
+        born = min(born, self.started)
+        self.heard = max(self.heard, born)
+        server = make_server("a", born=born, weights={MODEL: self.weights[born]})
+        self.table.update(server, 0.0)
+
+    @rule(born=st.integers(0, 9))
+    def tell_by_report(self, born: int) -> None:
+        born = min(born, self.started)
+        self.heard = max(self.heard, born)
+        weights = {MODEL: self.weights[born]}
+        if self.table.note_start("a", born, 0.0, weights) is StartOrder.SAME:
+            self.table.by_id["a"].learn_weights(MODEL, self.weights[born])
+
+    @rule()
+    def tell_without_a_start(self) -> None:
+        self.table.note_start("a", None, 0.0)
+
+    @rule()
+    def work(self) -> None:
+        state = self.table.by_id["a"]
+        state.load = state.load.add(Load(1))
+
+    @invariant()
+    def the_newest_start_heard_of_is_believed(self) -> None:
+        assert self.table.by_id["a"].info.born == self.heard
+
+    @invariant()
+    def weights_are_of_that_start(self) -> None:
+        believed = self.table.by_id["a"].weights[MODEL]
+        assert believed <= max(self.weights[self.heard], 1)
+
+
+TestStarts = StartsMachine.TestCase
