--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -32,11 +32,11 @@
 from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.knowledge import Knowledge
-from ashpond.gateway.newsitems import ServerNotice
 from ashpond.gateway.places import Places
 from ashpond.gateway.rollouts import RolloutController
 from ashpond.gateway.sends import Tools
 from ashpond.gateway.store import StoreClock
+from ashpond.news.items import ServerNotice
 from ashpond.standins.tables import MemoryStore
 
 SERVICE = "engines"
--- a/ashpond/emulator/world.py
+++ b/ashpond/emulator/world.py
@@ -24,7 +24,7 @@
 from ashpond.gateway.calls import Envelope, Headers, IncomingCall, Prompt, PromptPart
 from ashpond.gateway.declared import Route, RouteKind, ServiceShare, WeightTarget
 from ashpond.gateway.holdings import Holding
-from ashpond.gateway.newsitems import ServerNotice
+from ashpond.news.items import ServerNotice
 from ashpond.standins.tables import MemoryStore
 
 WALL = "shared"
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -29,10 +29,7 @@
 from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.ingress import Ingress, IngressPorts
 from ashpond.gateway.invalidrows import InvalidRows
-from ashpond.gateway.members import Members
 from ashpond.gateway.metrics import GatewayMetrics
-from ashpond.gateway.news import Newsroom
-from ashpond.gateway.newsitems import NewsHandlers, ServerNotice
 from ashpond.gateway.places import Places
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.replies import send_refusal
@@ -41,6 +38,9 @@
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
 from ashpond.gateway.status import render_status
 from ashpond.gateway.storeview import StoreView, build_feeds
+from ashpond.news.items import NewsHandlers, ServerNotice
+from ashpond.news.members import Members
+from ashpond.news.room import Newsroom
 from ashpond.outcomes import Refusal
 
 MS = 1000.0
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -17,7 +17,6 @@
 from ashpond.gateway.directory import ServerState, ServerTable, StartOrder
 from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.knowledge import Knowledge
-from ashpond.gateway.newsitems import ServerNotice
 from ashpond.gateway.orders import (
     EnginePort,
     EngineReport,
@@ -26,6 +25,7 @@
     WeightsOrder,
 )
 from ashpond.gateway.store import Condition, InvalidRow, Row, Store, StoreClock
+from ashpond.news.items import ServerNotice
 from ashpond.outcomes import Done, MaybeRun, NotRun
 
 LEASE_TABLE = "ashpond-leases"
--- a/ashpond/gateway/storeview.py
+++ b/ashpond/gateway/storeview.py
@@ -15,9 +15,9 @@
 from ashpond.gateway.feeds import Feed
 from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.knowledge import Knowledge
-from ashpond.gateway.members import MEMBERS_TABLE, Members
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.store import InvalidRow, Row, Snapshot, StoreClock
+from ashpond.news.members import MEMBERS_TABLE, Members
 
 # A waiting call to the store also shows that nothing newer exists. With a slow
 # store's answer (0.6 s) its wait stays below the age at which an instance is no
--- a/ashpond/gateway/newsitems.py
+++ b/ashpond/news/items.py
@@ -24,9 +24,9 @@
 from ashpond.errors import FrameError
 from ashpond.gateway.directory import Load
 from ashpond.gateway.feeds import TableNews
-from ashpond.gateway.fleetview import Scope, Work
 from ashpond.gateway.holdings import Holding
 from ashpond.gateway.store import Row
+from ashpond.news.fleetview import Scope, Work
 
 
 class ServerNotice(NamedTuple):
--- a/ashpond/gateway/newslinks.py
+++ b/ashpond/news/links.py
@@ -21,9 +21,9 @@
 from ashpond.clients.peer import News, Notices, PeerStream, TableChanges
 from ashpond.errors import FrameError
 from ashpond.gateway.feeds import TableNews
-from ashpond.gateway.fleetview import Scope, Work
 from ashpond.gateway.holdings import Holding
-from ashpond.gateway.newsitems import ServerNotice
+from ashpond.news.fleetview import Scope, Work
+from ashpond.news.items import ServerNotice
 
 # For a peer that is away; what it misses costs it some reading (entries).
 MAX_PENDING_HOLDINGS = 500
--- a/ashpond/gateway/news.py
+++ b/ashpond/news/room.py
@@ -23,10 +23,9 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import ServerTable
 from ashpond.gateway.feeds import TableNews
-from ashpond.gateway.fleetview import FleetView, Scope, Source, Work
 from ashpond.gateway.holdings import Holding
-from ashpond.gateway.members import Members
-from ashpond.gateway.newsitems import (
+from ashpond.news.fleetview import FleetView, Scope, Source, Work
+from ashpond.news.items import (
     Digest,
     NewsHandlers,
     ServerNotice,
@@ -37,7 +36,7 @@
     encode_news,
     encode_notices,
 )
-from ashpond.gateway.newslinks import (
+from ashpond.news.links import (
     PEER_ERRORS,
     SCOPES,
     Audience,
@@ -46,6 +45,7 @@
     receive_news,
     strip_life,
 )
+from ashpond.news.members import Members
 
 LIFE_BYTES = 4
 # Loads are told at most so often in a flat fleet, and at least so often (seconds).
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -10,7 +10,6 @@
 from ashpond.gateway.declared import WeightTarget
 from ashpond.gateway.directory import BackendServer, ServerTable
 from ashpond.gateway.knowledge import Knowledge
-from ashpond.gateway.newsitems import ServerNotice
 from ashpond.gateway.orders import (
     CacheEvents,
     EnginePort,
@@ -24,6 +23,7 @@
     RolloutController,
 )
 from ashpond.gateway.store import StoreClock
+from ashpond.news.items import ServerNotice
 from ashpond.outcomes import MaybeRun, NotRun
 from ashpond.standins.tables import MemoryStore
 from tests.gateway_builders import MODEL, make_server, make_table
--- a/tests/newsroom.py
+++ b/tests/newsroom.py
@@ -13,11 +13,11 @@
 from ashpond.gateway.directory import Load
 from ashpond.gateway.feeds import Feed, Follower, TableNews
 from ashpond.gateway.holdings import Holding
-from ashpond.gateway.members import MEMBERS_TABLE, Members
-from ashpond.gateway.news import Newsroom
-from ashpond.gateway.newsitems import NewsHandlers, ServerNotice
-from ashpond.gateway.newslinks import Audience
 from ashpond.gateway.store import StoreClock
+from ashpond.news.items import NewsHandlers, ServerNotice
+from ashpond.news.links import Audience
+from ashpond.news.members import MEMBERS_TABLE, Members
+from ashpond.news.room import Newsroom
 from ashpond.standins.tables import MemoryStore
 from tests.gateway_builders import make_server, make_table
 
--- a/tests/test_damaged_rows.py
+++ b/tests/test_damaged_rows.py
@@ -21,14 +21,14 @@
 from ashpond.gateway.declared import Declaration, WeightTarget
 from ashpond.gateway.directory import BackendServer
 from ashpond.gateway.invalidrows import MAX_ROWS, InvalidRows
-from ashpond.gateway.members import (
+from ashpond.gateway.rollouts import LEASE_KEY, LEASE_TABLE
+from ashpond.gateway.store import InvalidRow, Row
+from ashpond.news.items import decode_changes, decode_news
+from ashpond.news.members import (
     SECRET_KEY,
     SECRET_TABLE,
     decode_member_row,
 )
-from ashpond.gateway.newsitems import decode_changes, decode_news
-from ashpond.gateway.rollouts import LEASE_KEY, LEASE_TABLE
-from ashpond.gateway.store import InvalidRow, Row
 from ashpond_platform.engines import decode_cache_events, decode_report
 from ashpond_platform.rows import decode_operator_row, decode_server_row
 from tests.fleet import Fleet, run_until_current
--- a/tests/test_fleetview.py
+++ b/tests/test_fleetview.py
@@ -6,7 +6,7 @@
 
 from ashpond.decisions.budget import SendCounts
 from ashpond.gateway.directory import PEER_LOAD_SECONDS, Load
-from ashpond.gateway.fleetview import (
+from ashpond.news.fleetview import (
     HUB_SILENCE_SECONDS,
     SUM_SECONDS,
     FleetView,
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -13,12 +13,12 @@
 from ashpond.clients.peer import News, TableChanges
 from ashpond.decisions.budget import SendCounts
 from ashpond.errors import FrameError
-from ashpond.gateway import news as news_module
 from ashpond.gateway.directory import Load
 from ashpond.gateway.holdings import Holding
-from ashpond.gateway.members import Members
-from ashpond.gateway.newsitems import ServerNotice
-from ashpond.gateway.newslinks import MAX_GROUP_HOLDINGS, Audience, Link
+from ashpond.news import room as news_module
+from ashpond.news.items import ServerNotice
+from ashpond.news.links import MAX_GROUP_HOLDINGS, Audience, Link
+from ashpond.news.members import Members
 from ashpond.standins.tables import MemoryStore
 from tests.newsroom import Instance, wait_for
 from tests.ports import LISTENING_PORTS, find_free_port
--- a/tests/test_news_groups.py
+++ b/tests/test_news_groups.py
@@ -14,10 +14,10 @@
 from ashpond.gateway.directory import Load
 from ashpond.gateway.feeds import TableNews
 from ashpond.gateway.holdings import Holding
-from ashpond.gateway.news import GROUP_NEWS_SECONDS, HEARTBEAT_SECONDS, NEWS_SECONDS
-from ashpond.gateway.newsitems import ServerNotice
-from ashpond.gateway.newslinks import Audience, Link
 from ashpond.gateway.store import Row
+from ashpond.news.items import ServerNotice
+from ashpond.news.links import Audience, Link
+from ashpond.news.room import GROUP_NEWS_SECONDS, HEARTBEAT_SECONDS, NEWS_SECONDS
 from ashpond.standins.tables import MemoryStore
 from tests.newsroom import Instance, wait_for
 from tests.ports import find_free_port
--- a/tests/test_rollout_pace.py
+++ b/tests/test_rollout_pace.py
@@ -5,8 +5,8 @@
 import trio
 
 from ashpond.gateway.directory import Load
-from ashpond.gateway.newsitems import ServerNotice
 from ashpond.gateway.rollouts import BOUND_SECONDS, LEASE_TABLE, MANY_LOADING_SHARE
+from ashpond.news.items import ServerNotice
 from tests.fleet import Fleet, run_until_current
 
 
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -24,9 +24,9 @@
     compare_starts,
 )
 from ashpond.gateway.holdings import Holding
-from ashpond.gateway.newsitems import ServerNotice, decode_news, encode_news
 from ashpond.gateway.selection import Demand
 from ashpond.gateway.settings import SettingsFile
+from ashpond.news.items import ServerNotice, decode_news, encode_news
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.composition import build_platform
 from ashpond_platform.engines import decode_report
