Read frames of peers without a call for each part, and build no sum that is not told

Now a frame is taken from the buffer once it is whole, and a sum is built where it is compared or told.

--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -244,19 +244,28 @@
         await self._stream.send_all(LENGTH.pack(len(packed)) + packed)
 
     async def _receive_value(self, limit: int) -> Any:
-        (length,) = LENGTH.unpack(await self._read_exactly(LENGTH.size))
-        if length > limit:
-            raise FrameError(f"a frame of {length} bytes is too large")
-        return unpack_value(await self._read_exactly(length))
-
-    async def _read_exactly(self, count: int) -> bytes:
-        while len(self._buffer) < count:
+        while (packed := self._take_frame(limit)) is None:
             data = await self._stream.receive_some(READ_BYTES)
             if not data:
                 raise FrameError("the connection has ended")
             self._buffer += data
-        taken = bytes(self._buffer[:count])
-        del self._buffer[:count]
+        return unpack_value(packed)
+
+    def _take_frame(self, limit: int) -> bytes | None:
+        """Return the content of a frame that is there whole, else None.
+
+        :raises FrameError: if it is too large.
+        """
+        if len(self._buffer) < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(self._buffer)
+        if length > limit:
+            raise FrameError(f"a frame of {length} bytes is too large")
+        end = LENGTH.size + length
+        if len(self._buffer) < end:
+            return None
+        taken = bytes(self._buffer[LENGTH.size : end])
+        del self._buffer[:end]
         return taken
 
 
--- a/ashpond/news/room.py
+++ b/ashpond/news/room.py
@@ -243,7 +243,7 @@
             now = trio.current_time()
             self._check_hub(now)
             for link in self.list_links():
-                if self._is_due(link, self._build_work(link, now), now):
+                if self._is_due(link, now):
                     link.is_due = True
                     link.wake()
 
@@ -281,14 +281,15 @@
             link.put_back(notices, [])
             raise
 
-    def _is_due(self, link: Link, work: Work, now: float) -> bool:
+    def _is_due(self, link: Link, now: float) -> bool:
         """Return whether a peer should be told of the work, and what has happened."""
         if link.sent is None or now - link.sent_at >= HEARTBEAT_SECONDS:
             return True
         if not self._needs_all(link):
             return False
-        is_pending = link.notices or link.holdings or link.tables
-        return bool(is_pending or work.loads != link.sent.loads)
+        if link.notices or link.holdings or link.tables:
+            return True
+        return self._build_work(link, now).loads != link.sent.loads
 
     async def _send_digest(self, link: Link, stream: PeerStream, work: Work) -> None:
         notices, holdings = link.take()
