Let a hub tell as many holdings as its link bears

Cause: a hub told each peer 12 holdings a turn, whatever its link.

Change: the number is what a twentieth of the machine's link carries, between 12 (20 Mbit/s, as before) and 40 a turn (200 Mbit/s). Links bear what they bore: the test on choked ones keeps its claim.

--- a/ashpond/news/links.py
+++ b/ashpond/news/links.py
@@ -8,6 +8,7 @@
     "PEER_ERRORS",
     "SCOPES",
     "await_end",
+    "limit_holdings",
     "receive_news",
     "strip_life",
 ]
@@ -27,9 +28,15 @@
 
 # For a peer that is away; what it misses costs it some reading (entries).
 MAX_PENDING_HOLDINGS = 500
-# The same for one turn in a group: hubs pass the holdings of all on to some 17 links,
-# each holding has some 55 bytes, and a small machine's link carries 600 KB a second.
-MAX_GROUP_HOLDINGS = 12
+# The same for one turn in a group, where a hub passes on the holdings of all. Of 336 a
+# second in a fleet of 195, with 8 turns a second, 12 a turn leave out two of three.
+MIN_GROUP_HOLDINGS = 12
+MAX_GROUP_HOLDINGS = 40
+# What a hub may spend of its machine's network link on holdings (share of its rate).
+HOLDINGS_SHARE = 0.05
+# A holding in a message: ids of a server and a part, a salt, a start (bytes).
+HOLDING_BYTES = 64
+BYTES_PER_MBIT = 125_000
 # The same of changes in the store; a peer that misses one asks the store (entries).
 MAX_PENDING_TABLES = 30
 # Ways in which a connection between instances ends.
@@ -60,17 +67,36 @@
 }
 
 
+def limit_holdings(link_mbps: float, links: int, turn: float) -> int:
+    """Return how many holdings a hub tells each peer in a turn.
+
+    :param link_mbps: what its machine's network link carries, 0 if that is not known.
+    :param links: how many peers it tells.
+    :param turn: the time between two turns (seconds).
+    """
+    bytes_a_turn = link_mbps * BYTES_PER_MBIT * HOLDINGS_SHARE * turn
+    fitting = int(bytes_a_turn / (max(1, links) * HOLDING_BYTES))
+    return max(MIN_GROUP_HOLDINGS, min(MAX_GROUP_HOLDINGS, fitting))
+
+
 class Link:
     """One peer that is told.
 
     ``name`` is the peer's, or its life's for a member of this instance's group.
     ``sent`` is the work that it was told last, at ``sent_at``; ``is_due`` tells that
-    it is to be told anew.
+    it is to be told anew. Of holdings that wait for a turn, the first
+    ``max_holdings`` are kept.
     """
 
-    def __init__(self, audience: Audience, name: str):
+    def __init__(
+        self,
+        audience: Audience,
+        name: str,
+        max_holdings: int = MAX_PENDING_HOLDINGS,
+    ):
         self.audience = audience
         self.name = name
+        self.max_holdings = max_holdings
         self.scope = trio.CancelScope()
         self.is_connected = False
         self.sent: Work | None = None
@@ -120,8 +146,7 @@
         self._limit_holdings()
 
     def _limit_holdings(self) -> None:
-        is_equal = self.audience is Audience.EQUAL
-        del self.holdings[MAX_PENDING_HOLDINGS if is_equal else MAX_GROUP_HOLDINGS :]
+        del self.holdings[self.max_holdings :]
 
 
 async def await_end(*tasks: Callable[[], Awaitable[None]]) -> str:
--- a/ashpond/news/room.py
+++ b/ashpond/news/room.py
@@ -37,11 +37,13 @@
     encode_notices,
 )
 from ashpond.news.links import (
+    MAX_PENDING_HOLDINGS,
     PEER_ERRORS,
     SCOPES,
     Audience,
     Link,
     await_end,
+    limit_holdings,
     receive_news,
     strip_life,
 )
@@ -172,7 +174,7 @@
         for key in self._outgoing.keys() - wanted:
             self._outgoing.pop(key).scope.cancel()
         for audience, member in sorted(wanted - self._outgoing.keys(), key=str):
-            link = Link(audience, member.name)
+            link = Link(audience, member.name, self._limit_holdings(audience))
             self._outgoing[audience, member] = link
             self._nursery.start_soon(self._feed_peer, link, member.address)
 
@@ -340,6 +342,13 @@
             return not any(other and other.is_connected for other in links)
         return True
 
+    def _limit_holdings(self, audience: Audience) -> int:
+        if audience is Audience.EQUAL:
+            return MAX_PENDING_HOLDINGS
+        # The other groups, and as many members as a group has.
+        links = 2 * len(self.links.other_hubs)
+        return limit_holdings(self.members.own.link_mbps, links, self._choose_pause())
+
     def _choose_pause(self) -> float:
         return GROUP_NEWS_SECONDS if self.links.group else NEWS_SECONDS
 
@@ -363,7 +372,8 @@
         self._log.note("peer_stream_ended", reason=reason)
 
     async def _serve_member(self, life: str, stream: PeerStream) -> str:
-        link = Link(Audience.MEMBER, life)
+        limit = self._limit_holdings(Audience.MEMBER)
+        link = Link(Audience.MEMBER, life, limit)
         self._own_members.append(link)
         try:
             return await await_end(
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -17,7 +17,16 @@
 from ashpond.gateway.holdings import Holding
 from ashpond.news import room as news_module
 from ashpond.news.items import ServerNotice
-from ashpond.news.links import MAX_GROUP_HOLDINGS, Audience, Link
+from ashpond.news.links import (
+    BYTES_PER_MBIT,
+    HOLDING_BYTES,
+    HOLDINGS_SHARE,
+    MAX_GROUP_HOLDINGS,
+    MIN_GROUP_HOLDINGS,
+    Audience,
+    Link,
+    limit_holdings,
+)
 from ashpond.news.members import Members
 from ashpond.standins.tables import MemoryStore
 from tests.newsroom import Instance, wait_for
@@ -204,8 +213,20 @@
     """Hubs that passed all of them on had their links choked on a scale day."""
     holdings = [Holding("a", "salt", f"part{n}") for n in range(100)]
     for audience in Audience:
-        link = Link(audience, "i1")
+        most = MAX_GROUP_HOLDINGS if audience is not Audience.EQUAL else 200
+        link = Link(audience, "i1", most)
         link.add(holdings=holdings)
         link.add(holdings=holdings)
-        most = MAX_GROUP_HOLDINGS if audience is not Audience.EQUAL else 200
         assert len(link.holdings) == most
+
+
+def test_a_hub_tells_as_many_holdings_as_its_link_bears() -> None:
+    """A narrow machine's link has to carry answers; a wide one loses two of three."""
+    turn = 0.12
+    assert limit_holdings(200.0, 30, turn) == MAX_GROUP_HOLDINGS
+    assert limit_holdings(20.0, 30, turn) == MIN_GROUP_HOLDINGS
+    assert limit_holdings(0.0, 30, turn) == MIN_GROUP_HOLDINGS
+    between = limit_holdings(60.0, 30, turn)
+    assert MIN_GROUP_HOLDINGS < between < MAX_GROUP_HOLDINGS
+    spent = between * HOLDING_BYTES * 30 / turn
+    assert spent <= 60.0 * BYTES_PER_MBIT * HOLDINGS_SHARE
