--- /dev/null
+++ b/ashpond/gateway/orderlease.py
@@ -0,0 +1,161 @@
+"""Hold the right to give orders to engines: the lease as a row of the store."""
+
+from __future__ import annotations
+
+__all__ = ["LEASE_KEY", "LEASE_TABLE", "OrderLease"]
+
+from collections.abc import Callable
+from typing import Annotated
+
+import msgspec
+import orjson
+import trio
+
+from ashpond.decisions.leases import Lease, LeaseRow
+from ashpond.decisions.placement import rank_by_rendezvous
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.invalidrows import InvalidRows
+from ashpond.gateway.store import Condition, InvalidRow, Row, Store, StoreClock
+from ashpond.outcomes import Done
+
+LEASE_TABLE = "ashpond-leases"
+LEASE_KEY = "weights"
+RENDEZVOUS_KEY = 1
+# Without progress for so long, another instance looks at the lease (seconds).
+NO_PROGRESS_SECONDS = 1.8
+RANK_SECONDS = 0.6
+# While one contends, the row is read so often (seconds).
+CONTEND_SECONDS = 0.5
+# Numbers of the lease go into calls and logs, which hold no more than 64 bits.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+
+
+class _StoredLease(msgspec.Struct):
+    holder: str
+    fence: Count
+    beat: Count
+    renewed_at: float
+
+
+_LEASE_DECODER = msgspec.json.Decoder(_StoredLease)
+
+
+class OrderLease:
+    """One instance's part in who gives orders; all agree on the order of succession."""
+
+    def __init__(
+        self,
+        lease: Lease,
+        store: Store,
+        clock: StoreClock,
+        log: DecisionLog,
+        get_members: Callable[[], list[str]],
+        invalid_rows: InvalidRows,
+    ):
+        self.lease = lease
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._get_members = get_members
+        self._invalid_rows = invalid_rows
+        self._progress_at = float("-inf")
+        self._read_at = float("-inf")
+        self._has_read = False
+        self._ranked_members: list[str] = []
+        self._rank = 0
+
+    def note_progress(self) -> None:
+        """Note that some instance is giving orders."""
+        self._progress_at = trio.current_time()
+
+    def rank_own(self) -> int:
+        """Return this instance's place in the order in which all contend."""
+        members = self._get_members() or [self.lease.holder]
+        if members != self._ranked_members:
+            self._ranked_members = members
+            ranked = rank_by_rendezvous(RENDEZVOUS_KEY, members)
+            is_there = self.lease.holder in ranked
+            self._rank = ranked.index(self.lease.holder) if is_there else len(ranked)
+        return self._rank
+
+    async def hold(self, now: float, lag: float) -> None:
+        """Take or renew the lease if it is this instance's turn.
+
+        :param lag: for how long some engine has been behind its target (seconds).
+        """
+        if not self._may_contend(now, lag):
+            return
+        if not self._has_read:
+            await self._read_lease(now)
+            return
+        if not self.lease.is_holder and now - self._read_at >= CONTEND_SECONDS:
+            await self._read_lease(now)
+        write = self.lease.plan_write(trio.current_time())
+        if write is None:
+            return
+        sent_at = trio.current_time()
+        value = orjson.dumps(
+            {
+                "holder": write.row.holder,
+                "fence": write.row.fence,
+                "beat": write.row.beat,
+                "renewed_at": self._clock.estimate_store_time(sent_at),
+            }
+        )
+        outcome = await self._store.write(
+            [Condition(LEASE_TABLE, LEASE_KEY, write.version)],
+            [Row(LEASE_TABLE, LEASE_KEY, value, 0)],
+        )
+        needs_read = self.lease.on_write(write, outcome, sent_at)
+        self._log.note(
+            "lease_written",
+            fence=write.row.fence,
+            beat=write.row.beat,
+            outcome=type(outcome).__name__,
+            held=self.lease.holds(trio.current_time()),
+        )
+        if needs_read:
+            await self._read_lease(trio.current_time())
+
+    def _may_contend(self, now: float, lag: float) -> bool:
+        if self.lease.is_holder:
+            return True
+        quiet = min(lag, now - self._progress_at)
+        wait = RANK_SECONDS * self.rank_own()
+        if self.lease.has_row:
+            wait += NO_PROGRESS_SECONDS
+        return quiet >= wait
+
+    async def _read_lease(self, now: float) -> None:
+        self._read_at = now
+        outcome = await self._store.read(LEASE_TABLE)
+        if not isinstance(outcome, Done):
+            return
+        self._has_read = True
+        snapshot = outcome.value
+        self._clock.date(snapshot)
+        rows = [row for row in snapshot.rows if row.key == LEASE_KEY]
+        if not rows:
+            self.lease.on_read(None, 0, now)
+            return
+        row, renewed_at = self._decode_lease(rows[0], snapshot.store_time)
+        age = max(0.0, snapshot.store_time - renewed_at)
+        self.lease.on_read(row, rows[0].version, trio.current_time(), age)
+        self._log.note("lease_read", holder=row.holder, fence=row.fence, age=age)
+
+    def _decode_lease(self, row: Row, store_time: float) -> tuple[LeaseRow, float]:
+        """Return the lease as stored, and the store's time of its last renewal.
+
+        One that cannot be read is taken for held by nobody known, and renewed just
+        now. Its fencing number is not known either: the row's version is no less, as
+        each raise of that number was a write to the store.
+        """
+        try:
+            table = _LEASE_DECODER.decode(row.value or b"")
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            self._invalid_rows.note(
+                InvalidRow(row.table, row.key, row.version, str(error))
+            )
+            return LeaseRow("", max(row.version, self.lease.fence), 0), store_time
+        self._invalid_rows.clear(row.table, row.key)
+        return LeaseRow(table.holder, table.fence, table.beat), table.renewed_at
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
-__all__ = ["RolloutController", "LEASE_TABLE"]
+__all__ = ["RolloutController"]
 
 from collections.abc import Callable
-from typing import Annotated, NamedTuple
+from typing import NamedTuple
 
-import msgspec
-import orjson
 import trio
 
-from ashpond.decisions.leases import Lease, LeaseRow, make_lease_terms
-from ashpond.decisions.placement import rank_by_rendezvous
+from ashpond.decisions.leases import Lease, make_lease_terms
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import ServerState, ServerTable, StartOrder
 from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.knowledge import Knowledge
+from ashpond.gateway.orderlease import OrderLease
 from ashpond.gateway.orders import (
     EnginePort,
     EngineReport,
@@ -24,13 +22,10 @@
     OrderRefused,
     WeightsOrder,
 )
-from ashpond.gateway.store import Condition, InvalidRow, Row, Store, StoreClock
+from ashpond.gateway.store import Store, StoreClock
 from ashpond.news.items import ServerNotice
-from ashpond.outcomes import Done, MaybeRun, NotRun
+from ashpond.outcomes import MaybeRun, NotRun
 
-LEASE_TABLE = "ashpond-leases"
-LEASE_KEY = "weights"
-RENDEZVOUS_KEY = 1
 # Of the engines that work, this share may be loading; the rest carries the traffic.
 # Loads take longer when more than that run at once (site sheets: 2 of 5, 18 of 45).
 LOADING_SHARE = 0.4
@@ -75,25 +70,6 @@
 CLOSED_SECONDS = 6.0
 # After an order that failed, the engine is left alone for this long (seconds).
 FAILED_PAUSE_SECONDS = 0.4
-# Without progress for so long, another instance looks at the lease (seconds).
-NO_PROGRESS_SECONDS = 1.8
-RANK_SECONDS = 0.6
-# While one contends, the row is read so often (seconds).
-CONTEND_SECONDS = 0.5
-
-
-# Numbers of the lease go into calls and logs, which hold no more than 64 bits.
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
-
-
-class _StoredLease(msgspec.Struct):
-    holder: str
-    fence: Count
-    beat: Count
-    renewed_at: float
-
-
-_LEASE_DECODER = msgspec.json.Decoder(_StoredLease)
 
 
 class _Lag(NamedTuple):
@@ -124,31 +100,28 @@
         has_service: Callable[[str], bool] = lambda service: True,
     ):
         self.name = name
-        self.lease = Lease(name, make_lease_terms(lease_seconds))
-        self.progress_at = float("-inf")
         self._table = table
         self._knowledge = knowledge
-        self._store = store
-        self._clock = clock
         self._engines = engines
         self._log = log
-        self._get_members = get_members
         self._announce = announce
         self._on_change = on_change
         self._measure_repeats_left = measure_repeats_left
         self._measure_news_lag = measure_lag
-        self._invalid_rows = invalid_rows or InvalidRows(log)
+        self._order_lease = OrderLease(
+            Lease(name, make_lease_terms(lease_seconds)),
+            store,
+            clock,
+            log,
+            get_members,
+            invalid_rows or InvalidRows(log),
+        )
         self._has_service = has_service
         self._ordering: set[str] = set()
         self._accepted: dict[str, int] = {}
         self._paused_until: dict[str, float] = {}
         self._closed_at: dict[str, float] = {}
         self._lagging_since: float | None = None
-        self._read_at = float("-inf")
-        self._has_read = False
-        self._was_holder = False
-        self._ranked_members: list[str] = []
-        self._rank = 0
         self._changed = trio.Event()
 
     def forget_start(self, server_id: str) -> None:
@@ -156,9 +129,14 @@
         self._accepted.pop(server_id, None)
         self._paused_until.pop(server_id, None)
 
+    @property
+    def lease(self) -> Lease:
+        """The lease of whoever gives orders, as this instance sees it."""
+        return self._order_lease.lease
+
     def note_progress(self) -> None:
         """Note that some instance is bringing engines up to date."""
-        self.progress_at = trio.current_time()
+        self._order_lease.note_progress()
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -172,26 +150,16 @@
                 now = trio.current_time()
                 if self._lagging_since is None:
                     self._lagging_since = now
-                await self._hold_lease(now)
+                await self._order_lease.hold(now, self._measure_lag(now))
                 if self.lease.holds(trio.current_time()):
                     self._start_orders(nursery, lagging)
                 await trio.sleep(self._choose_tick())
 
     def _choose_tick(self) -> float:
         """Return when to look again: those whose turn may come seldom look seldom."""
-        is_near = self.lease.is_holder or self._rank_own() == 0
+        is_near = self.lease.is_holder or self._order_lease.rank_own() == 0
         return TICK_SECONDS if is_near else WATCH_SECONDS
 
-    def _rank_own(self) -> int:
-        """Return this instance's place in the order in which all contend."""
-        members = self._get_members() or [self.name]
-        if members != self._ranked_members:
-            self._ranked_members = members
-            ranked = rank_by_rendezvous(RENDEZVOUS_KEY, members)
-            is_there = self.name in ranked
-            self._rank = ranked.index(self.name) if is_there else len(ranked)
-        return self._rank
-
     def note_change(self) -> None:
         """Note that targets or servers have changed."""
         self._changed.set()
@@ -213,84 +181,6 @@
                     found.append(_Lag(state, model, target))
         return found
 
-    async def _hold_lease(self, now: float) -> None:
-        if not self._may_contend(now):
-            return
-        if not self._has_read:
-            await self._read_lease(now)
-            return
-        if not self.lease.is_holder and now - self._read_at >= CONTEND_SECONDS:
-            await self._read_lease(now)
-        write = self.lease.plan_write(trio.current_time())
-        if write is None:
-            return
-        sent_at = trio.current_time()
-        value = orjson.dumps(
-            {
-                "holder": write.row.holder,
-                "fence": write.row.fence,
-                "beat": write.row.beat,
-                "renewed_at": self._clock.estimate_store_time(sent_at),
-            }
-        )
-        outcome = await self._store.write(
-            [Condition(LEASE_TABLE, LEASE_KEY, write.version)],
-            [Row(LEASE_TABLE, LEASE_KEY, value, 0)],
-        )
-        needs_read = self.lease.on_write(write, outcome, sent_at)
-        self._log.note(
-            "lease_written",
-            fence=write.row.fence,
-            beat=write.row.beat,
-            outcome=type(outcome).__name__,
-            held=self.lease.holds(trio.current_time()),
-        )
-        if needs_read:
-            await self._read_lease(trio.current_time())
-
-    def _may_contend(self, now: float) -> bool:
-        if self.lease.is_holder:
-            return True
-        quiet = min(self._measure_lag(now), now - self.progress_at)
-        wait = RANK_SECONDS * self._rank_own()
-        if self.lease.has_row:
-            wait += NO_PROGRESS_SECONDS
-        return quiet >= wait
-
-    async def _read_lease(self, now: float) -> None:
-        self._read_at = now
-        outcome = await self._store.read(LEASE_TABLE)
-        if not isinstance(outcome, Done):
-            return
-        self._has_read = True
-        snapshot = outcome.value
-        self._clock.date(snapshot)
-        rows = [row for row in snapshot.rows if row.key == LEASE_KEY]
-        if not rows:
-            self.lease.on_read(None, 0, now)
-            return
-        row, renewed_at = self._decode_lease(rows[0], snapshot.store_time)
-        age = max(0.0, snapshot.store_time - renewed_at)
-        self.lease.on_read(row, rows[0].version, trio.current_time(), age)
-        self._log.note("lease_read", holder=row.holder, fence=row.fence, age=age)
-
-    def _decode_lease(self, row: Row, store_time: float) -> tuple[LeaseRow, float]:
-        """Return the lease as stored, and the store's time of its last renewal.
-
-        One that cannot be read is taken for held by nobody known, and renewed just
-        now. Its fencing number is not known either: the row's version is no less, as
-        each raise of that number was a write to the store.
-        """
-        try:
-            table = _LEASE_DECODER.decode(row.value or b"")
-        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-            self._invalid_rows.note(
-                InvalidRow(row.table, row.key, row.version, str(error))
-            )
-            return LeaseRow("", max(row.version, self.lease.fence), 0), store_time
-        self._invalid_rows.clear(row.table, row.key)
-        return LeaseRow(table.holder, table.fence, table.beat), table.renewed_at
-
     def _start_orders(self, nursery: trio.Nursery, lagging: list[_Lag]) -> None:
         now = trio.current_time()
         waiting = [
--- a/tests/test_damaged_rows.py
+++ b/tests/test_damaged_rows.py
@@ -21,7 +21,7 @@
 from ashpond.gateway.declared import Declaration, WeightTarget
 from ashpond.gateway.directory import BackendServer
 from ashpond.gateway.invalidrows import MAX_ROWS, InvalidRows
-from ashpond.gateway.rollouts import LEASE_KEY, LEASE_TABLE
+from ashpond.gateway.orderlease import LEASE_KEY, LEASE_TABLE
 from ashpond.gateway.store import InvalidRow, Row
 from ashpond.news.items import decode_changes, decode_news
 from ashpond.news.members import (
--- a/tests/test_rollout_pace.py
+++ b/tests/test_rollout_pace.py
@@ -5,7 +5,8 @@
 import trio
 
 from ashpond.gateway.directory import Load
-from ashpond.gateway.rollouts import BOUND_SECONDS, LEASE_TABLE, MANY_LOADING_SHARE
+from ashpond.gateway.orderlease import LEASE_TABLE
+from ashpond.gateway.rollouts import BOUND_SECONDS, MANY_LOADING_SHARE
 from ashpond.news.items import ServerNotice
 from tests.fleet import Fleet, run_until_current
 
