--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -14,12 +14,14 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from ashpond.clients.channels import ChannelPool
+from ashpond.gateway import directory
 from ashpond.gateway.application import Gateway
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.directory import (
     BackendServer,
     Load,
     ServerState,
+    ServerTable,
     StartOrder,
     compare_starts,
 )
@@ -39,6 +41,7 @@
     make_settings,
     make_table,
 )
+from tests.mutants import Mutant, expect_caught
 from tests.newsroom import make_news
 from tests.row_builders import SERVER, make_row
 
@@ -328,3 +331,43 @@
 
 
 TestStarts = StartsMachine.TestCase
+
+
+def take_all_for_new(known: int | None, told: int | None) -> StartOrder:
+    return StartOrder.SAME if known == told else StartOrder.NEWER
+
+
+def update_without_a_look(
+    table: ServerTable, server: BackendServer, now: float
+) -> None:
+    state = table.by_id[server.id]
+    state.info = server
+    for model, version in server.weights.items():
+        state.learn_weights(model, version)
+
+
+MUTANTS = [
+    Mutant(
+        "all starts are one",
+        directory,
+        "compare_starts",
+        lambda known, told: StartOrder.SAME,
+    ),
+    Mutant(
+        "late word of an older start counts",
+        directory,
+        "compare_starts",
+        take_all_for_new,
+    ),
+    Mutant(
+        "an entry is taken over as it comes",
+        ServerTable,
+        "update",
+        update_without_a_look,
+    ),
+]
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda m: m.label)
+def test_catches_mutant(mutant: Mutant, monkeypatch: pytest.MonkeyPatch) -> None:
+    expect_caught(StartsMachine, mutant, monkeypatch)
