--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -340,7 +340,7 @@
 def update_without_a_look(
     table: ServerTable, server: BackendServer, now: float
 ) -> None:
-    state = table.by_id[server.id]
+    state = table.by_id.setdefault(server.id, ServerState(server, now))
     state.info = server
     for model, version in server.weights.items():
         state.learn_weights(model, version)
