--- a/ashpond/gateway/cachestores.py
+++ b/ashpond/gateway/cachestores.py
@@ -66,7 +66,7 @@
         self._since = 0
         self._told_at = float("-inf")
         self._has_missed = False
-        self._goes_on = False
+        self._accepts_gap = False
         self._told = trio.Event()
 
     def count_tokens(self, salt: str, prompt: Prompt) -> int:
@@ -120,13 +120,13 @@
             # Of another life, a reader asks the store itself.
             return False
         is_gap = news.after > (0 if is_other else self._since)
-        if is_gap and not self._goes_on:
+        if is_gap and not self._accepts_gap:
             self._has_missed = True
             self._wake()
             return False
         if is_other:
             self._begin_epoch(epoch)
-        self._goes_on = False
+        self._accepts_gap = False
         is_new = news.version > self._since
         is_worth = is_new or now - self._told_at >= PAUSE_SECONDS
         self._told_at = now
@@ -178,7 +178,7 @@
     ) -> None:
         """Go on after a call that brought nothing."""
         if had_missed and not self._is_reader():
-            self._goes_on = True
+            self._accepts_gap = True
             return
         if self.is_up:
             log.note("cache_store_lost", store=self.store.address, reason=reason)
