Pass over a descriptor that is closed while its process is looked at

Traced: the test lists the descriptors of a live instance and reads each link afterwards; a connection that ends in between takes its descriptor away. What is closed is no file held open, so it counts as none; a test shows the case. What the test claims is unchanged.

--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
 from pathlib import Path
 
@@ -47,6 +48,24 @@
 
 def list_open_files(pid: int) -> set[str]:
     """Return the files on a disk that a process holds open."""
-    targets = {str(e.readlink()) for e in Path(f"/proc/{pid}/fd").iterdir()}
+    targets = {read_target(e) for e in Path(f"/proc/{pid}/fd").iterdir()}
     in_memory = ("/memfd:", "/dev/", "/proc/")
     return {t for t in targets if t.startswith("/") and not t.startswith(in_memory)}
+
+
+def read_target(descriptor: Path) -> str:
+    """Return what a descriptor is open on; nothing if it was closed meanwhile."""
+    try:
+        return str(descriptor.readlink())
+    except FileNotFoundError:
+        return ""
+
+
+def test_a_descriptor_that_was_closed_after_it_was_listed_is_no_open_file():
+    """A connection of the instance ended between the list and the look at it."""
+    read, write = os.pipe()
+    descriptor = Path(f"/proc/self/fd/{read}")
+    assert read_target(descriptor).startswith("pipe:")
+    os.close(read)
+    os.close(write)
+    assert read_target(descriptor) == ""
