Move eight modules of routed calls to decisions and controllers

`ashpond/gateway` had 29 flat modules in which a newcomer finds everything. What decides without I/O goes to `decisions` (selection, holdings, knowledge, declared, and the values they share: loads, prompts), what owns a piece of state or follows a table to `controllers` (directory, feeds, cachestores, storeview). 21 are left. `decisions` imports nothing of `gateway` any more but for nothing: the two values that tied it there moved.

--- a/ashpond/gateway/cachestores.py
+++ b/ashpond/controllers/cachestores.py
@@ -12,12 +12,12 @@
 
 import trio
 
-from ashpond.gateway.calls import Prompt
+from ashpond.controllers.feeds import TableNews
+from ashpond.decisions.declared import CacheStore
+from ashpond.decisions.prompts import Prompt
+from ashpond.decisions.selection import rank_homes
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.declared import CacheStore
-from ashpond.gateway.feeds import TableNews
 from ashpond.gateway.orders import CacheEvent, CacheEvents, EnginePort
-from ashpond.gateway.selection import rank_homes
 from ashpond.gateway.store import Row
 
 # One waiting call at a time; changes are left to gather between them (seconds).
--- a/ashpond/gateway/directory.py
+++ b/ashpond/controllers/directory.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 __all__ = [
-    "NO_LOAD",
-    "PEER_LOAD_SECONDS",
     "BackendServer",
-    "Load",
     "ServerState",
     "ServerTable",
     "StartOrder",
@@ -17,6 +14,8 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
+from ashpond.decisions.loads import NO_LOAD, PEER_LOAD_SECONDS, Load
+
 # After a refusal because it is full, a server is given this long (seconds).
 FULL_PAUSE_SECONDS = 0.15
 # After a refusal while weights load; a load takes about 0.8 s.
@@ -29,8 +28,6 @@
 DOUBT_SECONDS = 0.4
 # One answer moves the failure share by this.
 FAILURE_SMOOTHING = 0.12
-# Loads told by a peer that has been silent for longer no longer count (seconds).
-PEER_LOAD_SECONDS = 1.5
 # Entries that vanish just after the store was away may come back (seconds).
 LAPSE_SECONDS = 2.2
 
@@ -73,39 +70,6 @@
     return StartOrder.NEWER if told > known else StartOrder.OLDER
 
 
-class Load(NamedTuple):
-    """Work at a server: requests, prompt tokens to be read, memory in tokens.
-
-    ``bound`` of the requests cannot go on at another server if they are cut.
-    """
-
-    requests: int = 0
-    unread_tokens: int = 0
-    held_tokens: int = 0
-    bound: int = 0
-
-    def add(self, other: Load) -> Load:
-        """Return the sum."""
-        return Load(
-            self.requests + other.requests,
-            self.unread_tokens + other.unread_tokens,
-            self.held_tokens + other.held_tokens,
-            self.bound + other.bound,
-        )
-
-    def subtract(self, other: Load) -> Load:
-        """Return the difference."""
-        return Load(
-            self.requests - other.requests,
-            self.unread_tokens - other.unread_tokens,
-            self.held_tokens - other.held_tokens,
-            self.bound - other.bound,
-        )
-
-
-NO_LOAD = Load()
-
-
 class ServerState:
     """What this instance believes of one server."""
 
--- a/ashpond/gateway/storeview.py
+++ b/ashpond/controllers/storeview.py
@@ -9,12 +9,12 @@
 import trio
 
 from ashpond.clients.channels import ChannelPool
+from ashpond.controllers.directory import BackendServer, ServerTable
+from ashpond.controllers.feeds import Feed
+from ashpond.decisions.declared import Declaration, WeightTarget
+from ashpond.decisions.knowledge import Knowledge
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.declared import Declaration, WeightTarget
-from ashpond.gateway.directory import BackendServer, ServerTable
-from ashpond.gateway.feeds import Feed
 from ashpond.gateway.invalidrows import InvalidRows
-from ashpond.gateway.knowledge import Knowledge
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.store import InvalidRow, Row, Snapshot, StoreClock
 from ashpond.news.members import MEMBERS_TABLE, Members
--- a/ashpond/gateway/holdings.py
+++ b/ashpond/decisions/holdings.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from ashpond.gateway.calls import Prompt
+from ashpond.decisions.prompts import Prompt
 
 # Engines drop the least recently used parts within seconds; a wrong guess costs
 # one fruitless fetch (a ms) and reading the part.
--- a/ashpond/gateway/knowledge.py
+++ b/ashpond/decisions/knowledge.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from ashpond.gateway.declared import Declaration, WeightTarget
+from ashpond.decisions.declared import Declaration, WeightTarget
 
 # Requests on older weights count for less from 1.5 s after a target's acceptance.
 STALE_AFTER_SECONDS = 1.2
--- a/ashpond/gateway/selection.py
+++ b/ashpond/decisions/selection.py
@@ -31,9 +31,9 @@
 
 import xxhash
 
+from ashpond.decisions.loads import Load
 from ashpond.decisions.placement import rank_by_rendezvous
-from ashpond.gateway.calls import Prompt, PromptPart
-from ashpond.gateway.directory import Load
+from ashpond.decisions.prompts import Prompt, PromptPart
 
 # Engines read 57 prompt tokens a ms (site sheets), 50 beside running requests
 # (measured: 0.05 s and 20 us a token from sending to the first event).
--- a/ashpond/emulator/engines.py
+++ b/ashpond/emulator/engines.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from ashpond.gateway.calls import Prompt
+from ashpond.decisions.prompts import Prompt
 
 
 class EngineShape(NamedTuple):
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -10,7 +10,18 @@
 
 import trio
 
+from ashpond.controllers.cachestores import CacheStores
+from ashpond.controllers.directory import BackendServer, ServerState, ServerTable
 from ashpond.decisions.budget import SendBudget
+from ashpond.decisions.declared import (
+    Declaration,
+    EngineTraits,
+    IngressLimits,
+    Service,
+)
+from ashpond.decisions.holdings import Holding, Holdings
+from ashpond.decisions.knowledge import Knowledge
+from ashpond.decisions.prompts import Prompt
 from ashpond.emulator.engines import EmulatedEngine
 from ashpond.emulator.scenarios import Scenario
 from ashpond.emulator.wire import (
@@ -19,19 +30,8 @@
     build_engine_port,
     make_address,
 )
-from ashpond.gateway.cachestores import CacheStores
-from ashpond.gateway.calls import Prompt
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.declared import (
-    Declaration,
-    EngineTraits,
-    IngressLimits,
-    Service,
-)
-from ashpond.gateway.directory import BackendServer, ServerState, ServerTable
 from ashpond.gateway.dispatch import Dispatcher
-from ashpond.gateway.holdings import Holding, Holdings
-from ashpond.gateway.knowledge import Knowledge
 from ashpond.gateway.places import Places
 from ashpond.gateway.rollouts import RolloutController
 from ashpond.gateway.sends import Tools
--- a/ashpond/emulator/wire.py
+++ b/ashpond/emulator/wire.py
@@ -10,9 +10,9 @@
 import trio
 
 from ashpond.clients.channels import ChannelError, Outgoing
+from ashpond.controllers.directory import BackendServer
 from ashpond.emulator.engines import EmulatedEngine, Run
 from ashpond.gateway.calls import AnswerMarks, Codec, Envelope, Headers, Instructions
-from ashpond.gateway.directory import BackendServer
 from ashpond.gateway.orders import (
     EnginePort,
     EngineReport,
--- a/ashpond/emulator/world.py
+++ b/ashpond/emulator/world.py
@@ -10,6 +10,9 @@
 import trio
 import trio.testing
 
+from ashpond.decisions.declared import Route, RouteKind, ServiceShare, WeightTarget
+from ashpond.decisions.holdings import Holding
+from ashpond.decisions.prompts import Prompt, PromptPart
 from ashpond.emulator.engines import EmulatedEngine, Run
 from ashpond.emulator.instances import (
     MODEL,
@@ -21,9 +24,7 @@
 from ashpond.emulator.scenarios import Crash, RequestKind, Scenario
 from ashpond.emulator.wire import EmulatedPool, Memo
 from ashpond.gateway.admission import Accepted
-from ashpond.gateway.calls import Envelope, Headers, IncomingCall, Prompt, PromptPart
-from ashpond.gateway.declared import Route, RouteKind, ServiceShare, WeightTarget
-from ashpond.gateway.holdings import Holding
+from ashpond.gateway.calls import Envelope, Headers, IncomingCall
 from ashpond.news.items import ServerNotice
 from ashpond.standins.tables import MemoryStore
 
--- a/ashpond/gateway/admission.py
+++ b/ashpond/gateway/admission.py
@@ -6,9 +6,9 @@
 
 from typing import NamedTuple
 
+from ashpond.decisions.declared import Declaration, Route, Team, find_route
+from ashpond.decisions.knowledge import Knowledge
 from ashpond.gateway.calls import IncomingCall
-from ashpond.gateway.declared import Declaration, Route, Team, find_route
-from ashpond.gateway.knowledge import Knowledge
 from ashpond.outcomes import Refusal
 
 # A refusal for want of knowledge; another instance may know by then (seconds).
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -11,22 +11,24 @@
 import trio
 
 from ashpond.clients.channels import ChannelPool
+from ashpond.controllers.cachestores import EVENTS_PREFIX, CacheStores
+from ashpond.controllers.directory import ServerState, StartOrder
+from ashpond.controllers.feeds import Feed, Follower, TableNews
+from ashpond.controllers.storeview import StoreView, build_feeds
 from ashpond.decisions.budget import SendBudget, SendCounts
+from ashpond.decisions.declared import (
+    CacheStore,
+    IngressLimits,
+)
 from ashpond.decisions.fleetlinks import Member
+from ashpond.decisions.holdings import Holding, Holdings
+from ashpond.decisions.prompts import Prompt
 from ashpond.errors import SettingsError
 from ashpond.gateway.admission import admit_call
-from ashpond.gateway.cachestores import EVENTS_PREFIX, CacheStores
-from ashpond.gateway.calls import IncomingCall, Prompt, Reply
+from ashpond.gateway.calls import IncomingCall, Reply
 from ashpond.gateway.connectionlog import ConnectionLog
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.declared import (
-    CacheStore,
-    IngressLimits,
-)
-from ashpond.gateway.directory import ServerState, StartOrder
 from ashpond.gateway.dispatch import Dispatcher
-from ashpond.gateway.feeds import Feed, Follower, TableNews
-from ashpond.gateway.holdings import Holding, Holdings
 from ashpond.gateway.ingress import Ingress, IngressPorts
 from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.metrics import GatewayMetrics
@@ -37,7 +39,6 @@
 from ashpond.gateway.sends import Tools
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
 from ashpond.gateway.status import render_status
-from ashpond.gateway.storeview import StoreView, build_feeds
 from ashpond.news.items import NewsHandlers, ServerNotice
 from ashpond.news.members import Members
 from ashpond.news.room import Newsroom
--- a/ashpond/gateway/calls.py
+++ b/ashpond/gateway/calls.py
@@ -9,33 +9,16 @@
     "Headers",
     "IncomingCall",
     "Instructions",
-    "Prompt",
-    "PromptPart",
     "Reply",
 ]
 
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from ashpond.decisions.prompts import Prompt
 from ashpond.wire import Headers
 
 
-class PromptPart(NamedTuple):
-    """A piece of a prompt that other prompts may begin with as well."""
-
-    id: str
-    tokens: int
-
-
-class Prompt(NamedTuple):
-    """What a client says of its prompt; the last part is its own."""
-
-    model: str
-    tokens: int
-    max_output_tokens: int
-    parts: tuple[PromptPart, ...]
-
-
 class Envelope(NamedTuple):
     """What the headers of a request say to the router.
 
--- a/ashpond/gateway/explanations.py
+++ b/ashpond/gateway/explanations.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from ashpond.gateway.selection import (
+from ashpond.decisions.selection import (
     choose_server,
     estimate_seconds,
     read_candidate,
--- a/ashpond/gateway/ingress.py
+++ b/ashpond/gateway/ingress.py
@@ -15,9 +15,9 @@
 import trio
 
 from ashpond.connections import Closed, ConnectionLimits
+from ashpond.decisions.declared import IngressLimits
 from ashpond.exchanges import Exchange
 from ashpond.gateway.calls import Codec, IncomingCall, Reply
-from ashpond.gateway.declared import IngressLimits
 from ashpond.gateway.replies import send_refusal, send_whole
 from ashpond.listener import Listener
 from ashpond.outcomes import Refusal
--- a/ashpond/gateway/orders.py
+++ b/ashpond/gateway/orders.py
@@ -16,7 +16,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from ashpond.gateway.directory import BackendServer
+from ashpond.controllers.directory import BackendServer
 from ashpond.outcomes import MaybeRun, NotRun
 
 
--- a/ashpond/gateway/places.py
+++ b/ashpond/gateway/places.py
@@ -10,12 +10,13 @@
 
 import trio
 
-from ashpond.gateway.cachestores import CacheStores
-from ashpond.gateway.calls import Prompt
-from ashpond.gateway.declared import Declaration
-from ashpond.gateway.directory import BackendServer, Load, ServerState, ServerTable
-from ashpond.gateway.holdings import Holdings, make_salt
-from ashpond.gateway.selection import (
+from ashpond.controllers.cachestores import CacheStores
+from ashpond.controllers.directory import BackendServer, ServerState, ServerTable
+from ashpond.decisions.declared import Declaration
+from ashpond.decisions.holdings import Holdings, make_salt
+from ashpond.decisions.loads import Load
+from ashpond.decisions.prompts import Prompt
+from ashpond.decisions.selection import (
     FEW_SERVERS,
     MANY_STALE_COST_SECONDS,
     STALE_COST_SECONDS,
--- a/ashpond/gateway/ports.py
+++ b/ashpond/gateway/ports.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ashpond.controllers.directory import BackendServer
+from ashpond.decisions.declared import Declaration, WeightTarget
 from ashpond.gateway.calls import Codec
-from ashpond.gateway.declared import Declaration, WeightTarget
-from ashpond.gateway.directory import BackendServer
 from ashpond.gateway.orders import EnginePort
 from ashpond.gateway.store import InvalidRow, Row, Store
 
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -9,11 +9,11 @@
 
 import trio
 
+from ashpond.controllers.directory import ServerState, ServerTable, StartOrder
+from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.leases import Lease, make_lease_terms
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.directory import ServerState, ServerTable, StartOrder
 from ashpond.gateway.invalidrows import InvalidRows
-from ashpond.gateway.knowledge import Knowledge
 from ashpond.gateway.orderlease import OrderLease
 from ashpond.gateway.orders import (
     EnginePort,
--- a/ashpond/gateway/sends.py
+++ b/ashpond/gateway/sends.py
@@ -26,8 +26,17 @@
     Outgoing,
     Response,
 )
+from ashpond.controllers.directory import (
+    FULL_PAUSE_SECONDS,
+    LOADING_PAUSE_SECONDS,
+    ServerState,
+)
 from ashpond.decisions.budget import SendBudget
+from ashpond.decisions.declared import Route, RouteKind, pick_service
 from ashpond.decisions.eventstream import EventCutter
+from ashpond.decisions.knowledge import Knowledge
+from ashpond.decisions.prompts import Prompt
+from ashpond.decisions.selection import Demand, describe_candidate, describe_demand
 from ashpond.gateway.admission import Accepted
 from ashpond.gateway.calls import (
     AnswerMarks,
@@ -35,20 +44,11 @@
     Headers,
     IncomingCall,
     Instructions,
-    Prompt,
     Reply,
 )
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.declared import Route, RouteKind, pick_service
-from ashpond.gateway.directory import (
-    FULL_PAUSE_SECONDS,
-    LOADING_PAUSE_SECONDS,
-    ServerState,
-)
-from ashpond.gateway.knowledge import Knowledge
 from ashpond.gateway.places import Place, Places
 from ashpond.gateway.replies import drop_connection_headers
-from ashpond.gateway.selection import Demand, describe_candidate, describe_demand
 
 OK = 200
 MISDIRECTED = 421
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -10,8 +10,8 @@
 import trio
 
 if TYPE_CHECKING:
+    from ashpond.controllers.directory import ServerState
     from ashpond.gateway.application import Gateway
-    from ashpond.gateway.directory import ServerState
 
 
 def render_status(gateway: Gateway) -> bytes:
--- a/ashpond/lossreport.py
+++ b/ashpond/lossreport.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from ashpond.gateway.selection import read_candidate, read_demand
+from ashpond.decisions.selection import read_candidate, read_demand
 
 Line = dict[str, Any]
 # Losses are counted by spans of the logs' time (seconds).
--- a/ashpond/news/fleetview.py
+++ b/ashpond/news/fleetview.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ashpond.decisions.budget import SendCounts
-from ashpond.gateway.directory import NO_LOAD, PEER_LOAD_SECONDS, Load
+from ashpond.decisions.loads import NO_LOAD, PEER_LOAD_SECONDS, Load
 
 # A hub that has been silent for longer is no longer relied on (seconds); it sends at
 # least every 0.6 s, and a busy machine may be late once.
--- a/ashpond/news/items.py
+++ b/ashpond/news/items.py
@@ -20,11 +20,11 @@
 import msgspec
 
 from ashpond.clients.peer import News, Notices, TableChanges
+from ashpond.controllers.feeds import TableNews
 from ashpond.decisions.budget import SendCounts
+from ashpond.decisions.holdings import Holding
+from ashpond.decisions.loads import Load
 from ashpond.errors import FrameError
-from ashpond.gateway.directory import Load
-from ashpond.gateway.feeds import TableNews
-from ashpond.gateway.holdings import Holding
 from ashpond.gateway.store import Row
 from ashpond.news.fleetview import Scope, Work
 
--- a/ashpond/news/links.py
+++ b/ashpond/news/links.py
@@ -20,9 +20,9 @@
 import trio
 
 from ashpond.clients.peer import News, Notices, PeerStream, TableChanges
+from ashpond.controllers.feeds import TableNews
+from ashpond.decisions.holdings import Holding
 from ashpond.errors import FrameError
-from ashpond.gateway.feeds import TableNews
-from ashpond.gateway.holdings import Holding
 from ashpond.news.fleetview import Scope, Work
 from ashpond.news.items import ServerNotice
 
--- a/ashpond/news/room.py
+++ b/ashpond/news/room.py
@@ -12,6 +12,8 @@
 from ashpond.addresses import parse_address
 from ashpond.clients.liveness import watch_liveness
 from ashpond.clients.peer import News, Notices, PeerStream, TableChanges, connect_peer
+from ashpond.controllers.directory import ServerTable
+from ashpond.controllers.feeds import TableNews
 from ashpond.decisions.fleetlinks import (
     FLAT_FLEET,
     Links,
@@ -19,11 +21,9 @@
     list_names,
     plan_links,
 )
+from ashpond.decisions.holdings import Holding
 from ashpond.errors import FrameError
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.directory import ServerTable
-from ashpond.gateway.feeds import TableNews
-from ashpond.gateway.holdings import Holding
 from ashpond.news.fleetview import FleetView, Scope, Source, Work
 from ashpond.news.items import (
     Digest,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,10 +6,10 @@
 
 import trio
 
+from ashpond.controllers.directory import BackendServer, ServerTable
+from ashpond.decisions.declared import WeightTarget
+from ashpond.decisions.knowledge import Knowledge
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.declared import WeightTarget
-from ashpond.gateway.directory import BackendServer, ServerTable
-from ashpond.gateway.knowledge import Knowledge
 from ashpond.gateway.orders import (
     CacheEvents,
     EnginePort,
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -5,9 +5,9 @@
 import random
 import zlib
 
-from ashpond.gateway.cachestores import CacheStores
-from ashpond.gateway.calls import Envelope, IncomingCall, Prompt, PromptPart
-from ashpond.gateway.declared import (
+from ashpond.controllers.cachestores import CacheStores
+from ashpond.controllers.directory import BackendServer, ServerTable
+from ashpond.decisions.declared import (
     Declaration,
     EngineTraits,
     IngressLimits,
@@ -18,10 +18,12 @@
     Team,
     index_routes,
 )
-from ashpond.gateway.directory import BackendServer, Load, ServerTable
-from ashpond.gateway.holdings import Holdings
+from ashpond.decisions.holdings import Holdings
+from ashpond.decisions.loads import Load
+from ashpond.decisions.prompts import Prompt, PromptPart
+from ashpond.decisions.selection import Candidate, Demand
+from ashpond.gateway.calls import Envelope, IncomingCall
 from ashpond.gateway.places import Places
-from ashpond.gateway.selection import Candidate, Demand
 from ashpond.gateway.settings import GatewaySettings
 from tests.ports import find_free_port
 
--- a/tests/kept_connections.py
+++ b/tests/kept_connections.py
@@ -9,9 +9,9 @@
 
 import trio
 
+from ashpond.decisions.declared import IngressLimits
 from ashpond.gateway import replies
 from ashpond.gateway.calls import IncomingCall, Reply
-from ashpond.gateway.declared import IngressLimits
 from ashpond.gateway.ingress import Ingress, IngressPorts
 from ashpond_platform.headers import CODEC
 from tests.ports import find_free_port
--- a/tests/newsroom.py
+++ b/tests/newsroom.py
@@ -7,12 +7,12 @@
 import trio
 
 from ashpond.clients.peer import News
+from ashpond.controllers.feeds import Feed, Follower, TableNews
 from ashpond.decisions.budget import SendCounts
 from ashpond.decisions.fleetlinks import FLAT_FLEET, Member
+from ashpond.decisions.holdings import Holding
+from ashpond.decisions.loads import Load
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.directory import Load
-from ashpond.gateway.feeds import Feed, Follower, TableNews
-from ashpond.gateway.holdings import Holding
 from ashpond.gateway.store import StoreClock
 from ashpond.news.items import NewsHandlers, ServerNotice
 from ashpond.news.links import Audience
--- a/tests/row_builders.py
+++ b/tests/row_builders.py
@@ -8,12 +8,12 @@
 import trio
 
 from ashpond.clients.channels import ChannelPool
+from ashpond.controllers.feeds import Follower
+from ashpond.controllers.storeview import StoreView, build_feeds
 from ashpond.decisions.fleetlinks import Member
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.feeds import Follower
 from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.store import Row
-from ashpond.gateway.storeview import StoreView, build_feeds
 from ashpond.news.members import Members
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.composition import build_platform
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -11,14 +11,15 @@
 import trio.testing
 
 from ashpond.clients.channels import ChannelError, Outgoing
+from ashpond.controllers.directory import ServerTable
 from ashpond.decisions.budget import SendBudget
+from ashpond.decisions.declared import Declaration, Route, RouteKind
+from ashpond.decisions.knowledge import Knowledge
+from ashpond.decisions.loads import Load
 from ashpond.gateway.admission import admit_call
 from ashpond.gateway.calls import Headers
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.declared import Declaration, Route, RouteKind
-from ashpond.gateway.directory import Load, ServerTable
 from ashpond.gateway.dispatch import Dispatcher
-from ashpond.gateway.knowledge import Knowledge
 from ashpond.gateway.sends import Tools
 from ashpond_platform.headers import CODEC, REQUEST_ID
 from tests.gateway_builders import (
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,8 +11,8 @@
 import orjson
 import trio
 
+from ashpond.decisions.declared import IngressLimits
 from ashpond.decisions.fleetlinks import FLAT_FLEET
-from ashpond.gateway.declared import IngressLimits
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
 from tests.row_builders import ROUTE, SERVER
--- a/tests/test_cachestores.py
+++ b/tests/test_cachestores.py
@@ -5,14 +5,14 @@
 import trio
 import trio.testing
 
-from ashpond.gateway.cachestores import (
+from ashpond.controllers.cachestores import (
     READERS_SILENCE_SECONDS,
     CacheStores,
     StoreContents,
 )
+from ashpond.controllers.feeds import TableNews
+from ashpond.decisions.declared import CacheStore
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.declared import CacheStore
-from ashpond.gateway.feeds import TableNews
 from ashpond.gateway.orders import CacheEvent, CacheEvents, EnginePort
 from ashpond.gateway.store import Row
 from ashpond.outcomes import MaybeRun, NotRun
--- a/tests/test_damaged_rows.py
+++ b/tests/test_damaged_rows.py
@@ -16,10 +16,10 @@
 from hypothesis import example, given, strategies as st
 
 from ashpond.clients.peer import TableChanges
+from ashpond.controllers.directory import BackendServer
+from ashpond.decisions.declared import Declaration, WeightTarget
 from ashpond.decisions.leases import Lease, LeaseRow
 from ashpond.errors import FrameError
-from ashpond.gateway.declared import Declaration, WeightTarget
-from ashpond.gateway.directory import BackendServer
 from ashpond.gateway.invalidrows import MAX_ROWS, InvalidRows
 from ashpond.gateway.orderlease import LEASE_KEY, LEASE_TABLE
 from ashpond.gateway.store import InvalidRow, Row
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -6,8 +6,8 @@
 from click.testing import CliRunner
 
 from ashpond.cli import main
+from ashpond.decisions.selection import describe_candidate, describe_demand
 from ashpond.gateway.explanations import explain_request, read_lines, replay_choices
-from ashpond.gateway.selection import describe_candidate, describe_demand
 from tests.gateway_builders import make_candidate, make_demand, make_prompt
 
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -8,17 +8,17 @@
 import trio
 import trio.testing
 
-from ashpond.gateway.admission import AGE_SHARE
-from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.feeds import (
+from ashpond.controllers.feeds import (
     RESYNC_SECONDS,
     RETRY_LIMIT_SECONDS,
     Feed,
     Follower,
     TableNews,
 )
+from ashpond.controllers.storeview import OPERATOR_WAIT_SHARE, READERS_SILENCE_SHARE
+from ashpond.gateway.admission import AGE_SHARE
+from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.store import Row, Snapshot, StoreClock
-from ashpond.gateway.storeview import OPERATOR_WAIT_SHARE, READERS_SILENCE_SHARE
 from ashpond.standins.tables import MemoryStore
 
 PATIENCE_SECONDS = 3.0
--- a/tests/test_fleetview.py
+++ b/tests/test_fleetview.py
@@ -5,7 +5,7 @@
 from hypothesis import given, strategies as st
 
 from ashpond.decisions.budget import SendCounts
-from ashpond.gateway.directory import PEER_LOAD_SECONDS, Load
+from ashpond.decisions.loads import PEER_LOAD_SECONDS, Load
 from ashpond.news.fleetview import (
     HUB_SILENCE_SECONDS,
     SUM_SECONDS,
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -4,9 +4,9 @@
 
 from hypothesis import given, strategies as st
 
+from ashpond.decisions.declared import Team, WeightTarget, find_route
+from ashpond.decisions.knowledge import LATE_SECONDS, Knowledge
 from ashpond.gateway.admission import Accepted, admit_call
-from ashpond.gateway.declared import Team, WeightTarget, find_route
-from ashpond.gateway.knowledge import LATE_SECONDS, Knowledge
 from ashpond.gateway.store import Snapshot, StoreClock
 from ashpond.outcomes import Refusal
 from tests.gateway_builders import (
@@ -132,7 +132,7 @@
 
 
 def test_wanted_weights_count_only_a_while_after_they_were_named() -> None:
-    from ashpond.gateway.declared import WeightTarget
+    from ashpond.decisions.declared import WeightTarget
 
     knowledge = Knowledge()
     knowledge.adopt_target(WeightTarget("m", 2), 10.0)
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from ashpond.controllers.cachestores import SAVING_SECONDS, StoreContents
+from ashpond.controllers.directory import LAPSE_SECONDS
 from ashpond.decisions.budget import SendBudget
-from ashpond.gateway.cachestores import SAVING_SECONDS, StoreContents
-from ashpond.gateway.declared import CacheStore
-from ashpond.gateway.directory import LAPSE_SECONDS, PEER_LOAD_SECONDS, Load
-from ashpond.gateway.holdings import KEPT_SECONDS, RETELL_SECONDS, Holdings
+from ashpond.decisions.declared import CacheStore
+from ashpond.decisions.holdings import KEPT_SECONDS, RETELL_SECONDS, Holdings
+from ashpond.decisions.loads import PEER_LOAD_SECONDS, Load
 from ashpond.gateway.orders import CacheEvent
 from tests.gateway_builders import MODEL, make_prompt, make_server, make_table
 
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -10,9 +10,9 @@
 from hypothesis import given, settings, strategies as st
 
 from ashpond.clients.channels import ChannelError
-from ashpond.gateway.declared import Route, RouteKind, WeightTarget
-from ashpond.gateway.directory import ServerTable
-from ashpond.gateway.knowledge import Knowledge
+from ashpond.controllers.directory import ServerTable
+from ashpond.decisions.declared import Route, RouteKind, WeightTarget
+from ashpond.decisions.knowledge import Knowledge
 from tests.gateway_builders import (
     MODEL,
     make_prompt,
--- a/tests/test_gateway_selection.py
+++ b/tests/test_gateway_selection.py
@@ -9,11 +9,10 @@
 import trio.testing
 from hypothesis import given, strategies as st
 
-from ashpond.gateway.calls import Prompt
-from ashpond.gateway.directory import Load
-from ashpond.gateway.holdings import Holdings, make_salt
-from ashpond.gateway.places import Place
-from ashpond.gateway.selection import (
+from ashpond.decisions.holdings import Holdings, make_salt
+from ashpond.decisions.loads import Load
+from ashpond.decisions.prompts import Prompt
+from ashpond.decisions.selection import (
     FEW_SERVERS,
     SHORT_SHARE,
     choose_server,
@@ -22,6 +21,7 @@
     make_load,
     rank_homes,
 )
+from ashpond.gateway.places import Place
 from tests.gateway_builders import (
     MODEL,
     make_candidate,
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -12,9 +12,9 @@
 from ashpond.clients.liveness import UNACKNOWLEDGED_MS, watch_liveness
 from ashpond.clients.peer import News, TableChanges
 from ashpond.decisions.budget import SendCounts
+from ashpond.decisions.holdings import Holding
+from ashpond.decisions.loads import Load
 from ashpond.errors import FrameError
-from ashpond.gateway.directory import Load
-from ashpond.gateway.holdings import Holding
 from ashpond.news import room as news_module
 from ashpond.news.items import ServerNotice
 from ashpond.news.links import (
--- a/tests/test_news_groups.py
+++ b/tests/test_news_groups.py
@@ -10,10 +10,10 @@
 import trio
 
 from ashpond.clients.peer import News, Notices
+from ashpond.controllers.feeds import TableNews
 from ashpond.decisions.fleetlinks import READER_GROUPS, Member
-from ashpond.gateway.directory import Load
-from ashpond.gateway.feeds import TableNews
-from ashpond.gateway.holdings import Holding
+from ashpond.decisions.holdings import Holding
+from ashpond.decisions.loads import Load
 from ashpond.gateway.store import Row
 from ashpond.news.items import ServerNotice
 from ashpond.news.links import Audience, Link
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from ashpond.gateway.directory import Load
+from ashpond.decisions.loads import Load
+from ashpond.decisions.selection import Demand
 from ashpond.gateway.places import Place
-from ashpond.gateway.selection import Demand
 from tests.gateway_builders import (
     make_demand,
     make_places,
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -6,8 +6,9 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from ashpond.gateway.calls import Instructions, PromptPart
-from ashpond.gateway.selection import describe_demand
+from ashpond.decisions.prompts import PromptPart
+from ashpond.decisions.selection import describe_demand
+from ashpond.gateway.calls import Instructions
 from ashpond_platform.headers import read_envelope, read_marks, write_headers
 from tests.gateway_builders import make_demand
 
--- a/tests/test_platform_rows.py
+++ b/tests/test_platform_rows.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ashpond.gateway.declared import (
+from ashpond.decisions.declared import (
     CacheStore,
     RouteKind,
     ServiceShare,
--- a/tests/test_rollout_pace.py
+++ b/tests/test_rollout_pace.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ashpond.gateway.directory import Load
+from ashpond.decisions.loads import Load
 from ashpond.gateway.orderlease import LEASE_TABLE
 from ashpond.gateway.rollouts import BOUND_SECONDS, MANY_LOADING_SHARE
 from ashpond.news.items import ServerNotice
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -6,7 +6,8 @@
 import trio
 import trio.testing
 
-from ashpond.gateway.directory import BackendServer, Load
+from ashpond.controllers.directory import BackendServer
+from ashpond.decisions.loads import Load
 from ashpond.gateway.orders import EngineReport
 from ashpond.outcomes import NotRun
 from tests.fleet import Fleet, run_until_current
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -14,19 +14,19 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from ashpond.clients.channels import ChannelPool
-from ashpond.gateway import directory
-from ashpond.gateway.application import Gateway
-from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.directory import (
+from ashpond.controllers import directory
+from ashpond.controllers.directory import (
     BackendServer,
-    Load,
     ServerState,
     ServerTable,
     StartOrder,
     compare_starts,
 )
-from ashpond.gateway.holdings import Holding
-from ashpond.gateway.selection import Demand
+from ashpond.decisions.holdings import Holding
+from ashpond.decisions.loads import Load
+from ashpond.decisions.selection import Demand
+from ashpond.gateway.application import Gateway
+from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.settings import SettingsFile
 from ashpond.news.items import ServerNotice, decode_news, encode_news
 from ashpond.standins.tables import MemoryStore
