Let loads and connections go with the start of a server, too

Cause: what is known of a server went with its start but for two things, each by its id alone. Peers that had not heard of a new start told their work at the old one, which counted at the new one for up to 1.5 s; and a connection that was in use when the start was heard of was kept for the next afterwards.

Change: loads are named by start (id and 16 bits of its time: 4 bytes an entry in place of 10 for the whole), connections by the state they were made for. With it the table no longer takes entries out of dictionaries that it shares with the news.

Also mended: connections of servers that a whole reading of the table dropped stayed open.

--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -10,6 +10,7 @@
     "compare_starts",
 ]
 
+import itertools
 from collections.abc import Callable, Container, Mapping
 from enum import Enum, auto
 from typing import NamedTuple
@@ -28,6 +29,9 @@
 DOUBT_SECONDS = 0.4
 # One answer moves the failure share by this.
 FAILURE_SMOOTHING = 0.12
+# Of the time of a start, so many bits tell it from others of the same server: its loads
+# are named by it eight times a second, at four bytes in place of ten.
+START_MASK = 0xFFFF
 # Entries that vanish just after the store was away may come back (seconds).
 LAPSE_SECONDS = 2.2
 
@@ -50,6 +54,13 @@
     weights: dict[str, int]
     born: int | None = None
 
+    @property
+    def start(self) -> str:
+        """The name of this start in messages: the id, and a few bits of ``born``."""
+        if self.born is None:
+            return self.id
+        return f"{self.id}#{self.born & START_MASK:x}"
+
 
 class StartOrder(Enum):
     """Whether what is told is of the start that is known of a server."""
@@ -70,11 +81,18 @@
     return StartOrder.NEWER if told > known else StartOrder.OLDER
 
 
+_numbers = itertools.count()
+
+
 class ServerState:
-    """What this instance believes of one server."""
+    """What this instance believes of one start of a server.
+
+    ``owner`` names it to the pool of connections, which are of this start alone.
+    """
 
     def __init__(self, info: BackendServer, now: float):
         self.info = info
+        self.owner = f"{info.id} {next(_numbers)}"
         self.weights = dict(info.weights)
         self.load = Load()
         self.cold_until = now + info.cold_seconds
@@ -135,14 +153,16 @@
 class ServerTable:
     """All known backend servers.
 
-    ``on_new_start`` is called with the state of a server whose earlier start has
-    ended: what else is known of that start has to go as well.
+    ``on_new_start`` is called with the states of the start of a server that has ended
+    and of the next: what else is known of the first has to go as well.
     """
 
     def __init__(self) -> None:
         self.by_id: dict[str, ServerState] = {}
         self.is_known = False
-        self.on_new_start: Callable[[ServerState], None] = lambda state: None
+        self.on_new_start: Callable[[ServerState, ServerState], None] = (
+            lambda ended, state: None
+        )
         self._peer_loads: dict[str, tuple[float, dict[str, Load]]] = {}
         # The sum of the peers' loads, and until when none of them is too old.
         self._totals: dict[str, Load] = {}
@@ -155,19 +175,23 @@
         *,
         may_lapse: bool,
         invalid: Container[str] = (),
-    ) -> None:
-        """Take over a whole list.
+    ) -> list[ServerState]:
+        """Take over a whole list; return the states that are no longer used.
 
         :param invalid: the ids whose entries are there and cannot be read.
         """
         self.is_known = True
         for server in servers:
             self.update(server, now)
+        dropped = []
         for missing in self.by_id.keys() - {server.id for server in servers}:
             if missing in invalid:
                 self.note_invalid(missing)
-            else:
-                self.remove(missing, now, may_lapse=may_lapse)
+                continue
+            state = self.remove(missing, now, may_lapse=may_lapse)
+            if state is not None:
+                dropped.append(state)
+        return dropped
 
     def update(self, server: BackendServer, now: float) -> None:
         """Take over a new or changed entry."""
@@ -217,12 +241,9 @@
 
     def _begin_anew(self, state: ServerState) -> None:
         """Forget all that was known of a server before its new start."""
-        server_id = state.info.id
-        self.by_id[server_id] = state
-        for _, loads in self._peer_loads.values():
-            loads.pop(server_id, None)
-        self._totals_until = float("-inf")
-        self.on_new_start(state)
+        ended = self.by_id[state.info.id]
+        self.by_id[state.info.id] = state
+        self.on_new_start(ended, state)
 
     def is_current(self, state: ServerState) -> bool:
         """Return whether a server still runs as it did when ``state`` was made."""
@@ -239,29 +260,32 @@
         if state is not None:
             state.is_entry_invalid = True
 
-    def remove(self, server_id: str, now: float, *, may_lapse: bool) -> None:
-        """Drop an entry.
+    def remove(
+        self, server_id: str, now: float, *, may_lapse: bool
+    ) -> ServerState | None:
+        """Drop an entry; return the state of the server if it is no longer used.
 
         :param may_lapse: the store was away: a living server's entry is back
             within seconds, until when the server is used if there is no other.
         """
         state = self.by_id.get(server_id)
         if state is None:
-            return
+            return None
         if may_lapse and not state.info.is_draining:
             state.vanished_at = state.vanished_at or now
-        else:
-            del self.by_id[server_id]
+            return None
+        del self.by_id[server_id]
+        return state
 
-    def expire(self, now: float) -> list[str]:
-        """Drop the vanished entries that did not come back; return their ids."""
+    def expire(self, now: float) -> list[ServerState]:
+        """Drop the vanished entries that did not come back; return their states."""
         gone = [
-            state.info.id
+            state
             for state in self.by_id.values()
             if state.vanished_at is not None and now - state.vanished_at > LAPSE_SECONDS
         ]
-        for server_id in gone:
-            del self.by_id[server_id]
+        for state in gone:
+            del self.by_id[state.info.id]
         return gone
 
     def list_all(self) -> list[ServerState]:
@@ -295,7 +319,10 @@
         ]
 
     def note_peer_loads(self, peer: str, loads: dict[str, Load], now: float) -> None:
-        """Take what one life of a peer says of its work at each server."""
+        """Take what one life of a peer says of its work at each start of a server.
+
+        What is told of another start than the one that is known counts nowhere.
+        """
         self._peer_loads[peer] = (now, loads)
         self._totals_until = float("-inf")
         for silent in [
@@ -315,9 +342,10 @@
         if now >= self._totals_until:
             self._sum_peers(now)
         state = self.by_id.get(server_id)
-        own = state.load if state else NO_LOAD
-        peers = self._totals.get(server_id)
-        return own if peers is None else own.add(peers)
+        if state is None:
+            return NO_LOAD
+        peers = self._totals.get(state.info.start)
+        return state.load if peers is None else state.load.add(peers)
 
     def _sum_peers(self, now: float) -> None:
         totals: dict[str, Load] = {}
@@ -333,9 +361,9 @@
         self._totals_until = until
 
     def list_own_loads(self) -> dict[str, Load]:
-        """Return this instance's work by server, without idle ones."""
+        """Return this instance's work by start of a server, without idle ones."""
         return {
-            server_id: state.load
-            for server_id, state in self.by_id.items()
+            state.info.start: state.load
+            for state in self.by_id.values()
             if state.load.requests
         }
--- a/ashpond/controllers/storeview.py
+++ b/ashpond/controllers/storeview.py
@@ -117,7 +117,10 @@
         decoded = {row.key: self._decode_server(row) for row in snapshot.rows}
         servers = [s for s in decoded.values() if isinstance(s, BackendServer)]
         invalid = {key for key, s in decoded.items() if isinstance(s, InvalidRow)}
-        self.table.replace_all(servers, now, may_lapse=may_lapse, invalid=invalid)
+        for gone in self.table.replace_all(
+            servers, now, may_lapse=may_lapse, invalid=invalid
+        ):
+            self._pool.forget(gone.owner)
         self._log.note(
             "servers",
             count=len(servers),
@@ -139,10 +142,10 @@
             self.table.note_invalid(row.key)
             return
         if server is None:
-            self.table.remove(row.key, now, may_lapse=may_lapse)
+            gone = self.table.remove(row.key, now, may_lapse=may_lapse)
             self._log.note("server_gone", server=row.key, may_lapse=may_lapse)
-            if row.key not in self.table.by_id:
-                self._pool.forget(row.key)
+            if gone is not None:
+                self._pool.forget(gone.owner)
             return
         self.table.update(server, now)
         self._log.note(
--- a/ashpond/emulator/wire.py
+++ b/ashpond/emulator/wire.py
@@ -143,7 +143,6 @@
         self.memo = memo
         self.delay = delay
         self.by_address = {make_address(name): e for name, e in engines.items()}
-        self._engines = engines
 
     async def acquire(self, owner: str, address: str) -> EmulatedChannel:
         """Return a connection.
@@ -151,9 +150,10 @@
         :raises ChannelError: if the engine is down.
         """
         await trio.sleep(self.delay)
-        if self._engines[owner].is_down:
+        engine = self.by_address[address]
+        if engine.is_down:
             raise ChannelError("refused", is_sent=False)
-        return EmulatedChannel(self._engines[owner], self)
+        return EmulatedChannel(engine, self)
 
     def release(self, owner: str, channel: EmulatedChannel) -> None:
         """Take a connection back."""
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -255,7 +255,7 @@
         declaration = self.knowledge.declaration
         return declaration is not None and service in declaration.services
 
-    def _on_new_start(self, state: ServerState) -> None:
+    def _on_new_start(self, ended: ServerState, state: ServerState) -> None:
         """Forget what is known, beside the table, of a server's earlier start.
 
         Calls in flight there end with their connections, which the server's end has
@@ -263,7 +263,7 @@
         """
         server_id = state.info.id
         self.holdings.forget_server(server_id)
-        self.pool.forget(server_id)
+        self.pool.forget(ended.owner)
         self.rollouts.forget_start(server_id)
         self.log.note(
             "server_started_anew",
@@ -395,9 +395,9 @@
                 swept_at = now
                 self.holdings.expire(now)
                 self.stores.expire(now)
-            for server_id in self.table.expire(now):
-                self.pool.forget(server_id)
-                self.log.note("server_expired", server=server_id)
+            for gone in self.table.expire(now):
+                self.pool.forget(gone.owner)
+                self.log.note("server_expired", server=gone.info.id)
 
     async def _watch_settings(self) -> None:
         while True:
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -231,7 +231,7 @@
             is_up = await self._order(lag, cuts_runs) and await self._await_weights(
                 lag, trio.current_time()
             )
-            if not is_up:
+            if not is_up and self._table.is_current(lag.state):
                 self._paused_until[server_id] = (
                     trio.current_time() + FAILED_PAUSE_SECONDS
                 )
--- a/ashpond/gateway/sends.py
+++ b/ashpond/gateway/sends.py
@@ -189,9 +189,7 @@
         is_whole = False
         try:
             with trio.move_on_after(self._choose_silence()) as silence:
-                channel = await self.tools.pool.acquire(
-                    state.info.id, state.info.address
-                )
+                channel = await self.tools.pool.acquire(state.owner, state.info.address)
                 if not state.is_present():
                     return Unrun("the server is leaving")
                 outcome = await self._exchange(channel, silence)
@@ -202,7 +200,7 @@
             return self._note_failed(str(error), is_sent=error.is_sent)
         finally:
             if channel is not None and is_whole:
-                self.tools.pool.release(state.info.id, channel)
+                self.tools.pool.release(state.owner, channel)
             elif channel is not None:
                 channel.close()
 
@@ -270,7 +268,7 @@
         if not is_sent:
             pause = state.note_unreached(trio.current_time())
             self.tools.announce_unreached(state, pause)
-            self.tools.pool.forget(state.info.id)
+            self.tools.pool.forget(state.owner)
             return Unrun(reason)
         state.note_answer(trio.current_time(), failed=True)
         return Failed(reason)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -79,7 +79,8 @@
         if self.script and self.script[0] is UNREACHED:
             self.script.pop(0)
             raise UNREACHED
-        return ScriptedChannel(self, owner)
+        # The owner names a start of a server, the id first.
+        return ScriptedChannel(self, owner.partition(" ")[0])
 
     def release(self, owner: str, channel: ScriptedChannel) -> None:
         pass
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -30,7 +30,8 @@
     assert len(table.list_usable("reader", 2.0)) == 2
     table.update(make_server("a"), 2.0)
     assert [state.info.id for state in table.list_usable("reader", 2.0)] == ["a"]
-    assert table.expire(1.0 + LAPSE_SECONDS + 0.1) == ["b"]
+    gone = table.expire(1.0 + LAPSE_SECONDS + 0.1)
+    assert [state.info.id for state in gone] == ["b"]
 
 
 def test_a_draining_entry_never_lapses_back_into_use() -> None:
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -73,9 +73,11 @@
     state.load = Load(5, 100, 100)
     state.note_unreached(0.0)
     gateway._note_held(state, SALT, PROMPT)
-    gateway.table.note_peer_loads("p", {"a": Load(4)}, 0.0)
+    peer = make_table(make_server("a", born=1000))
+    peer.by_id["a"].load = Load(4)
+    gateway.table.note_peer_loads("p", peer.list_own_loads(), 0.0)
     gateway.rollouts._accepted["a"] = 7
-    gateway.pool._idle["a"] = [IdleChannel()]  # type: ignore[list-item]
+    gateway.pool._idle[state.owner] = [IdleChannel()]  # type: ignore[list-item]
     return gateway
 
 
@@ -87,7 +89,7 @@
     assert state.is_open(0.1)
     assert not gateway.holdings.find_holders(SALT, PROMPT, trio.current_time())
     assert "a" not in gateway.rollouts._accepted
-    assert gateway.pool.count_idle("a") == 0
+    assert not gateway.pool._idle
     return state
 
 
@@ -118,7 +120,7 @@
 
 async def test_a_new_start_seen_first_in_the_store() -> None:
     gateway = make_used_gateway()
-    idle = gateway.pool._idle["a"][0]
+    idle = gateway.pool._idle[gateway.table.by_id["a"].owner][0]
     gateway.table.update(make_server("a", born=2000, weights={MODEL: 1}), 0.0)
     assert assert_forgotten(gateway).weights == {MODEL: 1}
     assert idle.is_closed  # type: ignore[attr-defined]
@@ -267,6 +269,54 @@
     assert fleet.engines.versions == {"s0": 4}
 
 
+async def test_late_word_of_work_at_the_old_start_is_none_at_the_new() -> None:
+    """Peers that had not heard of it told their old work for up to 1.5 s more."""
+    gateway = make_gateway()
+    gateway.table.update(make_server("a", born=1000), 0.0)
+    peer = make_table(make_server("a", born=1000))
+    peer.by_id["a"].load = Load(7)
+    gateway.table.note_peer_loads("p", peer.list_own_loads(), 0.0)
+    assert gateway.table.sum_load("a", 0.1) == Load(7)
+    gateway.table.update(make_server("a", born=2000), 0.2)
+    gateway.table.note_peer_loads("p", peer.list_own_loads(), 0.3)
+    assert gateway.table.sum_load("a", 0.4) == Load()
+    # Once it has heard, what it tells counts.
+    peer.update(make_server("a", born=2000), 0.5)
+    peer.by_id["a"].load = Load(2)
+    gateway.table.note_peer_loads("p", peer.list_own_loads(), 0.6)
+    assert gateway.table.sum_load("a", 0.7) == Load(2)
+
+
+async def test_a_connection_to_the_old_start_is_not_kept_for_the_new() -> None:
+    """It was in use when the new start was heard of, and given back afterwards."""
+    gateway = make_gateway()
+    gateway.table.update(make_server("a", born=1000), 0.0)
+    old = gateway.table.by_id["a"]
+    gateway.table.update(make_server("a", born=2000), 0.0)
+    gateway.pool._idle[old.owner] = [IdleChannel()]  # type: ignore[list-item]
+    new = gateway.table.by_id["a"]
+    assert gateway.pool.count_idle(new.owner) == 0
+
+
+async def test_a_failed_order_to_the_old_start_gives_the_new_no_pause(
+    autojump_clock: object,
+) -> None:
+    fleet = Fleet(1, engines=1)
+    controller = fleet.controllers[0]
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        while not fleet.engines.loading["s0"]:
+            await trio.sleep(0.01)
+        fleet.engines.start_anew("s0")
+        fleet.tables[0].note_start("s0", fleet.engines.born["s0"], 0.0)
+        controller.forget_start("s0")
+        await trio.sleep(1.0)
+        assert "s0" not in controller._paused_until
+        await run_until_current(fleet, 2, 5.0)
+        nursery.cancel_scope.cancel()
+
+
 class StartsMachine(RuleBasedStateMachine):
     """A server starts again and again; word of each start comes in any order.
 
@@ -283,7 +333,7 @@
         self.weights = {0: 1}
         self.restarts = 0
 
-    def on_new_start(self, state: ServerState) -> None:
+    def on_new_start(self, ended: ServerState, state: ServerState) -> None:
         self.restarts += 1
 
     @rule(older=st.integers(0, 1))
