Use no half value of a message, and show by random bytes that no decoder raises

Cause, found by writing the test: of 18 messages of peers that are not whole, the decoder took nine: loads and notices with fields missing (defaults filled them), times that are not a number or never end (a server closed for ever), counts of 2^63 (two of them add up to a sum that fits no message, which ended the sender's task), a version that no store reaches (each later change was passed over), a text read as base64 in place of bytes. Reports and cache events took negative and endless numbers, and `born: null`.

--- a/ashpond/decisions/budget.py
+++ b/ashpond/decisions/budget.py
@@ -8,6 +8,8 @@
 from collections.abc import Container
 from typing import NamedTuple
 
+from ashpond.bounds import Number
+
 # What peers sent since they last told is not known yet, and windows slide apart.
 SAFETY = 0.75
 # Of its part of the slack, what an instance may use just after its start.
@@ -17,8 +19,8 @@
 class SendCounts(NamedTuple):
     """First and repeated sends within one window."""
 
-    fresh: int = 0
-    repeats: int = 0
+    fresh: Number = 0
+    repeats: Number = 0
 
     def add(self, other: SendCounts) -> SendCounts:
         """Return the sum."""
--- a/ashpond/decisions/holdings.py
+++ b/ashpond/decisions/holdings.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from ashpond.bounds import Count
 from ashpond.decisions.prompts import Prompt
 
 # Engines drop the least recently used parts within seconds; a wrong guess costs
@@ -22,7 +23,7 @@
     server_id: str
     salt: str
     part: str
-    born: int | None = None
+    born: Count | None = None
 
 
 def make_salt(wall: str, model: str, version: int | None) -> str:
--- a/ashpond/decisions/loads.py
+++ b/ashpond/decisions/loads.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple
 
+from ashpond.bounds import Number
+
 # Loads told by a peer that has been silent for longer no longer count (seconds).
 PEER_LOAD_SECONDS = 1.5
 
@@ -16,10 +18,10 @@
     ``bound`` of the requests cannot go on at another server if they are cut.
     """
 
-    requests: int = 0
-    unread_tokens: int = 0
-    held_tokens: int = 0
-    bound: int = 0
+    requests: Number = 0
+    unread_tokens: Number = 0
+    held_tokens: Number = 0
+    bound: Number = 0
 
     def add(self, other: Load) -> Load:
         """Return the sum."""
--- a/ashpond/gateway/orderlease.py
+++ b/ashpond/gateway/orderlease.py
@@ -5,12 +5,12 @@
 __all__ = ["LEASE_KEY", "LEASE_TABLE", "OrderLease"]
 
 from collections.abc import Callable
-from typing import Annotated
 
 import msgspec
 import orjson
 import trio
 
+from ashpond.bounds import Amount, Count
 from ashpond.decisions.leases import Lease, LeaseRow
 from ashpond.decisions.placement import rank_by_rendezvous
 from ashpond.gateway.decisionlog import DecisionLog
@@ -26,15 +26,13 @@
 RANK_SECONDS = 0.6
 # While one contends, the row is read so often (seconds).
 CONTEND_SECONDS = 0.5
-# Numbers of the lease go into calls and logs, which hold no more than 64 bits.
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 
 
 class _StoredLease(msgspec.Struct):
     holder: str
     fence: Count
     beat: Count
-    renewed_at: float
+    renewed_at: Amount
 
 
 _LEASE_DECODER = msgspec.json.Decoder(_StoredLease)
--- a/ashpond/news/items.py
+++ b/ashpond/news/items.py
@@ -14,11 +14,12 @@
     "encode_notices",
 ]
 
-from collections.abc import Callable, Container
-from typing import NamedTuple
+from collections.abc import Callable, Container, Iterable
+from typing import Annotated, Any, NamedTuple, TypeVar
 
 import msgspec
 
+from ashpond.bounds import Amount, Count
 from ashpond.clients.peer import News, Notices, TableChanges
 from ashpond.controllers.feeds import TableNews
 from ashpond.decisions.budget import SendCounts
@@ -28,6 +29,12 @@
 from ashpond.gateway.store import Row
 from ashpond.news.fleetview import Scope, Work
 
+# Far more than any server is closed for; one that is told to be closed for ever would
+# get nothing again (seconds).
+MAX_CLOSED_SECONDS = 600.0
+T = TypeVar("T")
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_CLOSED_SECONDS)]
+
 
 class ServerNotice(NamedTuple):
     """A change at a backend server that the sender knows first.
@@ -40,10 +47,10 @@
 
     server_id: str
     model: str
-    version: int
-    closed_seconds: float
+    version: Count
+    closed_seconds: Seconds
     is_unreached: bool = False
-    born: int | None = None
+    born: Count | None = None
 
 
 class Digest(NamedTuple):
@@ -79,7 +86,7 @@
 
     key: str
     value: bytes | None
-    version: int
+    version: Count
 
 
 def encode_news(sender: str, digest: Digest) -> News:
@@ -105,16 +112,47 @@
             Scope(news.scope),
             news.group,
             Work(
-                msgspec.convert(news.loads, dict[str, Load]),
-                msgspec.convert(news.sends, dict[str, SendCounts]),
+                _convert_table(news.loads, Load), _convert_table(news.sends, SendCounts)
             ),
-            msgspec.convert(news.notices, list[ServerNotice]),
-            msgspec.convert(news.holdings, list[Holding]),
+            _convert_list(news.notices, ServerNotice),
+            _convert_list(news.holdings, Holding),
         )
     except ValueError as error:
         raise FrameError(f"news that make no sense: {error!r}") from error
 
 
+def _convert_table(values: dict[str, Any], kind: type[T]) -> dict[str, T]:
+    """Return the tuples that a message holds by name, each of them whole.
+
+    :raises ValueError: if one has other fields.
+    """
+    found = msgspec.convert(values, dict[str, kind])  # type: ignore[valid-type]
+    _check_lengths(values.values(), kind)
+    return found
+
+
+def _convert_list(values: list[Any], kind: type[T]) -> list[T]:
+    """Return the tuples that a message holds, each of them whole.
+
+    :raises ValueError: if one has other fields.
+    """
+    # Bytes are bytes in a message: a text in their place would be read as base64.
+    found = msgspec.convert(
+        values,
+        list[kind],  # type: ignore[valid-type]
+        builtin_types=(bytes,),
+    )
+    _check_lengths(values, kind)
+    return found
+
+
+def _check_lengths(values: Iterable[Any], kind: type[T]) -> None:
+    # Defaults are for those that build a value; a message names all its fields.
+    length = len(kind._fields)  # type: ignore[attr-defined]
+    if any(len(value) != length for value in values):
+        raise ValueError(f"not the fields of a {kind.__name__}")
+
+
 def encode_notices(sender: str, scope: Scope, notices: list[ServerNotice]) -> Notices:
     """Return the message that tells notices alone."""
     return Notices(sender, scope, [list(notice) for notice in notices])
@@ -126,7 +164,7 @@
     :raises FrameError: if it makes no sense.
     """
     try:
-        notices = msgspec.convert(message.notices, list[ServerNotice])
+        notices = _convert_list(message.notices, ServerNotice)
         return Scope(message.scope), notices
     except ValueError as error:
         raise FrameError(f"notices that make no sense: {error!r}") from error
@@ -147,12 +185,13 @@
     """
     try:
         scope = Scope(changes.scope)
+        after = msgspec.convert(changes.after, Count)
+        version = msgspec.convert(changes.version, Count)
+        store_time = msgspec.convert(changes.store_time, Amount)
         rows = tuple(
-            Row(changes.table, key, value, version)
-            for key, value, version in msgspec.convert(changes.rows, list[_Change])
+            Row(changes.table, *change)
+            for change in _convert_list(changes.rows, _Change)
         )
     except ValueError as error:
         raise FrameError(f"changes that make no sense: {error!r}") from error
-    return scope, TableNews(
-        changes.table, changes.after, changes.version, changes.store_time, rows
-    )
+    return scope, TableNews(changes.table, after, version, store_time, rows)
--- /dev/null
+++ b/tests/test_damaged_messages.py
@@ -0,0 +1,196 @@
+"""Reports, cache events, answers of the store and news that are damaged in any way.
+
+Whatever the bytes, a decoder raises the one error that its caller expects, or returns a
+value that is whole: numbers that add up, go into messages and compare with others.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgpack
+import orjson
+import pytest
+from hypothesis import given, strategies as st
+
+from ashpond.bounds import MAX_NUMBER
+from ashpond.clients.peer import (
+    News,
+    Notices,
+    PeerMessage,
+    TableChanges,
+    parse_message,
+    unpack_value,
+)
+from ashpond.controllers.cachestores import EVENTS_PREFIX, StoreContents
+from ashpond.controllers.feeds import TableNews
+from ashpond.decisions.declared import CacheStore
+from ashpond.errors import FrameError
+from ashpond.gateway.store import Row
+from ashpond.news.items import (
+    MAX_CLOSED_SECONDS,
+    decode_changes,
+    decode_news,
+    decode_notices,
+)
+from ashpond_platform.engines import decode_cache_events, decode_report
+from ashpond_platform.store import decode_body
+from tests.damage import damage, values
+from tests.newsroom import make_news
+
+REPORT = {"models": [{"name": "m", "version": 1}], "busy": False, "seq": 2, "born": 5}
+EVENTS = {
+    "boot_epoch": 1,
+    "next": 9,
+    "lost": False,
+    "events": [[1, "+", "s", "p", 8, "m"], "x", [2, "-", "s", "p", 8, "m"]],
+}
+ANSWER = {
+    "rows": [{"table": "t", "key": "k", "ver": 3, "value": "YQ=="}, {"key": 1}],
+    "ver": 4,
+    "now_ms": 10,
+    "has_more": False,
+}
+
+
+def decode_message(value: Any) -> None:
+    """Take a message as the newsroom does; check that what it holds is whole."""
+    message: PeerMessage = parse_message(value)
+    if isinstance(message, News):
+        digest = decode_news(message)
+        for load in digest.work.loads.values():
+            assert all(abs(number) <= MAX_NUMBER for number in load)
+        for counts in digest.work.sends.values():
+            assert all(abs(number) <= MAX_NUMBER for number in counts)
+        notices = digest.notices
+    elif isinstance(message, Notices):
+        notices = decode_notices(message)[1]
+    elif isinstance(message, TableChanges):
+        news = decode_changes(message)[1]
+        assert math.isfinite(news.store_time)
+        assert 0 <= news.after <= MAX_NUMBER
+        assert 0 <= news.version <= MAX_NUMBER
+        return
+    else:
+        return
+    for notice in notices:
+        assert 0 <= notice.closed_seconds <= MAX_CLOSED_SECONDS
+
+
+def take_message(value: Any) -> None:
+    try:
+        decode_message(value)
+    except FrameError:
+        return
+
+
+@given(st.binary(max_size=80) | damage(REPORT))
+def test_a_report_raises_one_error_only(data: bytes) -> None:
+    try:
+        report = decode_report(data)
+    except (ValueError, RecursionError):
+        return
+    assert all(0 < version <= MAX_NUMBER for version in report.weights.values())
+    assert 0 <= report.accepted_orders <= MAX_NUMBER
+
+
+@given(st.binary(max_size=80) | damage(EVENTS))
+def test_cache_events_raise_one_error_only(data: bytes) -> None:
+    try:
+        events = decode_cache_events(data)
+    except (ValueError, RecursionError):
+        return
+    assert 0 <= events.next <= MAX_NUMBER
+    assert all(0 <= event.number <= MAX_NUMBER for event in events.events)
+
+
+@given(st.binary(max_size=80) | damage(ANSWER), st.sampled_from([200, 410, 412, 500]))
+def test_an_answer_of_the_store_raises_one_error_only(data: bytes, status: int) -> None:
+    try:
+        decode_body(status, data)
+    except (ValueError, RecursionError):
+        return
+
+
+def test_one_damaged_cache_event_loses_no_other() -> None:
+    found = decode_cache_events(orjson.dumps(EVENTS))
+    assert [event.number for event in found.events] == [1, 2]
+    assert found.is_gap
+
+
+@given(st.binary(max_size=80))
+def test_any_bytes_of_a_peer_raise_one_error_only(data: bytes) -> None:
+    try:
+        take_message(unpack_value(data))
+    except FrameError:
+        return
+
+
+@given(st.sampled_from(["news", "notices", "table"]), st.lists(values, max_size=7))
+def test_any_fields_of_a_message_raise_one_error_only(
+    kind: str, fields: list[Any]
+) -> None:
+    take_message([kind, fields])
+
+
+@given(st.sampled_from(["loads", "notices", "holdings", "sends"]), values)
+def test_news_with_one_odd_field_raise_one_error_only(field: str, value: Any) -> None:
+    take_message(["news", list(make_news(**{field: value}))])
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"notices": [["a", "m", 1, "soon", False, None]]},
+        {"notices": [["a", "m", 1, float("nan"), False, None]]},
+        {"notices": [["a", "m", 1, float("inf"), False, None]]},
+        {"notices": [["a", "m", 1, -1.0, False, None]]},
+        {"notices": [["a", "m", 2**63, 0.0, False, None]]},
+        {"loads": {"a": [2**63, 0, 0, 0]}},
+        {"loads": {"a": [1, 2]}},
+        {"loads": {"a": [1.5, 0, 0, 0]}},
+        {"sends": {"s": [-(2**63), 0]}},
+        {"holdings": [["a", "salt"]]},
+        {"holdings": [["a", "salt", "part", "soon"]]},
+        {"scope": "everyone"},
+    ],
+)
+def test_news_that_are_not_whole_are_refused(changes: dict[str, Any]) -> None:
+    """A sum of two such loads fits no message: the sender's task ended, and so it."""
+    message = unpack_value(msgpack.packb(["news", list(make_news(**changes))]))
+    with pytest.raises(FrameError):
+        decode_news(parse_message(message))  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": 2**63},
+        {"after": -1},
+        {"store_time": float("nan")},
+        {"rows": [["k", "text", 1]]},
+        {"rows": [["k", b"v", 2**63]]},
+        {"rows": [["k", b"v"]]},
+    ],
+)
+def test_changes_that_are_not_whole_are_refused(changes: dict[str, Any]) -> None:
+    """A version that no store reaches would have every later change passed over."""
+    whole = TableChanges("i", "own", "t", 0, 1, 0.0, [["k", b"v", 1]])
+    with pytest.raises(FrameError):
+        decode_changes(whole._replace(**changes))
+
+
+@given(
+    st.text(max_size=12),
+    st.lists(
+        st.tuples(st.text(max_size=9), st.none() | st.binary(), st.integers(0, 9))
+    ),
+)
+async def test_any_cache_events_told_by_a_peer_are_taken_or_passed_over(
+    epoch: str, rows: list[tuple[str, bytes | None, int]]
+) -> None:
+    contents = StoreContents(CacheStore("127.0.0.1:9", "d"), lambda: False)
+    table = f"{EVENTS_PREFIX}127.0.0.1:9 {epoch}"
+    told = tuple(Row(table, key, value, version) for key, value, version in rows)
+    contents.take(TableNews(table, 0, 9, 0.0, told))
--- a/tests/test_damaged_rows.py
+++ b/tests/test_damaged_rows.py
@@ -8,29 +8,27 @@
 from __future__ import annotations
 
 import json
-from typing import Any
 
 import orjson
 import pytest
 import trio
 from hypothesis import example, given, strategies as st
 
-from ashpond.clients.peer import TableChanges
+from ashpond.bounds import MAX_NUMBER
 from ashpond.controllers.directory import BackendServer
 from ashpond.decisions.declared import Declaration, WeightTarget
 from ashpond.decisions.leases import Lease, LeaseRow
-from ashpond.errors import FrameError
 from ashpond.gateway.invalidrows import MAX_ROWS, InvalidRows
 from ashpond.gateway.orderlease import LEASE_KEY, LEASE_TABLE
 from ashpond.gateway.store import InvalidRow, Row
-from ashpond.news.items import decode_changes, decode_news
 from ashpond.news.members import (
     SECRET_KEY,
     SECRET_TABLE,
     decode_member_row,
+    decode_secret,
 )
-from ashpond_platform.engines import decode_cache_events, decode_report
 from ashpond_platform.rows import decode_operator_row, decode_server_row
+from tests.damage import damage
 from tests.fleet import Fleet, run_until_current
 from tests.gateway_builders import (
     make_demand,
@@ -39,7 +37,6 @@
     make_server,
     make_table,
 )
-from tests.newsroom import make_news
 from tests.row_builders import (
     CONFIGURATION,
     ROUTE,
@@ -129,29 +126,6 @@
 }
 # Knowledge is confirmed at least so often while the store answers (seconds).
 BOUND_AGE = 2.0
-values = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
-    lambda inner: (
-        st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=9), inner)
-    ),
-    max_leaves=8,
-)
-
-
-@st.composite
-def damage(draw: st.DrawFn, good: dict[str, Any]) -> bytes:
-    """Return the JSON of a good value with some fields changed, or any bytes."""
-    if draw(st.integers(0, 4)) == 0:
-        return draw(st.binary(max_size=60))
-    fields = draw(st.lists(st.sampled_from(sorted(good)), min_size=1, max_size=3))
-    changed = dict(good)
-    for field in fields:
-        if draw(st.booleans()):
-            changed.pop(field, None)
-        else:
-            changed[field] = draw(values)
-    data = json.dumps(changed).encode()
-    return data[: draw(st.integers(0, len(data)))] if draw(st.booleans()) else data
 
 
 @pytest.mark.parametrize("value", DAMAGED_SERVERS.values(), ids=DAMAGED_SERVERS)
@@ -196,62 +170,6 @@
     decode_member_row(Row("ashpond-members", "i2", value, 1))
 
 
-@given(damage({"models": [{"name": "m", "version": 1}], "busy": False, "seq": 2}))
-def test_a_report_raises_one_error_only(value: bytes) -> None:
-    try:
-        decode_report(value)
-    except (ValueError, RecursionError):
-        return
-
-
-@given(
-    damage(
-        {
-            "boot_epoch": 1,
-            "next": 9,
-            "lost": False,
-            "events": [[1, "+", "s", "p", 8, "m"], "x", [2, "-", "s", "p", 8, "m"]],
-        }
-    )
-)
-def test_cache_events_raise_one_error_only(value: bytes) -> None:
-    try:
-        decode_cache_events(value)
-    except (ValueError, RecursionError):
-        return
-
-
-def test_one_damaged_cache_event_loses_no_other() -> None:
-    events = [[1, "+", "s", "p", 8, "m"], ["x"], [2, "-", "s", "p", 8, "m"]]
-    data = {"boot_epoch": 1, "next": 9, "lost": False, "events": events}
-    found = decode_cache_events(orjson.dumps(data))
-    assert [event.number for event in found.events] == [1, 2]
-    assert found.is_gap
-
-
-@given(st.sampled_from(["loads", "notices", "holdings", "sends"]), values)
-def test_news_of_a_peer_raise_one_error_only(field: str, value: object) -> None:
-    message = make_news(**{field: value})
-    try:
-        decode_news(message)
-    except FrameError:
-        return
-
-
-def test_a_notice_with_a_text_for_seconds_is_refused() -> None:
-    message = make_news(notices=[["a", "m", 1, "soon", False, None]])
-    with pytest.raises(FrameError):
-        decode_news(message)
-
-
-@given(st.lists(values, max_size=3))
-def test_changes_told_by_a_peer_raise_one_error_only(rows: list[Any]) -> None:
-    try:
-        decode_changes(TableChanges("i", "own", "t", 0, 1, 0.0, rows))
-    except FrameError:
-        return
-
-
 def test_an_engine_that_has_no_model_yet_is_no_engine_to_use() -> None:
     places = make_places(make_table(make_server("a", weights={})))
     assert places._find(make_demand(make_prompt()), 0.0) is None
@@ -405,3 +323,21 @@
     write = lease.plan_write(lease.terms.silence + 0.1)
     assert write is not None
     assert write.row.fence == 10
+
+
+@given(
+    st.binary(max_size=60)
+    | damage({"holder": "i1", "fence": 4, "beat": 2, "renewed_at": 3.5})
+)
+def test_no_row_of_the_lease_raises(value: bytes) -> None:
+    fleet = Fleet(1, engines=1)
+    row = Row(LEASE_TABLE, LEASE_KEY, value, 9)
+    lease, renewed_at = fleet.controllers[0]._order_lease._decode_lease(row, 7.0)
+    assert 0 <= lease.fence <= MAX_NUMBER
+    assert 0 <= renewed_at <= MAX_NUMBER
+
+
+@given(st.binary(max_size=60) | st.binary(min_size=48, max_size=48))
+def test_no_row_of_the_secret_raises(value: bytes) -> None:
+    found = decode_secret(Row(SECRET_TABLE, SECRET_KEY, value, 1))
+    assert isinstance(found, InvalidRow) or len(found) == len(value)
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -142,3 +142,20 @@
     orjson.dumps(describe_demand(make_demand(envelope.prompt)))
     allowed = min(4.0, 4.0 if envelope.patience is None else envelope.patience)
     assert allowed <= 4.0
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(
+                [b"x-weight-versions", b"x-instance-id", b"x-not-executed"]
+            ),
+            st.binary(max_size=12),
+        )
+    )
+)
+def test_headers_of_a_server_always_make_marks(
+    headers: list[tuple[bytes, bytes]],
+) -> None:
+    version = read_marks(headers).weights_version
+    assert version is None or 0 <= version < 10**18
