--- /dev/null
+++ b/ashpond/controllers/servernews.py
@@ -0,0 +1,110 @@
+"""What calls here, and peers, tell of backend servers besides their entries."""
+
+from __future__ import annotations
+
+__all__ = ["ServerNews"]
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import trio
+
+from ashpond.controllers.directory import ServerState, ServerTable, StartOrder
+from ashpond.news.items import ServerNotice
+
+if TYPE_CHECKING:
+    from ashpond.clients.channels import ChannelPool
+    from ashpond.decisions.holdings import Holding, Holdings
+    from ashpond.decisions.prompts import Prompt
+    from ashpond.gateway.decisionlog import DecisionLog
+    from ashpond.gateway.rollouts import RolloutController
+    from ashpond.news.room import Newsroom
+
+
+class ServerNews:
+    """Takes what is heard of servers, and tells the peers what was seen here.
+
+    :param get_news: returns where the peers are told.
+    :param get_rollouts: returns who gives orders to engines.
+    :param wake: looks for places for calls that wait.
+    """
+
+    def __init__(
+        self,
+        table: ServerTable,
+        holdings: Holdings,
+        pool: ChannelPool,
+        log: DecisionLog,
+        get_news: Callable[[], Newsroom],
+        get_rollouts: Callable[[], RolloutController],
+        wake: Callable[[], None],
+    ):
+        self._table = table
+        self._holdings = holdings
+        self._pool = pool
+        self._log = log
+        self._get_news = get_news
+        self._get_rollouts = get_rollouts
+        self._wake = wake
+
+    def on_new_start(self, ended: ServerState, state: ServerState) -> None:
+        """Forget what is known, beside the table, of a server's earlier start.
+
+        Calls in flight there end with their connections, which the server's end has
+        broken; none of them counts as not run, whatever the new start knows.
+        """
+        server_id = state.info.id
+        self._holdings.forget_server(server_id)
+        self._pool.forget(ended.owner)
+        self._get_rollouts().forget_start(server_id)
+        self._log.note(
+            "server_started_anew",
+            server=server_id,
+            born=state.info.born,
+            weights=state.weights,
+        )
+        self._wake()
+
+    def on_notice(self, notice: ServerNotice) -> None:
+        """Take a peer's notice of a change at a server."""
+        now = trio.current_time()
+        told = {notice.model: notice.version} if notice.version else {}
+        order = self._table.note_start(notice.server_id, notice.born, now, told)
+        if order is StartOrder.OLDER:
+            return
+        state = self._table.by_id.get(notice.server_id)
+        if notice.is_unreached:
+            if state is not None:
+                state.note_unreached_by_peer(notice.closed_seconds, now)
+            return
+        self._get_rollouts().note_progress()
+        if state is None:
+            return
+        state.learn_weights(notice.model, notice.version)
+        if notice.closed_seconds:
+            state.close_for(notice.closed_seconds, now)
+        else:
+            state.reopen()
+            self._wake()
+
+    def on_holding(self, holding: Holding) -> None:
+        """Take a peer's word of what an engine has read."""
+        now = trio.current_time()
+        order = self._table.note_start(holding.server_id, holding.born, now)
+        if order is not StartOrder.OLDER:
+            self._holdings.note_told(holding, now)
+
+    def note_held(self, state: ServerState, salt: str, prompt: Prompt) -> None:
+        """Note, and tell, that an engine has read a prompt."""
+        if not self._table.is_current(state):
+            return
+        now = trio.current_time()
+        info = state.info
+        for holding in self._holdings.note_read(info.id, salt, prompt, now, info.born):
+            self._get_news().tell_holding(holding)
+
+    def announce_unreached(self, state: ServerState, seconds: float) -> None:
+        """Tell the peers that a server could not be reached."""
+        info = state.info
+        notice = ServerNotice(info.id, "", 0, seconds, True, born=info.born)
+        self._get_news().announce(notice)
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -6,23 +6,21 @@
 
 import random
 import signal
-from collections.abc import Container
 
 import trio
 
 from ashpond.clients.channels import ChannelPool
+from ashpond.controllers.budgets import Budgets
 from ashpond.controllers.cachestores import EVENTS_PREFIX, CacheStores
-from ashpond.controllers.directory import ServerState, StartOrder
 from ashpond.controllers.feeds import Feed, Follower, TableNews
+from ashpond.controllers.servernews import ServerNews
 from ashpond.controllers.storeview import StoreView, build_feeds
-from ashpond.decisions.budget import SendBudget, SendCounts
 from ashpond.decisions.declared import (
     CacheStore,
     IngressLimits,
 )
 from ashpond.decisions.fleetlinks import Member
-from ashpond.decisions.holdings import Holding, Holdings
-from ashpond.decisions.prompts import Prompt
+from ashpond.decisions.holdings import Holdings
 from ashpond.errors import SettingsError
 from ashpond.gateway.admission import admit_call
 from ashpond.gateway.calls import IncomingCall, Reply
@@ -39,7 +37,7 @@
 from ashpond.gateway.sends import Tools
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
 from ashpond.gateway.status import render_status
-from ashpond.news.items import NewsHandlers, ServerNotice
+from ashpond.news.items import NewsHandlers
 from ashpond.news.members import Members
 from ashpond.news.room import Newsroom
 from ashpond.outcomes import Refusal
@@ -92,13 +90,15 @@
         )
         self.knowledge = self.view.knowledge
         self.table = self.view.table
-        self.table.on_new_start = self._on_new_start
         self.holdings = Holdings()
         self.stores = CacheStores(
             lambda: self.news.is_reader, lambda news: self.news.publish(news)
         )
-        self.budgets: dict[str, SendBudget] = {}
-        self.started_at = trio.current_time()
+        self.budgets = Budgets(
+            lambda: self.settings.bounds,
+            lambda: self.news,
+            lambda: self.members.count(),
+        )
         self.leaving = trio.Event()
         self.places = Places(
             self.table,
@@ -110,6 +110,16 @@
             self._find_required_version,
             self.rng,
         )
+        self.servers = ServerNews(
+            self.table,
+            self.holdings,
+            pool,
+            log,
+            lambda: self.news,
+            lambda: self.rollouts,
+            self.places.wake,
+        )
+        self.table.on_new_start = self.servers.on_new_start
         self.members = Members(
             Member(
                 settings.name,
@@ -127,11 +137,11 @@
             self.table,
             log,
             NewsHandlers(
-                self._on_notice,
-                self._on_holding,
-                self._list_sends,
-                self._on_sends,
-                self._keep_peers,
+                self.servers.on_notice,
+                self.servers.on_holding,
+                self.budgets.list_own,
+                self.budgets.note_peer,
+                self.budgets.keep_peers,
                 self._on_table,
             ),
             settings.bounds.retry_window_s,
@@ -159,7 +169,7 @@
             lambda: list(self.members.by_name),
             self.news.announce,
             self.places.wake,
-            self._measure_repeats_left,
+            self.budgets.measure_left,
             settings.bounds.lease_ms / MS,
             lambda: self.news.measure_lag(),
             self.invalid_rows,
@@ -173,10 +183,10 @@
                 platform.id_header,
                 self.knowledge,
                 log,
-                self._get_budget,
+                self.budgets.get,
                 self.members.count,
-                self._note_held,
-                self._announce_unreached,
+                self.servers.note_held,
+                self.servers.announce_unreached,
                 self.rng,
             )
         )
@@ -255,106 +265,12 @@
         declaration = self.knowledge.declaration
         return declaration is not None and service in declaration.services
 
-    def _on_new_start(self, ended: ServerState, state: ServerState) -> None:
-        """Forget what is known, beside the table, of a server's earlier start.
-
-        Calls in flight there end with their connections, which the server's end has
-        broken; none of them counts as not run, whatever the new start knows.
-        """
-        server_id = state.info.id
-        self.holdings.forget_server(server_id)
-        self.pool.forget(ended.owner)
-        self.rollouts.forget_start(server_id)
-        self.log.note(
-            "server_started_anew",
-            server=server_id,
-            born=state.info.born,
-            weights=state.weights,
-        )
-        self.places.wake()
-
-    def _on_notice(self, notice: ServerNotice) -> None:
-        now = trio.current_time()
-        told = {notice.model: notice.version} if notice.version else {}
-        order = self.table.note_start(notice.server_id, notice.born, now, told)
-        if order is StartOrder.OLDER:
-            return
-        state = self.table.by_id.get(notice.server_id)
-        if notice.is_unreached:
-            if state is not None:
-                state.note_unreached_by_peer(notice.closed_seconds, now)
-            return
-        self.rollouts.note_progress()
-        if state is None:
-            return
-        state.learn_weights(notice.model, notice.version)
-        if notice.closed_seconds:
-            state.close_for(notice.closed_seconds, now)
-        else:
-            state.reopen()
-            self.places.wake()
-
-    def _note_held(self, state: ServerState, salt: str, prompt: Prompt) -> None:
-        if not self.table.is_current(state):
-            return
-        now = trio.current_time()
-        info = state.info
-        for holding in self.holdings.note_read(info.id, salt, prompt, now, info.born):
-            self.news.tell_holding(holding)
-
-    def _announce_unreached(self, state: ServerState, seconds: float) -> None:
-        info = state.info
-        self.news.announce(ServerNotice(info.id, "", 0, seconds, True, born=info.born))
-
-    def _on_holding(self, holding: Holding) -> None:
-        now = trio.current_time()
-        order = self.table.note_start(holding.server_id, holding.born, now)
-        if order is not StartOrder.OLDER:
-            self.holdings.note_told(holding, now)
-
-    def _get_budget(self, service: str) -> SendBudget:
-        budget = self._find_budget(service)
-        budget.lag = self.news.measure_lag()
-        return budget
-
-    def _find_budget(self, service: str) -> SendBudget:
-        budget = self.budgets.get(service)
-        if budget is None:
-            bounds = self.settings.bounds
-            budget = SendBudget(
-                bounds.retry_share,
-                bounds.retry_slack,
-                bounds.retry_window_s,
-                self.started_at,
-            )
-            self.budgets[service] = budget
-        return budget
-
-    def _list_sends(self) -> dict[str, SendCounts]:
-        now = trio.current_time()
-        return {name: budget.count_own(now) for name, budget in self.budgets.items()}
-
-    def _on_sends(self, service: str, peer: str, counts: SendCounts) -> None:
-        self._get_budget(service).note_peer(peer, counts, trio.current_time())
-
     def _on_table(self, news: TableNews) -> bool:
         if news.table.startswith(EVENTS_PREFIX):
             return self.stores.take(news)
         follower = self.followers.get(news.table)
         return follower is not None and follower.take(news)
 
-    def _keep_peers(self, peers: Container[str]) -> None:
-        for budget in self.budgets.values():
-            budget.keep_peers(peers)
-
-    def _measure_repeats_left(self, service: str) -> float:
-        """Return how many streams a load may cut, which then are sent once more."""
-        now = trio.current_time()
-        budget = self._get_budget(service)
-        if self.news.links.group:
-            return budget.measure_fleet_left(now)
-        return budget.measure_left(self.members.count(), now)
-
     def _get_limits(self) -> IngressLimits:
         declaration = self.knowledge.declaration
         return declaration.limits if declaration else IngressLimits()
@@ -411,7 +327,7 @@
             self.log.note("settings_refused", problems=str(error))
             return
         if has_changed:
-            self.budgets.clear()
+            self.budgets.begin_anew()
             for feed in self._build_feeds():
                 self.followers[feed.table].feed = feed
             self.log.note("reload", cause=cause, settings=self.settings._asdict())
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -46,7 +46,7 @@
         "log_lines_dropped": dict(gateway.log.dropped),
         "repeats_left": {
             service: round(budget.measure_left(instances, now), 1)
-            for service, budget in gateway.budgets.items()
+            for service, budget in gateway.budgets.by_service.items()
         },
         "servers": [
             _describe_server(gateway, state, now) for state in gateway.table.list_all()
--- a/ashpond/news/links.py
+++ b/ashpond/news/links.py
@@ -8,19 +8,21 @@
     "PEER_ERRORS",
     "SCOPES",
     "await_end",
+    "is_first_reached",
     "limit_holdings",
     "receive_news",
     "strip_life",
 ]
 
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from enum import Enum, auto
 
 import trio
 
 from ashpond.clients.peer import News, Notices, PeerStream, TableChanges
 from ashpond.controllers.feeds import TableNews
+from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.holdings import Holding
 from ashpond.errors import FrameError
 from ashpond.news.fleetview import Scope, Work
@@ -67,15 +69,20 @@
 }
 
 
-def limit_holdings(link_mbps: float, links: int, turn: float) -> int:
-    """Return how many holdings a hub tells each peer in a turn.
+def limit_holdings(
+    audience: Audience, link_mbps: float, groups: int, turn: float
+) -> int:
+    """Return how many holdings an instance tells a peer in a turn.
 
     :param link_mbps: what its machine's network link carries, 0 if that is not known.
-    :param links: how many peers it tells.
+    :param groups: how many other groups there are; about as many members has its own.
     :param turn: the time between two turns (seconds).
     """
+    if audience is Audience.EQUAL:
+        return MAX_PENDING_HOLDINGS
     bytes_a_turn = link_mbps * BYTES_PER_MBIT * HOLDINGS_SHARE * turn
-    fitting = int(bytes_a_turn / (max(1, links) * HOLDING_BYTES))
+    links = 2 * max(1, groups)
+    fitting = int(bytes_a_turn / (links * HOLDING_BYTES))
     return max(MIN_GROUP_HOLDINGS, min(MAX_GROUP_HOLDINGS, fitting))
 
 
@@ -149,6 +156,25 @@
         del self.holdings[self.max_holdings :]
 
 
+def is_first_reached(
+    name: str,
+    other_hubs: Iterable[Sequence[Member]],
+    links: Mapping[tuple[Audience, Member], Link],
+) -> bool:
+    """Return whether no candidate of its group goes before one that can be reached.
+
+    :param other_hubs: the candidates of the other groups, the first choice first.
+    """
+    for candidates in other_hubs:
+        names = [member.name for member in candidates]
+        if name not in names:
+            continue
+        before = candidates[: names.index(name)]
+        found = [links.get((Audience.OTHER_HUB, member)) for member in before]
+        return not any(link and link.is_connected for link in found)
+    return True
+
+
 async def await_end(*tasks: Callable[[], Awaitable[None]]) -> str:
     """Run tasks until one of them fails; return the reason."""
     reasons: list[str] = []
--- a/ashpond/news/room.py
+++ b/ashpond/news/room.py
@@ -32,22 +32,19 @@
     decode_changes,
     decode_news,
     decode_notices,
-    encode_changes,
-    encode_news,
-    encode_notices,
 )
 from ashpond.news.links import (
-    MAX_PENDING_HOLDINGS,
     PEER_ERRORS,
-    SCOPES,
     Audience,
     Link,
     await_end,
+    is_first_reached,
     limit_holdings,
     receive_news,
     strip_life,
 )
 from ashpond.news.members import Members
+from ashpond.news.sending import SEND_SECONDS, send_digest, send_urgent
 
 LIFE_BYTES = 4
 # Loads are told at most so often in a flat fleet, and at least so often (seconds).
@@ -57,8 +54,6 @@
 GROUP_NEWS_SECONDS = 0.12
 # From one instance over two hubs to another: three steps, on machines that are busy.
 GROUP_LAG_SECONDS = 1.2
-# A peer that does not take a frame within this is connected to anew (seconds).
-SEND_SECONDS = 1.0
 # Instances that restart together reach one another some 0.1 s later.
 RECONNECT_SECONDS = 0.15
 RECONNECT_LIMIT_SECONDS = 2.4
@@ -251,32 +246,16 @@
         """
         link.is_due = True
         while True:
-            await self._send_urgent(link, stream)
+            await send_urgent(self._life, link, stream)
             if link.is_due:
                 link.is_due = False
                 now = trio.current_time()
                 work = self._build_work(link, now)
-                await self._send_digest(link, stream, work)
+                await send_digest(self._life, self.links.group, link, stream, work)
                 link.sent = work
                 link.sent_at = now
             await link.wait()
 
-    async def _send_urgent(self, link: Link, stream: PeerStream) -> None:
-        scope = SCOPES[link.audience]
-        while link.tables:
-            changes = encode_changes(self._life, scope, link.tables.popleft())
-            with trio.fail_after(SEND_SECONDS):
-                await stream.send(changes)
-        if not link.notices or link.is_due:
-            return
-        notices, link.notices = link.notices, []
-        try:
-            with trio.fail_after(SEND_SECONDS):
-                await stream.send(encode_notices(self._life, scope, notices))
-        except BaseException:
-            link.put_back(notices, [])
-            raise
-
     def _is_due(self, link: Link, now: float) -> bool:
         """Return whether a peer should be told of the work, and what has happened."""
         if link.sent is None or now - link.sent_at >= HEARTBEAT_SECONDS:
@@ -287,22 +266,6 @@
             return True
         return self._build_work(link, now).loads != link.sent.loads
 
-    async def _send_digest(self, link: Link, stream: PeerStream, work: Work) -> None:
-        notices, holdings = link.take()
-        scope = SCOPES[link.audience]
-        digest = Digest(scope, self.links.group, work, notices, holdings)
-        news = encode_news(self._life, digest)
-        try:
-            with trio.fail_after(SEND_SECONDS):
-                await stream.send(news)
-        except FrameError:
-            # Too large: it would end the next connection as well.
-            raise
-        except BaseException:
-            # The peer takes nothing of a message that did not go out whole.
-            link.put_back(notices, holdings)
-            raise
-
     def _build_work(self, link: Link, now: float) -> Work:
         own = Work(self._table.list_own_loads(), self._handlers.list_sends())
         if link.audience is Audience.OTHER_HUB:
@@ -322,26 +285,13 @@
             hub = self.view.find_hub(trio.current_time())
             return hub is None or strip_life(hub) == link.name
         if link.audience is Audience.OTHER_HUB:
-            return self._is_first_reached(link)
-        return True
-
-    def _is_first_reached(self, link: Link) -> bool:
-        """Return whether no candidate goes before this one that can be reached."""
-        for candidates in self.links.other_hubs:
-            names = [member.name for member in candidates]
-            if link.name not in names:
-                continue
-            before = candidates[: names.index(link.name)]
-            links = [self._outgoing.get((Audience.OTHER_HUB, m)) for m in before]
-            return not any(other and other.is_connected for other in links)
+            return is_first_reached(link.name, self.links.other_hubs, self._outgoing)
         return True
 
     def _limit_holdings(self, audience: Audience) -> int:
-        if audience is Audience.EQUAL:
-            return MAX_PENDING_HOLDINGS
-        # The other groups, and as many members as a group has.
-        links = 2 * len(self.links.other_hubs)
-        return limit_holdings(self.members.own.link_mbps, links, self._choose_pause())
+        link_mbps = self.members.own.link_mbps
+        groups = len(self.links.other_hubs)
+        return limit_holdings(audience, link_mbps, groups, self._choose_pause())
 
     def _choose_pause(self) -> float:
         return GROUP_NEWS_SECONDS if self.links.group else NEWS_SECONDS
--- /dev/null
+++ b/ashpond/news/sending.py
@@ -0,0 +1,59 @@
+"""Send a peer what waits for it on its link; what does not go out whole stays there."""
+
+from __future__ import annotations
+
+__all__ = ["SEND_SECONDS", "send_digest", "send_urgent"]
+
+import trio
+
+from ashpond.clients.peer import PeerStream
+from ashpond.errors import FrameError
+from ashpond.news.fleetview import Work
+from ashpond.news.items import Digest, encode_changes, encode_news, encode_notices
+from ashpond.news.links import SCOPES, Link
+
+# A peer that does not take a frame within this is connected to anew (seconds).
+SEND_SECONDS = 1.0
+
+
+async def send_urgent(life: str, link: Link, stream: PeerStream) -> None:
+    """Tell changes of tables, and notices that need not wait for a digest.
+
+    :param life: the sender's.
+    """
+    scope = SCOPES[link.audience]
+    while link.tables:
+        changes = encode_changes(life, scope, link.tables.popleft())
+        with trio.fail_after(SEND_SECONDS):
+            await stream.send(changes)
+    if not link.notices or link.is_due:
+        return
+    notices, link.notices = link.notices, []
+    try:
+        with trio.fail_after(SEND_SECONDS):
+            await stream.send(encode_notices(life, scope, notices))
+    except BaseException:
+        link.put_back(notices, [])
+        raise
+
+
+async def send_digest(
+    life: str, group: str, link: Link, stream: PeerStream, work: Work
+) -> None:
+    """Tell the work, and with it the notices and holdings that wait.
+
+    :param life: the sender's, of the group ``group``.
+    """
+    notices, holdings = link.take()
+    digest = Digest(SCOPES[link.audience], group, work, notices, holdings)
+    news = encode_news(life, digest)
+    try:
+        with trio.fail_after(SEND_SECONDS):
+            await stream.send(news)
+    except FrameError:
+        # Too large: it would end the next connection as well.
+        raise
+    except BaseException:
+        # The peer takes nothing of a message that did not go out whole.
+        link.put_back(notices, holdings)
+        raise
--- /dev/null
+++ b/tests/followed.py
@@ -0,0 +1,72 @@
+"""Build a table that is followed, and what has been told of it."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+import trio.testing
+
+from ashpond.controllers.feeds import (
+    Feed,
+    Follower,
+    TableNews,
+)
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.store import Snapshot, StoreClock
+from ashpond.standins.tables import MemoryStore
+
+PATIENCE_SECONDS = 3.0
+
+
+class Followed:
+    """What a feed has told."""
+
+    def __init__(self, store: MemoryStore, pause: float = 0.0):
+        self.rows: dict[str, bytes | None] = {}
+        self.wholes = 0
+        self.failures = 0
+        self.log = DecisionLog("test")
+        self.is_reader = True
+        self.published: list[TableNews] = []
+        self.as_of = float("-inf")
+        self.greatest_age = 0.0
+        self.store = store
+        self.follower = Follower(
+            Feed("t", 2.0, pause, PATIENCE_SECONDS, self.on_rows, self.on_failure),
+            store.build_port(),
+            StoreClock(),
+            self.log,
+            lambda: self.is_reader,
+            self.published.append,
+        )
+
+    def on_rows(self, snapshot: Snapshot, is_whole: bool, as_of: float) -> None:
+        if self.wholes:
+            age = trio.current_time() - self.as_of
+            self.greatest_age = max(self.greatest_age, age)
+        self.as_of = max(self.as_of, as_of)
+        if is_whole:
+            self.rows = {}
+            self.wholes += 1
+        self.rows |= {row.key: row.value for row in snapshot.rows}
+
+    def on_failure(self) -> None:
+        self.failures += 1
+
+    async def run(self) -> None:
+        await self.follower.run()
+
+    def list_events(self) -> list[str]:
+        return [line["event"] for line in self.log._lines]
+
+
+@asynccontextmanager
+async def running(*followed: Followed) -> AsyncIterator[None]:
+    """Have each follow its table meanwhile."""
+    async with trio.open_nursery() as nursery:
+        for one in followed:
+            nursery.start_soon(one.run)
+        yield
+        nursery.cancel_scope.cancel()
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -2,68 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import pytest
 import trio
 import trio.testing
 
 from ashpond.controllers.feeds import (
-    RESYNC_SECONDS,
     RETRY_LIMIT_SECONDS,
-    Feed,
-    Follower,
-    TableNews,
 )
 from ashpond.controllers.storeview import OPERATOR_WAIT_SHARE, READERS_SILENCE_SHARE
 from ashpond.gateway.admission import AGE_SHARE
-from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.store import Row, Snapshot, StoreClock
 from ashpond.standins.tables import MemoryStore
-
-PATIENCE_SECONDS = 3.0
-
-
-class Followed:
-    """What a feed has told."""
-
-    def __init__(self, store: MemoryStore, pause: float = 0.0):
-        self.rows: dict[str, bytes | None] = {}
-        self.wholes = 0
-        self.failures = 0
-        self.log = DecisionLog("test")
-        self.is_reader = True
-        self.published: list[TableNews] = []
-        self.as_of = float("-inf")
-        self.greatest_age = 0.0
-        self.store = store
-        self.follower = Follower(
-            Feed("t", 2.0, pause, PATIENCE_SECONDS, self.on_rows, self.on_failure),
-            store.build_port(),
-            StoreClock(),
-            self.log,
-            lambda: self.is_reader,
-            self.published.append,
-        )
-
-    def on_rows(self, snapshot: Snapshot, is_whole: bool, as_of: float) -> None:
-        if self.wholes:
-            age = trio.current_time() - self.as_of
-            self.greatest_age = max(self.greatest_age, age)
-        self.as_of = max(self.as_of, as_of)
-        if is_whole:
-            self.rows = {}
-            self.wholes += 1
-        self.rows |= {row.key: row.value for row in snapshot.rows}
-
-    def on_failure(self) -> None:
-        self.failures += 1
-
-    async def run(self) -> None:
-        await self.follower.run()
-
-    def list_events(self) -> list[str]:
-        return [line["event"] for line in self.log._lines]
+from tests.followed import PATIENCE_SECONDS, Followed, running
 
 
 async def test_changes_arrive_at_once(autojump_clock: object) -> None:
@@ -121,40 +70,6 @@
     assert events.count("store_regained") == 1
 
 
-async def test_who_is_told_asks_the_store_no_more(autojump_clock: object) -> None:
-    store = MemoryStore()
-    reader, other = Followed(store), Followed(store)
-    other.is_reader = False
-    reader.follower._publish = other.follower.take  # type: ignore[assignment]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(reader.run)
-        nursery.start_soon(other.run)
-        await trio.sleep(1.0)
-        calls = len(store.calls)
-        store.put("t", "a", b"1")
-        await trio.sleep(0.1)
-        assert other.rows == {"a": b"1"}
-        await trio.sleep(RESYNC_SECONDS / 2)
-        asked = len(store.calls) - calls
-        assert asked <= RESYNC_SECONDS / 2 / 2.0 + 3
-        assert trio.current_time() - other.as_of < 2.1
-        nursery.cancel_scope.cancel()
-
-
-async def test_silent_readers_are_not_waited_for(autojump_clock: object) -> None:
-    store = MemoryStore()
-    other = Followed(store)
-    other.is_reader = False
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(other.run)
-        await trio.sleep(1.0)
-        store.put("t", "a", b"1")
-        await trio.sleep(PATIENCE_SECONDS)
-        assert other.rows == {"a": b"1"}
-        assert trio.current_time() - other.as_of < PATIENCE_SECONDS + 0.1
-        nursery.cancel_scope.cancel()
-
-
 # Bounds of revocation and times that a store takes to answer, in seconds.
 @pytest.mark.parametrize(
     ("bound", "answer_seconds"),
@@ -194,8 +109,7 @@
     """
     store = MemoryStore()
     followed = Followed(store)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(followed.run)
+    async with running(followed):
         await trio.sleep(0.1)
         store.is_down = True
         store.put("other", "x", b"1")
@@ -204,212 +118,3 @@
         back_at = trio.current_time()
         await trio.sleep(RETRY_LIMIT_SECONDS + 0.1)
         assert followed.as_of >= back_at
-        nursery.cancel_scope.cancel()
-
-
-async def test_who_relies_on_a_reader_that_reads_anew_learns_the_same(
-    autojump_clock: object,
-) -> None:
-    """A reader whose history was lost told no one what it then read.
-
-    Evidence: soak seed 6004: a reader read the members anew, learned from them of an
-    instance that was to be its group's hub, and left the hub's work to it. Its member,
-    told of nothing, kept to the former hub and heard no news for 14 s.
-    """
-    store = MemoryStore()
-    store.put("t", "a", b"1")
-    reader, other = Followed(store), Followed(store)
-    other.is_reader = False
-    reader.follower._publish = other.follower.take  # type: ignore[assignment]
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(reader.run)
-        nursery.start_soon(other.run)
-        await trio.sleep(0.1)
-        store.put("other", "x", b"1")
-        store.forget_history()
-        store.put("t", "b", b"2")
-        await trio.sleep(0.1)
-        assert reader.wholes == 2
-        assert other.rows == {"a": b"1", "b": b"2"}
-        nursery.cancel_scope.cancel()
-
-
-async def test_what_a_hub_has_asked_for_itself_reaches_its_members(
-    autojump_clock: object,
-) -> None:
-    """A hub that missed a change closed the gap for itself and left its group with it.
-
-    Evidence: trials on the trace of soak seed 6004: after a lost history the members of
-    a group whose hub is no reader learned of a new instance 17.6 s later, the others
-    after 0.3 s.
-    """
-    store = MemoryStore()
-    reader, hub, member = Followed(store), Followed(store), Followed(store)
-    hub.is_reader = member.is_reader = False
-    told: list[TableNews] = []
-    reader.follower._publish = told.append
-
-    def pass_on(news: TableNews) -> None:
-        member.follower.take(news)
-
-    hub.follower._publish = pass_on
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(reader.run)
-        nursery.start_soon(hub.run)
-        nursery.start_soon(member.run)
-        await trio.sleep(0.1)
-        store.put("t", "a", b"1")
-        await trio.sleep(0.1)
-        store.put("t", "b", b"2")
-        await trio.sleep(0.1)
-        calls = len(store.calls)
-        assert not hub.follower.take(told[-1])
-        await trio.sleep(0.1)
-        assert hub.rows == {"a": b"1", "b": b"2"}
-        assert member.rows == hub.rows
-        # Nor did the member ask for what its hub had asked for.
-        assert len(store.calls) == calls + 1
-        store.put("other", "x", b"1")
-        store.forget_history()
-        store.put("t", "c", b"3")
-        await trio.sleep(0.1)
-        assert not hub.follower.take(told[-1])
-        await trio.sleep(0.1)
-        assert hub.rows == {"a": b"1", "b": b"2", "c": b"3"}
-        assert member.rows == hub.rows
-        nursery.cancel_scope.cancel()
-
-
-async def test_a_reader_that_starts_sends_no_one_to_the_store(
-    autojump_clock: object,
-) -> None:
-    """Only what was lost has to be asked for; a first answer tells others nothing."""
-    store = MemoryStore()
-    store.put("t", "a", b"1")
-    reader = Followed(store)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(reader.run)
-        await trio.sleep(0.1)
-        assert reader.wholes == 1
-        assert reader.published == []
-        nursery.cancel_scope.cancel()
-
-
-async def test_a_missed_change_is_asked_for(autojump_clock: object) -> None:
-    store = MemoryStore()
-    other = Followed(store)
-    other.is_reader = False
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(other.run)
-        await trio.sleep(0.1)
-        store.put("t", "a", b"1")
-        store.put("t", "b", b"2")
-        news = TableNews("t", 1, 2, 0.0, (Row("t", "b", b"2", 2),))
-        assert not other.follower.take(news)
-        await trio.sleep(0.1)
-        assert other.rows == {"a": b"1", "b": b"2"}
-        nursery.cancel_scope.cancel()
-
-
-async def test_a_gap_that_shows_while_a_call_is_out_is_asked_for(
-    autojump_clock: object,
-) -> None:
-    """An answer made before a change was missed does not count the gap as closed.
-
-    Evidence: looked for after an incident in which one task acted on what it had
-    known before another went on; the change was taken up 3.0 s later, not at once.
-    """
-    store = MemoryStore()
-    other = Followed(store)
-    other.is_reader = False
-    answer_made, told = trio.Event(), trio.Event()
-    follow = store.follow
-
-    async def follow_slowly(table: str, after: int, wait: float) -> Any:
-        answer = await follow(table, after, wait)
-        if not told.is_set():
-            answer_made.set()
-            await told.wait()
-        return answer
-
-    other.follower._store = store.build_port()._replace(follow=follow_slowly)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(other.run)
-        await answer_made.wait()
-        store.put("t", "a", b"1")
-        store.put("t", "b", b"2")
-        news = TableNews("t", 1, 2, 0.0, (Row("t", "b", b"2", 2),))
-        assert not other.follower.take(news)
-        told.set()
-        await trio.sleep(0.1)
-        assert other.rows == {"a": b"1", "b": b"2"}
-        nursery.cancel_scope.cancel()
-
-
-async def test_old_news_change_nothing(autojump_clock: object) -> None:
-    store = MemoryStore()
-    other = Followed(store)
-    other.is_reader = False
-    store.put("t", "a", b"1")
-    store.put("t", "a", b"2")
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(other.run)
-        await trio.sleep(0.1)
-        as_of = other.as_of
-        news = TableNews("t", 0, 1, 0.0, (Row("t", "a", b"1", 1),))
-        assert not other.follower.take(news)
-        assert other.rows == {"a": b"2"}
-        assert other.as_of == as_of
-        nursery.cancel_scope.cancel()
-
-
-async def test_news_from_the_future_of_the_store_are_not_believed(
-    autojump_clock: object,
-) -> None:
-    """The store's clock has started anew, or the sender's idea of it is wrong."""
-    store = MemoryStore()
-    other = Followed(store)
-    other.is_reader = False
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(other.run)
-        await trio.sleep(0.1)
-        as_of = other.as_of
-        later = store.clock_offset + trio.current_time() + 5.0
-        assert not other.follower.take(TableNews("t", 0, 0, later, ()))
-        assert other.as_of == as_of
-        nursery.cancel_scope.cancel()
-
-
-async def test_one_table_is_asked_for_to_set_the_clock_right(
-    autojump_clock: object,
-) -> None:
-    """Each of three did so: 585 calls a minute of 195 instances, where 195 do."""
-    store = MemoryStore()
-    clock = StoreClock()
-    followed = [Followed(store) for _ in range(3)]
-    reader = Followed(store)
-    for one in followed:
-        one.is_reader = False
-        one.follower._clock = clock
-        one.follower._publish = lambda news: None
-
-    def pass_on(news: TableNews) -> None:
-        for one in followed:
-            one.follower.take(news)
-
-    reader.follower._publish = pass_on
-    asked: list[float] = []
-    follow = followed[0].follower._store.follow
-
-    async def count(*arguments: Any) -> Any:
-        asked.append(trio.current_time())
-        return await follow(*arguments)
-
-    for one in followed:
-        one.follower._store = one.follower._store._replace(follow=count)
-    async with trio.open_nursery() as nursery:
-        for one in (*followed, reader):
-            nursery.start_soon(one.run)
-        await trio.sleep(RESYNC_SECONDS * 3.5)
-        nursery.cancel_scope.cancel()
-    assert 3 <= len(asked) <= 4
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -223,10 +223,10 @@
 def test_a_hub_tells_as_many_holdings_as_its_link_bears() -> None:
     """A narrow machine's link has to carry answers; a wide one loses two of three."""
     turn = 0.12
-    assert limit_holdings(200.0, 30, turn) == MAX_GROUP_HOLDINGS
-    assert limit_holdings(20.0, 30, turn) == MIN_GROUP_HOLDINGS
-    assert limit_holdings(0.0, 30, turn) == MIN_GROUP_HOLDINGS
-    between = limit_holdings(60.0, 30, turn)
+    assert limit_holdings(Audience.MEMBER, 200.0, 15, turn) == MAX_GROUP_HOLDINGS
+    assert limit_holdings(Audience.MEMBER, 20.0, 15, turn) == MIN_GROUP_HOLDINGS
+    assert limit_holdings(Audience.MEMBER, 0.0, 15, turn) == MIN_GROUP_HOLDINGS
+    between = limit_holdings(Audience.OTHER_HUB, 60.0, 15, turn)
     assert MIN_GROUP_HOLDINGS < between < MAX_GROUP_HOLDINGS
     spent = between * HOLDING_BYTES * 30 / turn
     assert spent <= 60.0 * BYTES_PER_MBIT * HOLDINGS_SHARE
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -72,7 +72,7 @@
     state.learn_weights(MODEL, 3)
     state.load = Load(5, 100, 100)
     state.note_unreached(0.0)
-    gateway._note_held(state, SALT, PROMPT)
+    gateway.servers.note_held(state, SALT, PROMPT)
     peer = make_table(make_server("a", born=1000))
     peer.by_id["a"].load = Load(4)
     gateway.table.note_peer_loads("p", peer.list_own_loads(), 0.0)
@@ -135,14 +135,14 @@
 
 async def test_a_new_start_seen_first_by_a_peer() -> None:
     gateway = make_used_gateway()
-    gateway._on_notice(ServerNotice("a", MODEL, 2, 0.0, born=2000))
+    gateway.servers.on_notice(ServerNotice("a", MODEL, 2, 0.0, born=2000))
     assert assert_forgotten(gateway).weights == {MODEL: 2}
 
 
 async def test_a_new_start_told_with_what_it_has_read() -> None:
     gateway = make_used_gateway()
     parts = [part.id for part in PROMPT.parts[:-1]]
-    gateway._on_holding(Holding("a", SALT, parts[0], 2000))
+    gateway.servers.on_holding(Holding("a", SALT, parts[0], 2000))
     now = trio.current_time()
     # Of its weights nothing was told: what its entry said last is believed.
     assert gateway.table.by_id["a"].weights == {MODEL: 1}
@@ -153,8 +153,8 @@
     gateway = make_used_gateway()
     gateway.table.update(make_server("a", born=2000), 0.0)
     state = gateway.table.by_id["a"]
-    gateway._on_notice(ServerNotice("a", MODEL, 9, 5.0, born=1000))
-    gateway._on_holding(Holding("a", SALT, PROMPT.parts[0].id, 1000))
+    gateway.servers.on_notice(ServerNotice("a", MODEL, 9, 5.0, born=1000))
+    gateway.servers.on_holding(Holding("a", SALT, PROMPT.parts[0].id, 1000))
     gateway.table.update(make_server("a", born=1000, weights={MODEL: 9}), 0.0)
     assert gateway.table.note_start("a", 1000, 0.0, {MODEL: 9}) is StartOrder.OLDER
     assert gateway.table.by_id["a"] is state
@@ -163,7 +163,7 @@
 
 async def test_two_starts_within_a_heartbeat_told_out_of_order() -> None:
     gateway = make_used_gateway()
-    gateway._on_notice(ServerNotice("a", MODEL, 1, 0.0, born=3000))
+    gateway.servers.on_notice(ServerNotice("a", MODEL, 1, 0.0, born=3000))
     state = gateway.table.by_id["a"]
     gateway.table.update(make_server("a", born=2000, is_draining=True), 0.0)
     assert gateway.table.by_id["a"] is state
@@ -175,8 +175,8 @@
     gateway = make_used_gateway()
     state = gateway.table.by_id["a"]
     gateway.table.update(make_server("a", born=1000), 0.0)
-    gateway._on_notice(ServerNotice("a", MODEL, 3, 0.0, born=1000))
-    gateway._on_notice(ServerNotice("a", MODEL, 3, 0.0))
+    gateway.servers.on_notice(ServerNotice("a", MODEL, 3, 0.0, born=1000))
+    gateway.servers.on_notice(ServerNotice("a", MODEL, 3, 0.0))
     assert gateway.table.by_id["a"] is state
     assert state.load == Load(5, 100, 100)
     assert gateway.rollouts._accepted == {"a": 7}
@@ -186,7 +186,7 @@
     gateway = make_gateway()
     gateway.table.update(make_server("a"), 0.0)
     state = gateway.table.by_id["a"]
-    gateway._on_notice(ServerNotice("a", MODEL, 1, 0.0, born=1000))
+    gateway.servers.on_notice(ServerNotice("a", MODEL, 1, 0.0, born=1000))
     assert gateway.table.by_id["a"] is state
     assert state.info.born == 1000
     gateway.table.update(make_server("a"), 0.0)
@@ -212,7 +212,7 @@
     gateway.table.update(make_server("a", born=2000), 0.0)
     state = gateway.table.by_id["a"]
     place = gateway.places.note_read(place)
-    gateway._note_held(place.state, SALT, PROMPT)
+    gateway.servers.note_held(place.state, SALT, PROMPT)
     gateway.places.give_back(place)
     assert state.load == Load()
     assert not gateway.holdings.find_holders(SALT, PROMPT, trio.current_time())
