--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -55,7 +55,8 @@
 # Kept back from the grace period for the end of the process (seconds).
 GRACE_MARGIN_SECONDS = 0.4
 HOUSEKEEPING_SECONDS = 0.5
-# What engines were heard to hold ages on its own; only its memory is freed so often.
+# What engines were heard to hold ages on its own; only its memory is freed so often
+# (seconds). Twice a second it took 0.2 % of a core among 195 instances, 1 ms each time.
 SWEEP_SECONDS = 2.0
 # The settings file may change without a signal; it is read again so often.
 SETTINGS_SECONDS = 2.0
--- a/tests/test_news_groups.py
+++ b/tests/test_news_groups.py
@@ -275,3 +275,28 @@
         await trio.sleep(NEWS_SECONDS * 1.1)
         assert woken == 2
         nursery.cancel_scope.cancel()
+
+
+async def test_a_hub_adds_up_nothing_for_those_that_stand_by(
+    autojump_clock: object,
+) -> None:
+    """Of a hub's 38 links 15 stand by: it added up for each of them each turn."""
+    instance = Instance("i0", MemoryStore(), find_free_port(), mesh_limit=4)
+    first, standby = Member("h1", "127.0.0.1:9", "e"), Member("h2", "127.0.0.1:9", "e")
+    instance.news.links = instance.news.links._replace(other_hubs=((first, standby),))
+    built: list[str] = []
+    build = instance.news._build_work
+
+    def count(link: Link, now: float) -> object:
+        built.append(link.name)
+        return build(link, now)
+
+    instance.news._build_work = count  # type: ignore[method-assign,assignment]
+    for member in (first, standby):
+        link = Link(Audience.OTHER_HUB, member.name)
+        link.is_connected = True
+        link.sent, link.sent_at = build(link, 0.0), 0.0
+        instance.news._outgoing[Audience.OTHER_HUB, member] = link
+    now = HEARTBEAT_SECONDS / 2
+    assert not any(instance.news._is_due(li, now) for li in instance.news.list_links())
+    assert built == ["h1"]
--- a/tests/test_rollout_pace.py
+++ b/tests/test_rollout_pace.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import trio
 
 from ashpond.decisions.loads import Load
 from ashpond.gateway.orderlease import LEASE_TABLE
-from ashpond.gateway.rollouts import BOUND_SECONDS, MANY_LOADING_SHARE
+from ashpond.gateway.rollouts import (
+    BOUND_SECONDS,
+    MANY_LOADING_SHARE,
+    TICK_SECONDS,
+    WATCH_SECONDS,
+)
 from ashpond.news.items import ServerNotice
 from tests.fleet import Fleet, run_until_current
 
@@ -90,3 +97,28 @@
         await trio.sleep(0.3)
         assert [sent.order.cuts_runs for sent in fleet.engines.orders] == [True]
         nursery.cancel_scope.cancel()
+
+
+async def test_those_that_only_watch_for_the_holder_look_seldom(
+    autojump_clock: object,
+) -> None:
+    """Each of 195 looked at all servers, and ranked all members, ten times a second."""
+    fleet = Fleet(8, engines=4)
+    fleet.engines.load_seconds = 3.0
+    looks = dict.fromkeys(range(8), 0)
+    for number, controller in enumerate(fleet.controllers):
+
+        def find(number: int = number, real: Any = controller._find_lagging) -> Any:
+            looks[number] += 1
+            return real()
+
+        controller._find_lagging = find  # type: ignore[method-assign]
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        await trio.sleep(3.0)
+        nursery.cancel_scope.cancel()
+    holder = max(looks, key=lambda number: looks[number])
+    assert fleet.list_holders() == [f"i{holder}"]
+    assert looks.pop(holder) >= 3.0 / TICK_SECONDS * 0.9
+    assert max(looks.values()) <= 3.0 / WATCH_SECONDS + 2
