Show in the logs which requests are the same, and which servers have ended

Cause of the gap: a broken stream, a refused connection and an entry that goes stand by themselves, and nothing in a line says that two requests are one.

Now each send names its request by a keyed digest of team, host, method, target and body, and a server whose sends broke is connected to once: refused, it has ended. A new start under its id, another server at its address and its entry's going count as well, for what broke there a short time before. One line names the start, the sign and the requests in flight.

Who finds a server refusing connections this way tells the others at once, as who meets it by a request did before.

Tests: test_serverends.py.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -8,10 +8,18 @@
 
 from __future__ import annotations
 
-__all__ = ["Channel", "ChannelError", "ChannelPool", "Outgoing", "Response"]
+__all__ = [
+    "Channel",
+    "ChannelError",
+    "ChannelPool",
+    "Outgoing",
+    "Reach",
+    "Response",
+]
 
 import socket
 from collections.abc import Callable
+from enum import Enum, auto
 from typing import NamedTuple
 
 import h11
@@ -34,11 +42,23 @@
 
 
 class ChannelError(AshpondError):
-    """An exchange failed; ``is_sent`` tells whether any byte may have left."""
+    """An exchange failed; ``is_sent`` tells whether any byte may have left.
 
-    def __init__(self, reason: str, *, is_sent: bool):
+    ``is_refused`` tells that nobody listens at the server's address.
+    """
+
+    def __init__(self, reason: str, *, is_sent: bool, is_refused: bool = False):
         super().__init__(reason)
         self.is_sent = is_sent
+        self.is_refused = is_refused
+
+
+class Reach(Enum):
+    """What an attempt to connect to a server shows."""
+
+    CONNECTED = auto()
+    REFUSED = auto()
+    UNKNOWN = auto()
 
 
 class Outgoing(NamedTuple):
@@ -246,6 +266,10 @@
         self._conn.start_next_cycle()
         return True
 
+    def note_idle(self) -> None:
+        """Count the time without a request from now on."""
+        self._idle_since = self._clock()
+
     def is_usable(self, now: float) -> bool:
         """Return whether an idle connection may carry another request."""
         if now - self._idle_since > self._idle_seconds:
@@ -308,13 +332,26 @@
             watch_liveness(sock)
         except (OSError, trio.TooSlowError) as error:
             sock.close()
-            raise ChannelError(f"no connection: {error!r}", is_sent=False) from error
+            is_refused = isinstance(error, ConnectionRefusedError)
+            raise ChannelError(
+                f"no connection: {error!r}", is_sent=False, is_refused=is_refused
+            ) from error
         except BaseException:
             sock.close()
             raise
         self.opened += 1
         return Channel(trio.SocketStream(sock), self._clock)
 
+    async def check(self, owner: str, address: str) -> Reach:
+        """Connect anew to see whether a server lives; a connection is kept for use."""
+        try:
+            channel = await self._connect(address)
+        except ChannelError as error:
+            return Reach.REFUSED if error.is_refused else Reach.UNKNOWN
+        channel.note_idle()
+        self._idle.setdefault(owner, []).append(channel)
+        return Reach.CONNECTED
+
     def release(self, owner: str, channel: Channel) -> None:
         """Take back a connection after a complete exchange."""
         if channel.make_idle():
--- a/ashpond/controllers/servernews.py
+++ b/ashpond/controllers/servernews.py
@@ -10,6 +10,7 @@
 import trio
 
 from ashpond.controllers.directory import ServerState, ServerTable, StartOrder
+from ashpond.controllers.serverends import EndEvidence, ServerEnds
 from ashpond.news.items import ServerNotice
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
         table: ServerTable,
         holdings: Holdings,
         pool: ChannelPool,
+        ends: ServerEnds,
         log: DecisionLog,
         get_news: Callable[[], Newsroom],
         get_rollouts: Callable[[], RolloutController],
@@ -42,6 +44,7 @@
         self._table = table
         self._holdings = holdings
         self._pool = pool
+        self._ends = ends
         self._log = log
         self._get_news = get_news
         self._get_rollouts = get_rollouts
@@ -56,6 +59,7 @@
         server_id = state.info.id
         self._holdings.forget_server(server_id)
         self._pool.forget(ended.owner)
+        self._ends.note_ended(ended, EndEvidence.NEW_START)
         self._get_rollouts().forget_start(server_id)
         self._log.note(
             "server_started_anew",
@@ -103,6 +107,17 @@
         for holding in self._holdings.note_read(info.id, salt, prompt, now, info.born):
             self._get_news().tell_holding(holding)
 
+    def on_gone(self, gone: ServerState) -> None:
+        """Forget a server whose entry has gone."""
+        self._ends.note_ended(gone, EndEvidence.ENTRY_GONE)
+        self._pool.forget(gone.owner)
+
+    def on_refused(self, state: ServerState) -> None:
+        """Send nothing more to a server that takes no connections, and tell so."""
+        pause = state.note_unreached(trio.current_time())
+        self._pool.forget(state.owner)
+        self.announce_unreached(state, pause)
+
     def announce_unreached(self, state: ServerState, seconds: float) -> None:
         """Tell the peers that a server could not be reached."""
         info = state.info
--- a/ashpond/controllers/storeview.py
+++ b/ashpond/controllers/storeview.py
@@ -8,8 +8,7 @@
 
 import trio
 
-from ashpond.clients.channels import ChannelPool
-from ashpond.controllers.directory import BackendServer, ServerTable
+from ashpond.controllers.directory import BackendServer, ServerState, ServerTable
 from ashpond.controllers.feeds import Feed
 from ashpond.decisions.declared import Declaration, WeightTarget
 from ashpond.decisions.knowledge import Knowledge
@@ -45,28 +44,29 @@
     :param on_configuration: is called after a new configuration.
     :param on_servers: is called after a change of servers.
     :param on_target: is called after a new weight target.
+    :param on_gone: is called with each server whose entry has gone.
     """
 
     def __init__(
         self,
         platform: Platform,
-        pool: ChannelPool,
         log: DecisionLog,
         invalid_rows: InvalidRows,
         on_configuration: Callable[[], None],
         on_servers: Callable[[], None],
         on_target: Callable[[], None],
+        on_gone: Callable[[ServerState], None],
     ):
         self.knowledge = Knowledge()
         self.table = ServerTable()
         self.clock = StoreClock()
         self._platform = platform
-        self._pool = pool
         self._log = log
         self._invalid_rows = invalid_rows
         self._on_configuration = on_configuration
         self._on_servers = on_servers
         self._on_target = on_target
+        self._on_gone = on_gone
         self._failed_at = float("-inf")
 
     def note_failure(self) -> None:
@@ -120,7 +120,7 @@
         for gone in self.table.replace_all(
             servers, now, may_lapse=may_lapse, invalid=invalid
         ):
-            self._pool.forget(gone.owner)
+            self._on_gone(gone)
         self._log.note(
             "servers",
             count=len(servers),
@@ -145,7 +145,7 @@
             gone = self.table.remove(row.key, now, may_lapse=may_lapse)
             self._log.note("server_gone", server=row.key, may_lapse=may_lapse)
             if gone is not None:
-                self._pool.forget(gone.owner)
+                self._on_gone(gone)
             return
         self.table.update(server, now)
         self._log.note(
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -12,6 +12,7 @@
 
 from ashpond.controllers.cachestores import CacheStores
 from ashpond.controllers.directory import BackendServer, ServerState, ServerTable
+from ashpond.controllers.serverends import ServerEnds
 from ashpond.decisions.budget import SendBudget
 from ashpond.decisions.declared import (
     Declaration,
@@ -82,6 +83,7 @@
     knowledge.adopt(_build_declaration(around.scenario))
     holdings = Holdings()
     rng = random.Random(f"{around.scenario.seed}/{number}")
+    log = DecisionLog(f"i{number}")
     budget = SendBudget(RETRY_SHARE, RETRY_SLACK, RETRY_WINDOW, -RETRY_WINDOW)
 
     def find_required(model: str, now: float) -> int:
@@ -108,10 +110,12 @@
         build_codec(around.pool.memo),
         b"id",
         knowledge,
-        DecisionLog(f"i{number}"),
+        log,
         lambda service: budget,
         lambda: around.scenario.instances,
         note_held,
+        lambda call, team: None,
+        ServerEnds(around.pool, log, lambda lost: None),  # type: ignore[arg-type]
         lambda state, seconds: None,
         rng,
     )
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -13,12 +13,15 @@
 from ashpond.controllers.budgets import Budgets
 from ashpond.controllers.cachestores import EVENTS_PREFIX, CacheStores
 from ashpond.controllers.feeds import Feed, Follower, TableNews
+from ashpond.controllers.serverends import ServerEnds
 from ashpond.controllers.servernews import ServerNews
 from ashpond.controllers.storeview import StoreView, build_feeds
 from ashpond.decisions.declared import (
     CacheStore,
     IngressLimits,
+    Team,
 )
+from ashpond.decisions.fingerprints import make_fingerprint
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.holdings import Holdings
 from ashpond.errors import SettingsError
@@ -80,14 +83,20 @@
         self.rng = random.Random()
         self.metrics = GatewayMetrics()
         self.invalid_rows = InvalidRows(log, self.metrics.count_invalid_row)
+        self.ends = ServerEnds(
+            pool,
+            log,
+            lambda lost: None,
+            lambda state: self.servers.on_refused(state),
+        )
         self.view = StoreView(
             platform,
-            pool,
             log,
             self.invalid_rows,
             self._on_configuration,
             self._on_servers,
             lambda: self.rollouts.note_change(),
+            lambda state: self.servers.on_gone(state),
         )
         self.knowledge = self.view.knowledge
         self.table = self.view.table
@@ -115,6 +124,7 @@
             self.table,
             self.holdings,
             pool,
+            self.ends,
             log,
             lambda: self.news,
             lambda: self.rollouts,
@@ -187,6 +197,8 @@
                 self.budgets.get,
                 self.members.count,
                 self.servers.note_held,
+                self._identify,
+                self.ends,
                 self.servers.announce_unreached,
                 self.rng,
             )
@@ -226,6 +238,7 @@
             for follower in self.followers.values():
                 nursery.start_soon(follower.run)
             nursery.start_soon(self.news.run)
+            nursery.start_soon(self.ends.run)
             nursery.start_soon(self.rollouts.run)
             nursery.start_soon(self._keep_house)
             nursery.start_soon(self._watch_settings)
@@ -262,6 +275,15 @@
         bound = self.settings.bounds.weights_ms / MS * REQUIRED_SHARE
         return self.knowledge.find_version_named(model, now - bound)
 
+    def _identify(self, call: IncomingCall, team: Team | None) -> str | None:
+        secret = self.members.secret
+        if not secret:
+            return None
+        name = team.name if team else None
+        return make_fingerprint(
+            secret, name, call.host, call.method, call.target, call.body
+        )
+
     def _has_service(self, service: str) -> bool:
         declaration = self.knowledge.declaration
         return declaration is not None and service in declaration.services
@@ -313,7 +335,7 @@
                 self.holdings.expire(now)
                 self.stores.expire(now)
             for gone in self.table.expire(now):
-                self.pool.forget(gone.owner)
+                self.servers.on_gone(gone)
                 self.log.note("server_expired", server=gone.info.id)
 
     async def _watch_settings(self) -> None:
--- a/ashpond/gateway/sends.py
+++ b/ashpond/gateway/sends.py
@@ -31,8 +31,9 @@
     LOADING_PAUSE_SECONDS,
     ServerState,
 )
+from ashpond.controllers.serverends import EndEvidence, ServerEnds
 from ashpond.decisions.budget import SendBudget
-from ashpond.decisions.declared import Route, RouteKind, pick_service
+from ashpond.decisions.declared import Route, RouteKind, Team, pick_service
 from ashpond.decisions.eventstream import EventCutter
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.prompts import Prompt
@@ -71,6 +72,8 @@
     get_budget: Callable[[str], SendBudget]
     count_instances: Callable[[], int]
     note_held: Callable[[ServerState, str, Prompt], None]
+    identify: Callable[[IncomingCall, Team | None], str | None]
+    ends: ServerEnds
     announce_unreached: Callable[[ServerState, float], None]
     rng: random.Random
 
@@ -107,8 +110,9 @@
 class CallProgress:
     """One call on its way through its sends, and what has become of it so far.
 
-    ``runs`` counts the sends that may have run; ``cutter`` knows the last event
-    that the client has.
+    ``fingerprint`` names the request, None until instances share a secret. ``runs``
+    counts the sends that may have run; ``cutter`` knows the last event that the client
+    has.
     """
 
     def __init__(
@@ -121,6 +125,7 @@
         self.request = call
         self.accepted = accepted
         self.reply = reply
+        self.fingerprint = tools.identify(call, accepted.team)
         self.sends = 0
         self.runs = 0
         self.is_started = False
@@ -197,6 +202,8 @@
                 return outcome
             return self._note_failed("silent", is_sent=channel is not None)
         except ChannelError as error:
+            if error.is_refused:
+                self.tools.ends.note_ended(state, EndEvidence.REFUSED)
             return self._note_failed(str(error), is_sent=error.is_sent)
         finally:
             if channel is not None and is_whole:
@@ -238,6 +245,7 @@
         declaration = knowledge.declaration
         self.call.note(
             "sent",
+            fingerprint=self.call.fingerprint,
             server=place.state.info.id,
             weights=place.weights_version,
             objective=self.call.route.objective,
@@ -271,6 +279,7 @@
             self.tools.pool.forget(state.owner)
             return Unrun(reason)
         state.note_answer(trio.current_time(), failed=True)
+        self.tools.ends.note_broken(state, self.call.fingerprint)
         return Failed(reason)
 
     def _build_request(self) -> Outgoing:
@@ -335,6 +344,7 @@
         asked = self._place.weights_version or 0
         if marks.server_id not in (None, state.info.id):
             state.misdirected = True
+            self.tools.ends.note_ended(state, EndEvidence.OTHER_SERVER)
         elif marks.weights_version is not None:
             state.weights[model] = marks.weights_version
         elif asked and state.weights.get(model, 0) == asked < target:
@@ -373,6 +383,7 @@
                 reason=str(error),
                 last_event=self.call.cutter.last_id,
             )
+            self.tools.ends.note_broken(state, self.call.fingerprint)
             return Failed(str(error))
         state.note_answer(trio.current_time(), failed=False)
         await self.call.start_reply(response.status, response.headers)
--- a/tests/row_builders.py
+++ b/tests/row_builders.py
@@ -81,12 +81,12 @@
         rows = InvalidRows(self.log, self.invalid.append)
         self.view = StoreView(
             platform,
-            pool,
             self.log,
             rows,
             lambda: None,
             lambda: None,
             lambda: None,
+            lambda state: pool.forget(state.owner),
         )
         self.members = Members(
             Member("i", "127.0.0.1:1", "d"),
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -12,6 +12,7 @@
 
 from ashpond.clients.channels import ChannelError, Outgoing
 from ashpond.controllers.directory import ServerTable
+from ashpond.controllers.serverends import ServerEnds
 from ashpond.decisions.budget import SendBudget
 from ashpond.decisions.declared import Declaration, Route, RouteKind
 from ashpond.decisions.knowledge import Knowledge
@@ -179,6 +180,8 @@
         lambda service: budget,
         lambda: 1,
         lambda server, salt, prompt: None,
+        lambda call, team: None,
+        ServerEnds(pool, log, lambda lost: None),  # type: ignore[arg-type]
         lambda server, seconds: None,
         random.Random(1),
     )
--- /dev/null
+++ b/tests/test_serverends.py
@@ -0,0 +1,211 @@
+"""What shows that a server has ended, and which requests were in flight there."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+import trio.testing
+
+from ashpond.clients.channels import ChannelPool, Reach
+from ashpond.controllers.directory import ServerState
+from ashpond.controllers.serverends import (
+    ATTRIBUTION_SECONDS,
+    CHECK_SECONDS,
+    MAX_REQUESTS,
+    MAX_SERVERS,
+    SAME_END_SECONDS,
+    EndEvidence,
+    LostRequest,
+    ServerEnds,
+)
+from ashpond.decisions.fingerprints import make_fingerprint
+from ashpond.gateway.decisionlog import DecisionLog
+from tests.gateway_builders import make_server
+from tests.ports import find_free_port
+from tests.servers import run_server
+
+
+class CheckedPool:
+    """Answers each check as told, and counts them."""
+
+    def __init__(self, reach: Reach):
+        self.reach = reach
+        self.checks = 0
+
+    async def check(self, owner: str, address: str) -> Reach:
+        self.checks += 1
+        await trio.sleep(0.001)
+        return self.reach
+
+
+class Watched:
+    def __init__(self, reach: Reach = Reach.UNKNOWN):
+        self.pool = CheckedPool(reach)
+        self.lost: list[LostRequest] = []
+        self.refused: list[ServerState] = []
+        self.ends = ServerEnds(
+            self.pool,  # type: ignore[arg-type]
+            DecisionLog("i"),
+            self.lost.append,
+            self.refused.append,
+        )
+
+    def list_lost(self) -> list[str]:
+        return [lost.fingerprint for lost in self.lost]
+
+
+def make_state(server_id: str = "a", **changes: object) -> ServerState:
+    return ServerState(make_server(server_id, **changes), trio.current_time())
+
+
+async def test_a_server_that_refuses_connections_has_ended(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    watched = Watched(Reach.REFUSED)
+    nursery.start_soon(watched.ends.run)
+    state = make_state()
+    watched.ends.note_broken(state, "f1")
+    watched.ends.note_broken(state, "f2")
+    await trio.sleep(0.01)
+    assert watched.list_lost() == ["f1", "f2"]
+    assert watched.refused == [state]
+    assert watched.pool.checks == 1
+
+
+async def test_a_server_that_takes_connections_has_ended_nobody(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    watched = Watched(Reach.CONNECTED)
+    nursery.start_soon(watched.ends.run)
+    state = make_state()
+    watched.ends.note_broken(state, "f1")
+    await trio.sleep(1)
+    # It ends later, for another reason; what broke before was not ended by it.
+    watched.ends.note_ended(state, EndEvidence.ENTRY_GONE)
+    assert not watched.lost
+
+
+async def test_a_new_start_counts_though_the_server_takes_connections_again(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    watched = Watched(Reach.CONNECTED)
+    nursery.start_soon(watched.ends.run)
+    state = make_state()
+    watched.ends.note_broken(state, "f1")
+    await trio.sleep(0.5)
+    watched.ends.note_ended(state, EndEvidence.NEW_START)
+    assert watched.list_lost() == ["f1"]
+
+
+@pytest.mark.parametrize("evidence", list(EndEvidence))
+async def test_each_sign_counts_once(
+    evidence: EndEvidence, autojump_clock: object
+) -> None:
+    watched = Watched()
+    state = make_state()
+    watched.ends.note_broken(state, "f1")
+    watched.ends.note_ended(state, evidence)
+    watched.ends.note_ended(state, EndEvidence.ENTRY_GONE)
+    assert watched.list_lost() == ["f1"]
+    assert watched.lost[0].state is state
+
+
+async def test_what_breaks_a_little_after_the_proof_counts(
+    autojump_clock: object,
+) -> None:
+    watched = Watched()
+    state = make_state()
+    watched.ends.note_broken(state, "f1")
+    watched.ends.note_ended(state, EndEvidence.REFUSED)
+    await trio.sleep(SAME_END_SECONDS / 2)
+    watched.ends.note_broken(state, "f2")
+    await trio.sleep(SAME_END_SECONDS)
+    watched.ends.note_broken(state, "f3")
+    assert watched.list_lost() == ["f1", "f2"]
+
+
+async def test_what_broke_long_before_the_end_does_not_count(
+    autojump_clock: object,
+) -> None:
+    watched = Watched()
+    state = make_state()
+    watched.ends.note_broken(state, "f1")
+    await trio.sleep(ATTRIBUTION_SECONDS + 0.1)
+    watched.ends.note_broken(state, "f2")
+    watched.ends.note_ended(state, EndEvidence.REFUSED)
+    assert watched.list_lost() == ["f2"]
+
+
+async def test_a_server_that_leaves_as_announced_was_ended_by_nobody(
+    autojump_clock: object,
+) -> None:
+    watched = Watched()
+    leaving = make_state(is_draining=True)
+    watched.ends.note_broken(leaving, "f1")
+    watched.ends.note_ended(leaving, EndEvidence.ENTRY_GONE)
+    assert not watched.lost
+
+
+async def test_a_server_is_not_asked_again_and_again(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    watched = Watched()
+    nursery.start_soon(watched.ends.run)
+    state = make_state()
+    for number in range(100):
+        watched.ends.note_broken(state, f"f{number}")
+        await trio.sleep(CHECK_SECONDS / 100)
+    assert watched.pool.checks <= 2
+
+
+async def test_what_is_kept_is_bounded(autojump_clock: object) -> None:
+    watched = Watched()
+    states = [make_state(f"s{number}") for number in range(MAX_SERVERS + 10)]
+    for state in states:
+        for number in range(MAX_REQUESTS + 10):
+            watched.ends.note_broken(state, f"f{number}")
+    for state in states:
+        watched.ends.note_ended(state, EndEvidence.REFUSED)
+    assert len(watched.lost) == MAX_SERVERS * MAX_REQUESTS
+
+
+async def test_a_check_tells_a_listener_from_none_and_keeps_its_connection() -> None:
+    async def serve(stream: trio.SocketStream, number: int) -> None:
+        await trio.sleep_forever()
+
+    pool = ChannelPool()
+    free = f"127.0.0.1:{find_free_port()}"
+    assert await pool.check("gone", free) is Reach.REFUSED
+    async with run_server(serve) as address:
+        assert await pool.check("a", address) is Reach.CONNECTED
+        assert pool.count_idle("a") == 1
+        await pool.acquire("a", address)
+        assert pool.opened == 1
+
+
+def test_a_fingerprint_names_what_is_asked_and_by_whom() -> None:
+    def name(**changes: object) -> str:
+        values: dict = {
+            "secret": "s1",
+            "team": "desk",
+            "host": "a.example",
+            "method": "POST",
+            "target": b"/x/1",
+            "body": b"bytes",
+        }
+        return make_fingerprint(**(values | changes))
+
+    assert name() == name(host="A.example")
+    others = [
+        name(secret="s2"),
+        name(team="other"),
+        name(team=None),
+        name(team=""),
+        name(host="b.example"),
+        name(method="PUT"),
+        name(target=b"/x/2"),
+        name(body=b"byte"),
+        name(target=b"/x/1b", body=b"ytes"),
+    ]
+    assert len({name(), *others}) == len(others) + 1
+    assert "desk" not in name()
