--- /dev/null
+++ b/tests/endings.py
@@ -0,0 +1,216 @@
+"""Instances as processes before servers that one request ends, whoever runs it."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+import httpx
+import orjson
+import trio
+
+from ashpond.decisions.fleetlinks import FLAT_FLEET
+from ashpond.standins.tables import MemoryStore
+from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
+from tests.ports import find_free_port
+from tests.row_builders import ROUTE, SERVER
+from tests.servers import make_answer, read_request
+from tests.soak.instances import Instance
+from tests.soak.proxy import reset
+from tests.soak.servers import parse_headers
+from tests.test_platform_store import answer_call
+
+# What the deadly request does, and how long its server is away (seconds).
+RUNNING_SECONDS = 0.05
+AWAY_SECONDS = 1.5
+# An entry goes after three heartbeats of silence (seconds).
+LAPSE_SECONDS = 1.0
+WORK_SECONDS = 0.03
+DEADLY_BODY = b"deadly"
+HARMLESS_BODY = b"harmless"
+
+
+class Arrival(NamedTuple):
+    """A request that reached a server."""
+
+    at: float
+    server: str
+    body: bytes
+
+
+class Seen(NamedTuple):
+    """How a request ended for its client; status 0 for no answer, or half of one."""
+
+    sent_at: float
+    body: bytes
+    status: int
+    retry_after: str | None
+
+
+class World:
+    """Store, servers and instances; ``kills`` says which bodies end a server."""
+
+    def __init__(
+        self,
+        folder: Path,
+        instances: int,
+        servers: int,
+        kills: Callable[[bytes], bool],
+        mesh_limit: int = FLAT_FLEET,
+    ):
+        self.memory = MemoryStore()
+        self.arrivals: list[Arrival] = []
+        self.ends: list[Arrival] = []
+        self.seen: list[Seen] = []
+        self._kills = kills
+        self._folder = folder
+        self._counts = (instances, servers)
+        self._mesh_limit = mesh_limit
+        self._requests = 0
+        self.instances: list[Instance] = []
+
+    async def run(self, play: Callable[[], object]) -> None:
+        """Start everything, run ``play`` and end the processes."""
+        async with trio.open_nursery() as nursery, httpx.AsyncClient() as client:
+            self._client = client
+            try:
+                await self._open(nursery)
+                await play()  # type: ignore[misc]
+            finally:
+                with trio.CancelScope(shield=True):
+                    for instance in self.instances:
+                        await instance.stop(9)
+                        instance.log.close()
+            nursery.cancel_scope.cancel()
+
+    async def _open(self, nursery: trio.Nursery) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        store = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        nursery.start_soon(trio.serve_listeners, self._serve_store, listeners)
+        self.memory.put(OPERATOR_TABLE, "config", orjson.dumps(make_configuration()))
+        for number in range(self._counts[1]):
+            nursery.start_soon(self._run_server, f"s{number}")
+        for number in range(self._counts[0]):
+            instance = Instance(
+                f"i{number}",
+                self._folder,
+                store,
+                f"127.77.0.{number + 1}",
+                self._mesh_limit,
+            )
+            instance.start()
+            self.instances.append(instance)
+        with trio.fail_after(60):
+            for number in range(len(self.instances)):
+                while (await self.ask(number, b"first")).status != 200:
+                    await trio.sleep(0.1)
+
+    async def _serve_store(self, stream: trio.SocketStream) -> None:
+        try:
+            while request := await read_request(stream):
+                status, body = await answer_call(self.memory, request)
+                await stream.send_all(make_answer(orjson.dumps(body), status=status))
+        except (trio.BrokenResourceError, OSError):
+            return
+
+    async def _run_server(self, name: str) -> None:
+        """Run a server; each of its starts has another id, at the same address."""
+        port = find_free_port()
+        for start in range(100):
+            server_id = f"{name}-{start}"
+            entry = {**SERVER, "address": f"127.0.0.1:{port}", "models": []}
+            self.memory.put(SERVERS_TABLE, server_id, orjson.dumps(entry))
+            await self._live(server_id, port)
+            await trio.sleep(LAPSE_SECONDS)
+            self.memory.put(SERVERS_TABLE, server_id, None)
+            await trio.sleep(AWAY_SECONDS - LAPSE_SECONDS)
+
+    async def _live(self, server_id: str, port: int) -> None:
+        """Serve until a request ends the server with all its connections."""
+        streams: set[trio.SocketStream] = set()
+        async with trio.open_nursery() as nursery:
+
+            async def serve(stream: trio.SocketStream) -> None:
+                streams.add(stream)
+                try:
+                    while request := await read_request(stream):
+                        await self._answer(server_id, stream, request, nursery)
+                except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+                    return
+                finally:
+                    streams.discard(stream)
+
+            listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+        for stream in streams:
+            reset(stream)
+
+    async def _answer(
+        self,
+        server_id: str,
+        stream: trio.SocketStream,
+        request: bytes,
+        life: trio.Nursery,
+    ) -> None:
+        body = request.partition(b"\r\n\r\n")[2]
+        _, _, headers = parse_headers(request)
+        arrival = Arrival(time.monotonic(), server_id, body)
+        self.arrivals.append(arrival)
+        if self._kills(body):
+            await trio.sleep(RUNNING_SECONDS)
+            self.ends.append(arrival._replace(at=time.monotonic()))
+            life.cancel_scope.cancel()
+            await trio.sleep_forever()
+        await trio.sleep(WORK_SECONDS)
+        answer = make_answer(
+            b"done", headers["x-request-id"], 200, "X-Engine-Seal: s\r\n"
+        )
+        await stream.send_all(answer)
+
+    async def ask(self, number: int, body: bytes) -> Seen:
+        """Send a request to an instance on a connection of its own."""
+        self._requests += 1
+        sent_at = time.monotonic()
+        headers = {
+            "Host": "a.example",
+            "Authorization": "Token k1",
+            "X-Request-Id": f"r{self._requests}",
+            "X-Deadline-Ms": "4000",
+            "Connection": "close",
+        }
+        status, retry_after = 0, None
+        try:
+            answer = await self._client.post(
+                f"http://{self.instances[number].address}/x/1",
+                content=body,
+                headers=headers,
+                timeout=6,
+            )
+            status, retry_after = answer.status_code, answer.headers.get("retry-after")
+        except httpx.HTTPError:
+            status = 0
+        return Seen(sent_at, body, status, retry_after)
+
+    async def note(self, number: int, body: bytes) -> None:
+        """Send a request, and keep how it ended."""
+        self.seen.append(await self.ask(number, body))
+
+
+def make_configuration() -> dict[str, object]:
+    route = {
+        **ROUTE,
+        "kind": "idempotent",
+        "backends": None,
+        "service": "s1",
+        "max_attempts": 2,
+        "resumable": False,
+        "target_latency_ms": 500,
+    }
+    return {
+        "version": 1,
+        "routes": [route],
+        "services": [{"name": "s1"}],
+        "tenants": [{"name": "t1", "api_keys": ["k1"]}],
+    }
