Quarantine calls that end engines on the callers' API as well

Cause: the same class by the other way in. filters/dispatch.py repeats a failed attempt by itself, and keeps nothing of a call that outlives it; a stream that breaks goes on at the next engine.

The decisions are the same ones (decisions/quarantine.py); the watch for ends no longer knows the routed path's types, so that both share it. Instances tell each other their ends as parts of their facts, with ages, as they have no clock in common. A filter refuses a quarantined call before limits, admission and claims; a suspected one goes alone, once, to the idlest server.

Unit tests of the news, of damaged news, of halves of streams.

--- a/ashpond/application.py
+++ b/ashpond/application.py
@@ -28,6 +28,7 @@
 from ashpond.clients.platform import PlatformClient
 from ashpond.controllers.admission import AdmissionController
 from ashpond.controllers.burn import BurnController
+from ashpond.controllers.callends import CallEnds
 from ashpond.controllers.claims import ClaimsController
 from ashpond.controllers.configuration import ConfigurationController
 from ashpond.controllers.engines import EnginesController
@@ -44,6 +45,7 @@
 from ashpond.filters.limits import make_limits
 from ashpond.filters.parsing import make_parsing
 from ashpond.filters.placement import make_placement
+from ashpond.filters.quarantine import make_quarantine
 from ashpond.filters.resumption import make_resumption
 from ashpond.metrics import Metrics
 from ashpond.server import run_app
@@ -74,6 +76,7 @@
         self.engines = EnginesController(
             settings, self.configuration, self.members, self.metrics
         )
+        self.ends = CallEnds(settings, self.engines, self.members, self.metrics)
         self.admission = AdmissionController(
             self.configuration,
             self.members,
@@ -128,6 +131,7 @@
             self.configuration.run,
             self.members.run,
             self.engines.run,
+            self.ends.run,
             self.admission.run,
             self.limits.run,
             self.claims.run,
@@ -164,12 +168,14 @@
             self.metrics,
             rng,
             client,
+            self.ends,
         )
         chain = build_chain(
             [
                 make_accounting(self.configuration, self.burn, self.metrics),
                 make_authentication(self.configuration),
                 make_parsing(self.configuration),
+                make_quarantine(self.ends, self.metrics),
                 make_limits(self.limits, self.metrics),
                 make_admission(self.admission, self.metrics),
                 make_idempotency(self.claims, self.metrics),
--- a/ashpond/call.py
+++ b/ashpond/call.py
@@ -45,6 +45,7 @@
     ``exits`` is closed once the whole answer has been handed to the caller.
     ``resumable`` keeps a stream at its engine when the caller is gone.
     ``level_ends`` are offsets in ``prompt`` where its shared levels end.
+    ``is_suspected`` tells that the call may end the server that runs it.
     """
 
     kind: CallKind
@@ -72,6 +73,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     claim_attempt: str | None = None
+    is_suspected: bool = False
 
 
 class Reply(NamedTuple):
--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -15,6 +15,7 @@
     "Outgoing",
     "Reach",
     "Response",
+    "check_address",
 ]
 
 import socket
@@ -299,6 +300,14 @@
     return None
 
 
+async def check_address(address: str) -> Reach:
+    """Connect to see whether anybody listens at an address, and close again."""
+    pool = ChannelPool()
+    reach = await pool.check("", address)
+    pool.forget("")
+    return reach
+
+
 class ChannelPool:
     """Idle connections by backend server, the last used first."""
 
--- a/ashpond/controllers/__init__.py
+++ b/ashpond/controllers/__init__.py
@@ -7,6 +7,8 @@
 - ``limits``: the teams' request rates.
 - ``claims``: attempts of requests that may run at most once.
 - ``rollout``: leases on services, and the orders given under them.
+- ``callends``: calls that are suspected of ending servers (``quarantine`` for routed
+  ones), with ``serverends``: which servers have ended, and what was in flight there.
 - ``burn``: counts of good and bad requests for the burn report.
 """
 
--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -15,6 +15,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
+from ashpond.controllers.serverends import WatchedServer
 from ashpond.decisions.loads import NO_LOAD, PEER_LOAD_SECONDS, Load
 
 # After a refusal because it is full, a server is given this long (seconds).
@@ -105,6 +106,14 @@
         self.is_entry_invalid = False
         self.vanished_at: float | None = None
 
+    @property
+    def watched(self) -> WatchedServer:
+        """Return this start as those see it that look for its end."""
+        info = self.info
+        return WatchedServer(
+            self.owner, info.id, info.born, info.address, info.service, info.is_draining
+        )
+
     def is_present(self) -> bool:
         """Return whether the server is there and stays, as far as is known."""
         if self.info.is_draining or self.misdirected or self.is_entry_invalid:
--- a/ashpond/controllers/engines.py
+++ b/ashpond/controllers/engines.py
@@ -5,6 +5,7 @@
 __all__ = ["EnginesController", "InFlight", "ServerState"]
 
 import random
+from collections.abc import Callable
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
@@ -15,6 +16,7 @@
 from ashpond.clients.http import make_client
 from ashpond.clients.platform import MemberKind
 from ashpond.clients.service import fetch_draining
+from ashpond.controllers.serverends import EndEvidence, WatchedServer
 from ashpond.decisions.caches import CacheView
 from ashpond.decisions.health import ServerHealth, select_usable
 from ashpond.decisions.placement import Candidate, LoadReport, estimate_start
@@ -55,6 +57,15 @@
         self.in_flight: set[InFlight] = set()
         self.scope = trio.CancelScope()
 
+    @property
+    def watched(self) -> WatchedServer:
+        """The start of the server that is known, for those that look for its end."""
+        start = f"{self.name}#{self.view.incarnation}"
+        config = self.config
+        return WatchedServer(
+            start, start, None, config.address, config.service, self.health.draining
+        )
+
     @property
     def is_loading(self) -> bool:
         """Whether the engine is on its way to other weights."""
@@ -103,6 +114,10 @@
             settings.timing.connect_timeout, settings.timing.platform_timeout
         )
         self.servers: dict[str, ServerState] = {}
+        # Is told of each start of a server that is seen to have ended.
+        self.on_end: Callable[[WatchedServer, EndEvidence], None] = (
+            lambda server, evidence: None
+        )
         self._changed = trio.Event()
         configuration.subscribe(self._notice_change)
         members.contribute(LEAVING_PART, self._list_draining)
@@ -158,11 +173,18 @@
 
     def _take_line(self, state: ServerState, line: FeedLine) -> None:
         now = trio.current_time()
+        before = state.watched
         state.take_report(line.report._replace(observed_at=now - line.age), now)
+        self._note_new_start(state, before)
         self._set_draining(state, line.report.draining)
         if line.events is not None and state.view.note_events(*line.events):
             self._metrics.event_gaps.inc({"server": state.name})
 
+    def _note_new_start(self, state: ServerState, before: WatchedServer) -> None:
+        is_first = before.id == f"{state.name}#"
+        if not is_first and state.watched.id != before.id:
+            self.on_end(before, EndEvidence.NEW_START)
+
     async def _poll_plain(self, state: ServerState) -> None:
         draining = await fetch_draining(self._client, state.config.address)
         if draining is not None:
@@ -281,7 +303,9 @@
         state.health.note_answer(trio.current_time())
         if not blocks:
             return
+        before = state.watched
         state.view.adopt_incarnation(incarnation)
+        self._note_new_start(state, before)
         if cached is not None:
             state.view.note_cached(incarnation, blocks, cached)
         state.view.note_used(incarnation, blocks)
@@ -291,6 +315,8 @@
         state = self.servers.get(name)
         if state is None:
             return
+        if refused:
+            self.on_end(state.watched, EndEvidence.REFUSED)
         if state.health.note_failure(trio.current_time(), refused=refused):
             self._metrics.ejections.inc({"server": name})
             logger.warning("server_ejected", extra={"server": name})
--- a/ashpond/controllers/quarantine.py
+++ b/ashpond/controllers/quarantine.py
@@ -228,10 +228,10 @@
 
     def note_lost(self, lost: LostRequest) -> None:
         """Take a request that was in flight here when its server ended."""
-        info = lost.state.info
+        server = lost.server
         sent_at = self._clock.estimate_store_time(lost.sent_at)
         ended_at = self._clock.estimate_store_time(lost.broken_at)
-        end = ServerEnd(lost.fingerprint, info.id, info.born, sent_at, ended_at)
+        end = ServerEnd(lost.fingerprint, server.id, server.born, sent_at, ended_at)
         now = self._now()
         if not self._take(end, now, OWN):
             return
--- a/ashpond/controllers/serverends.py
+++ b/ashpond/controllers/serverends.py
@@ -8,22 +8,17 @@
 
 from __future__ import annotations
 
-__all__ = ["EndEvidence", "LostRequest", "ServerEnds"]
+__all__ = ["EndEvidence", "LostRequest", "ServerEnds", "WatchedServer"]
 
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable
 from enum import StrEnum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 import trio
 
 from ashpond.clients.channels import Reach
 
-if TYPE_CHECKING:
-    from ashpond.clients.channels import ChannelPool
-    from ashpond.controllers.directory import ServerState
-    from ashpond.gateway.decisionlog import DecisionLog
-
 # The entry of a server that has ended goes after three heartbeats of silence, 2.4 to
 # 3.6 s later; a send that broke longer before was not broken by the end (seconds).
 ATTRIBUTION_SECONDS = 6.0
@@ -53,6 +48,20 @@
     ENTRY_GONE = "entry_gone"
 
 
+class WatchedServer(NamedTuple):
+    """One start of a server; ``owner`` names it in this process.
+
+    ``born`` is the time of the start in ms, None where the server does not tell it.
+    """
+
+    owner: str
+    id: str
+    born: int | None
+    address: str
+    service: str
+    is_draining: bool
+
+
 class LostRequest(NamedTuple):
     """A request that was in flight at a server when it ended.
 
@@ -60,7 +69,7 @@
     """
 
     fingerprint: str
-    state: ServerState
+    server: WatchedServer
     sent_at: float
     broken_at: float
 
@@ -68,8 +77,8 @@
 class _Broken:
     """The sends that broke at one start of a server, by fingerprint."""
 
-    def __init__(self, state: ServerState):
-        self.state = state
+    def __init__(self, server: WatchedServer):
+        self.server = server
         self.lost: dict[str, LostRequest] = {}
         self.broken_at = float("-inf")
         self.checked_at = float("-inf")
@@ -80,6 +89,8 @@
 class ServerEnds:
     """Takes broken sends and signs of an end, and tells which requests were lost.
 
+    :param check: connects to a server to see whether it lives.
+    :param note: logs an event with its fields.
     :param on_lost: is called once for each request that was in flight at an end.
     :param on_refused: is called with a server that refuses connections.
     :param list_servers: returns the servers that are there.
@@ -87,18 +98,18 @@
 
     def __init__(
         self,
-        pool: ChannelPool,
-        log: DecisionLog,
+        check: Callable[[WatchedServer], Awaitable[Reach]],
+        note: Callable[..., None],
         on_lost: Callable[[LostRequest], None],
-        on_refused: Callable[[ServerState], None] = lambda state: None,
-        list_servers: Callable[[], Sequence[ServerState]] = lambda: (),
+        on_refused: Callable[[WatchedServer], None] = lambda server: None,
+        list_servers: Callable[[], Iterable[WatchedServer]] = lambda: (),
     ):
-        self._pool = pool
-        self._log = log
+        self._check_server = check
+        self._note = note
         self._on_lost = on_lost
         self._on_refused = on_refused
         self._list_servers = list_servers
-        self._started_at = trio.current_time()
+        self._watched_since: float | None = None
         # The service of each start that has ended of late, and when.
         self._ended: dict[str, tuple[str, float]] = {}
         # The most servers of each service that were there of late, and when.
@@ -108,23 +119,24 @@
 
     async def run(self) -> None:
         """Ask the servers whose sends broke, until cancelled."""
+        self.count_servers()
         async with trio.open_nursery() as nursery:
             async for broken in self._to_check:
                 nursery.start_soon(self._check, broken)
 
     def note_broken(
-        self, state: ServerState, fingerprint: str | None, sent_at: float
+        self, server: WatchedServer, fingerprint: str | None, sent_at: float
     ) -> None:
         """Note that a send broke, or fell silent, without a whole answer.
 
         A server that leaves as announced ends its connections; nobody ended it.
         """
-        if fingerprint is None or state.info.is_draining:
+        if fingerprint is None or server.is_draining:
             return
         now = trio.current_time()
-        broken = self._find(state, now)
+        broken = self._find(server, now)
         broken.broken_at = now
-        lost = LostRequest(fingerprint, state, sent_at, now)
+        lost = LostRequest(fingerprint, server, sent_at, now)
         if broken.ended_at is not None:
             if now - broken.ended_at <= SAME_END_SECONDS:
                 self._on_lost(lost)
@@ -133,13 +145,13 @@
             broken.lost[fingerprint] = lost
         self._ask_to_check(broken, now)
 
-    def note_ended(self, state: ServerState, evidence: EndEvidence) -> None:
+    def note_ended(self, server: WatchedServer, evidence: EndEvidence) -> None:
         """Take a sign that a start of a server has ended."""
-        if state.info.is_draining:
+        if server.is_draining:
             return
         now = trio.current_time()
-        self._count_end(state, now)
-        broken = self._by_owner.get(state.owner)
+        self._count_end(server, now)
+        broken = self._by_owner.get(server.owner)
         if broken is None or broken.ended_at is not None:
             return
         since = now - ATTRIBUTION_SECONDS
@@ -149,10 +161,10 @@
         lost = [found for found in broken.lost.values() if found.broken_at >= since]
         broken.ended_at = now
         broken.lost.clear()
-        self._log.note(
+        self._note(
             "server_ended",
-            server=state.info.id,
-            born=state.info.born,
+            server=server.id,
+            born=server.born,
             evidence=evidence,
             after=round(now - broken.broken_at, 4),
             in_flight=sorted(found.fingerprint for found in lost),
@@ -160,16 +172,18 @@
         for found in lost:
             self._on_lost(found)
 
-    def _count_end(self, state: ServerState, now: float) -> None:
-        if state.owner in self._ended or len(self._ended) >= MAX_ENDED:
+    def _count_end(self, server: WatchedServer, now: float) -> None:
+        if server.owner in self._ended or len(self._ended) >= MAX_ENDED:
             return
         self.count_servers()
-        self._ended[state.owner] = (state.info.service, now)
+        self._ended[server.owner] = (server.service, now)
 
     def count_servers(self) -> None:
         """Note how many servers there are now; call it every few seconds."""
         now = trio.current_time()
-        counts = Counter(state.info.service for state in self._list_servers())
+        if self._watched_since is None:
+            self._watched_since = now
+        counts = Counter(server.service for server in self._list_servers())
         for service, count in counts.items():
             peak, at = self._peaks.get(service, (0, now))
             if count >= peak or now - at > HAZARD_SECONDS:
@@ -183,8 +197,9 @@
         :return: ends per server and second.
         """
         self.count_servers()
+        since = self._watched_since or 0.0
         ended = Counter(service for service, _ in self._ended.values())
-        watched = max(LEAST_HAZARD_SECONDS, trio.current_time() - self._started_at)
+        watched = max(LEAST_HAZARD_SECONDS, trio.current_time() - since)
         seconds = min(HAZARD_SECONDS, watched)
         return max(
             (
@@ -194,12 +209,12 @@
             default=0.0,
         )
 
-    def _find(self, state: ServerState, now: float) -> _Broken:
-        broken = self._by_owner.pop(state.owner, None)
+    def _find(self, server: WatchedServer, now: float) -> _Broken:
+        broken = self._by_owner.pop(server.owner, None)
         if broken is None:
-            broken = _Broken(state)
+            broken = _Broken(server)
         # The last one that broke stands last, so that the first is the oldest.
-        self._by_owner[state.owner] = broken
+        self._by_owner[server.owner] = broken
         for owner, oldest in list(self._by_owner.items()):
             is_old = now - oldest.broken_at > ATTRIBUTION_SECONDS
             if oldest is broken or not (is_old or len(self._by_owner) > MAX_SERVERS):
@@ -214,13 +229,13 @@
         try:
             self._checks.send_nowait(broken)
         except trio.WouldBlock:
-            self._log.note("server_check_skipped", server=broken.state.info.id)
+            self._note("server_check_skipped", server=broken.server.id)
 
     async def _check(self, broken: _Broken) -> None:
-        state = broken.state
-        reach = await self._pool.check(state.owner, state.info.address)
+        server = broken.server
+        reach = await self._check_server(server)
         if reach is Reach.REFUSED:
-            self.note_ended(state, EndEvidence.REFUSED)
-            self._on_refused(state)
+            self.note_ended(server, EndEvidence.REFUSED)
+            self._on_refused(server)
         elif reach is Reach.CONNECTED:
             broken.alive_at = trio.current_time()
--- a/ashpond/controllers/servernews.py
+++ b/ashpond/controllers/servernews.py
@@ -10,7 +10,7 @@
 import trio
 
 from ashpond.controllers.directory import ServerState, ServerTable, StartOrder
-from ashpond.controllers.serverends import EndEvidence, ServerEnds
+from ashpond.controllers.serverends import EndEvidence, ServerEnds, WatchedServer
 from ashpond.news.items import ServerNotice
 
 if TYPE_CHECKING:
@@ -59,7 +59,7 @@
         server_id = state.info.id
         self._holdings.forget_server(server_id)
         self._pool.forget(ended.owner)
-        self._ends.note_ended(ended, EndEvidence.NEW_START)
+        self._ends.note_ended(ended.watched, EndEvidence.NEW_START)
         self._get_rollouts().forget_start(server_id)
         self._log.note(
             "server_started_anew",
@@ -109,11 +109,14 @@
 
     def on_gone(self, gone: ServerState) -> None:
         """Forget a server whose entry has gone."""
-        self._ends.note_ended(gone, EndEvidence.ENTRY_GONE)
+        self._ends.note_ended(gone.watched, EndEvidence.ENTRY_GONE)
         self._pool.forget(gone.owner)
 
-    def on_refused(self, state: ServerState) -> None:
+    def on_refused(self, server: WatchedServer) -> None:
         """Send nothing more to a server that takes no connections, and tell so."""
+        state = self._table.by_id.get(server.id)
+        if state is None or state.owner != server.owner:
+            return
         pause = state.note_unreached(trio.current_time())
         self._pool.forget(state.owner)
         self.announce_unreached(state, pause)
--- a/ashpond/decisions/quarantine.py
+++ b/ashpond/decisions/quarantine.py
@@ -11,7 +11,14 @@
 
 from __future__ import annotations
 
-__all__ = ["QUARANTINE_ENDS", "ServerEnd", "Standing", "Suspicions"]
+__all__ = [
+    "QUARANTINE_ENDS",
+    "Fingerprint",
+    "ServerEnd",
+    "ServerId",
+    "Standing",
+    "Suspicions",
+]
 
 import math
 from collections.abc import Callable, Mapping, Sequence
@@ -114,13 +121,16 @@
         may be tried once more, and wrong suspicion passes.
     :param measure_hazard: returns how often a server has ended of late, whatever the
         reason (ends per server and second).
+    :param clock_error: how far the times of two instances may be apart (seconds).
     """
 
     def __init__(
         self,
         keep_seconds: float,
         measure_hazard: Callable[[], float] = lambda: 0.0,
+        clock_error: float = CLOCK_ERROR_SECONDS,
     ):
+        self._clock_error = clock_error
         self.keep_seconds = keep_seconds
         self._measure_hazard = measure_hazard
         self._ends: dict[str, dict[_Start, ServerEnd]] = {}
@@ -146,7 +156,7 @@
 
     def count_in_turn(self, fingerprint: str | None, now: float) -> int:
         """Return how many servers a request has ended one after the other."""
-        return len(_list_in_turn(self.list_ends(fingerprint, now)))
+        return len(self._list_in_turn(self.list_ends(fingerprint, now)))
 
     def _assess(self, now: float) -> _Assessment:
         """Return which requests have ended enough servers, the gravest case first."""
@@ -160,12 +170,12 @@
         }
         assessed = _Assessment({}, {}, set())
         hazard = self._measure_hazard() if cases else 0.0
-        by_gravity = sorted(cases, key=lambda n: -len(_list_in_turn(cases[n])))
+        by_gravity = sorted(cases, key=lambda n: -len(self._list_in_turn(cases[n])))
         for name in by_gravity:
-            chain = _list_in_turn(_leave_out(cases[name], assessed.explained))
+            chain = self._list_in_turn(_leave_out(cases[name], assessed.explained))
             if len(chain) < QUARANTINE_ENDS or _may_be_chance(chain, hazard):
                 continue
-            rivals = _list_rivals(name, cases, assessed.explained)
+            rivals = self._list_rivals(name, cases, assessed.explained)
             if len(chain) < CONTESTED_ENDS and len(chain) <= max(rivals, default=0):
                 assessed.contested[name] = chain[-1].ended_at
                 continue
@@ -175,6 +185,36 @@
         self._assessed_at = now
         return assessed
 
+    def _list_in_turn(self, ends: Sequence[ServerEnd]) -> list[ServerEnd]:
+        """Return as many ends as there are that came one after the other.
+
+        What ends many servers at once, as a loss of power, takes with it what is in
+        flight at several of them. Only a request that was sent after the one end, and
+        was there again at the next, counts again.
+        """
+        chain: list[ServerEnd] = []
+        last = float("-inf")
+        for end in sorted(ends, key=lambda e: e.ended_at):
+            if end.sent_at > last + self._clock_error:
+                chain.append(end)
+                last = end.ended_at
+        return chain
+
+    def _list_rivals(
+        self,
+        name: str,
+        cases: Mapping[str, Sequence[ServerEnd]],
+        explained: set[_Start],
+    ) -> list[int]:
+        """Return how many servers those have ended that were at the same ends."""
+        own = set(map(_name_start, cases[name]))
+        rivals = []
+        for other, ends in cases.items():
+            left = _leave_out(ends, explained)
+            if other != name and any(_name_start(end) in own for end in left):
+                rivals.append(len(self._list_in_turn(left)))
+        return rivals
+
     def list_servers(self, fingerprint: str | None, now: float) -> list[str]:
         """Return the servers that have ended under a request, one entry a start."""
         return [end.server_id for end in self.list_ends(fingerprint, now)]
@@ -247,6 +287,11 @@
         ends.sort(key=len, reverse=True)
         return [end for group in ends for end in group][:MAX_TOLD]
 
+    def export(self, limit: int) -> list[ServerEnd]:
+        """Return ends to tell, cleared ones too, those of the gravest cases first."""
+        groups = sorted((list(e.values()) for e in self._ends.values()), key=len)
+        return [end for group in reversed(groups) for end in group][:limit]
+
     def list_names(self) -> set[str]:
         """Return the requests of which any end is known."""
         return set(self._ends)
@@ -285,7 +330,7 @@
         """Drop an end that adds nothing to the count; return whether there was one."""
         last = float("-inf")
         for key, end in sorted(ends.items(), key=lambda item: item[1].ended_at):
-            if not self._counts(end, now) or end.sent_at <= last + CLOCK_ERROR_SECONDS:
+            if not self._counts(end, now) or end.sent_at <= last + self._clock_error:
                 del ends[key]
                 return True
             last = end.ended_at
@@ -309,35 +354,6 @@
     return [end for end in ends if _name_start(end) not in explained]
 
 
-def _list_in_turn(ends: Sequence[ServerEnd]) -> list[ServerEnd]:
-    """Return as many ends as there are that came one after the other.
-
-    What ends many servers at once, as a loss of power, takes with it what is in flight
-    at several of them. Only a request that was sent after the one end, and was there
-    again at the next, counts again.
-    """
-    chain: list[ServerEnd] = []
-    last = float("-inf")
-    for end in sorted(ends, key=lambda e: e.ended_at):
-        if end.sent_at > last + CLOCK_ERROR_SECONDS:
-            chain.append(end)
-            last = end.ended_at
-    return chain
-
-
-def _list_rivals(
-    name: str, cases: Mapping[str, Sequence[ServerEnd]], explained: set[_Start]
-) -> list[int]:
-    """Return how many servers others have ended that were there at the same ends."""
-    own = set(map(_name_start, cases[name]))
-    rivals = []
-    for other, ends in cases.items():
-        left = _leave_out(ends, explained)
-        if other != name and any(_name_start(end) in own for end in left):
-            rivals.append(len(_list_in_turn(left)))
-    return rivals
-
-
 def _may_be_chance(chain: Sequence[ServerEnd], hazard: float) -> bool:
     """Return whether servers end so often that the chain may have been hit by chance.
 
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -10,10 +10,11 @@
 
 import trio
 
+from ashpond.clients.channels import Reach
 from ashpond.controllers.cachestores import CacheStores
 from ashpond.controllers.directory import BackendServer, ServerState, ServerTable
 from ashpond.controllers.quarantine import Quarantine
-from ashpond.controllers.serverends import ServerEnds
+from ashpond.controllers.serverends import ServerEnds, WatchedServer
 from ashpond.decisions.budget import SendBudget
 from ashpond.decisions.declared import (
     Declaration,
@@ -120,7 +121,7 @@
         lambda: around.scenario.instances,
         note_held,
         lambda call, team: None,
-        ServerEnds(around.pool, log, lambda lost: None),  # type: ignore[arg-type]
+        ServerEnds(_check_nothing, log.note, lambda lost: None),
         _build_quarantine(around, log),
         lambda state, seconds: None,
         rng,
@@ -135,6 +136,10 @@
     return f"d{number % DOMAINS}"
 
 
+async def _check_nothing(server: WatchedServer) -> Reach:
+    return Reach.UNKNOWN
+
+
 def _build_quarantine(around: Surroundings, log: DecisionLog) -> Quarantine:
     """Return one that nothing is told to: no emulated request ends its engine."""
     return Quarantine(
--- a/ashpond/filters/dispatch.py
+++ b/ashpond/filters/dispatch.py
@@ -20,6 +20,7 @@
 from ashpond.clients.http import make_client
 from ashpond.clients.service import PlainAnswer, PlainRequest, send_plain
 from ashpond.decisions.placement import BLOCK_TOKENS
+from ashpond.decisions.quarantine import Standing
 from ashpond.decisions.retries import GiveUp, RetryBudget, decide_retry
 from ashpond.filters.relay import StreamSource, close_response, relay_stream
 from ashpond.filters.resumption import make_cancel, resume_same
@@ -28,6 +29,7 @@
 from ashpond.tokens import StreamToken, make_stream_token
 
 if TYPE_CHECKING:
+    from ashpond.controllers.callends import CallEnds
     from ashpond.controllers.claims import ClaimsController
     from ashpond.controllers.configuration import ConfigurationController
     from ashpond.controllers.engines import EnginesController, InFlight
@@ -68,7 +70,9 @@
         metrics: Metrics,
         rng: random.Random,
         client: httpx.AsyncClient,
+        ends: CallEnds,
     ):
+        self._ends = ends
         self._settings = settings
         self._configuration = configuration
         self._engines = engines
@@ -107,7 +111,8 @@
                 outcome,
                 repeatable=call.repeatable,
                 attempts=attempts,
-                max_attempts=call.service.max_attempts,
+                # One attempt shows whether it ends the next server too.
+                max_attempts=1 if call.is_suspected else call.service.max_attempts,
                 now=trio.current_time(),
                 deadline=call.deadline,
                 budget=budget,
@@ -143,6 +148,7 @@
         entry = self._engines.note_sent(placement.server, tokens, placement.blocks)
         call.exits.callback(self._engines.note_ended, placement.server, entry)
         attempt = _Attempt(placement, uuid.uuid4().hex, entry)
+        server = self._ends.find_server(placement.server)
         before = call.progress.run
         call.progress.run = RunState.OUTCOME_UNKNOWN
         try:
@@ -153,6 +159,8 @@
         except trio.Cancelled:
             self._engines.abandon_probe(placement.server)
             raise
+        if isinstance(outcome, MaybeRun):
+            self._ends.note_broken(call, server, entry.sent_at)
         self._settle(call, placement, outcome, before)
         if not isinstance(outcome, Reply):
             self._engines.note_ended(placement.server, entry)
@@ -300,9 +308,14 @@
         return Reply(OK, self._make_headers(call, attempt, answer), body)
 
     def _make_source(self, call: Call, attempt: _Attempt) -> StreamSource:
+        server = self._ends.find_server(attempt.placement.server)
+
         async def reopen(current: EngineAnswer, plan: Continue) -> EngineAnswer | None:
             if plan.same_engine:
                 return await resume_same(self._client, current, plan.after)
+            self._ends.note_broken(call, server, attempt.entry.sent_at)
+            if self._ends.judge(self._ends.identify(call)) is not Standing.FREE:
+                return None
             return await self._continue_elsewhere(call, attempt, plan.after)
 
         return StreamSource(reopen, make_cancel(self._client, call))
--- a/ashpond/filters/placement.py
+++ b/ashpond/filters/placement.py
@@ -81,6 +81,11 @@
         call: Call, candidates: list[Candidate], chains: dict[str, PrefixChain]
     ) -> Placed:
         now = trio.current_time()
+        if call.is_suspected:
+            # Whatever runs beside it may be lost with the server.
+            idlest = choose_least_loaded(candidates, now, rng)
+            assert idlest is not None
+            return expect(idlest)
         if settings.policy == "round-robin":
             return expect(candidates[next(counter) % len(candidates)])
         chain = next(iter(chains.values()))
--- /dev/null
+++ b/ashpond/filters/quarantine.py
@@ -0,0 +1,65 @@
+"""Keep calls that end servers away from them."""
+
+from __future__ import annotations
+
+__all__ = ["make_quarantine"]
+
+from typing import TYPE_CHECKING
+
+from ashpond.call import Call, Filter, Handler, Reply
+from ashpond.decisions.quarantine import Standing
+from ashpond.outcomes import Refusal, RunState
+from ashpond.replies import make_refusal_reply
+
+if TYPE_CHECKING:
+    from ashpond.controllers.callends import CallEnds
+    from ashpond.metrics import Metrics
+
+BAD_REQUEST = 400
+UNAVAILABLE = 503
+SERVER_ERROR = 500
+QUARANTINED = Refusal(
+    BAD_REQUEST, "quarantined", "the backend servers that ran this call ended"
+)
+# A case settles in 1.5 s, an attempt that is on its way mostly ends before (seconds).
+SUSPECTED = Refusal(
+    UNAVAILABLE,
+    "suspected",
+    "another attempt of this call may end the server that runs it",
+    retry_after=1.5,
+)
+
+
+def make_quarantine(ends: CallEnds, metrics: Metrics) -> Filter:
+    """Return the filter."""
+
+    def refuse(refusal: Refusal) -> Reply:
+        metrics.refusals.inc({"kind": refusal.kind})
+        return make_refusal_reply(refusal)
+
+    async def keep_away(call: Call, following: Handler) -> Reply:
+        name = ends.identify(call)
+        standing = ends.judge(name)
+        if standing is Standing.QUARANTINED:
+            return refuse(QUARANTINED)
+        is_suspected = standing is not Standing.FREE
+        if standing is Standing.HELD or (is_suspected and ends.is_on_way(name)):
+            return refuse(SUSPECTED)
+        ends.note_begun(name)
+        replies: list[Reply] = []
+        call.exits.callback(
+            lambda: ends.note_over(name, is_answered=was_answered(call, replies))
+        )
+        replies.append(await following(call._replace(is_suspected=is_suspected)))
+        return replies[0]
+
+    return keep_away
+
+
+def was_answered(call: Call, replies: list[Reply]) -> bool:
+    """Return whether a server has answered a call whole."""
+    if not replies or replies[0].status >= SERVER_ERROR:
+        return False
+    if call.progress.run is not RunState.RUN:
+        return False
+    return isinstance(replies[0].body, bytes) or call.progress.is_whole
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -86,11 +86,11 @@
         self.metrics = GatewayMetrics()
         self.invalid_rows = InvalidRows(log, self.metrics.count_invalid_row)
         self.ends = ServerEnds(
-            pool,
-            log,
+            lambda server: pool.check(server.owner, server.address),
+            log.note,
             lambda lost: self.quarantine.note_lost(lost),
-            lambda state: self.servers.on_refused(state),
-            lambda: self.table.list_all(),
+            lambda server: self.servers.on_refused(server),
+            lambda: (state.watched for state in self.table.by_id.values()),
         )
         self.view = StoreView(
             platform,
--- a/ashpond/gateway/sends.py
+++ b/ashpond/gateway/sends.py
@@ -206,7 +206,7 @@
             return self._note_failed("silent", is_sent=channel is not None)
         except ChannelError as error:
             if error.is_refused:
-                self.tools.ends.note_ended(state, EndEvidence.REFUSED)
+                self.tools.ends.note_ended(state.watched, EndEvidence.REFUSED)
             return self._note_failed(str(error), is_sent=error.is_sent)
         finally:
             if channel is not None and is_whole:
@@ -289,7 +289,8 @@
         return Failed(reason)
 
     def _note_broken(self, state: ServerState) -> None:
-        self.tools.ends.note_broken(state, self.call.fingerprint, self._sent_at)
+        fingerprint = self.call.fingerprint
+        self.tools.ends.note_broken(state.watched, fingerprint, self._sent_at)
 
     def _build_request(self) -> Outgoing:
         call = self.call.request
@@ -353,7 +354,7 @@
         asked = self._place.weights_version or 0
         if marks.server_id not in (None, state.info.id):
             state.misdirected = True
-            self.tools.ends.note_ended(state, EndEvidence.OTHER_SERVER)
+            self.tools.ends.note_ended(state.watched, EndEvidence.OTHER_SERVER)
         elif marks.weights_version is not None:
             state.weights[model] = marks.weights_version
         elif asked and state.weights.get(model, 0) == asked < target:
--- a/ashpond/standins/engine.py
+++ b/ashpond/standins/engine.py
@@ -5,6 +5,7 @@
 __all__ = ["build_engine"]
 
 import hashlib
+import os
 import time
 import uuid
 from collections.abc import AsyncIterator
@@ -117,6 +118,8 @@
         if wanted != model.weights or model.loading:
             return answer({"error": "other weights"}, 409, NOT_RUN)
         prompt = render_chat(payload["messages"])[0] if chat else payload["prompt"]
+        if model.faults.deadly_text and model.faults.deadly_text in prompt:
+            os._exit(1)
         salt = request.headers.get("X-Prompt-Salt", "")
         blocks = chain_blocks(salt, prompt)
         count = int(payload.get("max_tokens") or DEFAULT_TOKENS)
--- a/ashpond/standins/model.py
+++ b/ashpond/standins/model.py
@@ -46,6 +46,8 @@
         self.drop_answers = 0
         self.cross_answers = 0
         self.cut_after = 0
+        # A prompt that holds this text ends the process, if it is not empty.
+        self.deadly_text = ""
 
 
 class Work:
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -128,11 +128,11 @@
         )
         pool = FleetPool(fleet)
         self.ends = ServerEnds(
-            pool,  # type: ignore[arg-type]
-            log,
+            lambda server: pool.check(server.owner, server.address),
+            log.note,
             self.quarantine.note_lost,
-            lambda state: fleet.note_unreached(state.info.id),
-            self.table.list_all,
+            lambda server: fleet.note_unreached(server.id),
+            lambda: (state.watched for state in self.table.by_id.values()),
         )
         self.knowledge = Knowledge()
         route = make_route(objective=fleet.objective, max_attempts=2, timeout=30.0)
@@ -261,7 +261,7 @@
         for instance in self.instances:
             gone = instance.table.remove(name, now, may_lapse=False)
             if gone is not None:
-                instance.ends.note_ended(gone, EndEvidence.ENTRY_GONE)
+                instance.ends.note_ended(gone.watched, EndEvidence.ENTRY_GONE)
         await trio.sleep(AWAY_SECONDS - ENTRY_SECONDS)
         self._start_server()
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -10,10 +10,10 @@
 import trio
 import trio.testing
 
-from ashpond.clients.channels import ChannelError, Outgoing
+from ashpond.clients.channels import ChannelError, Outgoing, Reach
 from ashpond.controllers.directory import ServerTable
 from ashpond.controllers.quarantine import Quarantine
-from ashpond.controllers.serverends import ServerEnds
+from ashpond.controllers.serverends import ServerEnds, WatchedServer
 from ashpond.decisions.budget import SendBudget
 from ashpond.decisions.declared import Declaration, Route, RouteKind
 from ashpond.decisions.knowledge import Knowledge
@@ -110,6 +110,10 @@
         self._pool.closed += 1
 
 
+async def check_nothing(server: WatchedServer) -> Reach:
+    return Reach.UNKNOWN
+
+
 class RecordedReply:
     """Keeps what a client would see."""
 
@@ -185,7 +189,7 @@
         lambda: 1,
         lambda server, salt, prompt: None,
         lambda call, team: FINGERPRINT if quarantine else None,
-        ServerEnds(pool, log, lambda lost: None),  # type: ignore[arg-type]
+        ServerEnds(check_nothing, log.note, lambda lost: None),
         quarantine or make_quarantine(log),
         lambda server, seconds: None,
         random.Random(1),
--- /dev/null
+++ b/tests/test_callends.py
@@ -0,0 +1,184 @@
+"""Calls of the callers' API that end servers, as several instances see them."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from ashpond.call import Call, Reply
+from ashpond.clients.channels import Reach
+from ashpond.controllers import callends
+from ashpond.controllers.callends import ENDS_PART, CallEnds
+from ashpond.controllers.serverends import EndEvidence, WatchedServer
+from ashpond.decisions.quarantine import SETTLING_SECONDS, Standing
+from ashpond.filters.quarantine import make_quarantine
+from ashpond.metrics import Metrics
+from ashpond.outcomes import RunState
+from tests.builders import make_call, make_settings
+
+GAP_SECONDS = 3.0
+
+
+class FakeMembers:
+    """Carries facts from one instance to the others."""
+
+    def __init__(self) -> None:
+        self.listener: Any = None
+        self.produce: Any = None
+
+    def contribute(self, name: str, produce: Any) -> None:
+        assert name == ENDS_PART
+        self.produce = produce
+
+    def on_fact(self, listener: Any) -> None:
+        self.listener = listener
+
+    def tell(self, other: FakeMembers) -> None:
+        body = {ENDS_PART: self.produce()}
+        other.listener(SimpleNamespace(origin="a", body=body))
+
+
+class Told:
+    def __init__(self) -> None:
+        self.members = FakeMembers()
+        self.engines = SimpleNamespace(servers={}, on_end=None)
+        self.ends = CallEnds(
+            make_settings(),
+            self.engines,  # type: ignore[arg-type]
+            self.members,  # type: ignore[arg-type]
+            Metrics(),
+        )
+
+    def end(self, call: Call, start: str) -> None:
+        """Lose a call with the end of a server's start."""
+        server = WatchedServer(start, start, None, "127.0.0.1:9", "reader", False)
+        self.ends.note_broken(call, server, trio.current_time() - 0.1)
+        self.engines.on_end(server, EndEvidence.NEW_START)
+
+    def judge(self, call: Call) -> Standing:
+        return self.ends.judge(self.ends.identify(call))
+
+
+async def end_three(told: Told, call: Call) -> None:
+    for number in range(3):
+        told.end(call, f"e{number}#1")
+        await trio.sleep(GAP_SECONDS)
+
+
+async def test_a_call_that_has_ended_three_servers_is_refused_for_good(
+    autojump_clock: object,
+) -> None:
+    told = Told()
+    call = make_call()
+    await end_three(told, call)
+    assert told.judge(call) is Standing.QUARANTINED
+    keep_away = make_quarantine(told.ends, Metrics())
+
+    async def follow(call: Call) -> Reply:
+        raise AssertionError("it must not be sent")
+
+    reply = await keep_away(call, follow)
+    assert reply.status == 400
+    assert "Retry-After" not in reply.headers
+    assert b"quarantined" in reply.body  # type: ignore[operator]
+    other = make_call(body=b"{ }")
+    assert told.judge(other) is Standing.FREE
+
+
+async def test_the_others_are_told(autojump_clock: object) -> None:
+    one, other = Told(), Told()
+    call = make_call()
+    await end_three(one, call)
+    one.members.tell(other.members)
+    assert other.judge(call) is Standing.QUARANTINED
+    # Told again and again, it counts no more and no longer.
+    await trio.sleep(callends.KEEP_SECONDS - 1)
+    one.members.tell(other.members)
+    other.members.tell(one.members)
+    await trio.sleep(GAP_SECONDS * 3)
+    assert {one.judge(call), other.judge(call)} == {Standing.FREE}
+
+
+@pytest.mark.parametrize(
+    "part", [None, 7, [7], [["x"] * 5], [["f" * 24, "e", -1.0, 0.0, False]], {"a": 1}]
+)
+async def test_what_makes_no_sense_is_passed_over(
+    part: object, autojump_clock: object
+) -> None:
+    told = Told()
+    told.members.listener(SimpleNamespace(origin="a", body={ENDS_PART: part}))
+    assert told.members.produce() == []
+
+
+async def answer(call: Call) -> Reply:
+    call.progress.run = RunState.RUN
+    return Reply(200, {}, b"whole")
+
+
+async def test_a_suspected_call_goes_alone_and_an_answer_frees_it(
+    autojump_clock: object,
+) -> None:
+    told = Told()
+    call = make_call()
+    told.end(call, "e1#1")
+    await trio.sleep(SETTLING_SECONDS)
+    keep_away = make_quarantine(told.ends, Metrics())
+    seen: list[Call] = []
+    replies: list[Reply] = []
+
+    async def hold(call: Call) -> Reply:
+        seen.append(call)
+        await trio.sleep(1.0)
+        return await answer(call)
+
+    async def ask(again: Call) -> None:
+        replies.append(await keep_away(again, hold))
+        await again.exits.aclose()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, make_call())
+        await trio.sleep(0.1)
+        nursery.start_soon(ask, make_call())
+    assert [c.is_suspected for c in seen] == [True]
+    assert [reply.status for reply in replies] == [503, 200]
+    assert replies[0].headers["Retry-After"]
+    assert told.judge(call) is Standing.FREE
+
+
+async def test_half_a_stream_frees_nothing(autojump_clock: object) -> None:
+    told = Told()
+    call = make_call()
+    told.end(call, "e1#1")
+    keep_away = make_quarantine(told.ends, Metrics())
+
+    async def stream(call: Call) -> Reply:
+        async def pieces() -> Any:
+            yield b"x"
+
+        call.progress.run = RunState.RUN
+        return Reply(200, {}, pieces())
+
+    again = make_call()
+    await keep_away(again, stream)
+    await again.exits.aclose()
+    assert told.judge(call) is Standing.SUSPECTED
+
+
+async def test_a_server_that_refuses_connections_has_ended(
+    autojump_clock: object, monkeypatch: Any, nursery: trio.Nursery
+) -> None:
+    async def refuse(address: str) -> Reach:
+        return Reach.REFUSED
+
+    monkeypatch.setattr(callends, "check_address", refuse)
+    told = Told()
+    nursery.start_soon(told.ends.run)
+    call = make_call()
+    server = WatchedServer("e#1", "e#1", None, "127.0.0.1:9", "reader", False)
+    told.ends.note_broken(call, server, trio.current_time())
+    await trio.sleep(0.01)
+    assert told.judge(call) is Standing.SUSPECTED
--- /dev/null
+++ b/tests/test_calls_that_end_engines.py
@@ -0,0 +1,52 @@
+"""A call of the callers' API that ends every engine which runs it.
+
+The same as in ``test_requests_that_end_servers.py``, by the other way in: a chat comes
+again and again, at any instance; the engines' processes end and are started again.
+"""
+
+from __future__ import annotations
+
+import time
+
+from tests.processes import ask, make_body
+from tools.fleet import Fleet
+
+DEADLY = "end now"
+# The news of three ends are there by then, each a gossip period old and settled.
+MOST_CALLS = 40
+GAP_SECONDS = 0.3
+
+
+def restart_dead(fleet: Fleet) -> int:
+    """Start the engines that have ended anew; return how many there were."""
+    dead = [engine for engine in fleet.engines if engine.popen.poll() is not None]
+    for engine in dead:
+        fleet.set_faults(fleet.restart_engine(engine), deadly_text=DEADLY)
+    return len(dead)
+
+
+def test_a_call_that_has_ended_engines_is_refused_by_all_instances(
+    fleet: Fleet,
+) -> None:
+    for engine in fleet.engines:
+        fleet.set_faults(engine, deadly_text=DEADLY)
+    deadly = make_body(messages=[{"role": "user", "content": DEADLY}])
+    ended = 0
+    refused: set[str] = set()
+    for number in range(MOST_CALLS):
+        instance = fleet.instances[number % 3]
+        if ask(instance, deadly).status_code == 400:
+            refused.add(instance.name)
+        time.sleep(GAP_SECONDS)
+        ended += restart_dead(fleet)
+        if len(refused) == len(fleet.instances):
+            break
+    assert len(refused) == len(fleet.instances)
+    assert ended >= 3
+    for instance in fleet.instances:
+        answer = ask(instance, deadly)
+        assert answer.status_code == 400
+        assert "retry-after" not in answer.headers
+        assert answer.json()["error"]["type"] == "quarantined", answer.text
+        assert ask(instance).status_code == 200
+    assert restart_dead(fleet) == 0
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -201,7 +201,7 @@
             await trio.sleep_forever()
 
     dispatcher = Leaving(
-        make_settings(), none, none, none, none, none, none, make_client(0.5, 0.5)
+        make_settings(), none, none, none, none, none, none, make_client(0.5, 0.5), none
     )
     call = make_call()
     with caller:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -220,7 +220,7 @@
 def make_lost(server_id: str, fingerprint: str = FINGERPRINT) -> LostRequest:
     now = trio.current_time()
     state = ServerState(make_server(server_id), now)
-    return LostRequest(fingerprint, state, now - 0.05, now)
+    return LostRequest(fingerprint, state.watched, now - 0.05, now)
 
 
 class Heard:
--- a/tests/test_serverends.py
+++ b/tests/test_serverends.py
@@ -18,6 +18,7 @@
     EndEvidence,
     LostRequest,
     ServerEnds,
+    WatchedServer,
 )
 from ashpond.decisions.fingerprints import make_fingerprint
 from ashpond.gateway.decisionlog import DecisionLog
@@ -33,7 +34,7 @@
         self.reach = reach
         self.checks = 0
 
-    async def check(self, owner: str, address: str) -> Reach:
+    async def check(self, server: WatchedServer) -> Reach:
         self.checks += 1
         await trio.sleep(0.001)
         return self.reach
@@ -43,10 +44,10 @@
     def __init__(self, reach: Reach = Reach.UNKNOWN):
         self.pool = CheckedPool(reach)
         self.lost: list[LostRequest] = []
-        self.refused: list[ServerState] = []
+        self.refused: list[WatchedServer] = []
         self.ends = ServerEnds(
-            self.pool,  # type: ignore[arg-type]
-            DecisionLog("i"),
+            self.pool.check,
+            DecisionLog("i").note,
             self.lost.append,
             self.refused.append,
         )
@@ -55,8 +56,9 @@
         return [lost.fingerprint for lost in self.lost]
 
 
-def make_state(server_id: str = "a", **changes: object) -> ServerState:
-    return ServerState(make_server(server_id, **changes), trio.current_time())
+def make_state(server_id: str = "a", **changes: object) -> WatchedServer:
+    info = make_server(server_id, **changes)
+    return ServerState(info, trio.current_time()).watched
 
 
 async def test_a_server_that_refuses_connections_has_ended(
@@ -108,7 +110,7 @@
     watched.ends.note_ended(state, evidence)
     watched.ends.note_ended(state, EndEvidence.ENTRY_GONE)
     assert watched.list_lost() == ["f1"]
-    assert watched.lost[0].state is state
+    assert watched.lost[0].server is state
 
 
 async def test_what_breaks_a_little_after_the_proof_counts(
@@ -218,8 +220,8 @@
     engines = [make_state(f"e{number}") for number in range(5)]
     plain = [make_state(f"p{number}", service="plain") for number in range(4)]
     ends = ServerEnds(
-        CheckedPool(Reach.UNKNOWN),  # type: ignore[arg-type]
-        DecisionLog("i"),
+        CheckedPool(Reach.UNKNOWN).check,
+        DecisionLog("i").note,
         lambda lost: None,
         list_servers=lambda: engines + plain,
     )
@@ -238,8 +240,8 @@
     engines = [make_state(f"e{number}") for number in range(5)]
     there = list(engines)
     ends = ServerEnds(
-        CheckedPool(Reach.UNKNOWN),  # type: ignore[arg-type]
-        DecisionLog("i"),
+        CheckedPool(Reach.UNKNOWN).check,
+        DecisionLog("i").note,
         lambda lost: None,
         list_servers=lambda: there,
     )
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -215,6 +215,17 @@
         process.popen.kill()
         process.popen.wait()
 
+    def restart_engine(self, engine: Process) -> Process:
+        """Start an engine that has ended, at the address that it had."""
+        number = self.engines.index(engine)
+        assert self.platform is not None
+        extra = (*self.options.engine_args, "--platform", self.platform.address)
+        options = ("--address", engine.address, *extra)
+        popen = self._spawn(engine.name, "standin", "engine", *options)
+        self.engines[number] = Process(engine.name, popen, engine.address)
+        self._wait_for(f"http://{engine.address}/load")
+        return self.engines[number]
+
     def stop(self) -> None:
         """End every process that this fleet started."""
         started = [*self.instances, *self.services, *self.engines]
