Do not order weights again and again that end each engine which loads them

An engine that ends under an order comes back with the weights before, lags behind, and is ordered anew; nothing outlives an order.

The holder of the lease counts, by model and version, the engines that ended after they had accepted the order and before any other came through. Found on the way: an order that is refused for its number says nothing, or one end counted twice.

--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -5,6 +5,7 @@
 __all__ = ["RolloutController"]
 
 from collections.abc import Callable
+from enum import Enum, auto
 from typing import NamedTuple
 
 import trio
@@ -12,6 +13,7 @@
 from ashpond.controllers.directory import ServerState, ServerTable, StartOrder
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.leases import Lease, make_lease_terms
+from ashpond.decisions.orderends import OrderEnds
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.orderlease import OrderLease
@@ -78,6 +80,14 @@
     version: int
 
 
+class _Taken(Enum):
+    """Whether an engine carries an order out; MAYBE if it is busy with some order."""
+
+    NO = auto()
+    MAYBE = auto()
+    YES = auto()
+
+
 class RolloutController:
     """One instance's part in keeping engines on the declared weights."""
 
@@ -118,6 +128,7 @@
         )
         self._has_service = has_service
         self._ordering: set[str] = set()
+        self._order_ends = OrderEnds()
         self._accepted: dict[str, int] = {}
         self._paused_until: dict[str, float] = {}
         self._closed_at: dict[str, float] = {}
@@ -195,6 +206,9 @@
         if not self._ordering and self._measure_lag(now) > SPARE_SECONDS:
             room = max(room, 1)
         for lag in waiting[: max(0, room)]:
+            most = self._order_ends.limit_loads(lag.model, lag.version, now)
+            if most is not None and len(self._ordering) >= most:
+                continue
             self._ordering.add(lag.state.info.id)
             nursery.start_soon(self._bring_up, lag)
 
@@ -228,9 +242,15 @@
             # Nothing is waited for between its last look and the order: what is decided
             # there would not hold for requests that come meanwhile.
             cuts_runs = await self._await_bound_requests(lag, started)
-            is_up = await self._order(lag, cuts_runs) and await self._await_weights(
+            taken = await self._order(lag, cuts_runs)
+            is_up = taken is not _Taken.NO and await self._await_weights(
                 lag, trio.current_time()
             )
+            if is_up:
+                self._order_ends.note_loaded(lag.model, lag.version)
+            elif taken is _Taken.YES and self._has_ended(lag.state):
+                now = trio.current_time()
+                self._order_ends.note_ended(lag.model, lag.version, now)
             if not is_up and self._table.is_current(lag.state):
                 self._paused_until[server_id] = (
                     trio.current_time() + FAILED_PAUSE_SECONDS
@@ -250,6 +270,10 @@
             seconds=round(trio.current_time() - started, 3),
         )
 
+    def _has_ended(self, state: ServerState) -> bool:
+        """Return whether an engine has started anew, or takes no connections."""
+        return state.unreached > 0 or not self._table.is_current(state)
+
     def _close(self, lag: _Lag) -> None:
         server_id = lag.state.info.id
         now = trio.current_time()
@@ -316,13 +340,13 @@
             return MaybeRun("a report of another start")
         return report
 
-    async def _order(self, lag: _Lag, cuts_runs: bool) -> bool:
-        """Send the order; return whether the engine may be carrying it out."""
+    async def _order(self, lag: _Lag, cuts_runs: bool) -> _Taken:
+        """Send the order; return whether the engine is carrying it out."""
         info = lag.state.info
         if not self.lease.holds(trio.current_time()):
-            return False
+            return _Taken.NO
         if not self._table.is_current(lag.state):
-            return False
+            return _Taken.NO
         order = WeightsOrder(
             lag.model,
             lag.version,
@@ -344,13 +368,13 @@
         )
         if not self._table.is_current(lag.state):
             # Which start has taken it is not known: the new one is asked.
-            return False
+            return _Taken.NO
         if isinstance(outcome, OrderAccepted):
             if not outcome.is_in_force and info.id in self._accepted:
                 self._accepted[info.id] += 1
             if outcome.is_in_force:
                 lag.state.learn_weights(lag.model, lag.version)
-            return True
+            return _Taken.YES
         # The count of accepted orders is not known for certain any more.
         self._accepted.pop(info.id, None)
         if isinstance(outcome, NotRun):
@@ -359,7 +383,9 @@
             lag.state.misdirected = True
         # After 409 another order is in progress. One without an answer may be
         # carried out much later: until then the engine serves as before.
-        return isinstance(outcome, OrderRefused) and outcome.status == 409
+        if isinstance(outcome, OrderRefused) and outcome.status == 409:
+            return _Taken.MAYBE
+        return _Taken.NO
 
     async def _await_weights(self, lag: _Lag, started: float) -> bool:
         if lag.state.weights.get(lag.model, 0) >= lag.version:
@@ -380,6 +406,7 @@
                     self._accepted.pop(lag.state.info.id, None)
                     return False
             elif isinstance(report, NotRun):
+                lag.state.note_unreached(trio.current_time())
                 return False
             self.note_progress()
             self._keep_closed(lag)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -29,6 +29,7 @@
 from tests.gateway_builders import MODEL, make_server, make_table
 
 LOAD_SECONDS = 0.8
+AWAY_SECONDS = 1.5
 LEASE_SECONDS = 3.0
 
 
@@ -51,6 +52,9 @@
         self.orders: list[SentOrder] = []
         self.lost = 0
         self.down: set[str] = set()
+        # An engine that loads this version ends, and is away for a while.
+        self.deadly_version: int | None = None
+        self.ends = 0
         self.nursery: trio.Nursery | None = None
 
     def build_port(self) -> EnginePort:
@@ -99,6 +103,13 @@
         await trio.sleep(self.load_seconds)
         if self.born[server_id] != born:
             return
+        if self.loading[server_id] == self.deadly_version:
+            self.ends += 1
+            self.start_anew(server_id)
+            self.down.add(server_id)
+            await trio.sleep(AWAY_SECONDS)
+            self.down.discard(server_id)
+            return
         self.versions[server_id] = self.loading[server_id]
         self.loading[server_id] = 0
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -214,3 +214,39 @@
         await run_until_current(fleet, 2, 5.0)
         nursery.cancel_scope.cancel()
     assert [sent.order.cuts_runs for sent in fleet.engines.orders] == [True]
+
+
+async def test_weights_that_end_engines_do_not_end_all_again_and_again(
+    autojump_clock: object,
+) -> None:
+    """Each engine that loads a version ends, and is back with the one before.
+
+    Looked for after requests that ended servers: nothing outlived an order either. In a
+    minute 48 engines ended under it; with a count of ends by order 6 do.
+    """
+    fleet = Fleet(3)
+    fleet.engines.deadly_version = 2
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        await trio.sleep(60.0)
+        assert fleet.engines.ends <= 10
+        # Other weights are another order.
+        fleet.name_version(3)
+        assert await run_until_current(fleet, 3, 20.0) < 10.0
+        nursery.cancel_scope.cancel()
+
+
+async def test_an_order_is_tried_again_where_engines_ended_by_chance(
+    autojump_clock: object,
+) -> None:
+    fleet = Fleet(3)
+    fleet.engines.deadly_version = 2
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.name_version(2)
+        while fleet.engines.ends < 3:
+            await trio.sleep(0.01)
+        fleet.engines.deadly_version = None
+        assert await run_until_current(fleet, 2, 30.0) < 15.0
+        nursery.cancel_scope.cancel()
