Keep what is known when the store comes back from an older copy

Cause: a version names a state of the store within one era only. A follower that goes on from a version given out twice sees nothing, and each empty answer confirms what it knows; rows that the copy lacks stay away; a lease's condition may fit by chance.

The era of every answer is read in the adapter (StoreEra); an answer of a call from before the change says nothing. On a change: followers read anew at once, readers first, who tell their groups the whole table; nothing confirms knowledge for 2 s, older declarations are not adopted; servers that have gone or leave stay so until they write again, missing ones count for a while; own member row, secret and quarantined requests are written again, rows of instances that left removed; the lease has a row an era, its numbers begin above all of earlier eras, and only the last holder takes it at once. The first call after the store was lost does not wait for changes.

--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -143,8 +143,9 @@
     """What a reader of the platform's store has learned of one table.
 
     ``scope`` is as in :class:`News`; ``rows`` are lists of [key, value or nil,
-    version], all changes from version ``after`` to ``version``; ``store_time`` is
-    the store's steady clock at its answer (seconds).
+    version], all changes from version ``after`` to ``version``, or all rows there are
+    with ``is_whole``; ``store_time`` is the store's steady clock at its answer
+    (seconds), ``era`` that of its data, -1 if it tells none.
     """
 
     sender: str
@@ -154,6 +155,8 @@
     version: int
     store_time: float
     rows: list[Any]
+    era: int
+    is_whole: bool
 
 
 PeerMessage = (
--- a/ashpond/controllers/feeds.py
+++ b/ashpond/controllers/feeds.py
@@ -27,6 +27,11 @@
 # the store itself so often (seconds), for one of its tables: any answer sets the clock
 # right, and 195 instances would spend 390 calls a minute on the two others.
 RESYNC_SECONDS = 60.0
+# After the store came back from an older copy, who is told by readers waits so long
+# before it asks itself: 195 instances would read all three tables at once (seconds).
+RETURN_PATIENCE_SECONDS = 1.5
+# A whole table is told in one message up to this size of its values (bytes).
+MAX_WHOLE_BYTES = 400_000
 # News that make an instance's knowledge younger by less are not forwarded (seconds).
 NEWS_WORTH_SECONDS = 0.2
 
@@ -53,7 +58,9 @@
 class TableNews(NamedTuple):
     """What a reader learned: all changes of a table from ``after`` to ``version``.
 
-    ``store_time`` is the store's steady clock when it answered, in seconds.
+    ``store_time`` is the store's steady clock when it answered, in seconds. ``era`` is
+    that of the store's data, None if it tells none. ``is_whole`` tells that the rows
+    are all there are.
     """
 
     table: str
@@ -61,6 +68,8 @@
     version: int
     store_time: float
     rows: tuple[Row, ...]
+    era: int | None = None
+    is_whole: bool = False
 
 
 class Follower:
@@ -92,6 +101,24 @@
         self._is_restarted = False
         self._retry = RETRY_SECONDS
         self._told = trio.Event()
+        self._changes = store.era.changes
+        self._returned_at = float("-inf")
+        self._call = trio.CancelScope()
+        store.era.on_change(self._begin_era)
+
+    def _begin_era(self) -> None:
+        """Forget the version that is known: it may have been given out again.
+
+        A call that waits for what comes after it would hear nothing, or not all, and
+        its empty answers would make old knowledge seem confirmed.
+        """
+        self._changes = self._store.era.changes
+        self._version = None
+        self._has_gap = False
+        self._is_restarted = True
+        self._returned_at = trio.current_time()
+        self._call.cancel()
+        self._wake()
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -104,12 +131,18 @@
 
     def take(self, news: TableNews) -> bool:
         """Take what a reader has forwarded; return whether to forward it."""
+        now = trio.current_time()
+        era = self._store.era
+        if era.is_older(news.era):
+            return False
+        era.note(news.era, now, now)
+        if news.is_whole and (self._version is None or news.after > self._version):
+            return self._take_whole(news, now)
         if self._version is None or news.after > self._version:
             # A change in between was missed, or nothing is known yet.
-            self._has_gap = True
+            self._has_gap = self._version is not None
             self._wake()
             return False
-        now = trio.current_time()
         as_of = self._clock.date_relayed(news.store_time)
         if as_of is None or as_of > now:
             # The store's clock is not what it was: ask for it.
@@ -134,8 +167,31 @@
         self._wake()
         return is_worth
 
+    def _take_whole(self, news: TableNews, now: float) -> bool:
+        """Take a whole table in place of what is known."""
+        as_of = self._clock.date_relayed(news.store_time)
+        if as_of is None or as_of > now:
+            self._has_gap = self._version is not None
+            self._wake()
+            return False
+        self._as_of = max(self._as_of, as_of)
+        self._version = news.version
+        self._log.note(
+            "table_told_by_reader",
+            table=news.table,
+            rows=len(news.rows),
+            version=news.version,
+            era=news.era,
+        )
+        snapshot = Snapshot(news.rows, news.version, news.store_time, as_of, now)
+        self.feed.on_rows(snapshot, True, as_of)
+        self._wake()
+        return True
+
     def _measure_patience(self, now: float) -> float:
         """Return for how long this instance need not ask the store (seconds)."""
+        if self._version is None and not self._is_reader():
+            return self._returned_at + RETURN_PATIENCE_SECONDS - now
         if self._version is None or self._has_gap or self._is_reader():
             return 0.0
         return min(
@@ -161,14 +217,22 @@
         self._clock.asked_at = trio.current_time()
         # One that shows while the call is out may be newer than its answer.
         self._has_gap = False
+        changes = self._changes
         outcome: Done | HistoryLost | Unavailable | Unknown
-        if after is None:
-            outcome = await self._store.read(feed.table)
-        else:
-            # What is old already must not grow older while a call waits for a change.
-            is_stale = self._measure_until_stale(trio.current_time()) <= 0
-            wait = 0.0 if had_gap or is_stale else feed.wait
-            outcome = await self._store.follow(feed.table, after, wait)
+        outcome = Unknown("the store came back from an older copy")
+        with trio.CancelScope() as self._call:
+            if after is None:
+                outcome = await self._store.read(feed.table)
+            else:
+                # What is old already must not grow older while a call waits; and a
+                # store that was lost may have come back from an older copy, which only
+                # an answer tells.
+                is_stale = self._measure_until_stale(trio.current_time()) <= 0
+                wait = 0.0 if had_gap or is_stale or self._is_lost else feed.wait
+                outcome = await self._store.follow(feed.table, after, wait)
+        if changes != self._changes and after is not None:
+            # What it brought counts from a version of the time before.
+            return
         if not isinstance(outcome, Done):
             self._has_gap |= had_gap
         if isinstance(outcome, HistoryLost):
@@ -203,16 +267,26 @@
 
     def _tell(self, snapshot: Snapshot, after: int | None) -> None:
         rows = snapshot.rows
+        is_whole = False
         if after is None:
             if not self._is_restarted:
                 return
-            # Which rows were removed meanwhile is not known: who knows less sees from
-            # this that it has missed a change, and asks.
-            after, rows = snapshot.version, ()
+            after = snapshot.version
+            is_whole = sum(len(r.value or b"") for r in rows) <= MAX_WHOLE_BYTES
+            if not is_whole:
+                # Which rows were removed meanwhile is not known: who knows less sees
+                # from this that it has missed a change, and asks.
+                rows = ()
         self._is_restarted = False
         self._publish(
             TableNews(
-                self.feed.table, after, snapshot.version, snapshot.store_time, rows
+                self.feed.table,
+                after,
+                snapshot.version,
+                snapshot.store_time,
+                rows,
+                self._store.era.current,
+                is_whole,
             )
         )
 
--- a/ashpond/controllers/quarantine.py
+++ b/ashpond/controllers/quarantine.py
@@ -138,6 +138,7 @@
         self._refused: Counter[str] = Counter()
         self._singles = 0
         self._singles_since = float("-inf")
+        store.era.on_change(self._keep_again)
         self._writes, self._to_write = trio.open_memory_channel[Row](MAX_WRITES)
 
     async def run(self) -> None:
@@ -382,6 +383,13 @@
         ends = self.suspicions.list_ends(fingerprint, now)
         self._enqueue(encode_row(fingerprint, ends))
 
+    def _keep_again(self) -> None:
+        """Write what a store that came back from an older copy may lack."""
+        now = self._now()
+        for name in self.suspicions.list_by_standing(Standing.QUARANTINED, now):
+            if OWN in self._told_by.get(name, ()):
+                self._keep(name, now)
+
     def _enqueue(self, row: Row) -> None:
         try:
             self._writes.send_nowait(row)
--- a/ashpond/controllers/storeview.py
+++ b/ashpond/controllers/storeview.py
@@ -8,7 +8,13 @@
 
 import trio
 
-from ashpond.controllers.directory import BackendServer, ServerState, ServerTable
+from ashpond.controllers.directory import (
+    BackendServer,
+    ServerState,
+    ServerTable,
+    StartOrder,
+    compare_starts,
+)
 from ashpond.controllers.feeds import Feed
 from ashpond.decisions.declared import Declaration, WeightTarget
 from ashpond.decisions.knowledge import Knowledge
@@ -29,6 +35,13 @@
 READERS_SILENCE_SHARE = 0.12
 # Changes of servers come in groups while weights are loaded (seconds).
 SERVERS_PAUSE_SECONDS = 0.3
+# A store that came back from an older copy lacks what was written since, until those
+# who wrote it have done so again. A key that was removed then may be there for so long:
+# nothing that is read meanwhile makes knowledge younger (seconds).
+RETURN_SECONDS = 2.0
+# Servers that have gone are remembered so long, and so many: a copy may hold them.
+GONE_SECONDS = 60.0
+MAX_GONE = 1_000
 # Entries that vanish so soon after the store failed may come back (seconds).
 RECENT_OUTAGE_SECONDS = 5.0
 
@@ -68,6 +81,22 @@
         self._on_target = on_target
         self._on_gone = on_gone
         self._failed_at = float("-inf")
+        self._returned_at = float("-inf")
+        # By id the start and when it went, the oldest first.
+        self._gone: dict[str, tuple[int | None, float]] = {}
+        platform.store.era.on_change(self._begin_era)
+
+    def _begin_era(self) -> None:
+        """Believe what is known rather than a copy, until it has been written again."""
+        now = trio.current_time()
+        self._returned_at = now
+        self._failed_at = now
+        self._invalid_rows.forget_versions()
+        era = self._platform.store.era
+        self._log.note("store_came_back", era=era.current, changes=era.changes)
+
+    def _is_returning(self) -> bool:
+        return trio.current_time() - self._returned_at < RETURN_SECONDS
 
     def note_failure(self) -> None:
         """Note that the store did not answer."""
@@ -91,7 +120,8 @@
                 )
             elif isinstance(found, WeightTarget):
                 self._on_weight_target(found, now)
-        self.knowledge.confirm(as_of)
+        if not self._is_returning():
+            self.knowledge.confirm(as_of)
 
     def _on_weight_target(self, target: WeightTarget, now: float) -> None:
         if self.knowledge.adopt_target(target, now):
@@ -116,11 +146,13 @@
     ) -> None:
         decoded = {row.key: self._decode_server(row) for row in snapshot.rows}
         servers = [s for s in decoded.values() if isinstance(s, BackendServer)]
+        if self._is_returning():
+            servers = [s for s in map(self._correct_copied, servers) if s is not None]
         invalid = {key for key, s in decoded.items() if isinstance(s, InvalidRow)}
         for gone in self.table.replace_all(
             servers, now, may_lapse=may_lapse, invalid=invalid
         ):
-            self._on_gone(gone)
+            self._note_gone(gone)
         self._log.note(
             "servers",
             count=len(servers),
@@ -128,6 +160,34 @@
             version=snapshot.version,
         )
 
+    def _note_gone(self, gone: ServerState) -> None:
+        now = trio.current_time()
+        self._gone.pop(gone.info.id, None)
+        self._gone[gone.info.id] = (gone.info.born, now)
+        while self._gone:
+            oldest = next(iter(self._gone))
+            is_old = now - self._gone[oldest][1] > GONE_SECONDS
+            if not is_old and len(self._gone) <= MAX_GONE:
+                break
+            del self._gone[oldest]
+        self._on_gone(gone)
+
+    def _correct_copied(self, server: BackendServer) -> BackendServer | None:
+        """Return what an entry of a copy tells, beside what is known to be newer.
+
+        A server that has gone, or is leaving, is in the copy as it was. Those that live
+        write their entries again, which then come as changes.
+        """
+        gone = self._gone.get(server.id)
+        if gone is not None and compare_starts(gone[0], server.born) is StartOrder.SAME:
+            return None
+        state = self.table.by_id.get(server.id)
+        if state is None or not state.info.is_draining:
+            return server
+        if compare_starts(state.info.born, server.born) is not StartOrder.SAME:
+            return server
+        return server._replace(is_draining=True)
+
     def _decode_server(self, row: Row) -> BackendServer | InvalidRow | None:
         found = self._platform.decode_server_row(row)
         if isinstance(found, InvalidRow):
@@ -145,7 +205,7 @@
             gone = self.table.remove(row.key, now, may_lapse=may_lapse)
             self._log.note("server_gone", server=row.key, may_lapse=may_lapse)
             if gone is not None:
-                self._on_gone(gone)
+                self._note_gone(gone)
             return
         self.table.update(server, now)
         self._log.note(
--- a/ashpond/decisions/leases.py
+++ b/ashpond/decisions/leases.py
@@ -31,6 +31,9 @@
 # its holder order, and how long a successor waits after that, with a margin for
 # clocks that differ in rate. Short terms cost writes, long ones delay a takeover.
 VALID_SHARE = 0.28
+# A store that comes back from an older copy has forgotten which fencing numbers were
+# given: those of its next era begin above. Far more than there are writes in one.
+FENCES_PER_ERA = 1 << 32
 APART_SHARE = 1.05
 
 
@@ -87,6 +90,44 @@
         self._seen_since = 0.0
         self._valid_until = float("-inf")
         self._renewed_at = float("-inf")
+        self._highest_fence = 0
+        self._era: int | None = None
+        self._era_since = float("-inf")
+        self._was_holder = False
+
+    def note_era(self, era: int | None) -> None:
+        """Take note of the era of the store, which has not changed under the lease."""
+        self._era = era
+
+    def begin_era(self, era: int | None, now: float) -> None:
+        """Take note that the store came back from an older copy.
+
+        Its row of the lease is of the time before, and may be older than grants that
+        were given since: it says nothing, and there is none yet. Who has renewed the
+        lease last may take it again at once, as until its term and the silence are
+        over nobody can have taken it over. All others wait for both from now on: the
+        last holder may not know yet.
+        """
+        self._was_holder = (
+            self.is_holder and now - self._renewed_at < self.terms.silence
+        )
+        self._highest_fence = max(self._highest_fence, self.fence)
+        self._era = era
+        self._era_since = now
+        self._valid_until = float("-inf")
+        self._row = None
+        self._version = 0
+
+    def _choose_fence(self) -> int:
+        """Return a fencing number above all that were given, in earlier eras too."""
+        base = 0 if self._era is None else self._era * FENCES_PER_ERA
+        return max(self.fence, self._highest_fence, base) + 1
+
+    def _may_take(self, now: float) -> bool:
+        """Return whether grants of before the store came back have run out."""
+        if self._was_holder:
+            return True
+        return now - self._era_since >= self.terms.silence
 
     def holds(self, now: float) -> bool:
         """Return whether an order may be sent at this moment."""
@@ -131,17 +172,22 @@
         """Return the write that would take or renew the lease, if it is time."""
         row = self._row
         if row is None:
-            return LeaseWrite(LeaseRow(self.holder, 1, 0), self._version)
+            if not self._may_take(now):
+                return None
+            fence = self._choose_fence()
+            return LeaseWrite(LeaseRow(self.holder, fence, 0), self._version)
         if row.holder == self.holder:
             return self._plan_renewal(row, now)
         if now - self._seen_since < self.terms.silence:
             return None
-        return LeaseWrite(LeaseRow(self.holder, row.fence + 1, 0), self._version)
+        fence = self._choose_fence()
+        return LeaseWrite(LeaseRow(self.holder, fence, 0), self._version)
 
     def _plan_renewal(self, row: LeaseRow, now: float) -> LeaseWrite | None:
         if not self.holds(now):
             # Awake after a pause, or a late write of ours: take it afresh.
-            return LeaseWrite(LeaseRow(self.holder, row.fence + 1, 0), self._version)
+            fence = self._choose_fence()
+            return LeaseWrite(LeaseRow(self.holder, fence, 0), self._version)
         if now - self._renewed_at < self.terms.renew:
             return None
         renewed = row._replace(beat=row.beat + 1)
@@ -156,6 +202,8 @@
             self._version = outcome.value
             self._seen_since = sent_at
             self._renewed_at = sent_at
+            self._highest_fence = max(self._highest_fence, write.row.fence)
+            self._was_holder = False
             self._valid_until = sent_at + self.terms.valid
             return False
         if isinstance(outcome, Conflict):
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -355,6 +355,7 @@
                 self.holdings.expire(now)
                 self.stores.expire(now)
                 self.quarantine.expire()
+                self.members.expire()
                 self.ends.count_servers()
             for gone in self.table.expire(now):
                 self.servers.on_gone(gone)
--- a/ashpond/gateway/invalidrows.py
+++ b/ashpond/gateway/invalidrows.py
@@ -48,6 +48,10 @@
         """Note that a row is whole, or was removed."""
         self._by_key.pop((table, key), None)
 
+    def forget_versions(self) -> None:
+        """Forget which versions were told of: they may be given out again."""
+        self._by_key.clear()
+
     def list_all(self) -> list[InvalidRow]:
         """Return those that are remembered, the oldest first."""
         return list(self._by_key.values())
--- a/ashpond/gateway/orderlease.py
+++ b/ashpond/gateway/orderlease.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["LEASE_KEY", "LEASE_TABLE", "OrderLease"]
+__all__ = ["LEASE_TABLE", "OrderLease", "make_lease_key"]
 
 from collections.abc import Callable
 
@@ -38,6 +38,15 @@
 _LEASE_DECODER = msgspec.json.Decoder(_StoredLease)
 
 
+def make_lease_key(era: int | None) -> str:
+    """Return the key of the lease's row in an era of the store.
+
+    Each era has a row of its own: a write of who has not heard of the store's return,
+    on condition of a version that has been given out again, meets another row.
+    """
+    return LEASE_KEY if era is None else f"{LEASE_KEY}/{era}"
+
+
 class OrderLease:
     """One instance's part in who gives orders; all agree on the order of succession."""
 
@@ -61,6 +70,16 @@
         self._has_read = False
         self._ranked_members: list[str] = []
         self._rank = 0
+        # The rows of earlier eras, which the first write in this one removes.
+        self._old_keys: set[str] = set()
+        self._knows_return = False
+        store.era.on_change(self._begin_era)
+
+    def _begin_era(self) -> None:
+        self.lease.begin_era(self._store.era.current, trio.current_time())
+        self._has_read = False
+        self._knows_return = True
+        self._old_keys.clear()
 
     def note_progress(self) -> None:
         """Note that some instance is giving orders."""
@@ -92,6 +111,7 @@
         if write is None:
             return
         sent_at = trio.current_time()
+        changes = self._store.era.changes
         value = orjson.dumps(
             {
                 "holder": write.row.holder,
@@ -100,10 +120,16 @@
                 "renewed_at": self._clock.estimate_store_time(sent_at),
             }
         )
+        key = make_lease_key(self._store.era.current)
+        rows = [Row(LEASE_TABLE, old, None, 0) for old in sorted(self._old_keys)]
         outcome = await self._store.write(
-            [Condition(LEASE_TABLE, LEASE_KEY, write.version)],
-            [Row(LEASE_TABLE, LEASE_KEY, value, 0)],
+            [Condition(LEASE_TABLE, key, write.version)],
+            [Row(LEASE_TABLE, key, value, 0), *rows],
         )
+        if changes != self._store.era.changes:
+            # A grant of the time before.
+            return
+        self._old_keys.clear()
         needs_read = self.lease.on_write(write, outcome, sent_at)
         self._log.note(
             "lease_written",
@@ -129,13 +155,22 @@
         outcome = await self._store.read(LEASE_TABLE)
         if not isinstance(outcome, Done):
             return
-        self._has_read = True
+        era = self._store.era.current
+        self.lease.note_era(era)
         snapshot = outcome.value
         self._clock.date(snapshot)
-        rows = [row for row in snapshot.rows if row.key == LEASE_KEY]
+        rows = [row for row in snapshot.rows if row.key == make_lease_key(era)]
         if not rows:
+            self._old_keys = {row.key for row in snapshot.rows}
+            if self._old_keys and not self._knows_return:
+                # The store came back before this instance started; the last holder of
+                # the time before may not know.
+                self._knows_return = True
+                self.lease.begin_era(era, now)
+            self._has_read = True
             self.lease.on_read(None, 0, now)
             return
+        self._has_read = True
         row, renewed_at = self._decode_lease(rows[0], snapshot.store_time)
         age = max(0.0, snapshot.store_time - renewed_at)
         self.lease.on_read(row, rows[0].version, trio.current_time(), age)
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -26,6 +26,7 @@
         "ready": gateway.is_ready(),
         "leaving": gateway.leaving.is_set(),
         "configuration": declaration.version if declaration else None,
+        "store_era": gateway.platform.store.era.current,
         "knowledge_age_seconds": round(age, 3) if declaration else None,
         "weight_targets": gateway.knowledge.targets,
         "invalid_rows": [row._asdict() for row in gateway.invalid_rows.list_all()],
--- a/ashpond/gateway/store.py
+++ b/ashpond/gateway/store.py
@@ -10,6 +10,7 @@
     "Snapshot",
     "Store",
     "StoreClock",
+    "StoreEra",
 ]
 
 from collections.abc import Awaitable, Callable
@@ -62,8 +63,54 @@
     """The store no longer has the changes that were asked for."""
 
 
+class StoreEra:
+    """Which of its lives the store's data are in.
+
+    A store that comes back from an older copy begins another era: versions are given
+    out again, so that they compare within an era only, and what was acknowledged may be
+    gone. Everybody who keeps a version or a row listens for the change.
+    """
+
+    def __init__(self) -> None:
+        self.current: int | None = None
+        self.changes = 0
+        self._changed_at = float("-inf")
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` with each change, once ``current`` is the new era."""
+        self._listeners.append(listener)
+
+    def note(self, era: int | None, sent_at: float, now: float) -> bool:
+        """Take the era of an answer; return whether the answer is of the present one.
+
+        An answer that names none is believed to be: stores that tell no era keep what
+        they acknowledge. A lower one is of the time before if its call was sent before
+        the change was seen; else the store has gone back, which is a change as well.
+
+        :param sent_at: when the call was sent, on this process's clock.
+        """
+        if era is None or era == self.current:
+            return True
+        if self.current is None:
+            self.current = era
+            return True
+        if era < self.current and sent_at < self._changed_at:
+            return False
+        self.current = era
+        self.changes += 1
+        self._changed_at = now
+        for listener in self._listeners:
+            listener()
+        return True
+
+    def is_older(self, era: int | None) -> bool:
+        """Return whether another instance's word is of an era before the present."""
+        return era is not None and self.current is not None and era < self.current
+
+
 class Store(NamedTuple):
-    """The operations of a table store.
+    """The operations of a table store, and the era that its answers tell of.
 
     ``read(table)`` answers ``Done(Snapshot)``; ``follow(table, after, wait)``
     the same as soon as there is a change, at the latest after ``wait`` seconds;
@@ -79,6 +126,7 @@
         [list[Condition], list[Row]],
         Awaitable[Done | Conflict | Unavailable | Unknown],
     ]
+    era: StoreEra
 
 
 class StoreClock:
--- a/ashpond/news/items.py
+++ b/ashpond/news/items.py
@@ -35,6 +35,8 @@
 # Far more than any server is closed for; one that is told to be closed for ever would
 # get nothing again (seconds).
 MAX_CLOSED_SECONDS = 600.0
+# In messages, for a store that tells no era.
+NO_ERA = -1
 T = TypeVar("T")
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_CLOSED_SECONDS)]
 
@@ -198,7 +200,15 @@
     """Return the message that passes changes of a table on."""
     rows = [[row.key, row.value, row.version] for row in news.rows]
     return TableChanges(
-        sender, scope, news.table, news.after, news.version, news.store_time, rows
+        sender,
+        scope,
+        news.table,
+        news.after,
+        news.version,
+        news.store_time,
+        rows,
+        NO_ERA if news.era is None else news.era,
+        news.is_whole,
     )
 
 
@@ -212,10 +222,15 @@
         after = msgspec.convert(changes.after, Count)
         version = msgspec.convert(changes.version, Count)
         store_time = msgspec.convert(changes.store_time, Amount)
+        if changes.era != NO_ERA:
+            msgspec.convert(changes.era, Count)
         rows = tuple(
             Row(changes.table, *change)
             for change in _convert_list(changes.rows, _Change)
         )
     except ValueError as error:
         raise FrameError(f"changes that make no sense: {error!r}") from error
-    return scope, TableNews(changes.table, after, version, store_time, rows)
+    era = None if changes.era == NO_ERA else changes.era
+    return scope, TableNews(
+        changes.table, after, version, store_time, rows, era, changes.is_whole
+    )
--- a/ashpond/news/members.py
+++ b/ashpond/news/members.py
@@ -22,6 +22,13 @@
 SECRET_TABLE = "ashpond-secret"
 SECRET_KEY = "peers"
 SECRET_BYTES = 24
+# Instances whose rows a store that came back does not hold write them again; until then
+# they count as there (seconds).
+RETURN_SECONDS = 5.0
+# Instances that have left are remembered, as a copy may hold their rows.
+MAX_LEFT = 1_000
+# In a deployment that has just started, the copy may lack the secret (seconds).
+YOUNG_SECONDS = 60.0
 # A write or read that failed is tried again after this (seconds).
 RETRY_SECONDS = 0.3
 
@@ -80,6 +87,55 @@
         self._log = log
         self._on_change = on_change
         self._invalid_rows = invalid_rows or InvalidRows(log)
+        self._is_registered = False
+        self._agreed_at = float("inf")
+        self._left: dict[str, None] = {}
+        # Those that the store does not hold any more, and until when they count.
+        self._missing: dict[str, float] = {}
+        self._is_returned = False
+        self._to_restore: list[tuple[list[Condition], Row]] = []
+        self._needs_secret = False
+        self._restore = trio.Event()
+        store.era.on_change(self._begin_era)
+
+    def _begin_era(self) -> None:
+        """Expect a table that lacks rows, and holds those of instances that left."""
+        self._is_returned = True
+        if trio.current_time() - self._agreed_at < YOUNG_SECONDS:
+            self._needs_secret = True
+            self._restore.set()
+
+    async def keep_rows(self) -> None:
+        """Write again what a store that came back lacks, until cancelled."""
+        while True:
+            await self._restore.wait()
+            self._restore = trio.Event()
+            if self._needs_secret:
+                self._needs_secret = False
+                await self._agree_again()
+            restored, self._to_restore = self._to_restore, []
+            for conditions, row in restored:
+                outcome = await self._store.write(conditions, [row])
+                if not isinstance(outcome, Done | Conflict):
+                    self._to_restore.append((conditions, row))
+            if self._to_restore:
+                await trio.sleep(RETRY_SECONDS)
+                self._restore.set()
+
+    async def _agree_again(self) -> None:
+        """Write the known secret if the store has none, and go by the one it holds."""
+        row = Row(SECRET_TABLE, SECRET_KEY, self.secret.encode(), 0)
+        await self._store.write([Condition(SECRET_TABLE, SECRET_KEY, 0)], [row])
+        outcome = await self._store.read(SECRET_TABLE)
+        if not isinstance(outcome, Done):
+            self._needs_secret = True
+            await trio.sleep(RETRY_SECONDS)
+            self._restore.set()
+            return
+        for held in outcome.value.rows:
+            found = decode_secret(held)
+            if held.key == SECRET_KEY and isinstance(found, str):
+                self.secret = found
 
     def count(self) -> int:
         """Return how many instances there are, this one included."""
@@ -87,15 +143,19 @@
 
     async def register(self) -> None:
         """Enter this instance into the members' table."""
-        table = self.own._asdict()
-        del table["name"]
-        value = orjson.dumps(table)
-        row = Row(MEMBERS_TABLE, self.own.name, value, 0)
+        row = self._make_own_row()
+        self._is_registered = True
         while not isinstance(await self._store.write([], [row]), Done):
             await trio.sleep(RETRY_SECONDS)
 
+    def _make_own_row(self) -> Row:
+        table = self.own._asdict()
+        del table["name"]
+        return Row(MEMBERS_TABLE, self.own.name, orjson.dumps(table), 0)
+
     async def leave(self) -> None:
         """Take this instance out of the members' table, if the store answers."""
+        self._is_registered = False
         row = Row(MEMBERS_TABLE, self.own.name, None, 0)
         outcome = await self._store.write([], [row])
         if not isinstance(outcome, Done):
@@ -103,6 +163,7 @@
 
     async def agree_secret(self) -> None:
         """Learn the secret that all instances share; the first one makes it."""
+        self._agreed_at = trio.current_time()
         while not self.secret:
             outcome = await self._store.read(SECRET_TABLE)
             if not isinstance(outcome, Done):
@@ -136,7 +197,7 @@
         """Take over rows of the members' table."""
         before = dict(self.by_name)
         if is_whole:
-            self.by_name = {}
+            self.by_name = self._keep_missing(snapshot) if self._is_returned else {}
         for row in snapshot.rows:
             found = decode_member_row(row)
             if isinstance(found, InvalidRow):
@@ -145,10 +206,20 @@
                 found = self.own if row.key == self.own.name else None
             else:
                 self._invalid_rows.clear(row.table, row.key)
+            self._missing.pop(row.key, None)
             if found is None:
                 self.by_name.pop(row.key, None)
+                self._note_left(row.key)
+            elif is_whole and self._is_returned and row.key in self._left:
+                # It left after the copy was made; its row there is removed again.
+                condition = Condition(row.table, row.key, row.version)
+                self._to_restore.append(([condition], row._replace(value=None)))
             else:
                 self.by_name[row.key] = found
+                self._left.pop(row.key, None)
+        if is_whole and self._is_returned:
+            self._is_returned = False
+            self._restore_own(snapshot)
         self._log.note(
             "members",
             count=len(self.by_name),
@@ -156,3 +227,38 @@
             left=sorted(before.keys() - self.by_name.keys()),
         )
         self._on_change()
+
+    def _keep_missing(self, snapshot: Snapshot) -> dict[str, Member]:
+        """Return the instances that are known and not in a table that came back."""
+        there = {row.key for row in snapshot.rows}
+        kept = {n: m for n, m in self.by_name.items() if n not in there}
+        until = trio.current_time() + RETURN_SECONDS
+        self._missing.update(dict.fromkeys(kept, until))
+        return kept
+
+    def _restore_own(self, snapshot: Snapshot) -> None:
+        """Have the own row written again if the table lacks it."""
+        own = self._make_own_row()
+        is_there = any((r.key, r.value) == (own.key, own.value) for r in snapshot.rows)
+        if self._is_registered and not is_there:
+            self._to_restore.append(([], own))
+        if self._to_restore:
+            self._restore.set()
+
+    def _note_left(self, name: str) -> None:
+        self._left.pop(name, None)
+        self._left[name] = None
+        if len(self._left) > MAX_LEFT:
+            del self._left[next(iter(self._left))]
+
+    def expire(self) -> None:
+        """Forget instances that have not written their rows again."""
+        now = trio.current_time()
+        gone = [name for name, until in self._missing.items() if now >= until]
+        for name in gone:
+            del self._missing[name]
+            if name != self.own.name:
+                self.by_name.pop(name, None)
+        if gone:
+            self._log.note("members_not_back", names=sorted(gone))
+            self._on_change()
--- a/ashpond/news/room.py
+++ b/ashpond/news/room.py
@@ -149,6 +149,7 @@
             listeners = await trio.open_tcp_listeners(target.port, host=target.host)
             nursery.start_soon(trio.serve_listeners, self._receive, listeners)
             nursery.start_soon(self._take_turns)
+            nursery.start_soon(self.members.keep_rows)
             await self.members.register()
             task_status.started()
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -22,6 +22,10 @@
 # Between the steps of other series; the shortest cross in the store's feed.
 BETWEEN_STEPS_SECONDS = (0.03, 0.4)
 DOWN_SECONDS = (0.0, 0.5)
+# How old the copy is from which a store comes back, and when it has been told again.
+COPY_AGE_SECONDS = (0.2, 4.0)
+WRITTEN_AGAIN_SECONDS = (0.0, 0.5)
+SILENT_SHARE = 0.5
 # Limits that a site may set (ms). The long ones outlast the close of an instance
 # that leaves, 2.6 s after the signal.
 IDLE_LIMITS_MS = (300, 3000)
@@ -95,6 +99,36 @@
         await trio.sleep(seconds)
 
 
+class Returns:
+    """A store that goes away and comes back from a copy some seconds old."""
+
+    def __init__(self, world: World, rng: random.Random):
+        self._world = world
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Play returns until cancelled; the operator and servers write again."""
+        memory = self._world.memory
+        while True:
+            copy = memory.take_copy()
+            await trio.sleep(self._rng.uniform(*COPY_AGE_SECONDS))
+            memory.is_down = True
+            await trio.sleep(self._rng.uniform(*FAULT_SECONDS))
+            known = memory.version
+            memory.return_from(copy)
+            memory.is_down = False
+            if self._rng.random() < SILENT_SHARE:
+                # A key is removed, and the version that was known is reached again,
+                # before anybody asks.
+                self._world.remove_key(self._rng)
+                self._world.write_again()
+                while memory.version <= known:
+                    memory.put("other", "beat", b"x")
+                continue
+            await trio.sleep(self._rng.uniform(*WRITTEN_AGAIN_SECONDS))
+            self._world.write_again()
+
+
 class Series:
     """Series of the same fault in quick succession; several may be played at once."""
 
--- /dev/null
+++ b/tests/test_eras.py
@@ -0,0 +1,479 @@
+"""The store comes back from an older copy: what is known stays known, and is kept.
+
+Versions are given out again, and what was acknowledged may be gone. On the code before,
+an instance that had asked for what came after a version went on asking, heard nothing
+until that version was reached again, and took each empty answer for confirmation: a key
+that was removed then was served for good.
+"""
+
+from __future__ import annotations
+
+import random
+
+import orjson
+import pytest
+import trio
+import trio.testing
+
+from ashpond.controllers.feeds import RETURN_PATIENCE_SECONDS, TableNews
+from ashpond.controllers.quarantine import QUARANTINE_TABLE
+from ashpond.controllers.storeview import RETURN_SECONDS
+from ashpond.decisions.fleetlinks import Member
+from ashpond.decisions.leases import Lease, make_lease_terms
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.invalidrows import InvalidRows
+from ashpond.gateway.orderlease import LEASE_TABLE, OrderLease, make_lease_key
+from ashpond.gateway.store import Row, StoreClock, StoreEra
+from ashpond.news.members import (
+    MEMBERS_TABLE,
+    RETURN_SECONDS as MEMBERS_SECONDS,
+    Members,
+)
+from ashpond.standins.tables import MemoryStore
+from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
+from ashpond_platform.store import parse_era
+from tests.followed import Followed, running
+from tests.gateway_builders import make_quarantine
+from tests.row_builders import CONFIGURATION, SERVER, FollowedView
+from tests.test_quarantine import end_three_servers
+
+LEASE_SECONDS = 3.0
+
+
+def lose_and_reach_again(store: MemoryStore, steps: int = 13) -> None:
+    """Write, lose what was written, and write as much again as others would."""
+    copy = store.take_copy()
+    for number in range(steps):
+        store.put("other", f"lost {number}", b"x")
+    store.return_from(copy)
+
+
+async def test_who_follows_hears_of_what_comes_after_the_return(
+    autojump_clock: object,
+) -> None:
+    store = MemoryStore()
+    store.put("t", "a", b"1")
+    followed = Followed(store)
+    async with running(followed):
+        await trio.sleep(0.1)
+        copy = store.take_copy()
+        for number in range(13):
+            store.put("t", f"lost {number}", b"x")
+        await trio.sleep(0.1)
+        store.return_from(copy)
+        store.put("t", "a", b"2")
+        for number in range(20):
+            store.put("other", f"again {number}", b"x")
+        await trio.sleep(2.5)
+        assert followed.rows == {"a": b"2"}
+        store.put("t", "b", b"3")
+        await trio.sleep(0.1)
+        assert followed.rows == {"a": b"2", "b": b"3"}
+
+
+async def test_others_are_told_by_readers_and_do_not_ask(
+    autojump_clock: object,
+) -> None:
+    store = MemoryStore()
+    store.put("t", "a", b"1")
+    reader = Followed(store)
+    others = [Followed(store) for _ in range(193)]
+    for other in others:
+        other.is_reader = False
+
+    def tell(news: TableNews) -> None:
+        for other in others:
+            other.follower.take(news)
+
+    reader.follower._publish = tell
+    async with running(reader, *others):
+        await trio.sleep(1.0)
+        copy = store.take_copy()
+        store.put("t", "lost", b"x")
+        await trio.sleep(0.1)
+        store.return_from(copy)
+        store.put("t", "b", b"2")
+        calls = len(store.calls)
+        await trio.sleep(RETURN_PATIENCE_SECONDS * 2)
+        assert len(store.calls) - calls <= 6
+        for followed in (reader, *others):
+            assert followed.rows == {"a": b"1", "b": b"2"}
+
+
+async def test_who_is_told_nothing_asks_itself(autojump_clock: object) -> None:
+    store = MemoryStore()
+    store.put("t", "a", b"1")
+    other = Followed(store)
+    other.is_reader = False
+    async with running(other):
+        await trio.sleep(0.1)
+        lose_and_reach_again(store)
+        store.put("t", "a", b"2")
+        other.follower._store.era.note(store.era, trio.current_time(), 0.0)
+        await trio.sleep(RETURN_PATIENCE_SECONDS + 0.1)
+        assert other.rows == {"a": b"2"}
+
+
+async def test_late_word_of_the_time_before_changes_nothing(
+    autojump_clock: object,
+) -> None:
+    store = MemoryStore()
+    store.put("t", "a", b"1")
+    followed = Followed(store)
+    async with running(followed):
+        await trio.sleep(0.1)
+        lose_and_reach_again(store)
+        store.put("t", "a", b"2")
+        await trio.sleep(2.5)
+        late = TableNews("t", 0, 99, 0.0, (Row("t", "a", b"late", 99),), era=1)
+        assert not followed.follower.take(late)
+        assert not followed.follower.take(late._replace(is_whole=True))
+        assert followed.rows == {"a": b"2"}
+
+
+def test_an_answer_is_of_the_era_in_which_its_call_was_answered() -> None:
+    era = StoreEra()
+    seen: list[int | None] = []
+    era.on_change(lambda: seen.append(era.current))
+    assert era.note(None, 0.0, 0.1)
+    assert era.note(3, 0.0, 0.1)
+    assert seen == []
+    assert era.note(4, 1.0, 5.0)
+    # Sent before the change was seen, answered before it: late.
+    assert not era.note(3, 4.0, 6.0)
+    assert era.note(None, 4.0, 6.0)
+    # Sent after it: the store has gone back.
+    assert era.note(2, 6.0, 7.0)
+    assert seen == [4, 2]
+    assert era.changes == 2
+
+
+@pytest.mark.parametrize(
+    ("value", "era"),
+    [
+        (b"7", 7),
+        (b" 7 ", 7),
+        (b"0", 0),
+        (b"-1", None),
+        (b"1.5", None),
+        (b"", None),
+        (b"9" * 40, None),
+        (b"\xb2", None),
+        (b"seven", None),
+    ],
+)
+def test_an_era_that_is_no_number_tells_nothing(value: bytes, era: int | None) -> None:
+    assert parse_era([(b"other", b"1"), (b"Store-Era", value)]) == era
+    assert parse_era([]) is None
+
+
+# What the tables hold.
+
+
+def remove_key(version: int) -> bytes:
+    tenants = [{"name": "t1", "api_keys": ["k2"]}]
+    return orjson.dumps({**CONFIGURATION, "version": version, "tenants": tenants})
+
+
+async def test_a_removed_key_stays_removed(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    followed = FollowedView()
+    store, knowledge = followed.store, followed.view.knowledge
+    store.put(OPERATOR_TABLE, "config", orjson.dumps(CONFIGURATION))
+    followed.start(nursery)
+    await trio.sleep(0.1)
+    copy = store.take_copy()
+    store.put(OPERATOR_TABLE, "config", remove_key(8))
+    await trio.sleep(0.1)
+    assert knowledge.declaration is not None
+    assert "k1" not in knowledge.declaration.teams_by_key
+    store.return_from(copy)
+    store.put("other", "x", b"1")
+    await trio.sleep(3.0)
+    # The copy holds the key; what was declared later goes before it.
+    assert knowledge.declaration.version == 8
+    store.put(OPERATOR_TABLE, "config", remove_key(9))
+    await trio.sleep(0.1)
+    assert knowledge.declaration.version == 9
+
+
+async def test_a_copy_confirms_nothing_until_it_has_been_written_again(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    followed = FollowedView()
+    store, knowledge = followed.store, followed.view.knowledge
+    store.put(OPERATOR_TABLE, "config", orjson.dumps(CONFIGURATION))
+    followed.start(nursery)
+    await trio.sleep(1.0)
+    store.return_from(store.take_copy())
+    store.put("other", "x", b"1")
+    store.put(OPERATOR_TABLE, "other", b"x")
+    await trio.sleep(0.5)
+    confirmed_at = knowledge.confirmed_at
+    store.put(OPERATOR_TABLE, "other", b"y")
+    await trio.sleep(RETURN_SECONDS - 0.7)
+    assert knowledge.confirmed_at == confirmed_at
+    await trio.sleep(2.5)
+    store.put(OPERATOR_TABLE, "other", b"z")
+    await trio.sleep(0.1)
+    assert knowledge.confirmed_at > confirmed_at + RETURN_SECONDS
+
+
+async def test_servers_that_have_left_are_not_used_again(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    followed = FollowedView()
+    store, table = followed.store, followed.view.table
+    names = ("lives", "gone", "leaves", "new")
+    for number, name in enumerate(names[:3]):
+        entry = {**SERVER, "address": f"10.0.0.{number + 1}:1"}
+        store.put(SERVERS_TABLE, name, orjson.dumps(entry))
+    followed.start(nursery)
+    await trio.sleep(0.5)
+    copy = store.take_copy()
+    store.put(SERVERS_TABLE, "gone", None)
+    store.put(SERVERS_TABLE, "leaves", orjson.dumps({**SERVER, "state": "draining"}))
+    store.put(SERVERS_TABLE, "new", orjson.dumps({**SERVER, "address": "10.0.0.9:1"}))
+    await trio.sleep(0.5)
+    store.return_from(copy)
+    store.put("other", "x", b"1")
+    await trio.sleep(0.5)
+
+    def list_usable() -> set[str]:
+        now = trio.current_time()
+        return {state.info.id for state in table.list_usable("s1", now)}
+
+    # One that the copy lacks is used on only if all are gone; it is back at once.
+    assert list_usable() == {"lives"}
+    store.put(SERVERS_TABLE, "new", orjson.dumps({**SERVER, "address": "10.0.0.9:1"}))
+    await trio.sleep(0.5)
+    assert list_usable() == {"lives", "new"}
+    # Written again, it is there again, whatever was known.
+    store.put(SERVERS_TABLE, "gone", orjson.dumps(SERVER))
+    await trio.sleep(0.5)
+    assert list_usable() == {"lives", "new", "gone"}
+
+
+def make_member(name: str) -> bytes:
+    table = {"address": "127.0.0.1:1", "failure_domain": "d", "link_mbps": 0.0}
+    return orjson.dumps(table | ({} if name == "i" else {"address": "127.0.0.1:2"}))
+
+
+async def test_who_is_lost_with_the_copy_writes_its_row_again(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    followed = FollowedView()
+    store, members = followed.store, followed.members
+    store.put(MEMBERS_TABLE, "left", make_member("left"))
+    followed.start(nursery)
+    nursery.start_soon(members.keep_rows)
+    await trio.sleep(0.5)
+    copy = store.take_copy()
+    await members.register()
+    store.put(MEMBERS_TABLE, "left", None)
+    store.put(MEMBERS_TABLE, "newer", make_member("newer"))
+    await trio.sleep(0.5)
+    assert set(members.by_name) == {"i", "newer"}
+    store.return_from(copy)
+    store.put("other", "x", b"1")
+    await trio.sleep(1.0)
+    rows = {key for table, key in store.rows if table == MEMBERS_TABLE}
+    # The own row is back, that of one that left is removed; the other one, whose row
+    # it writes itself, counts for a while.
+    assert rows == {"i"}
+    assert set(members.by_name) == {"i", "newer"}
+    await trio.sleep(MEMBERS_SECONDS)
+    members.expire()
+    assert set(members.by_name) == {"i"}
+
+
+async def test_who_has_left_does_not_write_its_row_again(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    followed = FollowedView()
+    store, members = followed.store, followed.members
+    followed.start(nursery)
+    nursery.start_soon(members.keep_rows)
+    await members.register()
+    await trio.sleep(0.5)
+    copy = store.take_copy()
+    await members.leave()
+    await trio.sleep(0.5)
+    store.return_from(copy)
+    store.put("other", "x", b"1")
+    await trio.sleep(1.0)
+    assert not [key for table, key in store.rows if table == MEMBERS_TABLE]
+
+
+async def test_the_secret_is_written_again_where_the_copy_lacks_it(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    store = MemoryStore()
+    log = DecisionLog("i")
+    port = store.build_port()
+    members = Members(Member("i", "127.0.0.1:1", "d"), port, log, lambda: None)
+    copy = store.take_copy()
+    await members.agree_secret()
+    secret = members.secret
+    nursery.start_soon(members.keep_rows)
+    store.return_from(copy)
+    await port.read("any")
+    await trio.sleep(1.0)
+    other = Members(
+        Member("j", "127.0.0.1:2", "d"), store.build_port(), log, lambda: None
+    )
+    await other.agree_secret()
+    assert other.secret == members.secret == secret
+
+
+async def test_a_quarantined_request_is_written_again(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    store = MemoryStore()
+    copy = store.take_copy()
+    quarantine = make_quarantine(store=store)
+    nursery.start_soon(quarantine.run)
+    await end_three_servers(quarantine)
+    await trio.sleep(2.0)
+    store.return_from(copy)
+    await quarantine._store.read("any")
+    await trio.sleep(1.0)
+    assert [key for table, key in store.rows if table == QUARANTINE_TABLE]
+
+
+# The lease.
+
+
+class Contender:
+    """One instance's lease, and the grants under which it may have given orders."""
+
+    def __init__(self, name: str, store: MemoryStore, names: list[str]):
+        self.name = name
+        self.port = store.build_port()
+        log = DecisionLog(name)
+        self.lease = Lease(name, make_lease_terms(LEASE_SECONDS))
+        self.order_lease = OrderLease(
+            self.lease, self.port, StoreClock(), log, lambda: names, InvalidRows(log)
+        )
+        self.is_cut = False
+
+    async def run(self, orders: list[tuple[float, str, int]]) -> None:
+        while True:
+            if not self.is_cut:
+                await self.order_lease.hold(trio.current_time(), 60.0)
+            now = trio.current_time()
+            if self.lease.holds(now):
+                orders.append((now, self.name, self.lease.fence))
+            await trio.sleep(0.1)
+
+
+def check_orders(orders: list[tuple[float, str, int]]) -> None:
+    """Orders of two holders are apart, and their fencing numbers rise."""
+    holders: dict[int, str] = {}
+    for (at, name, fence), (next_at, next_name, next_fence) in zip(
+        orders, orders[1:], strict=False
+    ):
+        assert holders.setdefault(fence, name) == name
+        assert next_fence >= fence
+        if next_name != name:
+            assert next_fence > fence
+            assert next_at - at >= LEASE_SECONDS
+
+
+@pytest.mark.parametrize("seed", range(12))
+async def test_no_fence_is_given_twice_and_holders_stay_apart(
+    seed: int, autojump_clock: object
+) -> None:
+    """Copies, returns, cuts and new instances, in any order."""
+    rng = random.Random(seed)
+    store = MemoryStore()
+    names = [f"i{number}" for number in range(4)]
+    orders: list[tuple[float, str, int]] = []
+    async with trio.open_nursery() as nursery:
+        contenders = [Contender(name, store, names) for name in names]
+        for contender in contenders:
+            nursery.start_soon(contender.run, orders)
+        for _ in range(12):
+            await trio.sleep(rng.uniform(0.5, 4.0))
+            copy = store.take_copy()
+            await trio.sleep(rng.uniform(0.0, 6.0))
+            cut = rng.choice(contenders)
+            cut.is_cut = rng.random() < 0.6
+            store.is_down = True
+            await trio.sleep(rng.uniform(0.1, 2.0))
+            store.is_down = False
+            store.return_from(copy)
+            for number in range(rng.randrange(30)):
+                store.put("other", str(number), b"x")
+            await trio.sleep(rng.uniform(0.0, 9.0))
+            cut.is_cut = False
+        await trio.sleep(15.0)
+        nursery.cancel_scope.cancel()
+    check_orders(orders)
+    assert orders[-1][0] > trio.current_time() - 5.0
+
+
+async def test_the_last_holder_goes_on_at_once(autojump_clock: object) -> None:
+    store = MemoryStore()
+    orders: list[tuple[float, str, int]] = []
+    async with trio.open_nursery() as nursery:
+        names = ["i0", "i1"]
+        for name in names:
+            nursery.start_soon(Contender(name, store, names).run, orders)
+        await trio.sleep(5.0)
+        copy = store.take_copy()
+        await trio.sleep(1.0)
+        store.return_from(copy)
+        returned_at = trio.current_time()
+        await trio.sleep(2.0)
+        nursery.cancel_scope.cancel()
+    check_orders(orders)
+    after = [order for order in orders if order[0] > returned_at + 1.0]
+    assert after and {name for _, name, _ in orders} == {after[0][1]}
+
+
+async def test_a_write_that_fits_by_chance_gives_no_lease(
+    autojump_clock: object,
+) -> None:
+    """A holder that has not heard of the return renews on a version given out twice."""
+    store = MemoryStore()
+    contender = Contender("i0", store, ["i0"])
+    for _ in range(3):
+        await contender.order_lease.hold(trio.current_time(), 60.0)
+    assert contender.lease.holds(trio.current_time())
+    fence = contender.lease.fence
+    version = store.rows[LEASE_TABLE, make_lease_key(1)].version
+    store.return_from(store.take_copy())
+    key = make_lease_key(2)
+    granted = Row(LEASE_TABLE, key, b"of another", version)
+    store.rows[LEASE_TABLE, key] = granted
+    await trio.sleep(0.5)
+    await contender.order_lease.hold(trio.current_time(), 60.0)
+    assert not contender.lease.holds(trio.current_time())
+    assert store.rows[LEASE_TABLE, key] == granted
+    del store.rows[LEASE_TABLE, key]
+    while not contender.lease.holds(trio.current_time()):
+        await contender.order_lease.hold(trio.current_time(), 60.0)
+        await trio.sleep(0.1)
+    assert contender.lease.fence > fence
+
+
+async def test_who_starts_after_a_return_waits_for_the_last_holder(
+    autojump_clock: object,
+) -> None:
+    store = MemoryStore()
+    contender = Contender("i0", store, ["i0"])
+    for _ in range(3):
+        await contender.order_lease.hold(trio.current_time(), 60.0)
+    store.return_from(store.take_copy())
+    begun_at = trio.current_time()
+    other = Contender("i1", store, ["i1"])
+    while not other.lease.holds(trio.current_time()):
+        await other.order_lease.hold(trio.current_time(), 60.0)
+        await trio.sleep(0.1)
+    assert trio.current_time() - begun_at >= other.lease.terms.silence
+    assert other.lease.fence > contender.lease.fence
+    # Rows of earlier eras are removed with the first write.
+    keys = {key for table, key in store.rows if table == LEASE_TABLE}
+    assert keys == {make_lease_key(2)}
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -223,6 +223,12 @@
     return LostRequest(fingerprint, state.watched, now - 0.05, now)
 
 
+async def end_three_servers(quarantine: Quarantine) -> None:
+    for server_id in ("a", "b", "c"):
+        quarantine.note_lost(make_lost(server_id))
+        await trio.sleep(GAP)
+
+
 class Heard:
     def __init__(self) -> None:
         self.ends: list[ServerEnd] = []
@@ -428,9 +434,7 @@
     async with trio.open_nursery() as nursery:
         quarantine = make_quarantine(store=store)
         nursery.start_soon(quarantine.run)
-        for server_id in ("a", "b", "c"):
-            quarantine.note_lost(make_lost(server_id))
-            await trio.sleep(GAP)
+        await end_three_servers(quarantine)
         nursery.cancel_scope.cancel()
     assert [key for table, key in store.rows if table == QUARANTINE_TABLE]
     async with trio.open_nursery() as nursery:
