Write no secret before one is known, and read again at once after two returns

Found on reading the change. An era that changed before an instance knew the peers' secret had it write an empty one; a read that was out when the store came back a second time was taken for a failure, with its pause.

--- a/ashpond/controllers/feeds.py
+++ b/ashpond/controllers/feeds.py
@@ -230,8 +230,10 @@
                 is_stale = self._measure_until_stale(trio.current_time()) <= 0
                 wait = 0.0 if had_gap or is_stale or self._is_lost else feed.wait
                 outcome = await self._store.follow(feed.table, after, wait)
-        if changes != self._changes and after is not None:
-            # What it brought counts from a version of the time before.
+        if changes != self._changes and not (
+            after is None and isinstance(outcome, Done)
+        ):
+            # What it brought counts from a version of the time before, if anything.
             return
         if not isinstance(outcome, Done):
             self._has_gap |= had_gap
--- a/ashpond/news/members.py
+++ b/ashpond/news/members.py
@@ -88,7 +88,7 @@
         self._on_change = on_change
         self._invalid_rows = invalid_rows or InvalidRows(log)
         self._is_registered = False
-        self._agreed_at = float("inf")
+        self._agreed_at = float("-inf")
         self._left: dict[str, None] = {}
         # Those that the store does not hold any more, and until when they count.
         self._missing: dict[str, float] = {}
@@ -101,7 +101,7 @@
     def _begin_era(self) -> None:
         """Expect a table that lacks rows, and holds those of instances that left."""
         self._is_returned = True
-        if trio.current_time() - self._agreed_at < YOUNG_SECONDS:
+        if self.secret and trio.current_time() - self._agreed_at < YOUNG_SECONDS:
             self._needs_secret = True
             self._restore.set()
 
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -114,6 +114,26 @@
         assert other.rows == {"a": b"2"}
 
 
+async def test_a_read_that_a_return_cuts_short_is_made_again_at_once(
+    autojump_clock: object,
+) -> None:
+    store = MemoryStore()
+    store.put("t", "a", b"1")
+    followed = Followed(store)
+    async with running(followed):
+        await trio.sleep(0.1)
+        store.answer_seconds = 0.5
+        store.return_from(store.take_copy())
+        await trio.sleep(0.8)
+        # Another call of this instance hears of the next return while one is out.
+        store.return_from(store.take_copy())
+        followed.follower._store.era.note(store.era, trio.current_time(), 0.0)
+        store.answer_seconds = 0.004
+        await trio.sleep(0.05)
+        assert followed.rows == {"a": b"1"}
+        assert followed.failures <= 1
+
+
 async def test_late_word_of_the_time_before_changes_nothing(
     autojump_clock: object,
 ) -> None:
@@ -327,6 +347,22 @@
     assert other.secret == members.secret == secret
 
 
+async def test_who_knows_no_secret_yet_writes_none(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    store = MemoryStore()
+    port = store.build_port()
+    members = Members(
+        Member("i", "127.0.0.1:1", "d"), port, DecisionLog("i"), lambda: None
+    )
+    nursery.start_soon(members.keep_rows)
+    await port.read("any")
+    store.return_from(store.take_copy())
+    await port.read("any")
+    await trio.sleep(1.0)
+    assert store.rows == {}
+
+
 async def test_a_quarantined_request_is_written_again(
     autojump_clock: object, nursery: trio.Nursery
 ) -> None:
