--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -14,6 +14,7 @@
 import pytest
 import trio
 import trio.testing
+from hypothesis import given, strategies as st
 
 from ashpond.controllers.feeds import RETURN_PATIENCE_SECONDS, TableNews
 from ashpond.controllers.quarantinerows import QUARANTINE_TABLE
@@ -151,6 +152,70 @@
         assert followed.rows == {"a": b"2"}
 
 
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("put"), st.sampled_from("abc"), st.integers(0, 9)),
+        st.tuples(st.just("remove"), st.sampled_from("abc"), st.just(0)),
+        st.tuples(st.just("other"), st.just(""), st.integers(1, 9)),
+        st.tuples(st.just("copy"), st.just(""), st.just(0)),
+        st.tuples(st.just("return"), st.just(""), st.integers(0, 2)),
+        st.tuples(st.just("forget"), st.just(""), st.just(0)),
+        st.tuples(st.just("wait"), st.just(""), st.integers(0, 30)),
+    ),
+    max_size=25,
+)
+
+
+@given(STEPS)
+def test_all_are_equal_to_the_store_when_it_has_settled(
+    steps: list[tuple[str, str, int]],
+) -> None:
+    """Writes, copies, returns, lost history and outages, in any order."""
+
+    async def play() -> None:
+        store = MemoryStore()
+        reader, other = Followed(store), Followed(store)
+        other.is_reader = False
+        copy = store.take_copy()
+
+        async def carry(news: TableNews) -> None:
+            await trio.sleep(0.05)
+            other.follower.take(news)
+
+        async with trio.open_nursery() as nursery:
+            reader.follower._publish = lambda news: nursery.start_soon(carry, news)
+            nursery.start_soon(reader.run)
+            nursery.start_soon(other.run)
+            await trio.sleep(0.1)
+            for step, key, number in steps:
+                if step == "put":
+                    store.put("t", key, b"%d" % number)
+                elif step == "remove":
+                    store.put("t", key, None)
+                elif step == "other":
+                    for _ in range(number):
+                        store.put("other", "x", b"x")
+                elif step == "copy":
+                    copy = store.take_copy()
+                elif step == "return":
+                    store.is_down = True
+                    await trio.sleep(number)
+                    store.is_down = False
+                    store.return_from(copy)
+                elif step == "forget":
+                    store.forget_history()
+                else:
+                    await trio.sleep(number / 10)
+            await trio.sleep(8.0)
+            held = {k: row.value for (t, k), row in store.rows.items() if t == "t"}
+            for followed in (reader, other):
+                known = {k: v for k, v in followed.rows.items() if v is not None}
+                assert known == held
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def test_an_answer_is_of_the_era_in_which_its_call_was_answered() -> None:
     era = StoreEra()
     seen: list[int | None] = []
