--- a/tests/newsroom.py
+++ b/tests/newsroom.py
@@ -92,8 +92,7 @@
         return True
 
     def on_ends(self, ends: list[ServerEnd], sender: str) -> list[ServerEnd]:
-        known = {end._replace(age=0.0) for end in self.ends}
-        news = [end for end in ends if end._replace(age=0.0) not in known]
+        news = [end for end in ends if end not in self.ends]
         self.ends += news
         return news
 
--- a/tests/test_news_groups.py
+++ b/tests/test_news_groups.py
@@ -19,6 +19,7 @@
 from ashpond.news.links import Audience, Link
 from ashpond.news.room import GROUP_NEWS_SECONDS, HEARTBEAT_SECONDS, NEWS_SECONDS
 from ashpond.standins.tables import MemoryStore
+from tests.gateway_builders import make_end
 from tests.newsroom import Instance, wait_for
 from tests.ports import find_free_port
 
@@ -78,6 +79,26 @@
         assert notice not in speaker.notices
 
 
+async def test_groups_tell_ends_of_servers_and_who_is_new_hears_of_all(
+    grouped: list[Instance],
+) -> None:
+    end = make_end("a")
+    *running_now, late = grouped
+    async with running(grouped):
+        late.scope.cancel()
+        speaker = next(i for i in running_now if not i.news.is_hub)
+        speaker.ends.append(end)
+        speaker.news.tell_ends([end])
+        await wait_for(lambda: all(end in i.ends for i in running_now))
+        assert all(i.ends.count(end) == 1 for i in running_now)
+        late.ends.clear()
+        late.scope = trio.CancelScope()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(late.run)
+            await wait_for(lambda: end in late.ends)
+            nursery.cancel_scope.cancel()
+
+
 async def test_a_group_goes_by_its_next_candidate_when_its_hub_is_gone(
     grouped: list[Instance],
 ) -> None:
