Choose a server by one function, and keep only a case's lines to explain it

Found on reading the change: the choice between the best and the idlest server stood twice, and explain kept each send of a log in memory. No change of behaviour.

--- a/ashpond/decisions/selection.py
+++ b/ashpond/decisions/selection.py
@@ -11,6 +11,7 @@
     "MANY_STALE_COST_SECONDS",
     "STALE_COST_SECONDS",
     "ScoredCandidate",
+    "choose_scored",
     "choose_server",
     "describe_candidate",
     "describe_demand",
@@ -312,7 +313,13 @@
     candidates: Sequence[Candidate], demand: Demand, rng: random.Random
 ) -> Candidate | None:
     """Return the best candidate with a free place, None if there is none."""
-    scored = score_candidates(candidates, demand)
+    return choose_scored(score_candidates(candidates, demand), demand, rng)
+
+
+def choose_scored(
+    scored: Sequence[ScoredCandidate], demand: Demand, rng: random.Random
+) -> Candidate | None:
+    """Return the candidate for a request, None if there is none."""
     return pick_idlest(scored) if demand.is_suspected else pick_candidate(scored, rng)
 
 
--- a/ashpond/gateway/explanations.py
+++ b/ashpond/gateway/explanations.py
@@ -67,7 +67,7 @@
     for line in lines:
         if line.get("id") == request_id:
             own.append(line)
-        if line["event"] in CASE_EVENTS or line.get("fingerprint") or _lists_lost(line):
+        if line["event"] in CASE_EVENTS or _lists_lost(line) or _is_refusal(line):
             others.append(line)
     own.sort(key=_get_time)
     story = [_describe(line) for line in own]
@@ -85,6 +85,10 @@
     return line["event"] == "server_ended"
 
 
+def _is_refusal(line: Line) -> bool:
+    return line["event"] == "refused" and line.get("status") == QUARANTINED_STATUS
+
+
 def _find_fingerprint(own: Iterable[Line]) -> str | None:
     return next((line["fingerprint"] for line in own if line.get("fingerprint")), None)
 
@@ -108,7 +112,7 @@
             fields = {k: line.get(k) for k in ("servers", "told_by", "reason")}
             told = " ".join(f"{k}={v}" for k, v in fields.items() if v)
             story.append(f"   {line['instance']} {line['event']} {told}")
-        elif line.get("status") == QUARANTINED_STATUS and line["event"] == "refused":
+        else:
             refused += 1
     if story:
         story.insert(0, f"=> servers have ended under this request ({fingerprint}):")
--- a/ashpond/gateway/places.py
+++ b/ashpond/gateway/places.py
@@ -22,12 +22,11 @@
     STALE_COST_SECONDS,
     Candidate,
     Demand,
+    choose_scored,
     find_home_ranks,
     find_shared_tokens,
     keep_for_size,
     make_load,
-    pick_candidate,
-    pick_idlest,
     rank_homes,
     score_candidates,
 )
@@ -228,10 +227,7 @@
         sources = self._find_sources(states, demand, now)
         candidates = self._build_candidates(states, sources, demand, now)
         scored = score_candidates(candidates, demand)
-        if demand.is_suspected:
-            chosen = pick_idlest(scored)
-        else:
-            chosen = pick_candidate(scored, self._rng)
+        chosen = choose_scored(scored, demand, self._rng)
         if chosen is None:
             return None
         state = states[chosen.id]
