--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,11 +4,14 @@
 
 import random
 
+import msgspec
+import orjson
 import pytest
 import trio
 import trio.testing
 from hypothesis import given, strategies as st
 
+from ashpond.clients.peer import ServerEndNews
 from ashpond.controllers.directory import ServerState, ServerTable
 from ashpond.controllers.quarantine import (
     MAX_SINGLES,
@@ -16,7 +19,7 @@
     Quarantine,
     Turn,
 )
-from ashpond.controllers.quarantinerows import QUARANTINE_TABLE, encode_row
+from ashpond.controllers.quarantinerows import QUARANTINE_TABLE, decode_row, encode_row
 from ashpond.controllers.serverends import LostRequest
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.loads import Load
@@ -32,8 +35,13 @@
     Standing,
     Suspicions,
 )
+from ashpond.errors import FrameError
 from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.store import InvalidRow, Row
+from ashpond.news.items import decode_ends
 from ashpond.standins.tables import MemoryStore
+from ashpond_platform.store import parse_era
+from tests.damage import damage
 from tests.gateway_builders import (
     FINGERPRINT,
     QUARANTINE_SECONDS,
@@ -608,3 +616,40 @@
         )
     assert bench.reply.is_aborted
     assert len(bench.pool.requests) == 1
+
+
+# What comes from outside: rows of the store, and news of other instances.
+
+
+@given(
+    st.binary(max_size=80) | damage(orjson.loads(encode_row("f", make_ends()).value))
+)
+def test_no_row_raises_or_is_used_in_part(value: bytes) -> None:
+    found = decode_row(Row(QUARANTINE_TABLE, FINGERPRINT, value, 1))
+    if isinstance(found, InvalidRow):
+        return
+    for end in found:
+        assert msgspec.convert(tuple(end), ServerEnd) == end
+
+
+@given(
+    st.lists(
+        st.lists(st.none() | st.booleans() | st.integers() | st.text(), max_size=7)
+    )
+)
+def test_no_news_of_ends_raise_anything_else_or_are_used_in_part(
+    ends: list[list[object]],
+) -> None:
+    whole = list(make_end())
+    for told in (ends, [whole, *ends], [whole[:-1]], [[*whole, 1]]):
+        try:
+            _, found = decode_ends(ServerEndNews("i", "own", told))
+        except FrameError:
+            continue
+        assert [list(end) for end in found] == told
+
+
+@given(st.binary(max_size=40))
+def test_no_era_raises(value: bytes) -> None:
+    era = parse_era([(b"store-era", value)])
+    assert era is None or 0 <= era < 10**9
