--- a/ashpond/news/links.py
+++ b/ashpond/news/links.py
@@ -9,7 +9,9 @@
     "SCOPES",
     "await_end",
     "is_first_reached",
+    "is_relied_on",
     "limit_holdings",
+    "list_wanted",
     "receive_news",
     "strip_life",
 ]
@@ -28,7 +30,7 @@
     TableChanges,
 )
 from ashpond.controllers.feeds import TableNews
-from ashpond.decisions.fleetlinks import Member
+from ashpond.decisions.fleetlinks import Links, Member
 from ashpond.decisions.holdings import Holding
 from ashpond.decisions.quarantine import ServerEnd
 from ashpond.errors import FrameError
@@ -168,6 +170,28 @@
         del self.holdings[self.max_holdings :]
 
 
+def list_wanted(links: Links, *, is_hub: bool) -> set[tuple[Audience, Member]]:
+    """Return whom an instance links to, and as what."""
+    wanted = {(Audience.EQUAL, member) for member in links.equals}
+    wanted |= {(Audience.HUB, member) for member in links.hubs}
+    if is_hub:
+        others = [m for candidates in links.other_hubs for m in candidates]
+        wanted |= {(Audience.OTHER_HUB, member) for member in others}
+    return wanted
+
+
+def is_relied_on(link: Link, hub: str | None, *, is_hub: bool) -> bool:
+    """Return whether an equal, a member or a hub relies on what it is told.
+
+    :param hub: the life of the hub that this instance goes by, if there is one.
+    """
+    if link.audience is Audience.MEMBER:
+        return is_hub
+    if link.audience is Audience.HUB:
+        return hub is None or strip_life(hub) == link.name
+    return True
+
+
 def is_first_reached(
     name: str,
     other_hubs: Iterable[Sequence[Member]],
--- a/ashpond/news/room.py
+++ b/ashpond/news/room.py
@@ -48,24 +48,23 @@
     Link,
     await_end,
     is_first_reached,
+    is_relied_on,
     limit_holdings,
+    list_wanted,
     receive_news,
     strip_life,
 )
 from ashpond.news.members import Members
+from ashpond.news.pace import (
+    GROUP_LAG_SECONDS,
+    HEARTBEAT_SECONDS,
+    RECONNECT_LIMIT_SECONDS,
+    RECONNECT_SECONDS,
+    choose_pause,
+)
 from ashpond.news.sending import SEND_SECONDS, send_digest, send_urgent
 
 LIFE_BYTES = 4
-# Loads are told at most so often in a flat fleet, and at least so often (seconds).
-NEWS_SECONDS = 0.08
-HEARTBEAT_SECONDS = 0.6
-# In groups each of the three steps between two instances takes up to this (seconds).
-GROUP_NEWS_SECONDS = 0.12
-# From one instance over two hubs to another: three steps, on machines that are busy.
-GROUP_LAG_SECONDS = 1.2
-# Instances that restart together reach one another some 0.1 s later.
-RECONNECT_SECONDS = 0.15
-RECONNECT_LIMIT_SECONDS = 2.4
 MAX_FRAME_BYTES = 1 << 20
 
 
@@ -168,14 +167,7 @@
         self.links = links
         self.view.set_hubs(member.name for member in links.hubs)
         self._is_hub = self._should_act_as_hub(trio.current_time())
-        wanted = {(Audience.EQUAL, member) for member in links.equals}
-        wanted |= {(Audience.HUB, member) for member in links.hubs}
-        if self._is_hub:
-            wanted |= {
-                (Audience.OTHER_HUB, member)
-                for candidates in links.other_hubs
-                for member in candidates
-            }
+        wanted = list_wanted(links, is_hub=self._is_hub)
         for key in self._outgoing.keys() - wanted:
             self._outgoing.pop(key).scope.cancel()
         for audience, member in sorted(wanted - self._outgoing.keys(), key=str):
@@ -246,7 +238,7 @@
         connections to those that stand by.
         """
         while True:
-            await trio.sleep(self._choose_pause())
+            await trio.sleep(choose_pause(self.links.group))
             now = trio.current_time()
             self._check_hub(now)
             for link in self.list_links():
@@ -297,22 +289,17 @@
 
     def _needs_all(self, link: Link) -> bool:
         """Return whether a peer relies on this link; others need heartbeats only."""
-        if link.audience is Audience.MEMBER:
-            return self._is_hub
-        if link.audience is Audience.HUB:
-            hub = self.view.find_hub(trio.current_time())
-            return hub is None or strip_life(hub) == link.name
         if link.audience is Audience.OTHER_HUB:
             return is_first_reached(link.name, self.links.other_hubs, self._outgoing)
-        return True
+        hub = self.view.find_hub(trio.current_time())
+        return is_relied_on(link, hub, is_hub=self._is_hub)
 
     def _limit_holdings(self, audience: Audience) -> int:
         link_mbps = self.members.own.link_mbps
         groups = len(self.links.other_hubs)
-        return limit_holdings(audience, link_mbps, groups, self._choose_pause())
-
-    def _choose_pause(self) -> float:
-        return GROUP_NEWS_SECONDS if self.links.group else NEWS_SECONDS
+        return limit_holdings(
+            audience, link_mbps, groups, choose_pause(self.links.group)
+        )
 
     async def _receive(self, raw: trio.SocketStream) -> None:
         """Take the news of a peer that has connected; answer a group's member."""
--- a/tests/test_news_groups.py
+++ b/tests/test_news_groups.py
@@ -17,7 +17,7 @@
 from ashpond.gateway.store import Row
 from ashpond.news.items import ServerNotice
 from ashpond.news.links import Audience, Link
-from ashpond.news.room import GROUP_NEWS_SECONDS, HEARTBEAT_SECONDS, NEWS_SECONDS
+from ashpond.news.pace import GROUP_NEWS_SECONDS, HEARTBEAT_SECONDS, NEWS_SECONDS
 from ashpond.standins.tables import MemoryStore
 from tests.gateway_builders import make_end
 from tests.newsroom import Instance, wait_for
