--- a/ashpond/gateway/orderlease.py
+++ b/ashpond/controllers/orderlease.py
@@ -11,10 +11,10 @@
 import trio
 
 from ashpond.bounds import Amount, Count
+from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.decisions.leases import Lease, LeaseRow
 from ashpond.decisions.placement import rank_by_rendezvous
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.store import Condition, InvalidRow, Row, Store, StoreClock
 from ashpond.outcomes import Done
 
--- a/ashpond/controllers/quarantine.py
+++ b/ashpond/controllers/quarantine.py
@@ -21,9 +21,9 @@
 )
 
 if TYPE_CHECKING:
+    from ashpond.controllers.invalidrows import InvalidRows
     from ashpond.controllers.serverends import LostRequest
     from ashpond.gateway.decisionlog import DecisionLog
-    from ashpond.gateway.invalidrows import InvalidRows
     from ashpond.gateway.metrics import GatewayMetrics
     from ashpond.gateway.store import Store, StoreClock
 
--- a/ashpond/controllers/quarantinerows.py
+++ b/ashpond/controllers/quarantinerows.py
@@ -19,8 +19,8 @@
 from ashpond.outcomes import Done
 
 if TYPE_CHECKING:
+    from ashpond.controllers.invalidrows import InvalidRows
     from ashpond.gateway.decisionlog import DecisionLog
-    from ashpond.gateway.invalidrows import InvalidRows
     from ashpond.gateway.store import Store
 
 QUARANTINE_TABLE = "ashpond-quarantine"
--- a/ashpond/controllers/storeview.py
+++ b/ashpond/controllers/storeview.py
@@ -16,10 +16,10 @@
     compare_starts,
 )
 from ashpond.controllers.feeds import Feed
+from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.decisions.declared import Declaration, WeightTarget
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.store import InvalidRow, Row, Snapshot, StoreClock
 from ashpond.news.members import MEMBERS_TABLE, Members
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -13,6 +13,7 @@
 from ashpond.clients.channels import Reach
 from ashpond.controllers.cachestores import CacheStores
 from ashpond.controllers.directory import BackendServer, ServerState, ServerTable
+from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverends import ServerEnds, WatchedServer
 from ashpond.decisions.budget import SendBudget
@@ -37,7 +38,6 @@
 from ashpond.gateway.callprogress import Tools
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
-from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.metrics import GatewayMetrics
 from ashpond.gateway.places import Places
 from ashpond.gateway.rollouts import RolloutController
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -13,6 +13,7 @@
 from ashpond.controllers.budgets import Budgets
 from ashpond.controllers.cachestores import EVENTS_PREFIX, CacheStores
 from ashpond.controllers.feeds import Feed, Follower, TableNews
+from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverends import ServerEnds
 from ashpond.controllers.servernews import ServerNews
@@ -32,7 +33,6 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.ingress import Ingress, IngressPorts
-from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.metrics import GatewayMetrics
 from ashpond.gateway.places import Places
 from ashpond.gateway.ports import Platform
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -10,13 +10,13 @@
 import trio
 
 from ashpond.controllers.directory import ServerState, ServerTable, StartOrder
+from ashpond.controllers.invalidrows import InvalidRows
+from ashpond.controllers.orderlease import OrderLease
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.leases import Lease, make_lease_terms
 from ashpond.decisions.loadingplaces import count_loading_places
 from ashpond.decisions.orderends import OrderEnds
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.invalidrows import InvalidRows
-from ashpond.gateway.orderlease import OrderLease
 from ashpond.gateway.orders import (
     EnginePort,
     EngineReport,
--- a/ashpond/news/members.py
+++ b/ashpond/news/members.py
@@ -12,9 +12,9 @@
 import trio
 
 from ashpond.addresses import parse_address
+from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.decisions.fleetlinks import Member
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.store import Condition, InvalidRow, Row, Snapshot, Store
 from ashpond.outcomes import Conflict, Done
 
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -10,6 +10,7 @@
 
 from ashpond.controllers.cachestores import CacheStores
 from ashpond.controllers.directory import BackendServer, ServerTable
+from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.decisions.declared import (
     Declaration,
@@ -29,7 +30,6 @@
 from ashpond.decisions.selection import Candidate, Demand
 from ashpond.gateway.calls import Envelope, IncomingCall
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.metrics import GatewayMetrics
 from ashpond.gateway.places import Places
 from ashpond.gateway.settings import GatewaySettings
--- a/tests/row_builders.py
+++ b/tests/row_builders.py
@@ -9,10 +9,10 @@
 
 from ashpond.clients.channels import ChannelPool
 from ashpond.controllers.feeds import Follower
+from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.controllers.storeview import StoreView, build_feeds
 from ashpond.decisions.fleetlinks import Member
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.invalidrows import InvalidRows
 from ashpond.gateway.store import Row
 from ashpond.news.members import Members
 from ashpond.standins.tables import MemoryStore
--- a/tests/test_damaged_rows.py
+++ b/tests/test_damaged_rows.py
@@ -16,10 +16,10 @@
 
 from ashpond.bounds import MAX_NUMBER
 from ashpond.controllers.directory import BackendServer
+from ashpond.controllers.invalidrows import MAX_ROWS, InvalidRows
+from ashpond.controllers.orderlease import LEASE_TABLE, make_lease_key
 from ashpond.decisions.declared import Declaration, WeightTarget
 from ashpond.decisions.leases import Lease, LeaseRow
-from ashpond.gateway.invalidrows import MAX_ROWS, InvalidRows
-from ashpond.gateway.orderlease import LEASE_TABLE, make_lease_key
 from ashpond.gateway.store import InvalidRow, Row
 from ashpond.news.members import (
     SECRET_KEY,
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -17,13 +17,13 @@
 from hypothesis import given, strategies as st
 
 from ashpond.controllers.feeds import RETURN_PATIENCE_SECONDS, TableNews
+from ashpond.controllers.invalidrows import InvalidRows
+from ashpond.controllers.orderlease import LEASE_TABLE, OrderLease, make_lease_key
 from ashpond.controllers.quarantinerows import QUARANTINE_TABLE
 from ashpond.controllers.storeview import RETURN_SECONDS
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.leases import Lease, make_lease_terms
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.invalidrows import InvalidRows
-from ashpond.gateway.orderlease import LEASE_TABLE, OrderLease, make_lease_key
 from ashpond.gateway.store import Row, StoreClock, StoreEra
 from ashpond.news.members import (
     MEMBERS_TABLE,
