--- a/tests/endings.py
+++ b/tests/endings.py
@@ -59,7 +59,9 @@
         servers: int,
         kills: Callable[[bytes], bool],
         mesh_limit: int = FLAT_FLEET,
+        limit: dict[str, object] | None = None,
     ):
+        self._limit = limit or {}
         self.memory = MemoryStore()
         self.arrivals: list[Arrival] = []
         self.ends: list[Arrival] = []
@@ -89,7 +91,11 @@
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         store = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
         nursery.start_soon(trio.serve_listeners, self._serve_store, listeners)
-        self.memory.put(OPERATOR_TABLE, "config", orjson.dumps(make_configuration()))
+        self.memory.put(
+            OPERATOR_TABLE,
+            "config",
+            orjson.dumps(make_configuration(limit=self._limit)),
+        )
         for number in range(self._counts[1]):
             nursery.start_soon(self._run_server, f"s{number}")
         for number in range(self._counts[0]):
@@ -209,7 +215,9 @@
 
 
 def make_configuration(
-    version: int = 1, keys: tuple[str, ...] = ("k1", "k2")
+    version: int = 1,
+    keys: tuple[str, ...] = ("k1", "k2"),
+    limit: dict[str, object] | None = None,
 ) -> dict[str, object]:
     route = {
         **ROUTE,
@@ -224,5 +232,5 @@
         "version": version,
         "routes": [route],
         "services": [{"name": "s1"}],
-        "tenants": [{"name": "t1", "api_keys": list(keys)}],
+        "tenants": [{"name": "t1", "api_keys": list(keys), **(limit or {})}],
     }
