--- a/ashpond/controllers/allowances.py
+++ b/ashpond/controllers/allowances.py
@@ -76,6 +76,7 @@
 
     :param get_declaration: returns the configuration in force.
     :param get_bounds: returns how exactly limits are to be kept.
+    :param count_use: counts what a team asked for, and whether it was granted.
     :param connect: returns a connection to a peer, by its address if it is None.
     """
 
@@ -85,6 +86,7 @@
         log: DecisionLog,
         get_declaration: Callable[[], Declaration | None],
         get_bounds: Callable[[], AllowanceBounds],
+        count_use: Callable[[str, int, bool], None],
         rng: random.Random,
         connect: Connect | None = None,
     ):
@@ -94,6 +96,7 @@
         self._log = log
         self._get_declaration = get_declaration
         self._get_bounds = get_bounds
+        self._count_metric = count_use
         self._rng = rng
         self._connect = connect or self._connect_by_address
         self._headcount = Headcount(now)
@@ -301,6 +304,7 @@
         return await connect_peer(member.address, self._members.secret, MAX_FRAME_BYTES)
 
     def _count_use(self, team: str, cost: int, is_granted: bool) -> None:
+        self._count_metric(team, cost, is_granted)
         use = self._uses.get(team, _Use())
         if is_granted:
             self._uses[team] = use._replace(granted=use.granted + cost)
@@ -321,9 +325,16 @@
                 }
                 for (slots, slot), ledger in self._ledgers.items()
             },
-            "teams": {name: use._asdict() for name, use in uses[:DESCRIBED_TEAMS]},
+            "teams": {
+                name: {"limit": self._describe_limit(name), **use._asdict()}
+                for name, use in uses[:DESCRIBED_TEAMS]
+            },
         }
 
+    def _describe_limit(self, team: str) -> dict[str, Any] | None:
+        allowance = self._list_limits().get(team)
+        return None if allowance is None else allowance._asdict()
+
 
 async def take_unlimited(
     team: Team | None, tokens: int | None, urgency: int, deadline: float
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -5,7 +5,6 @@
 __all__ = ["Gateway"]
 
 import random
-import signal
 
 import trio
 
@@ -19,10 +18,7 @@
 from ashpond.controllers.serverends import ServerEnds
 from ashpond.controllers.servernews import ServerNews
 from ashpond.controllers.storeview import StoreView, build_feeds
-from ashpond.decisions.declared import (
-    CacheStore,
-    IngressLimits,
-)
+from ashpond.decisions.declared import CacheStore, IngressLimits
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.holdings import Holdings
 from ashpond.decisions.quarantine import Suspicions
@@ -40,6 +36,7 @@
 from ashpond.gateway.replies import send_refusal
 from ashpond.gateway.rollouts import RolloutController
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
+from ashpond.gateway.signals import watch_signals
 from ashpond.gateway.status import render_status
 from ashpond.news.items import NewsHandlers
 from ashpond.news.members import Members
@@ -163,6 +160,7 @@
             log,
             lambda: self.knowledge.declaration,
             lambda: self.settings.bounds.allowances,
+            self.metrics.count_allowance,
             self.rng,
         )
         self.news = Newsroom(
@@ -264,7 +262,9 @@
         self.connection_log.watch.start()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.log.run)
-            nursery.start_soon(self._watch_signals)
+            nursery.start_soon(
+                watch_signals, self.leave, lambda: self._reload("SIGHUP")
+            )
             for follower in self.followers.values():
                 nursery.start_soon(follower.run)
             nursery.start_soon(self.news.run)
@@ -385,14 +385,6 @@
                 self.followers[feed.table].feed = feed
             self.log.note("reload", cause=cause, settings=self.settings._asdict())
 
-    async def _watch_signals(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            async for number in signals:
-                if number == signal.SIGTERM:
-                    self.leave()
-                else:
-                    self._reload("SIGHUP")
-
     def leave(self) -> None:
         """Take no new connections, end what is in flight, then stop."""
         self.log.note("stopping", open_calls=self.ingress.open_calls)
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -8,6 +8,9 @@
 
 LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
 SUSPENSION_BUCKETS = [0.1, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0]
+# So many teams have a series of their own; the others share one.
+MOST_TEAMS = 50
+OTHER_TEAMS = "(others)"
 DELAY_BUCKETS = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5]
 
 
@@ -47,6 +50,12 @@
             "Requests that were quarantined, as they end servers",
             registry=self.registry,
         )
+        self.allowances = Counter(
+            "ashpond_gateway_allowance",
+            "What teams asked for here, in the units of their limits, by outcome",
+            registry=self.registry,
+        )
+        self._teams: set[str] = set()
         self.suspensions = Histogram(
             "ashpond_gateway_suspended_seconds",
             "Times for which the machine was suspended",
@@ -76,6 +85,14 @@
         """Count one request that has been quarantined."""
         self.quarantined.inc({})
 
+    def count_allowance(self, team: str, cost: int, is_granted: bool) -> None:
+        """Count what a team asked for."""
+        if len(self._teams) < MOST_TEAMS:
+            self._teams.add(team)
+        name = team if team in self._teams else OTHER_TEAMS
+        outcome = "granted" if is_granted else "refused"
+        self.allowances.add({"team": name, "outcome": outcome}, cost)
+
     def observe_suspension(self, seconds: float) -> None:
         """Take one suspension of the machine."""
         self.suspensions.observe({}, seconds)
--- a/ashpond/news/room.py
+++ b/ashpond/news/room.py
@@ -17,7 +17,6 @@
     Notices,
     PeerStream,
     ServerEndNews,
-    connect_peer,
 )
 from ashpond.controllers.directory import ServerTable
 from ashpond.controllers.feeds import TableNews
@@ -32,6 +31,7 @@
 from ashpond.decisions.quarantine import ServerEnd
 from ashpond.errors import FrameError
 from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.news.connecting import MAX_FRAME_BYTES, keep_connected
 from ashpond.news.fleetview import FleetView, Scope, Source, Work
 from ashpond.news.items import (
     Digest,
@@ -60,14 +60,11 @@
 from ashpond.news.pace import (
     GROUP_LAG_SECONDS,
     HEARTBEAT_SECONDS,
-    RECONNECT_LIMIT_SECONDS,
-    RECONNECT_SECONDS,
     choose_pause,
 )
-from ashpond.news.sending import SEND_SECONDS, send_digest, send_urgent
+from ashpond.news.sending import send_digest, send_urgent
 
 LIFE_BYTES = 4
-MAX_FRAME_BYTES = 1 << 20
 
 
 class Newsroom:
@@ -196,28 +193,7 @@
             self._log.note("news_hub", is_hub=self._is_hub, hubs=hubs)
 
     async def _feed_peer(self, link: Link, address: str) -> None:
-        pause = RECONNECT_SECONDS
-        is_lost = False
-        with link.scope:
-            while True:
-                reason = "it ended the connection"
-                try:
-                    with trio.fail_after(SEND_SECONDS):
-                        stream = await connect_peer(
-                            address, self.members.secret, MAX_FRAME_BYTES
-                        )
-                    if is_lost:
-                        self._log.note("peer_regained", peer=link.name)
-                    is_lost = False
-                    pause = RECONNECT_SECONDS
-                    reason = await self._converse(link, stream)
-                except PEER_ERRORS as error:
-                    reason = repr(error)
-                if not is_lost:
-                    self._log.note("peer_lost", peer=link.name, reason=reason)
-                is_lost = True
-                await trio.sleep(pause)
-                pause = min(RECONNECT_LIMIT_SECONDS, pause * 2)
+        await keep_connected(link, address, self.members, self._log, self._converse)
 
     async def _converse(self, link: Link, stream: PeerStream) -> str:
         """Send news, take those of a hub; return why the connection ended."""
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -113,6 +113,7 @@
             DecisionLog(member.name),
             lambda: fleet.find_declaration(member.name),
             lambda: BOUNDS,
+            lambda team, cost, is_granted: None,
             random.Random(member.name),
             lambda peer: fleet.connect(member.name, peer),
         )
