Grant what a window's limit allows, and refuse at random only under pressure

Change: an account earns (rate x window + burst) / window; what the sheet allows beyond the limit is what it saves. Random refusals grow with what the team asks for beyond what it earns, from nothing at 1 to all at 2. Earned time is booked in steps of 0.125 s.

Machine, mutants and fleets pass.

--- a/ashpond/controllers/keeperlink.py
+++ b/ashpond/controllers/keeperlink.py
@@ -40,7 +40,7 @@
 # the one before it still answers from what it has saved (seconds).
 WARM_SECONDS = 1.0
 # Earned time that no request carries is handed over so often (seconds).
-HAND_OVER_SECONDS = 0.4
+HAND_OVER_SECONDS = 0.25
 
 Connect = Callable[[Member], Awaitable[PeerStream]]
 DecideHere = Callable[[int, int, "KeeperLink", AllowanceRequest], AllowanceVerdict]
@@ -259,7 +259,7 @@
         try:
             while trio.current_time() < until:
                 await self._send(line, self._take_earned(line))
-                await trio.sleep(HAND_OVER_SECONDS / 2)
+                await trio.sleep(HAND_OVER_SECONDS)
             return True
         except PEER_ERRORS as error:
             self._avoid(member.name, repr(error))
--- a/ashpond/decisions/allowances.py
+++ b/ashpond/decisions/allowances.py
@@ -41,23 +41,28 @@
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.placement import rank_by_rendezvous
 
-# What was granted and not used is given back, or lapses, within this (seconds).
-RETURN_SECONDS = 0.5
+# What was granted and not used is given back within this (seconds).
+RETURN_SECONDS = 0.25
 # Earned time is kept by steps of this length (seconds).
-STEP_SECONDS = 0.25
-# Between a grant that is still on its way and what the fleet's clocks leave open.
+STEP_SECONDS = 0.125
+# What is given back, and a step that has begun, count in one more window than theirs.
 MARGIN_SECONDS = RETURN_SECONDS + STEP_SECONDS
 # A team can always save up what it earns in this time, so that a long prompt fits
-# (seconds). Where the limit leaves no room for that, it earns more slowly.
+# (seconds). Where the bound leaves no room for that, it earns more slowly.
 LEAST_SAVED_SECONDS = 1.0
 # Nothing is saved for longer (seconds).
 MOST_SAVED_SECONDS = 600.0
-# Time that could not be handed over is kept for so long, which is no longer than what
-# has been handed over (seconds).
-MOST_PENDING_SECONDS = LEAST_SAVED_SECONDS
-# Below this share of what a team can save, requests are refused at random, the more the
-# less there is, so that long ones find room beside short ones; the most urgent first.
-EASE_SHARES = (0.1, 0.2, 0.3)
+# Time that could not be handed over is kept for so long (seconds).
+MOST_PENDING_SECONDS = 1.0
+# A team that asks for twice what it earns: below this share of what it can save, its
+# requests are refused at random, the more the less there is, so that long ones find
+# room beside short ones; the most urgent are refused last.
+EASE_SHARES = (0.2, 0.3, 0.4)
+# What a team asks for is measured over about so long (seconds).
+PRESSURE_SECONDS = 2.0
+# A request of this share of what a team can save, and larger ones, have two thirds of
+# the chance of the smallest: more callers are served, and long prompts not starved.
+LARGE_SHARE = 0.05
 LEAST_RETRY_SECONDS = 0.05
 # A keeper that gets hardly any of the fleet's time plans returns as with this share.
 LEAST_PLANNED_SHARE = 0.05
@@ -143,12 +148,14 @@
     """Return how a team earns and saves so that no window holds more than its bound.
 
     What is granted in a window was earned in it, or saved up before, or was on its way
-    back when it began.
+    back when it began. A team that asks for too much all the time gets what its limit
+    allows for a window, window after window; what may be used beyond the limit leaves
+    room for what it saves.
     """
     limit = allowance.rate * bounds.window + allowance.burst
     bound = limit * (1 + bounds.overage) + bounds.slack
     least = bounds.window + LEAST_SAVED_SECONDS + MARGIN_SECONDS
-    rate = min(allowance.rate, bound / least)
+    rate = min(limit / bounds.window, bound / least)
     saved = bound / rate - bounds.window - MARGIN_SECONDS
     return Pace(rate, min(saved, MOST_SAVED_SECONDS))
 
@@ -181,6 +188,17 @@
     return (first + rest)[:CANDIDATES]
 
 
+def _find_easy(pace: Pace, pressure: float, cost: float, urgency: int) -> float:
+    """Return what has to be left for a request to be granted for certain.
+
+    :param pressure: what the team asks for, as a share of what it earns.
+    """
+    saved = pace.rate * pace.saved_seconds
+    easy = EASE_SHARES[min(urgency, len(EASE_SHARES) - 1)] * saved
+    size = min(1.0, cost / (LARGE_SHARE * saved))
+    return easy * (2 + size) / 3 * min(1.0, max(0.0, pressure - 1))
+
+
 class Earnings:
     """The time that one instance has earned and not handed over.
 
@@ -206,8 +224,17 @@
         self.left = float("inf")
         self.received_before = 0.0
         self.promised_until = float("-inf")
+        self.asked = 0.0
+        self.asked_at = 0.0
         self.pace: Pace | None = None
 
+    def note_asked(self, cost: float, now: float) -> float:
+        """Take what is asked for; return how much is in a second of late."""
+        self.asked *= math.exp((self.asked_at - now) / PRESSURE_SECONDS)
+        self.asked += cost
+        self.asked_at = now
+        return self.asked / PRESSURE_SECONDS
+
 
 class Ledger:
     """The accounts of the teams of one slot, at an instance that is their keeper.
@@ -234,9 +261,12 @@
         end = min(span.end, now)
         if end <= begin:
             return
-        earned = (end - begin) * share
-        self._received += earned
-        self._add_step(math.floor(begin / STEP_SECONDS), earned)
+        self._received += (end - begin) * share
+        while begin < end:
+            step = math.floor(begin / STEP_SECONDS)
+            until = min(end, (step + 1) * STEP_SECONDS)
+            self._add_step(step, (until - begin) * share)
+            begin = until
         oldest = math.floor((now - MOST_SAVED_SECONDS) / STEP_SECONDS)
         while self._steps and self._steps[0][0] < oldest:
             self._steps.popleft()
@@ -297,10 +327,12 @@
         :param draw: a random number from 0 to 1.
         """
         account = self._bring_up(team, allowance.unit, pace, now)
-        if account.left >= cost and draw < self._ease(account, pace, urgency):
+        share = self.measure_share(now)
+        pressure = account.note_asked(cost, now) / (pace.rate * share or 1.0)
+        easy = _find_easy(pace, pressure, cost, urgency)
+        if account.left >= max(cost, draw * easy):
             account.left -= cost
             return Granted(cost)
-        share = self.measure_share(now)
         retry_after = self._plan_return(account, pace, share, cost, patience, now)
         return Short(retry_after, account.left, share)
 
@@ -313,14 +345,9 @@
 
     def measure_share(self, now: float) -> float:
         """Return the part of the fleet's time that comes here at present."""
-        seconds = LEAST_SAVED_SECONDS + STEP_SECONDS
+        seconds = MOST_PENDING_SECONDS + STEP_SECONDS
         return min(1.0, self.measure_received(seconds, now) / seconds)
 
-    def _ease(self, account: _Account, pace: Pace, urgency: int) -> float:
-        """Return the chance of a request for which there is enough."""
-        easy = EASE_SHARES[min(urgency, len(EASE_SHARES) - 1)]
-        return account.left / (easy * pace.rate * pace.saved_seconds)
-
     def _plan_return(
         self,
         account: _Account,
