--- a/ashpond/clients/keeper.py
+++ b/ashpond/clients/keeper.py
@@ -28,12 +28,13 @@
 class AllowanceRequest(NamedTuple):
     """One request of a client that needs its team's allowance.
 
-    ``number`` names it on its connection; ``rate`` and ``burst`` are the limit as the
-    asker knows it, for a keeper that does not know the team yet. ``patience`` is in
+    ``number`` names it on its connection; ``rate`` and ``burst`` are the limit by the
+    configuration ``version``, the newest that the asker knows. ``patience`` is in
     seconds.
     """
 
     number: Count
+    version: Count
     team: str
     unit: AllowanceUnit
     rate: Amount
--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -166,8 +166,9 @@
 
     ``slot`` of ``slots`` names the teams. ``earned`` is empty, or [begin, end] on the
     keeper's clock as far as the sender knows it (seconds); ``wants_time`` asks for that
-    clock. ``asks`` are lists of [number, team, unit, rate a second, burst, cost,
-    urgency, the client's patience in seconds], ``returned`` of [team, unit, cost].
+    clock. ``asks`` are lists of [number, configuration's version, team, unit, rate a
+    second, burst, cost, urgency, the client's patience in seconds], ``returned`` of
+    [team, unit, cost].
     """
 
     sender: str
--- a/ashpond/controllers/allowances.py
+++ b/ashpond/controllers/allowances.py
@@ -51,6 +51,7 @@
 ADJUST_SECONDS = 0.5
 # A keeper could not be asked; the next one may be by then (seconds).
 UNASKED_RETRY_SECONDS = 0.3
+_NOTHING: tuple[int, Allowance | None] = (0, None)
 # Of the teams that have been asked for, so many are told to operators.
 DESCRIBED_TEAMS = 20
 
@@ -104,6 +105,8 @@
         self._links: list[KeeperLink] = []
         self._known: Declaration | None = None
         self._limits: dict[str, Allowance] = {}
+        # Limits of configurations that askers know and this instance does not yet.
+        self._heard: dict[str, tuple[int, Allowance]] = {}
         self._uses: dict[str, _Use] = {}
         self._nursery: trio.Nursery | None = None
 
@@ -136,6 +139,7 @@
         patience = max(0.0, deadline - now)
         request = AllowanceRequest(
             link.next_number(),
+            self._get_version(),
             team.name,
             allowance.unit,
             allowance.rate,
@@ -211,9 +215,7 @@
     def _decide(
         self, ledger: Ledger, request: AllowanceRequest, now: float
     ) -> AllowanceVerdict:
-        allowance = self._find_allowance(
-            request.team, request.unit, request.rate, request.burst
-        )
+        allowance = self._find_allowance(request)
         if allowance is None:
             return AllowanceVerdict(request.number, True, None, 0.0, 0.0)
         outcome = ledger.ask(
@@ -241,23 +243,22 @@
                 pace = self._plan(allowance)
                 ledger.give_back(entry.team, allowance, pace, entry.cost, now)
 
-    def _find_allowance(
-        self, team: str, unit: AllowanceUnit, rate: float, burst: float
-    ) -> Allowance | None:
-        """Return a team's limit as this instance knows it, or else as the asker does.
+    def _find_allowance(self, request: AllowanceRequest) -> Allowance | None:
+        """Return a team's limit by the newest configuration that any asker knows.
 
         None if it has none, or has none any more.
         """
+        limits = self._list_limits()
+        own = self._get_version()
+        if request.version > max(own, self._heard.get(request.team, _NOTHING)[0]):
+            told = Allowance(request.rate, request.burst, request.unit)
+            self._heard[request.team] = request.version, told
+        version, allowance = self._heard.get(request.team, _NOTHING)
+        return allowance if version > own else limits.get(request.team)
+
+    def _get_version(self) -> int:
         declaration = self._get_declaration()
-        allowance = self._list_limits().get(team)
-        if allowance is not None:
-            return allowance
-        names = (
-            {t.name for t in declaration.teams_by_key.values()} if declaration else ()
-        )
-        if team in names or not rate:
-            return None
-        return Allowance(rate, burst, unit)
+        return 0 if declaration is None else declaration.version
 
     def _list_limits(self) -> dict[str, Allowance]:
         """Return the limits of all teams that have one."""
@@ -266,6 +267,8 @@
             self._known = declaration
             teams = declaration.teams_by_key.values() if declaration else ()
             self._limits = {t.name: t.allowance for t in teams if t.allowance}
+            version = self._get_version()
+            self._heard = {t: h for t, h in self._heard.items() if h[0] > version}
         return self._limits
 
     def _plan(self, allowance: Allowance) -> Pace:
--- a/ashpond/controllers/cachestores.py
+++ b/ashpond/controllers/cachestores.py
@@ -58,6 +58,8 @@
     ) -> None:
         self.store = store
         self.is_up = False
+        # Whether all that the store holds is known, and not only what came since.
+        self.knows_all = False
         self._held: set[tuple[str, str]] = set()
         self._saving: dict[tuple[str, str], float] = {}
         self._is_reader = is_reader
@@ -126,6 +128,7 @@
             return False
         if is_other:
             self._begin_epoch(epoch)
+        self.knows_all = news.is_whole or (self.knows_all and not is_gap)
         self._accepts_gap = False
         is_new = news.version > self._since
         is_worth = is_new or now - self._told_at >= PAUSE_SECONDS
@@ -146,6 +149,7 @@
     def _begin_epoch(self, epoch: int | None) -> None:
         """Forget what an earlier life of the store held."""
         self._held.clear()
+        self.knows_all = False
         self._epoch, self._since = epoch, 0
 
     async def _ask(self, engines: EnginePort, log: DecisionLog) -> None:
@@ -165,6 +169,8 @@
             # What it holds now is asked for at once.
             self._has_missed = True
             return
+        if since == 0 or answer.is_gap:
+            self.knows_all = not answer.is_gap
         # Readers may have told of later events while the call was out.
         self._apply(tuple(e for e in answer.events if e.number > self._since))
         self._epoch, self._since = answer.epoch, max(self._since, answer.next)
@@ -291,7 +297,8 @@
         )
         for event in answer.events
     )
-    return TableNews(name, since, answer.next, 0.0, rows)
+    is_whole = since == 0 and not answer.is_gap
+    return TableNews(name, since, answer.next, 0.0, rows, is_whole=is_whole)
 
 
 def _decode_events(news: TableNews, since: int) -> tuple[CacheEvent, ...]:
--- a/ashpond/gateway/places.py
+++ b/ashpond/gateway/places.py
@@ -243,10 +243,14 @@
         salt = sources.salts[chosen.id]
         source = sources.choose(state.info)
         address = source.address if source else None
-        shared = find_shared_tokens(demand.prompt)
-        if address is None and chosen.held_tokens < shared:
-            address = self._guess_holder(states, sources, demand, chosen)
+        is_missing = found < find_shared_tokens(demand.prompt)
         store = self.stores.pick(demand.prompt, demand.wall)
+        if is_missing and store is not None and not store.knows_all:
+            # An instance that has just started hears of what is saved from now on; the
+            # store mostly holds what others read before.
+            address = store.store.address
+        elif is_missing and address is None:
+            address = self._guess_holder(states, sources, demand, chosen)
         saves = store is not None and store.plan_save(salt, demand.prompt, now)
         return place._replace(
             weights_version=state.weights.get(demand.model),
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -133,7 +133,9 @@
         self.instances: dict[str, FleetInstance] = {}
         self.cut: set[str] = set()
         self.limit = LIMIT
+        self.version = 1
         self.unaware: dict[str, Allowance] = {}
+        self._declarations: dict[tuple[bool, Allowance], Declaration] = {}
         self.uses: list[Use] = []
         self._healed = trio.Event()
         for _ in range(count):
@@ -170,7 +172,13 @@
 
     def find_declaration(self, name: str) -> Declaration:
         limit = self.unaware.get(name, self.limit)
-        return make_declaration(teams_by_key={KEY: Team("desk", allowance=limit)})
+        key = name in self.unaware, limit
+        if key not in self._declarations:
+            version = 1 if name in self.unaware else self.version
+            teams = {KEY: Team("desk", allowance=limit)}
+            declaration = make_declaration(version=version, teams_by_key=teams)
+            self._declarations[key] = declaration
+        return self._declarations[key]
 
     async def wait_for_path(self, sender: str, receiver: str) -> None:
         while sender in self.cut or receiver in self.cut:
--- a/tests/test_allowance_fleet.py
+++ b/tests/test_allowance_fleet.py
@@ -155,21 +155,24 @@
     assert fleet.measure_worst() <= 1.0
 
 
+@pytest.mark.parametrize("keeper_knows", [True, False])
 async def test_a_limit_that_is_lowered_under_a_hot_team(
-    autojump_clock: object,
+    keeper_knows: bool, autojump_clock: object
 ) -> None:
-    """A quarter of the instances does not hear of it; the keeper does."""
+    """A quarter of the instances does not hear of it, the keeper among them or not."""
     async with trio.open_nursery() as nursery:
         fleet = Fleet(nursery, 90)
         await trio.sleep(SETTLED_SECONDS)
         nursery.start_soon(fleet.press, HOT, 30.0)
         await trio.sleep(5.0)
         before = fleet.limit
+        fleet.version += 1
         fleet.limit = before._replace(rate=before.rate / 3, burst=before.burst / 3)
         lowered_at = trio.current_time()
         keeper = fleet.instances["i1"].allowances.describe()["keepers"][0]
         others = [name for name in fleet.members if name != keeper]
-        fleet.unaware = dict.fromkeys(others[::4], before)
+        names = others[::4] if keeper_knows else [*others[::4], keeper]
+        fleet.unaware = dict.fromkeys(names, before)
         await trio.sleep(24.0)
         nursery.cancel_scope.cancel()
     assert fleet.measure_worst(lowered_at) <= 1.0
--- a/tests/test_cachestores.py
+++ b/tests/test_cachestores.py
@@ -30,6 +30,7 @@
         self.epoch = 5
         self.events: list[CacheEvent] = []
         self.calls = 0
+        self.forgotten = 0
         self.is_down = False
 
     def add(self, part: str, *, is_stored: bool = True) -> None:
@@ -43,8 +44,9 @@
             return NotRun("down")
         if len(self.events) <= since:
             await trio.sleep(wait)
-        new = tuple(self.events[since:])
-        return CacheEvents(self.epoch, len(self.events), False, new)
+        new = tuple(self.events[max(since, self.forgotten) :])
+        is_gap = since < self.forgotten
+        return CacheEvents(self.epoch, len(self.events), is_gap, new)
 
     def build_port(self) -> EnginePort:
         return EnginePort(None, None, self.read)  # type: ignore[arg-type]
@@ -181,6 +183,27 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_who_starts_late_knows_that_it_does_not_know_all(
+    autojump_clock: object,
+) -> None:
+    """The store's older events are gone: reader and listener both know so."""
+    fleet = Fleet()
+    for part in ("rules", "shop"):
+        fleet.store.add(part)
+    fleet.store.forgotten = 1
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run)
+        await trio.sleep(3.0)
+        contents = [s.by_address[STORE.address] for s in (fleet.reader, fleet.other)]
+        assert [c.knows_all for c in contents] == [False, False]
+        fleet.store.epoch += 1
+        fleet.store.events.clear()
+        fleet.store.forgotten = 0
+        await trio.sleep(6.0)
+        assert [c.knows_all for c in contents] == [True, True]
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_store_that_starts_anew_holds_nothing(autojump_clock: object) -> None:
     fleet = Fleet()
     async with trio.open_nursery() as nursery:
