Deal the widest links out to all groups of a failure domain

By its log the instances front-ub-south-3 and -17 heard of it 3.5 and 3.7 s after its row was there, their hub front-ub-south-16 after 1.5 s, all others within 0.2 to 2 s. That hub has a link of 5 Mbit/s: groups were formed by a hash of the name, and both wide machines of the domain had fallen into the other group. Such a hub's own news, some 5 Mbit/s by arithmetic, fill its link, and the loads that its members hear are as late.

Ruled out: the store (its row was read at 16.19 s), stalls of the event loop (0.06 s at most there).

Change: instances with wider links than most of their domain are dealt out evenly to the domain's groups. The test (four domains of 22 with two wide links each) fails on the code before: a hub with 5 Mbit/s.

--- a/ashpond/decisions/fleetlinks.py
+++ b/ashpond/decisions/fleetlinks.py
@@ -96,19 +96,36 @@
 
 
 def _form_groups(members: Mapping[str, Member]) -> dict[str, list[str]]:
-    """Split each failure domain into groups of about the fleet's square root."""
+    """Split each failure domain into groups of about the fleet's square root.
+
+    The instances with the widest links are dealt out evenly: a group without one has a
+    hub whose link its news fill, so that its members hear of everything seconds late.
+    """
     size = math.sqrt(len(members))
-    domains: dict[str, list[str]] = {}
+    domains: dict[str, list[Member]] = {}
     for member in members.values():
-        domains.setdefault(member.failure_domain, []).append(member.name)
+        domains.setdefault(member.failure_domain, []).append(member)
     groups: dict[str, list[str]] = {}
-    for domain, names in domains.items():
-        count = max(1, round(len(names) / size))
-        for name in names:
-            groups.setdefault(_find_group(domain, name, count), []).append(name)
+    for domain, found in domains.items():
+        count = max(1, round(len(found) / size))
+        wide = _list_wide(domain, found)
+        for member in found:
+            if member.name in wide:
+                group = f"{domain}/{wide.index(member.name) % count}"
+            else:
+                group = _find_group(domain, member.name, count)
+            groups.setdefault(group, []).append(member.name)
     return groups
 
 
+def _list_wide(domain: str, members: list[Member]) -> list[str]:
+    """Return those with wider links than most of a failure domain, in a fixed order."""
+    widths = sorted(member.link_mbps for member in members)
+    usual = widths[len(widths) // 2]
+    wide = [member.name for member in members if member.link_mbps > usual]
+    return rank_by_rendezvous(xxhash.xxh3_64_intdigest(domain.encode()), wide)
+
+
 def _find_group(domain: str, name: str, count: int) -> str:
     """Return the group of an instance; few change theirs when ``count`` does."""
     labels = [f"{domain}/{number}" for number in range(count)]
--- a/tests/test_fleetlinks.py
+++ b/tests/test_fleetlinks.py
@@ -83,3 +83,18 @@
         if any(n in wide for n in group):
             hub = next(n for n in group if not links[n].hubs)
             assert hub in wide
+
+
+def test_every_group_has_a_wide_link_where_there_are_enough() -> None:
+    """Two wide instances fell into one group: the other's members heard 2 s late."""
+    members = {}
+    for domain in ("north", "south", "east", "west"):
+        for number in range(22):
+            name = f"front-{domain}-{number + 1}"
+            width = 100.0 if number < 2 else 5.0
+            members[name] = Member(name, "10.0.0.1:1", domain, width)
+    links = {name: plan_links(members, name) for name in members}
+    groups = {link.group for link in links.values()}
+    assert len(groups) == 8
+    hubs = [name for name in members if not links[name].hubs]
+    assert {members[hub].link_mbps for hub in hubs} == {100.0}
