--- a/ashpond/controllers/allowances.py
+++ b/ashpond/controllers/allowances.py
@@ -267,6 +267,7 @@
             self._known = declaration
             teams = declaration.teams_by_key.values() if declaration else ()
             self._limits = {t.name: t.allowance for t in teams if t.allowance}
+            self._uses = {t: u for t, u in self._uses.items() if t in self._limits}
             version = self._get_version()
             self._heard = {t: h for t, h in self._heard.items() if h[0] > version}
         return self._limits
--- a/ashpond/decisions/allowances.py
+++ b/ashpond/decisions/allowances.py
@@ -63,6 +63,7 @@
 # A request of this share of what a team can save, and larger ones, have two thirds of
 # the chance of the smallest: more callers are served, and long prompts not starved.
 LARGE_SHARE = 0.05
+# A client that comes back sooner finds nothing more (seconds).
 LEAST_RETRY_SECONDS = 0.05
 # A keeper that gets hardly any of the fleet's time plans returns as with this share.
 LEAST_PLANNED_SHARE = 0.05
