Let what was to be given back lapse with its connection

Found by reading: what a request had not used was kept for the keeper while its connection was lost, and told seconds later, when a window that had no room left for it would hold it; and it waited up to 0.25 s for the next message. It is told at once now, and goes with the connection. The test fails on the code before.

--- a/ashpond/controllers/keeperlink.py
+++ b/ashpond/controllers/keeperlink.py
@@ -140,6 +140,7 @@
     def give_back(self, returned: ReturnedAllowance) -> None:
         """Have the keeper told of what has not been used."""
         self._returned.append(returned)
+        self._signal.set()
 
     async def run(self) -> None:
         """Stay connected to the best keeper there is, until cancelled."""
@@ -220,6 +221,8 @@
         """Ask a keeper until it is lost, or a better one is there."""
         for waiter in self._waiters.values():
             waiter.is_sent = False
+        # What waited since the last conversation would come back too late.
+        self._returned.clear()
         reason = "it is silent"
         try:
             async with trio.open_nursery() as nursery:
--- a/tests/test_allowance_fleet.py
+++ b/tests/test_allowance_fleet.py
@@ -6,9 +6,16 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 import trio
 
+from ashpond.clients.keeper import ReturnedAllowance, encode_ask
+from ashpond.clients.peer import AllowanceAsk, PeerStream
+from ashpond.controllers import keeperlink
+from ashpond.decisions.allowances import AllowanceUnit
+from ashpond.decisions.fleetlinks import Member
 from tests.allowance_fleet import Fleet
 
 SETTLED_SECONDS = 6.0
@@ -176,3 +183,34 @@
         await trio.sleep(24.0)
         nursery.cancel_scope.cancel()
     assert fleet.measure_worst(lowered_at) <= 1.0
+
+
+async def test_what_was_to_be_given_back_lapses_with_the_connection(
+    autojump_clock: object, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Told later, it would be used in a window that has no room left for it."""
+    told: list[ReturnedAllowance] = []
+
+    def record(*args: Any, **options: Any) -> AllowanceAsk:
+        told.extend(args[5] if len(args) > 5 else ())
+        return encode_ask(*args, **options)
+
+    monkeypatch.setattr(keeperlink, "encode_ask", record)
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 8)
+        await trio.sleep(SETTLED_SECONDS)
+        keeper = fleet.instances["i1"].allowances.describe()["keepers"][0]
+        other = next(i for i in fleet.instances.values() if i.name != keeper)
+        link = other.allowances._links[0]
+        connect = link._connect_to
+
+        async def give_back_and_connect(member: Member) -> PeerStream:
+            link.give_back(ReturnedAllowance("desk", AllowanceUnit.TOKENS, 9_000))
+            return await connect(member)
+
+        monkeypatch.setattr(link, "_connect_to", give_back_and_connect)
+        nursery.start_soon(fleet.end, [keeper], 5.0)
+        await trio.sleep(1.5)
+        assert link.keeper not in ("", keeper)
+        nursery.cancel_scope.cancel()
+    assert told == []
