--- a/ashpond/gateway/places.py
+++ b/ashpond/gateway/places.py
@@ -244,7 +244,9 @@
             fitting = set(self._list_kept(states, demand.prompt, demand.service))
             found = self._find_reader(fitting, sources, demand)
         others = [name for name in states if name not in fitting]
-        return found | sample_servers((sorted(fitting), others), self._rng)
+        drawn = found | sample_servers((sorted(fitting), others), self._rng)
+        # In a fixed order, so that the same draws lead to the same choice.
+        return [name for name in states if name in drawn]
 
     def _find_reader(
         self, fitting: Collection[str], sources: PromptSources, demand: Demand
