Hand over what was earned since the start, and fill a keeper before it is asked

An instance earned from its link's making on, made its links up to 0.5 s after the configuration was known, and asked a keeper that had nothing yet.

Change: earned since the process began (nobody else earns for it), links as soon as the configuration is known, and the first requests to a keeper wait 0.15 s, as they did after a keeper was lost.

--- a/ashpond/controllers/allowances.py
+++ b/ashpond/controllers/allowances.py
@@ -49,6 +49,8 @@
 UNINFORMED = 503
 # How often links and headcount follow the members' table, and full accounts go.
 ADJUST_SECONDS = 0.5
+# The same until the configuration is known: a keeper's share is of those that link.
+START_SECONDS = 0.05
 # A keeper could not be asked; the next one may be by then (seconds).
 UNASKED_RETRY_SECONDS = 0.3
 _NOTHING: tuple[int, Allowance | None] = (0, None)
@@ -100,6 +102,8 @@
         self._count_metric = count_use
         self._rng = rng
         self._connect = connect or self._connect_by_address
+        # An earlier life of this instance earned what was before; no one else does.
+        self._earns_since = now
         self._headcount = Headcount(now)
         self._ledgers: dict[tuple[int, int], Ledger] = {}
         self._links: list[KeeperLink] = []
@@ -116,7 +120,8 @@
             self._nursery = nursery
             while True:
                 self._adjust()
-                await trio.sleep(ADJUST_SECONDS)
+                is_informed = self._get_declaration() is not None
+                await trio.sleep(ADJUST_SECONDS if is_informed else START_SECONDS)
 
     async def take(
         self, team: Team | None, tokens: int | None, urgency: int, deadline: float
@@ -290,6 +295,7 @@
         for link in self._links:
             link.scope.cancel()
         self._links = [self._make_link(wanted, slot) for slot in range(wanted)]
+        self._earns_since = now
         for link in self._links:
             self._nursery.start_soon(link.run)
 
@@ -302,6 +308,7 @@
             self._log,
             self.decide_here,
             self._connect,
+            self._earns_since,
         )
 
     async def _connect_by_address(self, member: Member) -> PeerStream:
--- a/ashpond/controllers/keeperlink.py
+++ b/ashpond/controllers/keeperlink.py
@@ -82,6 +82,7 @@
 
     :param decide_here: decides if this instance is its own keeper.
     :param connect: returns a connection to an instance.
+    :param earns_since: from when on what is earned has not been handed over yet.
     """
 
     def __init__(
@@ -93,9 +94,10 @@
         log: DecisionLog,
         decide_here: DecideHere,
         connect: Connect,
+        earns_since: float,
     ):
         self.scope = trio.CancelScope()
-        self.earnings = Earnings(trio.current_time())
+        self.earnings = Earnings(earns_since)
         self.keeper = ""
         self._life = life
         self._slots = slots
@@ -111,7 +113,8 @@
         self._number = 0
         self._signal = trio.Event()
         self._silence = trio.CancelScope()
-        self._was_lost = False
+        # Whether the keeper has just begun to be asked, and has nothing saved.
+        self._fills_first = True
         self._is_warming = False
 
     @property
@@ -239,7 +242,7 @@
             with trio.CancelScope(shield=True):
                 await line.stream.aclose()
         self._avoid(keeper, reason)
-        self._was_lost = True
+        self._fills_first = True
 
     async def _watch_better(self, keeper: str, scope: trio.CancelScope) -> None:
         """End a conversation once a candidate that goes before its keeper is back."""
@@ -273,8 +276,8 @@
                 await line.stream.aclose()
 
     async def _send_asks(self, line: _Line) -> None:
-        if self._was_lost:
-            self._was_lost = False
+        if self._fills_first:
+            self._fills_first = False
             await self._send(line, self._take_earned(line))
             await trio.sleep(FILL_SECONDS)
         while True:
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -107,17 +107,23 @@
     def __init__(self, fleet: Fleet, member: Member):
         self.name = member.name
         self.scope = trio.CancelScope()
+        self.knows_at = trio.current_time() + fleet.start_seconds
         self.members = FleetMembers(member, fleet.members)
         self.allowances = Allowances(
             self.members,  # type: ignore[arg-type]
             DecisionLog(member.name),
-            lambda: fleet.find_declaration(member.name),
+            lambda: self.find_declaration(fleet),
             lambda: BOUNDS,
             lambda team, cost, is_granted: None,
             random.Random(member.name),
             lambda peer: fleet.connect(member.name, peer),
         )
 
+    def find_declaration(self, fleet: Fleet) -> Declaration | None:
+        """Return the configuration, once this life has read it."""
+        is_known = trio.current_time() >= self.knows_at
+        return fleet.find_declaration(self.name) if is_known else None
+
     async def run(self) -> None:
         with self.scope:
             await self.allowances.run()
@@ -133,6 +139,8 @@
         self.instances: dict[str, FleetInstance] = {}
         self.cut: set[str] = set()
         self.limit = LIMIT
+        # From the start of a life until it knows the configuration.
+        self.start_seconds = 0.0
         self.version = 1
         self.unaware: dict[str, Allowance] = {}
         self._declarations: dict[tuple[bool, Allowance], Declaration] = {}
--- a/tests/test_allowance_fleet.py
+++ b/tests/test_allowance_fleet.py
@@ -91,6 +91,24 @@
         assert fleet.measure_refused(back) <= 0.01
 
 
+async def test_all_instances_that_begin_anew_serve_at_once(
+    autojump_clock: object,
+) -> None:
+    """What they earned while they read the configuration is theirs to use."""
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 30)
+        fleet.start_seconds = 0.8
+        await trio.sleep(SETTLED_SECONDS)
+        await fleet.end(list(fleet.instances), 1.0)
+        await trio.sleep(0.9)
+        began = trio.current_time()
+        await fleet.press(USUAL, 3.0)
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    assert fleet.measure_worst() <= 1.0
+    assert fleet.measure_refused(began) <= 0.01
+
+
 @pytest.mark.parametrize("load", [USUAL, HOT])
 @pytest.mark.parametrize("share", [1, 15, 45, 90])
 async def test_instances_that_are_cut_off(
