--- a/ashpond/clients/keeper.py
+++ b/ashpond/clients/keeper.py
@@ -14,16 +14,20 @@
 ]
 
 from collections.abc import Sequence
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
+from msgspec import Meta
 
-from ashpond.bounds import Amount, Count
+from ashpond.bounds import MAX_NUMBER, Amount, Count
 from ashpond.clients.fields import convert_list
 from ashpond.clients.peer import AllowanceAnswer, AllowanceAsk
 from ashpond.decisions.allowances import AllowanceUnit, TimeSpan
 from ashpond.errors import FrameError
 
+# A time on some process's clock; no other is added to an account (seconds).
+Moment = Annotated[float, Meta(ge=-float(MAX_NUMBER), le=float(MAX_NUMBER))]
+
 
 class AllowanceRequest(NamedTuple):
     """One request of a client that needs its team's allowance.
@@ -63,9 +67,9 @@
 
 
 class _Moments(NamedTuple):
-    # A keeper's clock may be ahead of what an instance has earned before it started.
-    begin: float
-    end: float
+    # A keeper that has just started shows less than what was earned before.
+    begin: Moment
+    end: Moment
 
 
 def encode_ask(
@@ -127,9 +131,10 @@
 def decode_answer(message: AllowanceAnswer) -> list[AllowanceVerdict]:
     """Return a keeper's verdicts.
 
-    :raises FrameError: if they make no sense.
+    :raises FrameError: if they, or its clock, make no sense.
     """
     try:
+        msgspec.convert(message.now, Moment)
         return convert_list(message.answers, AllowanceVerdict)
     except ValueError as error:
         raise FrameError(f"an answer that makes no sense: {error!r}") from error
--- a/ashpond/controllers/keeperlink.py
+++ b/ashpond/controllers/keeperlink.py
@@ -196,6 +196,7 @@
                 answer = await stream.receive()
                 if not isinstance(answer, AllowanceAnswer):
                     raise FrameError("a keeper that does not answer")
+                decode_answer(answer)
                 return _Line(stream, answer.now - trio.current_time())
         except PEER_ERRORS as error:
             self._avoid(member.name, repr(error))
@@ -317,8 +318,9 @@
             message = await line.stream.receive()
             if not isinstance(message, AllowanceAnswer):
                 continue
+            verdicts = decode_answer(message)
             line.note_clock(message.now)
-            for verdict in decode_answer(message):
+            for verdict in verdicts:
                 waiter = self._waiters.get(verdict.number)
                 if waiter is not None:
                     waiter.verdict = verdict
--- a/tests/test_damaged_messages.py
+++ b/tests/test_damaged_messages.py
@@ -15,7 +15,10 @@
 from hypothesis import given, strategies as st
 
 from ashpond.bounds import MAX_NUMBER
+from ashpond.clients.keeper import decode_answer, decode_ask, decode_earned
 from ashpond.clients.peer import (
+    AllowanceAnswer,
+    AllowanceAsk,
     News,
     Notices,
     PeerMessage,
@@ -54,6 +57,21 @@
 }
 
 
+ASK = [
+    "allowance_ask",
+    [
+        "i1#1",
+        1,
+        0,
+        False,
+        [1.0, 2.0],
+        [[1, 3, "desk", "tokens", 9.0, 9.0, 5, 1, 4.0]],
+        [["desk", "tokens", 5]],
+    ],
+]
+VERDICTS = ["allowance", [5.0, [[1, False, 0.5, 3.0, 1.0]]]]
+
+
 def decode_message(value: Any) -> None:
     """Take a message as the newsroom does; check that what it holds is whole."""
     message: PeerMessage = parse_message(value)
@@ -196,3 +214,50 @@
     table = f"{EVENTS_PREFIX}127.0.0.1:9 {epoch}"
     told = tuple(Row(table, key, value, version) for key, value, version in rows)
     contents.take(TableNews(table, 0, 9, 0.0, told))
+
+
+def decode_allowance(value: Any) -> None:
+    """Take an ask or an answer; check that times and amounts can be added up."""
+    message = parse_message(value)
+    if isinstance(message, AllowanceAsk):
+        requests, returned = decode_ask(message)
+        earned = decode_earned(message)
+        numbers = [number for span in (earned,) if span for number in span]
+        numbers += [n for r in requests for n in (r.rate, r.burst, r.cost, r.patience)]
+        numbers += [entry.cost for entry in returned]
+    elif isinstance(message, AllowanceAnswer):
+        verdicts = decode_answer(message)
+        numbers = [message.now]
+        numbers += [n for v in verdicts for n in (v.left, v.share, v.retry_after or 0)]
+    else:
+        return
+    assert all(abs(number) <= MAX_NUMBER for number in numbers)
+
+
+@given(
+    good=st.sampled_from([ASK, VERDICTS]),
+    field=st.integers(0, 6),
+    bad=values | st.lists(st.lists(values, max_size=9), max_size=2),
+)
+def test_no_damaged_message_of_allowances_is_used(
+    good: list[Any], field: int, bad: Any
+) -> None:
+    kind, fields = good
+    changed = list(fields)
+    changed[field % len(fields)] = bad
+    value = unpack_value(msgpack.packb([kind, changed], default=str))
+    try:
+        decode_allowance(value)
+    except FrameError:
+        return
+
+
+@pytest.mark.parametrize("number", [math.nan, math.inf, -math.inf])
+def test_times_that_are_no_numbers_are_not_taken(number: float) -> None:
+    for value in (
+        ["allowance_ask", ["i1#1", 1, 0, False, [number, 2.0], [], []]],
+        ["allowance_ask", ["i1#1", 1, 0, False, [1.0, number], [], []]],
+        ["allowance", [number, []]],
+    ):
+        with pytest.raises(FrameError):
+            decode_allowance(value)
