--- a/ashpond/decisions/allowances.py
+++ b/ashpond/decisions/allowances.py
@@ -58,7 +58,7 @@
 # requests are refused at random, the more the less there is, so that long ones find
 # room beside short ones; the most urgent are refused last.
 EASE_SHARES = (0.2, 0.3, 0.4)
-# What a team asks for is measured over about so long (seconds).
+# What a team asks for is averaged over about so long (seconds).
 PRESSURE_SECONDS = 2.0
 # A request of this share of what a team can save, and larger ones, have two thirds of
 # the chance of the smallest: more callers are served, and long prompts not starved.
