Read the rate limit that a server names in its answers, and log it

Nothing read the header, so no log could tell whether an engine's word had come, was late or was not acted on (the incident of engines that got more than the limit they named). The adapter now reads it (several values: the lowest; what is no decimal number is counted and changes nothing), a pure decision weighs answers that are read out of order, and a change is logged, counted and shown by `gateway status`; each `sent` line has the limit that was known. No choice depends on it yet.

--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -17,6 +17,7 @@
 
 from ashpond.controllers.serverends import WatchedServer
 from ashpond.decisions.loads import NO_LOAD, PEER_LOAD_SECONDS, Load
+from ashpond.decisions.ratelimits import NO_LIMIT
 
 # After a refusal because it is full, a server is given this long (seconds).
 FULL_PAUSE_SECONDS = 0.15
@@ -102,6 +103,7 @@
         self.unreached = 0
         self.answered_at = float("-inf")
         self.misdirected = False
+        self.rate_limit = NO_LIMIT
         # Its entry cannot be read: it names no server to use, until it can again.
         self.is_entry_invalid = False
         self.vanished_at: float | None = None
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -17,6 +17,7 @@
 from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverends import ServerEnds, WatchedServer
+from ashpond.controllers.serverstatements import ServerStatements
 from ashpond.decisions.budget import SendBudget
 from ashpond.decisions.declared import (
     Declaration,
@@ -123,6 +124,7 @@
         note_held,
         lambda call, team: None,
         ServerEnds(_check_nothing, log.note, lambda lost: None),
+        ServerStatements(log, lambda kind: None),
         _build_quarantine(around, log),
         lambda state, seconds: None,
         take_unlimited,
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -17,6 +17,7 @@
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverends import ServerEnds
 from ashpond.controllers.servernews import ServerNews
+from ashpond.controllers.serverstatements import ServerStatements
 from ashpond.controllers.storeview import StoreView, build_feeds
 from ashpond.decisions.declared import CacheStore, IngressLimits
 from ashpond.decisions.fleetlinks import Member
@@ -144,6 +145,7 @@
             self.places.wake,
         )
         self.table.on_new_start = self.servers.on_new_start
+        self.statements = ServerStatements(log, self.metrics.count_statement)
         self.members = Members(
             Member(
                 settings.name,
@@ -223,6 +225,7 @@
                 self.servers.note_held,
                 lambda call, team: identify_call(self.members.secret, call, team),
                 self.ends,
+                self.statements,
                 self.quarantine,
                 self.servers.announce_unreached,
                 self.allowances.take,
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -24,6 +24,7 @@
 from ashpond.controllers.directory import ServerState
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverends import ServerEnds
+from ashpond.controllers.serverstatements import ServerStatements
 from ashpond.decisions.budget import SendBudget
 from ashpond.decisions.declared import Route, Team, pick_service
 from ashpond.decisions.eventstream import EventCutter
@@ -58,6 +59,7 @@
     note_held: Callable[[ServerState, str, Prompt], None]
     identify: Callable[[IncomingCall, Team | None], str | None]
     ends: ServerEnds
+    statements: ServerStatements
     quarantine: Quarantine
     announce_unreached: Callable[[ServerState, float], None]
     take_allowance: TakeAllowance
--- a/ashpond/gateway/calls.py
+++ b/ashpond/gateway/calls.py
@@ -57,12 +57,18 @@
 
 
 class AnswerMarks(NamedTuple):
-    """What the headers of a backend server's answer say to the router."""
+    """What the headers of a backend server's answer say to the router.
+
+    ``rate_limit`` is in requests a second, from all instances together; None if the
+    answer names none. ``is_limit_invalid`` tells of a value that cannot be read.
+    """
 
     request_id: str | None
     is_not_run: bool
     server_id: str | None
     weights_version: int | None
+    rate_limit: float | None = None
+    is_limit_invalid: bool = False
 
 
 class Codec(NamedTuple):
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -50,6 +50,11 @@
             "Requests that were quarantined, as they end servers",
             registry=self.registry,
         )
+        self.statements = Counter(
+            "ashpond_gateway_server_statements",
+            "What servers newly said of themselves in answers, by kind",
+            registry=self.registry,
+        )
         self.allowances = Counter(
             "ashpond_gateway_allowance",
             "What teams asked for here, in the units of their limits, by outcome",
@@ -85,6 +90,10 @@
         """Count one request that has been quarantined."""
         self.quarantined.inc({})
 
+    def count_statement(self, kind: str) -> None:
+        """Count what a server has newly said of itself."""
+        self.statements.inc({"kind": kind})
+
     def count_allowance(self, team: str, cost: int, is_granted: bool) -> None:
         """Count what a team asked for."""
         if len(self._teams) < MOST_TEAMS:
--- a/ashpond/gateway/sends.py
+++ b/ashpond/gateway/sends.py
@@ -90,6 +90,7 @@
         self.call.runs += 1
         response = await channel.exchange(self._build_request())
         marks = self.tools.codec.read_marks(response.headers)
+        self.tools.statements.take_answer(state, response.status, marks, self._sent_at)
         rejection = self._read_rejection(response, marks)
         if rejection is not None:
             self.call.runs -= 1
@@ -124,6 +125,7 @@
             fetch=place.fetch_tokens if place.fetch_from else 0,
             fetch_from=place.fetch_from,
             saves=place.save_to is not None,
+            limit=place.state.rate_limit.rate,
             config=declaration.version if declaration else None,
             knowledge_age=round(knowledge.measure_age(trio.current_time()), 3),
         )
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -69,6 +69,7 @@
         "draining": state.info.is_draining,
         "entry_invalid": state.is_entry_invalid,
         "born": state.info.born,
+        "rate_limit": state.rate_limit.rate,
         "weights": state.weights,
         "load": gateway.table.sum_load(state.info.id, now)._asdict(),
         "failure_share": round(state.failure_share, 3),
--- a/tests/endings.py
+++ b/tests/endings.py
@@ -71,6 +71,8 @@
         self._counts = (instances, servers)
         self._mesh_limit = mesh_limit
         self._requests = 0
+        # The instance that each request was sent to, by request id.
+        self.asked: dict[str, int] = {}
         self.instances: list[Instance] = []
 
     async def run(self, play: Callable[[], object]) -> None:
@@ -189,6 +191,7 @@
         """Send a request to an instance on a connection of its own."""
         self._requests += 1
         sent_at = time.monotonic()
+        self.asked[f"r{self._requests}"] = number
         headers = {
             "Host": "a.example",
             "Authorization": f"Token {key}",
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -12,6 +12,7 @@
 from ashpond.controllers.allowances import take_unlimited
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverends import EndEvidence, ServerEnds
+from ashpond.controllers.serverstatements import ServerStatements
 from ashpond.decisions.budget import SendBudget
 from ashpond.decisions.fingerprints import make_fingerprint
 from ashpond.decisions.knowledge import Knowledge
@@ -152,6 +153,7 @@
                 lambda server, salt, prompt: None,
                 lambda call, team: identify(call),
                 self.ends,
+                ServerStatements(log, lambda kind: None),
                 self.quarantine,
                 lambda state, seconds: fleet.note_unreached(state.info.id),
                 take_unlimited,
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -15,6 +15,7 @@
 from ashpond.controllers.directory import ServerTable
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverends import ServerEnds, WatchedServer
+from ashpond.controllers.serverstatements import ServerStatements
 from ashpond.decisions.budget import SendBudget
 from ashpond.decisions.declared import Declaration, Route, RouteKind
 from ashpond.decisions.knowledge import Knowledge
@@ -191,6 +192,7 @@
         lambda server, salt, prompt: None,
         lambda call, team: FINGERPRINT if quarantine else None,
         ServerEnds(check_nothing, log.note, lambda lost: None),
+        ServerStatements(log, lambda kind: None),
         quarantine or make_quarantine(log),
         lambda server, seconds: None,
         take_unlimited,
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -159,3 +159,33 @@
 ) -> None:
     version = read_marks(headers).weights_version
     assert version is None or 0 <= version < 10**18
+
+
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ([], (None, False)),
+        ([b"1.5"], (1.5, False)),
+        ([b" 0 "], (0.0, False)),
+        ([b".25"], (0.25, False)),
+        ([b"5."], (5.0, False)),
+        ([b"999999999999999999"], (1e18, False)),
+        ([b"4", b"2.5"], (2.5, False)),
+        ([b"4", b"odd"], (4.0, True)),
+        ([b"-1"], (None, True)),
+        ([b"nan"], (None, True)),
+        ([b"inf"], (None, True)),
+        ([b"1e3"], (None, True)),
+        ([b"1_0"], (None, True)),
+        ([b"1,5"], (None, True)),
+        ([b""], (None, True)),
+        ([b"9" * 400], (None, True)),
+        (["\u00b2".encode("latin-1")], (None, True)),
+    ],
+)
+def test_a_servers_rate_limit_is_a_decimal_number_or_invalid(
+    values: list[bytes], expected: tuple[float | None, bool]
+) -> None:
+    """Of several the lowest counts."""
+    marks = read_marks([(b"server-limit", value) for value in values])
+    assert (marks.rate_limit, marks.is_limit_invalid) == expected
