Read in a server's answers that it leaves, and log it

Nothing read the mark, so no log could tell whether it had come (the incident of requests to a server that had said it leaves). The adapter now reads it ("1"; any other value is logged, counted and changes nothing), the controller of servers' statements notes it for that start of the server, and `gateway status` shows it. No choice depends on it yet.

--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -103,6 +103,8 @@
         self.unreached = 0
         self.answered_at = float("-inf")
         self.misdirected = False
+        # Whether an answer has said so; its row may say it much later.
+        self.is_leaving = False
         self.rate_limit = NO_LIMIT
         # Until when no permit is asked for: the limit is used up.
         self.paced_until = 0.0
--- a/ashpond/controllers/serverstatements.py
+++ b/ashpond/controllers/serverstatements.py
@@ -55,6 +55,10 @@
         # Another server may be at the address and not tell its id.
         is_certain = status != MISDIRECTED or marks.server_id is not None
         self._take_limit(state, marks, sent_at, is_certain=is_certain)
+        if marks.is_leaving_invalid:
+            self._note(state, "server_leaving_invalid")
+        if marks.is_leaving:
+            self._note_leaving(state, "answer")
 
     def take_notice(self, state: ServerState, limit: LimitNotice) -> None:
         """Take a peer's word of a server's limit."""
@@ -105,6 +109,11 @@
         self._note(state, "server_limit", rate=limit.rate, before=before, source=source)
         self._on_limit(state)
 
+    def _note_leaving(self, state: ServerState, source: str) -> None:
+        if not state.is_leaving:
+            state.is_leaving = True
+            self._note(state, "server_leaving", source=source)
+
     def _tell_limit(self, state: ServerState, age: float) -> None:
         info = state.info
         limit = LimitNotice(state.rate_limit.rate, min(age, MAX_CLOSED_SECONDS))
--- a/ashpond/gateway/calls.py
+++ b/ashpond/gateway/calls.py
@@ -60,7 +60,8 @@
     """What the headers of a backend server's answer say to the router.
 
     ``rate_limit`` is in requests a second, from all instances together; None if the
-    answer names none. ``is_limit_invalid`` tells of a value that cannot be read.
+    answer names none. ``is_leaving`` tells that the server leaves. ``is_limit_invalid``
+    and ``is_leaving_invalid`` tell of values that cannot be read.
     """
 
     request_id: str | None
@@ -69,6 +70,8 @@
     weights_version: int | None
     rate_limit: float | None = None
     is_limit_invalid: bool = False
+    is_leaving: bool = False
+    is_leaving_invalid: bool = False
 
 
 class Codec(NamedTuple):
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -70,6 +70,7 @@
         "entry_invalid": state.is_entry_invalid,
         "born": state.info.born,
         "rate_limit": state.rate_limit.rate,
+        "leaving": state.is_leaving,
         "weights": state.weights,
         "load": gateway.table.sum_load(state.info.id, now)._asdict(),
         "failure_share": round(state.failure_share, 3),
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -189,3 +189,22 @@
     """Of several the lowest counts."""
     marks = read_marks([(b"server-limit", value) for value in values])
     assert (marks.rate_limit, marks.is_limit_invalid) == expected
+
+
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ([], (False, False)),
+        ([b"1"], (True, False)),
+        ([b" 1 "], (True, False)),
+        ([b"0"], (False, True)),
+        ([b"soon"], (False, True)),
+        ([b""], (False, True)),
+        ([b"0", b"1"], (True, True)),
+    ],
+)
+def test_a_server_that_leaves_says_1(
+    values: list[bytes], expected: tuple[bool, bool]
+) -> None:
+    marks = read_marks([(b"Server-Leaving", value) for value in values])
+    assert (marks.is_leaving, marks.is_leaving_invalid) == expected
