--- a/tests/stating.py
+++ b/tests/stating.py
@@ -20,6 +20,8 @@
 LIMIT_SLACK = 5
 # From the first answer that names a limit until the limit has to be kept.
 LIMIT_SETTLED_SECONDS = 3.0
+# From an instance's word that a server leaves until it gets nothing more from there.
+LEAVING_SECONDS = 2.0
 # An instance is bound from so long after it was told.
 TOLD_SECONDS = 0.5
 
@@ -40,6 +42,7 @@
 
     status: int = 200
     limit: float | None = None
+    is_leaving: bool = False
 
     def format_headers(self) -> str:
         """Return the header lines of the answer."""
@@ -48,6 +51,8 @@
             lines = "X-Not-Executed: 1\r\n"
         if self.limit is not None:
             lines += f"Server-Limit: {self.limit}\r\n"
+        if self.is_leaving:
+            lines += "Server-Leaving: 1\r\n"
         return lines
 
 
@@ -152,3 +157,17 @@
     for one in reached:
         groups[one.server].append(one)
     return groups
+
+
+def list_late(reached: Iterable[Reached], stated: Iterable[Stated]) -> list[Reached]:
+    """Return the requests that reached a server long after it had said it leaves."""
+    told: dict[tuple[str, int], float] = {}
+    for word in sorted(stated):
+        if word.statement.is_leaving:
+            told.setdefault((word.server, word.instance), word.at)
+    never = float("inf")
+    return [
+        one
+        for one in reached
+        if one.at > told.get((one.server, one.instance), never) + LEAVING_SECONDS
+    ]
