Send nothing new to a server that has said in an answer that it leaves

Callers got whole answers, from a server that 5.2 s and 4.6 s before had told the instances that it leaves (DRAIN, 2 s allowed), while the store was away and its row said ready.

Cause: what a server says of itself in its answers was not acted on; only its row was believed, and the row comes from a store that may be away.

Fix: the word binds that start of the server in the table of servers itself, where all choices and the last look before a send ask whether it is present, so that queued requests, repeats, resumed streams and kept connections pass it; a row that says ready, goes and comes back, or is of an older copy does not undo it; a new start is another server. Peers are told at once and take it as their own.

--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -106,10 +106,10 @@
     that of all its members. ``loads`` maps server ids to [requests, unread tokens,
     held tokens, requests that cannot move]; ``notices`` are lists of [server id,
     model, version, seconds without work, whether it could not be reached, start,
-    rate limit as nil or [requests a second or nil, age in seconds]], ``holdings`` of
-    [server id, salt, prompt part, start]; ``sends`` maps services to [first sends,
-    repeated sends] within the window of the budget. ``sender`` names one life of an
-    instance.
+    rate limit as nil or [requests a second or nil, age in seconds], whether it leaves],
+    ``holdings`` of [server id, salt, prompt part, start]; ``sends`` maps services to
+    [first sends, repeated sends] within the window of the budget. ``sender`` names one
+    life of an instance.
     """
 
     sender: str
--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -12,9 +12,12 @@
 
 import itertools
 from collections.abc import Callable, Container, Mapping
-from enum import Enum, auto
-from typing import NamedTuple
 
+from ashpond.controllers.backendservers import (
+    BackendServer,
+    StartOrder,
+    compare_starts,
+)
 from ashpond.controllers.serverends import WatchedServer
 from ashpond.decisions.loads import NO_LOAD, PEER_LOAD_SECONDS, Load
 from ashpond.decisions.ratelimits import NO_LIMIT
@@ -31,58 +34,12 @@
 DOUBT_SECONDS = 0.4
 # One answer moves the failure share by this.
 FAILURE_SMOOTHING = 0.12
-# Of the time of a start, so many bits tell it from others of the same server: its loads
-# are named by it eight times a second, at four bytes in place of ten.
-START_MASK = 0xFFFF
+# So many starts that leave are remembered beyond their entries.
+MOST_LEAVING = 2_000
 # Entries that vanish just after the store was away may come back (seconds).
 LAPSE_SECONDS = 2.2
 
 
-class BackendServer(NamedTuple):
-    """One start of a backend server, as its entry tells.
-
-    ``weights`` maps models to versions; ``cold_seconds`` is how much longer it
-    stays slow after its start. A server may start again under its id: ``born`` is
-    the Unix time of its start in ms, None where it does not tell.
-    """
-
-    id: str
-    service: str
-    address: str
-    failure_domain: str
-    slots: int
-    is_draining: bool
-    cold_seconds: float
-    weights: dict[str, int]
-    born: int | None = None
-
-    @property
-    def start(self) -> str:
-        """The name of this start in messages: the id, and a few bits of ``born``."""
-        if self.born is None:
-            return self.id
-        return f"{self.id}#{self.born & START_MASK:x}"
-
-
-class StartOrder(Enum):
-    """Whether what is told is of the start that is known of a server."""
-
-    SAME = auto()
-    NEWER = auto()
-    OLDER = auto()
-
-
-def compare_starts(known: int | None, told: int | None) -> StartOrder:
-    """Return which start a message is about.
-
-    One that names none is believed to be about the start that is known: those that
-    send it have heard of no other, or know a server that never tells its start.
-    """
-    if known is None or told is None or known == told:
-        return StartOrder.SAME
-    return StartOrder.NEWER if told > known else StartOrder.OLDER
-
-
 _numbers = itertools.count()
 
 
@@ -141,7 +98,8 @@
 
     def may_return(self) -> bool:
         """Return whether the server may get new work, now or later, as it is known."""
-        return not (self.info.is_draining or self.misdirected or self.is_entry_invalid)
+        leaves = self.info.is_draining or self.is_leaving
+        return not (leaves or self.misdirected or self.is_entry_invalid)
 
     @property
     def is_limited(self) -> bool:
@@ -197,6 +155,8 @@
             lambda ended, state: None
         )
         self._peer_loads: dict[str, tuple[float, dict[str, Load]]] = {}
+        # The last starts of servers that have said that they leave, the oldest first.
+        self._leaving: dict[tuple[str, int | None], None] = {}
         # The sum of the peers' loads, and until when none of them is too old.
         self._totals: dict[str, Load] = {}
         self._totals_until = float("-inf")
@@ -230,7 +190,8 @@
         """Take over a new or changed entry."""
         state = self.by_id.get(server.id)
         if state is None:
-            self.by_id[server.id] = ServerState(server, now)
+            state = self.by_id[server.id] = ServerState(server, now)
+            state.is_leaving = (server.id, server.born) in self._leaving
             return
         order = compare_starts(state.info.born, server.born)
         if order is StartOrder.OLDER:
@@ -285,6 +246,16 @@
             return None
         return state.rate_limit.rate
 
+    def note_leaving(self, state: ServerState) -> None:
+        """Send no new work to a start of a server any more.
+
+        Its row may be older than its word, also one that comes back after it had gone.
+        """
+        state.is_leaving = True
+        self._leaving[state.info.id, state.info.born] = None
+        if len(self._leaving) > MOST_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+
     def is_current(self, state: ServerState) -> bool:
         """Return whether a server still runs as it did when ``state`` was made."""
         return self.by_id.get(state.info.id) is state
--- a/ashpond/controllers/servernews.py
+++ b/ashpond/controllers/servernews.py
@@ -80,9 +80,9 @@
         if order is StartOrder.OLDER:
             return
         state = self._table.by_id.get(notice.server_id)
-        if notice.limit is not None:
+        if notice.limit is not None or notice.is_leaving:
             if state is not None:
-                self._statements.take_notice(state, notice.limit)
+                self._statements.take_notice(state, notice)
             return
         if notice.is_unreached:
             if state is not None:
--- a/ashpond/controllers/serverstatements.py
+++ b/ashpond/controllers/serverstatements.py
@@ -13,7 +13,7 @@
 from ashpond.news.items import MAX_CLOSED_SECONDS, LimitNotice, ServerNotice
 
 if TYPE_CHECKING:
-    from ashpond.controllers.directory import ServerState
+    from ashpond.controllers.directory import ServerState, ServerTable
     from ashpond.decisions.ratelimits import RateLimit
     from ashpond.gateway.calls import AnswerMarks
     from ashpond.gateway.decisionlog import DecisionLog
@@ -27,19 +27,24 @@
     :param count: counts a statement by its kind.
     :param tell: tells the peers.
     :param on_limit: is called with a server whose limit has changed.
+    :param on_leaving: is called when a server has said that it leaves.
     """
 
     def __init__(
         self,
+        table: ServerTable,
         log: DecisionLog,
         count: Callable[[str], None],
         tell: Callable[[ServerNotice], None],
         on_limit: Callable[[ServerState], None] = lambda state: None,
+        on_leaving: Callable[[], None] = lambda: None,
     ):
+        self._table = table
         self._log = log
         self._count = count
         self._tell = tell
         self._on_limit = on_limit
+        self._on_leaving = on_leaving
         # When an answer here raised or lifted a limit, until that is told again.
         self._raised: dict[str, float] = {}
 
@@ -60,8 +65,14 @@
         if marks.is_leaving:
             self._note_leaving(state, "answer")
 
-    def take_notice(self, state: ServerState, limit: LimitNotice) -> None:
-        """Take a peer's word of a server's limit."""
+    def take_notice(self, state: ServerState, notice: ServerNotice) -> None:
+        """Take a peer's word of what a server says."""
+        if notice.is_leaving:
+            self._note_leaving(state, "peer")
+        if notice.limit is not None:
+            self._take_limit_notice(state, notice.limit)
+
+    def _take_limit_notice(self, state: ServerState, limit: LimitNotice) -> None:
         now = trio.current_time()
         weighed = weigh_told_limit(state.rate_limit, limit.rate, limit.age, now)
         self._adopt(state, weighed, "peer")
@@ -110,9 +121,15 @@
         self._on_limit(state)
 
     def _note_leaving(self, state: ServerState, source: str) -> None:
-        if not state.is_leaving:
-            state.is_leaving = True
-            self._note(state, "server_leaving", source=source)
+        if state.is_leaving:
+            return
+        self._table.note_leaving(state)
+        self._note(state, "server_leaving", source=source)
+        self._on_leaving()
+        if source == "answer":
+            info = state.info
+            notice = ServerNotice(info.id, "", 0, 0.0, born=info.born, is_leaving=True)
+            self._tell(notice)
 
     def _tell_limit(self, state: ServerState, age: float) -> None:
         info = state.info
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -136,10 +136,12 @@
             lambda: bool(self.news.links.group),
         )
         self.statements = ServerStatements(
+            self.table,
             log,
             self.metrics.count_statement,
             lambda notice: self.news.announce(notice),
             lambda state: self.permits.on_limit(state),
+            lambda: self.rollouts.note_change(),
         )
         self.servers = ServerNews(
             self.table,
--- a/ashpond/news/items.py
+++ b/ashpond/news/items.py
@@ -68,7 +68,7 @@
     server should get no new work, 0 that it may again. ``is_unreached`` tells
     that the sender could not connect, and nothing of orders. ``born`` is the start
     of the server that the sender speaks of, None if it knows none. A notice with a
-    ``limit`` tells of nothing else.
+    ``limit``, or of a server that ``is_leaving``, tells of nothing else.
     """
 
     server_id: str
@@ -78,6 +78,7 @@
     is_unreached: bool = False
     born: Count | None = None
     limit: LimitNotice | None = None
+    is_leaving: bool = False
 
 
 class Digest(NamedTuple):
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -47,6 +47,7 @@
             instance.allowances, log, random.Random(instance.name), lambda: None
         )
         self.statements = ServerStatements(
+            instance.table,
             log,
             lambda kind: None,
             lambda notice: fleet.tell(instance.name, notice),
@@ -54,8 +55,7 @@
         )
 
     def take_notice(self, notice: ServerNotice) -> None:
-        assert notice.limit is not None
-        self.statements.take_notice(self.state, notice.limit)
+        self.statements.take_notice(self.state, notice)
 
 
 class LimitFleet(Fleet):
--- a/tests/newsroom.py
+++ b/tests/newsroom.py
@@ -35,7 +35,7 @@
         "scope": "own",
         "group": "",
         "loads": {"a": [1, 100, 200, 0]},
-        "notices": [["a", "m1", 2, 0.5, False, None, None]],
+        "notices": [["a", "m1", 2, 0.5, False, None, None, False]],
         "holdings": [["a", "salt", "part", None]],
         "sends": {"reader": [1, 0]},
     }
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -154,7 +154,9 @@
                 lambda server, salt, prompt: None,
                 lambda call, team: identify(call),
                 self.ends,
-                ServerStatements(log, lambda kind: None, lambda notice: None),
+                ServerStatements(
+                    self.table, log, lambda kind: None, lambda notice: None
+                ),
                 self.quarantine,
                 lambda state, seconds: fleet.note_unreached(state.info.id),
                 take_unlimited,
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -193,7 +193,7 @@
         lambda server, salt, prompt: None,
         lambda call, team: FINGERPRINT if quarantine else None,
         ServerEnds(check_nothing, log.note, lambda lost: None),
-        ServerStatements(log, lambda kind: None, lambda notice: None),
+        ServerStatements(table, log, lambda kind: None, lambda notice: None),
         quarantine or make_quarantine(log),
         lambda server, seconds: None,
         take_unlimited,
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from ashpond.controllers.cachestores import SAVING_SECONDS, StoreContents
-from ashpond.controllers.directory import LAPSE_SECONDS
+from ashpond.controllers.directory import LAPSE_SECONDS, MOST_LEAVING
 from ashpond.decisions.budget import SendBudget
 from ashpond.decisions.declared import CacheStore
 from ashpond.decisions.holdings import KEPT_SECONDS, RETELL_SECONDS, Holdings
@@ -211,3 +213,34 @@
     prompt = make_prompt("rules", "shop", "own")
     assert stores.count_tokens("salt", prompt) == 0
     assert not stores.plan_save("salt", prompt, 0.0)
+
+
+@pytest.mark.parametrize("born", [None, 1000])
+def test_a_server_that_said_it_leaves_is_not_brought_back_by_its_row(
+    born: int | None,
+) -> None:
+    table = make_table(make_server("a", born=born))
+    table.note_leaving(table.by_id["a"])
+    table.update(make_server("a", born=born), 1.0)
+    assert not table.list_usable("reader", 1.0)
+    table.remove("a", 2.0, may_lapse=True)
+    assert not table.list_usable("reader", 2.0)
+    table.remove("a", 3.0, may_lapse=False)
+    table.update(make_server("a", born=born), 4.0)
+    assert not table.list_usable("reader", 4.0)
+
+
+def test_a_new_start_of_a_server_that_left_gets_work() -> None:
+    table = make_table(make_server("a", born=1000))
+    table.note_leaving(table.by_id["a"])
+    table.update(make_server("a", born=2000), 1.0)
+    assert table.list_usable("reader", 1.0)
+
+
+def test_of_servers_that_leave_the_last_thousands_are_remembered() -> None:
+    table = make_table()
+    for number in range(MOST_LEAVING + 10):
+        table.update(make_server(f"s{number}"), 0.0)
+        table.note_leaving(table.by_id[f"s{number}"])
+        table.remove(f"s{number}", 0.0, may_lapse=False)
+    assert len(table._leaving) == MOST_LEAVING
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -355,3 +355,37 @@
     if is_shielded and route is NON_IDEMPOTENT:
         assert reply.is_whole
     assert len(bench.pool.requests) == 1
+
+
+LEAVING = ((b"server-leaving", b"1"),)
+
+
+@pytest.mark.parametrize(
+    ("answer", "route"),
+    [
+        (Answer(200, headers=LEAVING), None),
+        (Answer(500, headers=LEAVING), NON_IDEMPOTENT),
+        (Answer(421, headers=LEAVING), None),
+        (Answer(503, headers=(*LEAVING, *NOT_RUN)), None),
+        (Answer(200, headers=LEAVING), STREAM),
+        (Answer(200, (b"half",), LEAVING, BROKEN), STREAM),
+        (Answer(200, (b"half",), LEAVING, BROKEN), None),
+    ],
+)
+async def test_whichever_answer_says_so_its_server_leaves(
+    answer: Answer, route: Route | None, autojump_clock: object
+) -> None:
+    bench = await run_call(answer, Answer(), route=route)
+    first = bench.pool.requests[0][0]
+    leaving = [state.info.id for state in bench.table.list_all() if state.is_leaving]
+    assert leaving == [first]
+
+
+async def test_what_another_server_at_the_address_says_is_not_of_this_one(
+    autojump_clock: object,
+) -> None:
+    other = (*LEAVING, (b"server-limit", b"1"), (b"x-instance-id", b"other"))
+    bench = await run_call(Answer(421, headers=other), Answer())
+    for state in bench.table.list_all():
+        assert not state.is_leaving
+        assert not state.is_limited
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -219,7 +219,7 @@
 
 
 async def test_news_carry_the_start() -> None:
-    notices = [["a", "m1", 2, 0.5, False, 1234, None]]
+    notices = [["a", "m1", 2, 0.5, False, 1234, None, False]]
     holdings = [["a", "salt", "part", 1234]]
     digest = decode_news(make_news(notices=notices, holdings=holdings))
     assert digest.notices[0].born == 1234
