Read for how long a server that rejects a request wants rest, and log it

Nothing read the time (the incident of requests to an engine that had asked for rest); a rejection was noted with its status alone. No choice depends on it yet.

--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -62,6 +62,8 @@
         self.misdirected = False
         # Whether an answer has said so; its row may say it much later.
         self.is_leaving = False
+        # Until when the server wants no request from this instance.
+        self.resting_until = 0.0
         self.rate_limit = NO_LIMIT
         # Until when no permit is asked for: the limit is used up.
         self.paced_until = 0.0
--- a/ashpond/controllers/serverstatements.py
+++ b/ashpond/controllers/serverstatements.py
@@ -19,6 +19,10 @@
     from ashpond.gateway.decisionlog import DecisionLog
 
 MISDIRECTED = 421
+# Other answers may name a time to come back that is for their client.
+REJECTIONS = (429, 503)
+# A server that asks for more is asked again after this (seconds).
+MOST_REST_SECONDS = 3600.0
 
 
 class ServerStatements:
@@ -64,6 +68,8 @@
             self._note(state, "server_leaving_invalid")
         if marks.is_leaving:
             self._note_leaving(state, "answer")
+        if status in REJECTIONS:
+            self._take_rest(state, marks)
 
     def take_notice(self, state: ServerState, notice: ServerNotice) -> None:
         """Take a peer's word of what a server says."""
@@ -131,6 +137,19 @@
             notice = ServerNotice(info.id, "", 0, 0.0, born=info.born, is_leaving=True)
             self._tell(notice)
 
+    def _take_rest(self, state: ServerState, marks: AnswerMarks) -> None:
+        """Take for how long a server wants no request from this instance."""
+        if marks.is_rest_invalid:
+            self._note(state, "server_rest_invalid")
+        if marks.rest is None:
+            return
+        now = trio.current_time()
+        until = now + min(marks.rest, MOST_REST_SECONDS)
+        if until > state.resting_until:
+            state.resting_until = until
+            seconds = round(until - now, 3)
+            self._note(state, "server_rest", asked=marks.rest, seconds=seconds)
+
     def _tell_limit(self, state: ServerState, age: float) -> None:
         info = state.info
         limit = LimitNotice(state.rate_limit.rate, min(age, MAX_CLOSED_SECONDS))
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -208,3 +208,42 @@
 ) -> None:
     marks = read_marks([(b"Server-Leaving", value) for value in values])
     assert (marks.is_leaving, marks.is_leaving_invalid) == expected
+
+
+DATE = (b"Date", b"Thu, 03 Dec 2026 10:00:00 GMT")
+
+
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ([], (None, False)),
+        ([b"3"], (3.0, False)),
+        ([b" 0.25 "], (0.25, False)),
+        ([b"0"], (0.0, False)),
+        ([b"999999999999"], (999999999999.0, False)),
+        ([b"1", b"4", b"2"], (4.0, False)),
+        ([b"1", b"later"], (1.0, True)),
+        ([b"Thu, 03 Dec 2026 10:00:07 GMT"], (7.0, False)),
+        ([b"Thu, 03 Dec 2026 09:59:00 GMT"], (0.0, False)),
+        ([b"Thu, 99 Dec 2026 09:59:00 GMT"], (None, True)),
+        ([b"-1"], (None, True)),
+        ([b"nan"], (None, True)),
+        ([b"inf"], (None, True)),
+        ([b""], (None, True)),
+        ([b"9" * 400], (None, True)),
+    ],
+)
+def test_a_time_to_come_back_is_in_seconds_or_a_date(
+    values: list[bytes], expected: tuple[float | None, bool]
+) -> None:
+    """Of several the longest counts."""
+    marks = read_marks([DATE, *((b"Retry-After", value) for value in values)])
+    assert (marks.rest, marks.is_rest_invalid) == expected
+
+
+@given(st.lists(st.binary(max_size=40), max_size=3))
+def test_whatever_a_server_says_of_itself_makes_marks(values: list[bytes]) -> None:
+    names = (b"retry-after", b"server-limit", b"server-leaving", b"date")
+    marks = read_marks([(name, value) for name in names for value in values])
+    assert marks.rest is None or 0 <= marks.rest < float("inf")
+    assert marks.rate_limit is None or 0 <= marks.rate_limit < float("inf")
