Test that a server which asked for rest is left alone, which fails

Four instances as processes, four servers, 60 requests a second; two servers reject all requests for 6.5 s and ask for 3 s of rest: 15 requests of one instance reach one of them within a rest, 2 may. Two instances before two servers that both reject: 22.

--- a/tests/stating.py
+++ b/tests/stating.py
@@ -22,6 +22,8 @@
 LIMIT_SETTLED_SECONDS = 3.0
 # From an instance's word that a server leaves until it gets nothing more from there.
 LEAVING_SECONDS = 2.0
+# So many requests may reach a server in the rest that it asked an instance for.
+REST_SLACK = 2
 # An instance is bound from so long after it was told.
 TOLD_SECONDS = 0.5
 
@@ -43,6 +45,7 @@
     status: int = 200
     limit: float | None = None
     is_leaving: bool = False
+    rest: float | None = None
 
     def format_headers(self) -> str:
         """Return the header lines of the answer."""
@@ -53,6 +56,8 @@
             lines += f"Server-Limit: {self.limit}\r\n"
         if self.is_leaving:
             lines += "Server-Leaving: 1\r\n"
+        if self.rest is not None:
+            lines += f"Retry-After: {self.rest}\r\n"
         return lines
 
 
@@ -171,3 +176,21 @@
         for one in reached
         if one.at > told.get((one.server, one.instance), never) + LEAVING_SECONDS
     ]
+
+
+def count_in_rests(reached: Iterable[Reached], stated: Iterable[Stated]) -> int:
+    """Return the most requests that reached a server in a rest it had asked for."""
+    arrivals = group_by_server(reached)
+    return max(
+        (
+            sum(
+                1
+                for one in arrivals[word.server]
+                if one.instance == word.instance
+                and word.at + TOLD_SECONDS <= one.at < word.at + word.statement.rest
+            )
+            for word in stated
+            if word.statement.rest is not None
+        ),
+        default=0,
+    )
