Send nothing to a server in the rest that it has asked this instance for

Cause: the time that a rejection names was not used; any rejection closed its server for 0.15 s.

Fix: the time is kept for that start of the server, as long as the longest word says, and asked in the two places that all sends pass: the list of servers that may get work (also its last resort for entries that vanished), and the last look before a request leaves. If all servers rest, a request is refused at once with the earliest end; instances return up to a tenth of the rest later, not all at once; orders for weights wait. Peers are not told, as each is asked for itself.

--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -92,7 +92,7 @@
     @property
     def barred_until(self) -> float:
         """Until when the server itself has asked for no new work from here."""
-        return self.paced_until
+        return max(self.paced_until, self.resting_until)
 
     def is_barred(self, now: float) -> bool:
         """Return whether the server itself has asked for no new work now."""
--- a/ashpond/controllers/serverstatements.py
+++ b/ashpond/controllers/serverstatements.py
@@ -4,6 +4,7 @@
 
 __all__ = ["ServerStatements"]
 
+import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,10 @@
 REJECTIONS = (429, 503)
 # A server that asks for more is asked again after this (seconds).
 MOST_REST_SECONDS = 3600.0
+# Instances that were rejected together return one after the other: each up to this
+# share of the rest later, and no more than so many seconds.
+SPREAD_SHARE = 0.1
+MOST_SPREAD_SECONDS = 0.5
 
 
 class ServerStatements:
@@ -40,6 +45,7 @@
         log: DecisionLog,
         count: Callable[[str], None],
         tell: Callable[[ServerNotice], None],
+        rng: random.Random,
         on_limit: Callable[[ServerState], None] = lambda state: None,
         on_leaving: Callable[[], None] = lambda: None,
     ):
@@ -47,6 +53,7 @@
         self._log = log
         self._count = count
         self._tell = tell
+        self._rng = rng
         self._on_limit = on_limit
         self._on_leaving = on_leaving
         # When an answer here raised or lifted a limit, until that is told again.
@@ -144,11 +151,17 @@
         if marks.rest is None:
             return
         now = trio.current_time()
-        until = now + min(marks.rest, MOST_REST_SECONDS)
+        seconds = min(marks.rest, MOST_REST_SECONDS)
+        spread = self._rng.uniform(0, min(MOST_SPREAD_SECONDS, seconds * SPREAD_SHARE))
+        until = now + seconds + spread
         if until > state.resting_until:
             state.resting_until = until
-            seconds = round(until - now, 3)
-            self._note(state, "server_rest", asked=marks.rest, seconds=seconds)
+            self._note(
+                state,
+                "server_rest",
+                asked=marks.rest,
+                seconds=round(until - now, 3),
+            )
 
     def _tell_limit(self, state: ServerState, age: float) -> None:
         info = state.info
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -125,7 +125,7 @@
         note_held,
         lambda call, team: None,
         ServerEnds(_check_nothing, log.note, lambda lost: None),
-        ServerStatements(table, log, lambda kind: None, lambda notice: None),
+        ServerStatements(table, log, lambda kind: None, lambda notice: None, rng),
         _build_quarantine(around, log),
         lambda state, seconds: None,
         take_unlimited,
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -140,6 +140,7 @@
             log,
             self.metrics.count_statement,
             lambda notice: self.news.announce(notice),
+            self.rng,
             lambda state: self.permits.on_limit(state),
             lambda: self.rollouts.note_change(),
         )
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -51,6 +51,7 @@
             log,
             lambda kind: None,
             lambda notice: fleet.tell(instance.name, notice),
+            random.Random(instance.name),
             self.permits.on_limit,
         )
 
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -155,7 +155,11 @@
                 lambda call, team: identify(call),
                 self.ends,
                 ServerStatements(
-                    self.table, log, lambda kind: None, lambda notice: None
+                    self.table,
+                    log,
+                    lambda kind: None,
+                    lambda notice: None,
+                    random.Random(name),
                 ),
                 self.quarantine,
                 lambda state, seconds: fleet.note_unreached(state.info.id),
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -193,7 +193,9 @@
         lambda server, salt, prompt: None,
         lambda call, team: FINGERPRINT if quarantine else None,
         ServerEnds(check_nothing, log.note, lambda lost: None),
-        ServerStatements(table, log, lambda kind: None, lambda notice: None),
+        ServerStatements(
+            table, log, lambda kind: None, lambda notice: None, random.Random(1)
+        ),
         quarantine or make_quarantine(log),
         lambda server, seconds: None,
         take_unlimited,
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -389,3 +389,40 @@
     for state in bench.table.list_all():
         assert not state.is_leaving
         assert not state.is_limited
+
+
+REST = ((b"retry-after", b"3"),)
+
+
+async def test_a_server_that_rests_is_not_tried_even_if_it_is_the_only_one(
+    autojump_clock: object,
+) -> None:
+    """The request is refused at once, with the time at which the server is back."""
+    table = make_table(make_server("a"))
+    await run_call(Answer(503, headers=(*REST, *NOT_RUN)), table=table)
+    bench = await run_call(table=table)
+    assert not bench.pool.requests
+    assert bench.reply.status == 503
+    assert bench.reply.ended_at == trio.current_time()
+    wait = float(bench.reply.get(b"retry-after") or 0)
+    assert 2.9 <= wait <= 3.5
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+async def test_a_time_that_is_for_the_client_closes_no_server(
+    status: int, autojump_clock: object
+) -> None:
+    bench = await run_call(Answer(status, headers=REST), route=NON_IDEMPOTENT)
+    assert not any(state.resting_until for state in bench.table.list_all())
+    assert bench.reply.get(b"retry-after") == b"3"
+
+
+async def test_the_longest_of_several_rests_counts(autojump_clock: object) -> None:
+    table = make_table(make_server("a"))
+    state = table.by_id["a"]
+    for seconds in (b"5", b"1"):
+        await run_call(
+            Answer(503, headers=((b"retry-after", seconds), *NOT_RUN)), table=table
+        )
+        state.closed_until = 0.0
+    assert 5.0 <= state.resting_until - trio.current_time() <= 5.5
