Leave servers of the callers' API alone for the rest that they ask for

One parser of the time (seconds or a date, RFC 9110) now serves both paths; engines and plain servers of the callers' API rest until its end, the longest word counts, and if all rest the refusal names the earliest end.

Found by reading; no run had shown it.

--- a/ashpond/clients/http.py
+++ b/ashpond/clients/http.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-__all__ = ["NOT_SENT_ERRORS", "make_client"]
+__all__ = ["NOT_SENT_ERRORS", "make_client", "read_rest"]
 
 import ssl
 
 import httpx
 
 from ashpond import __version__
+from ashpond.clients.retryafter import REJECTIONS, parse_retry_after
 
 # With these, no byte of the request has reached the other side.
 NOT_SENT_ERRORS = (
@@ -21,6 +22,15 @@
 IDLE_SECONDS = 20.0
 
 
+def read_rest(response: httpx.Response) -> float | None:
+    """Return for how long a server that rejects a request wants none (seconds)."""
+    if response.status_code not in REJECTIONS:
+        return None
+    texts = response.headers.get_list("Retry-After")
+    rest, _ = parse_retry_after(texts, response.headers.get("Date"))
+    return rest
+
+
 def make_client(
     connect_timeout: float, answer_timeout: float, *, keep_alive: bool = True
 ) -> httpx.AsyncClient:
--- /dev/null
+++ b/ashpond/clients/retryafter.py
@@ -0,0 +1,46 @@
+"""The time to come back that an HTTP answer names (RFC 9110, section 10.2.3)."""
+
+from __future__ import annotations
+
+__all__ = ["DECIMAL", "REJECTIONS", "parse_retry_after"]
+
+import re
+from collections.abc import Sequence
+from datetime import UTC, datetime
+from email.utils import parsedate_to_datetime
+
+# Statuses whose time is for the sender; in others it is for the client.
+REJECTIONS = (429, 503)
+# ``float`` takes more than a header may hold: names, exponents, underscores.
+DECIMAL = re.compile(r"[0-9]{1,18}(\.[0-9]{0,18})?|\.[0-9]{1,18}")
+
+
+def parse_retry_after(
+    texts: Sequence[str], date: str | None
+) -> tuple[float | None, bool]:
+    """Return the longest time in seconds, and whether any value is malformed.
+
+    :param texts: the values, each in seconds, with a fraction or not, or a date.
+    :param date: when the answer was made, as its own header says.
+    """
+    times = [_parse_delay(text.strip(), date) for text in texts]
+    known = [seconds for seconds in times if seconds is not None]
+    return max(known, default=None), len(known) < len(times)
+
+
+def _parse_delay(text: str, date: str | None) -> float | None:
+    if DECIMAL.fullmatch(text):
+        return float(text)
+    until = _parse_date(text)
+    if until is None:
+        return None
+    begin = _parse_date(date or "") or datetime.now(UTC)
+    return max(0.0, (until - begin).total_seconds())
+
+
+def _parse_date(text: str) -> datetime | None:
+    try:
+        found = parsedate_to_datetime(text)
+    except (ValueError, TypeError, OverflowError, IndexError):
+        return None
+    return found if found.tzinfo else found.replace(tzinfo=UTC)
--- a/ashpond/clients/service.py
+++ b/ashpond/clients/service.py
@@ -10,7 +10,7 @@
 import orjson
 
 from ashpond.clients.engine import ATTEMPT_HEADER, NOT_RUN_HEADER, limit_silence
-from ashpond.clients.http import NOT_SENT_ERRORS
+from ashpond.clients.http import NOT_SENT_ERRORS, read_rest
 from ashpond.outcomes import Answered, MaybeRun, NotRun
 
 SERVER_ERROR = 500
@@ -78,9 +78,11 @@
     except httpx.HTTPError as error:
         return MaybeRun(repr(error))
     if response.headers.get(NOT_RUN_HEADER) == "true":
-        return NotRun(f"refused with status {response.status_code}")
+        reason = f"refused with status {response.status_code}"
+        return NotRun(reason, rest=read_rest(response))
     if response.status_code >= SERVER_ERROR:
-        return MaybeRun(f"failed with status {response.status_code}")
+        reason = f"failed with status {response.status_code}"
+        return MaybeRun(reason, read_rest(response))
     echo = response.headers.get(ATTEMPT_HEADER)
     if echo not in (None, request.attempt):
         return MaybeRun("the answer belongs to another request")
--- a/ashpond/controllers/serverstatements.py
+++ b/ashpond/controllers/serverstatements.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from ashpond.clients.retryafter import REJECTIONS
 from ashpond.decisions.ratelimits import NEWS_SECONDS, weigh_limit, weigh_told_limit
 from ashpond.news.items import MAX_CLOSED_SECONDS, LimitNotice, ServerNotice
 
@@ -20,8 +21,6 @@
     from ashpond.gateway.decisionlog import DecisionLog
 
 MISDIRECTED = 421
-# Other answers may name a time to come back that is for their client.
-REJECTIONS = (429, 503)
 # A server that asks for more is asked again after this (seconds).
 MOST_REST_SECONDS = 3600.0
 # Instances that were rejected together return one after the other: each up to this
--- a/ashpond/filters/dispatch.py
+++ b/ashpond/filters/dispatch.py
@@ -134,6 +134,7 @@
         run = call.progress.run
         if run is RunState.NOT_RUN:
             wait = NO_SERVER_RETRY_SECONDS * self._rng.uniform(1, 2)
+            wait = max(wait, self._engines.find_return(call.service_name) or 0.0)
             refusal = Refusal(UNAVAILABLE, "unavailable", message, run, wait)
         else:
             refusal = Refusal(FAILED, "outcome_unknown", message, run)
@@ -181,6 +182,8 @@
             return
         if isinstance(outcome, NotRun):
             call.progress.run = before
+        if outcome.rest is not None:
+            self._engines.note_rest(placement.server, outcome.rest)
         refused = isinstance(outcome, NotRun) and outcome.unreached
         if refused or isinstance(outcome, MaybeRun):
             self._engines.note_failure(placement.server, refused=refused)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -235,3 +235,38 @@
     await reply.body.aclose()
     await call.exits.aclose()
     assert response.is_closed
+
+
+@pytest.mark.parametrize(
+    ("head", "rest"),
+    [
+        (b"503 No\r\nX-Not-Run: true\r\nRetry-After: 2.5", 2.5),
+        (b"429 No\r\nX-Not-Run: true\r\nRetry-After: 1\r\nRetry-After: 4", 4.0),
+        (b"503 No\r\nRetry-After: 3", 3.0),
+        (b"503 No\r\nX-Not-Run: true\r\nRetry-After: soon", None),
+        (b"500 No\r\nRetry-After: 3", None),
+    ],
+)
+@pytest.mark.parametrize("is_plain", [True, False])
+async def test_the_rest_that_a_server_asks_for_is_read(
+    head: bytes, rest: float | None, is_plain: bool
+) -> None:
+    async def reject(stream: trio.SocketStream) -> None:
+        await read_request(stream)
+        end = b"\r\nContent-Length: 0\r\n\r\n"
+        await stream.send_all(b"HTTP/1.1 " + head + end)
+
+    async with trio.open_nursery() as nursery, make_client(1, 1) as client:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, reject, listeners)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        outcome: Answered | NotRun | MaybeRun
+        if is_plain:
+            plain = PlainRequest("POST", "/x", "", {}, b"body", "a1", 1.0)
+            outcome = await send_plain(client, address, plain)
+        else:
+            request = EngineRequest("/x", b"body", "a1", "s", "", 1, 1.0)
+            outcome = await send_request(client, address, request)
+        nursery.cancel_scope.cancel()
+    assert not isinstance(outcome, Answered)
+    assert outcome.rest == rest
