--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -15,7 +15,7 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.news.items import ServerNotice
 from tests.allowance_fleet import LAG_SECONDS, LIMITED, Fleet, FleetInstance
-from tests.stating import (
+from tests.statements import (
     LIMIT_SETTLED_SECONDS,
     LIMIT_SHARE,
     LIMIT_SLACK,
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -51,6 +51,7 @@
 @click.option("--keepers", type=int, default=100, show_default=True)
 @click.option("--series", type=int, default=4, show_default=True)
 @click.option("--returns", is_flag=True, help="The store comes back from copies.")
+@click.option("--statements", type=int, default=0, help="Servers say what they want.")
 @click.option("--worlds", type=int, default=1, help="Seeds played at once.")
 def main(
     seed: int,
@@ -61,10 +62,11 @@
     keepers: int,
     series: int,
     returns: bool,
+    statements: int,
     worlds: int,
 ) -> None:
     """Play COUNT seeds from SEED on, each for SECONDS; exit 1 if one failed."""
-    play = Play(instances, servers, keepers, series, returns)
+    play = Play(instances, servers, keepers, series, returns, statements)
     failed = 0
     seeds = range(seed, seed + count)
     for line, broken in play_seeds(partial(play_seed, play, seconds), seeds, worlds):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,6 +9,7 @@
 from tests.soak.faults import ROUTE_TIMEOUTS_MS
 from tests.soak.instances import GRACE_SECONDS, REVOCATION_SECONDS, Instance
 from tests.soak.servers import EVENTS, Run, make_body, make_event
+from tests.soak.statements import find_overruns
 
 if TYPE_CHECKING:
     from tests.soak.world import World
@@ -24,6 +25,7 @@
     """Return what was broken in a play that has ended."""
     broken = [f for seen in world.seen for f in _check_one(world, seen)]
     broken += find_lost(world)
+    broken += find_overruns(world)
     if settled < LEAST_SERVED:
         broken.append(f"only {settled:.2f} served after the faults")
     return broken
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from tests.servers import read_request
+from tests.statements import SILENT, Statement
+
+if TYPE_CHECKING:
+    from tests.soak.statements import Phase
 
 EVENTS = 6
 EVENT_SECONDS = 0.03
@@ -23,11 +27,31 @@
     key_leaked: bool
 
 
+class Reached(NamedTuple):
+    """A request that reached a server, run or not."""
+
+    at: float
+    server: str
+    request_id: str
+
+
+class Told(NamedTuple):
+    """What a server said of itself in the answer to a request."""
+
+    at: float
+    server: str
+    request_id: str
+    statement: Statement
+
+
 class Ledger:
-    """What all servers have run, by request id."""
+    """What all servers have got and run, the runs by request id, and have said."""
 
     def __init__(self) -> None:
         self.runs: dict[str, list[Run]] = defaultdict(list)
+        self.reached: list[Reached] = []
+        self.told: list[Told] = []
+        self.phases: list[Phase] = []
 
 
 def parse_headers(request: bytes) -> tuple[str, str, dict[str, str]]:
@@ -44,6 +68,8 @@
     def __init__(self, server_id: str, ledger: Ledger):
         self.server_id = server_id
         self.ledger = ledger
+        # What it says of itself in its answers at present.
+        self.statement = SILENT
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Answer requests on one connection until it ends."""
@@ -61,10 +87,22 @@
             head = f"HTTP/1.1 421 X\r\nX-Instance-Id: {self.server_id}\r\n"
             await stream.send_all((head + "Content-Length: 0\r\n\r\n").encode())
             return
+        now = trio.current_time()
+        self.ledger.reached.append(Reached(now, self.server_id, request_id))
+        statement = self.statement
+        if statement != SILENT:
+            told = Told(now, self.server_id, request_id, statement)
+            self.ledger.told.append(told)
+        if statement.status != 200:
+            head = f"HTTP/1.1 {statement.status} X\r\nX-Request-Id: {request_id}\r\n"
+            head += statement.format_headers() + "Content-Length: 0\r\n\r\n"
+            await stream.send_all(head.encode())
+            return
         leaked = "authorization" in headers
         run = Run(trio.current_time(), self.server_id, method, leaked)
         self.ledger.runs[request_id].append(run)
-        head = f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\nX-Engine-Seal: s\r\n"
+        head = f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\n"
+        head += statement.format_headers()
         if target.startswith("/s/"):
             await self._stream(stream, head, headers)
             return
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -24,6 +24,8 @@
 from tests.soak.keepers import Keeper
 from tests.soak.proxy import Harm, Proxy
 from tests.soak.servers import Ledger, Server
+from tests.soak.statements import Statements
+from tests.statements import SILENT
 from tests.test_platform_store import answer_call
 
 # Instances that were restarted need a second or two, on a busy machine more.
@@ -42,6 +44,7 @@
     keepers: int = 0
     series: int = 0
     returns: bool = False
+    statements: int = 0
 
 
 class World:
@@ -61,6 +64,8 @@
         self.server_proxies: dict[str, Proxy] = {}
         self._entries: dict[str, bytes] = {}
         self.instances: list[Instance] = []
+        self.servers: dict[str, Server] = {}
+        self._nursery: trio.Nursery | None = None
         # Every other seed plays instances in groups, whose readers ask the store.
         self._mesh_limit = FLAT_FLEET if seed % 2 else 1
         self._instance_count = self.play.instances or (3 if seed % 2 else 5)
@@ -112,6 +117,8 @@
                 nursery.start_soon(Series(self, self._fork_rng()).run)
             if self.play.returns:
                 nursery.start_soon(Returns(self, self._fork_rng()).run)
+            for _ in range(self.play.statements):
+                nursery.start_soon(Statements(self, self._fork_rng()).run)
             for _ in range(self.play.keepers):
                 nursery.start_soon(Keeper(self, self._fork_rng()).run)
 
@@ -119,10 +126,11 @@
         return random.Random(self._series_rng.random())
 
     async def _open(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
         store = await self._listen(nursery, self._serve_store)
         self._write_configuration()
-        for number in range(self.play.servers):
-            await self._add_server(nursery, f"s{number}")
+        for _ in range(self.play.servers):
+            await self.add_server()
         for number in range(self._instance_count):
             proxy = Proxy(store)
             await nursery.start(proxy.run)
@@ -158,8 +166,12 @@
         except (trio.BrokenResourceError, OSError):
             return
 
-    async def _add_server(self, nursery: trio.Nursery, server_id: str) -> None:
-        server = Server(server_id, self.ledger)
+    async def add_server(self) -> None:
+        """Add a server, behind a proxy and with an entry."""
+        nursery = self._nursery
+        assert nursery is not None
+        server_id = f"s{len(self.servers)}"
+        server = self.servers[server_id] = Server(server_id, self.ledger)
         address = await self._listen(nursery, server.serve)
         proxy = Proxy(address)
         await nursery.start(proxy.run)
@@ -197,6 +209,11 @@
         for server_id, entry in self._entries.items():
             self.memory.put(SERVERS_TABLE, server_id, entry)
 
+    def remove_entry(self, server_id: str) -> None:
+        """Take a server that has left off the store's list."""
+        del self._entries[server_id]
+        self.memory.put(SERVERS_TABLE, server_id, None)
+
     def set_idle_limit(self, limit_ms: int) -> None:
         """Change the idle limit."""
         self._limits = {"idle_timeout_ms": limit_ms}
@@ -257,6 +274,9 @@
 
     async def _heal(self) -> None:
         self.memory.is_down = False
+        for server in self.servers.values():
+            if not server.statement.is_leaving:
+                server.statement = SILENT
         for proxy in [*self.store_proxies, *self.server_proxies.values()]:
             proxy.harm = Harm.NONE
         for instance in self.instances:
--- a/tests/stating.py
+++ b/tests/stating.py
@@ -13,19 +13,14 @@
 from tests.endings import WORK_SECONDS, World
 from tests.servers import make_answer
 from tests.soak.servers import parse_headers
-
-# The bounds that users state; all in seconds but the share and the slack.
-LIMIT_WINDOW_SECONDS = 4.0
-LIMIT_SHARE = 1.5
-LIMIT_SLACK = 5
-# From the first answer that names a limit until the limit has to be kept.
-LIMIT_SETTLED_SECONDS = 3.0
-# From an instance's word that a server leaves until it gets nothing more from there.
-LEAVING_SECONDS = 2.0
-# So many requests may reach a server in the rest that it asked an instance for.
-REST_SLACK = 2
-# An instance is bound from so long after it was told.
-TOLD_SECONDS = 0.5
+from tests.statements import (
+    LEAVING_SECONDS,
+    LIMIT_SETTLED_SECONDS,
+    LIMIT_WINDOW_SECONDS,
+    SILENT,
+    TOLD_SECONDS,
+    Statement,
+)
 
 
 class Reached(NamedTuple):
@@ -36,34 +31,6 @@
     instance: int
 
 
-class Statement(NamedTuple):
-    """An answer of a server to an instance, as far as it says something of the server.
-
-    ``status`` is 200, or that of an answer to a request that was not run.
-    """
-
-    status: int = 200
-    limit: float | None = None
-    is_leaving: bool = False
-    rest: float | None = None
-
-    def format_headers(self) -> str:
-        """Return the header lines of the answer."""
-        lines = "X-Engine-Seal: s\r\n"
-        if self.status != 200:
-            lines = "X-Not-Executed: 1\r\n"
-        if self.limit is not None:
-            lines += f"Server-Limit: {self.limit}\r\n"
-        if self.is_leaving:
-            lines += "Server-Leaving: 1\r\n"
-        if self.rest is not None:
-            lines += f"Retry-After: {self.rest}\r\n"
-        return lines
-
-
-SILENT = Statement()
-
-
 class Stated(NamedTuple):
     """A statement that an instance was told."""
 
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from tests.stating import SILENT, Statement, StatingWorld, list_late
+from tests.statements import SILENT, Statement
+from tests.stating import StatingWorld, list_late
 
 INSTANCES = 4
 PER_SECOND = 40.0
--- a/tests/test_resting_servers.py
+++ b/tests/test_resting_servers.py
@@ -6,13 +6,8 @@
 
 import pytest
 
-from tests.stating import (
-    REST_SLACK,
-    SILENT,
-    Statement,
-    StatingWorld,
-    count_in_rests,
-)
+from tests.statements import REST_SLACK, SILENT, Statement
+from tests.stating import StatingWorld, count_in_rests
 
 INSTANCES = 4
 PER_SECOND = 60.0
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -8,16 +8,14 @@
 import pytest
 import trio
 
-from tests.stating import (
+from tests.statements import (
     LIMIT_SHARE,
     LIMIT_SLACK,
     LIMIT_WINDOW_SECONDS,
     SILENT,
     Statement,
-    StatingWorld,
-    count_fullest_window,
-    group_by_server,
 )
+from tests.stating import StatingWorld, count_fullest_window, group_by_server
 
 RATE = 1.5
 BOUND = LIMIT_SHARE * RATE * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,9 @@
 # The store comes back from older copies; none of these has failed yet.
 RETURN_SEEDS = (9200,)
 RETURNS = Play(keepers=20, returns=True)
+# Servers name limits, ask for rest and leave; none of these has failed yet.
+STATEMENT_SEEDS = (9500, 9501)
+STATEMENTS = Play(instances=5, servers=4, keepers=20, statements=2)
 KEEPING = Play(instances=6, keepers=150, series=5)
 
 
@@ -59,6 +62,15 @@
     assert await world.run(SECONDS) == []
 
 
+@pytest.mark.parametrize("seed", STATEMENT_SEEDS)
+async def test_what_servers_say_of_themselves_is_kept(
+    seed: int, tmp_path: Path
+) -> None:
+    world = World(seed, tmp_path, STATEMENTS)
+    assert await world.run(KEEPING_SECONDS) == []
+    assert world.ledger.told
+
+
 # One request sent at 10 s and ended without an answer at 10.2 s.
 LOST = Seen(
     "r1",
