Keep all instances earning while any server names a rate limit

Instances that had no request for a limited server for 30 s left its keeper, and their part of what the server takes was lost: of a limit of 3 a second one busy instance of six got 4 requests in 16 s, 38 at the least expected. Links now stay while any known server is limited, and 30 s longer.

The new test fails with 4 before and passes since.

--- a/ashpond/controllers/allowances.py
+++ b/ashpond/controllers/allowances.py
@@ -57,6 +57,8 @@
 # The same until the configuration is known: a keeper's share is of those that link.
 START_SECONDS = 0.05
 _NOTHING: tuple[int, Allowance | None] = (0, None)
+# After the last limit of a server has ended, links stay for so long.
+LINGER_SECONDS = 30.0
 # Of the teams that have been asked for, so many are told to operators.
 DESCRIBED_TEAMS = 20
 
@@ -77,6 +79,7 @@
     :param connect: returns a connection to a peer, by its address if it is None.
     :param find_server_rate: returns the rate limit of a start of a server, None if it
         has none (requests a second).
+    :param has_server_limits: returns whether any server names a limit.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         rng: random.Random,
         connect: Connect | None = None,
         find_server_rate: Callable[[str], float | None] = lambda start: None,
+        has_server_limits: Callable[[], bool] = lambda: False,
     ):
         now = trio.current_time()
         self._life = f"{members.own.name}#{secrets.token_hex(LIFE_BYTES)}"
@@ -100,6 +104,7 @@
         self._rng = rng
         self._connect = connect or self._connect_by_address
         self._find_server_rate = find_server_rate
+        self._has_server_limits = has_server_limits
         # Until when there are limits besides those of teams.
         self._needed_until = now
         # An earlier life of this instance earned what was before; no one else does.
@@ -161,9 +166,8 @@
             return None
         return await self._ask(link, start, allowance, 1, urgency, patience)
 
-    def keep_linked(self, seconds: float) -> None:
-        """Stay linked to the keepers for some time, also if no team has a limit."""
-        self._needed_until = trio.current_time() + seconds
+    def link(self) -> None:
+        """Link to the keepers now, if there is anything to ask them for."""
         if not self._links:
             self._adjust()
 
@@ -330,6 +334,8 @@
         self._headcount.note({*self._members.by_name, self._members.own.name}, now)
         for ledger in self._ledgers.values():
             ledger.sweep(now)
+        if self._has_server_limits():
+            self._needed_until = now + LINGER_SECONDS
         is_needed = self._list_limits() or now < self._needed_until
         wanted = count_slots(self._members.count()) if is_needed else 0
         if wanted == len(self._links) or self._nursery is None:
--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -241,6 +241,10 @@
         self.by_id[state.info.id] = state
         self.on_new_start(ended, state)
 
+    def has_limits(self) -> bool:
+        """Return whether any server names a rate limit."""
+        return any(state.is_limited for state in self.by_id.values())
+
     def find_rate(self, start: str) -> float | None:
         """Return the rate limit of a start of a server, None if it has none."""
         state = self.by_id.get(start) or self.by_id.get(start.rpartition("#")[0])
--- a/ashpond/controllers/permits.py
+++ b/ashpond/controllers/permits.py
@@ -23,8 +23,6 @@
 UNASKED_SECONDS = 0.3
 # Keepers need so long to get the first of all instances' time (seconds).
 FIRST_SECONDS = 0.3
-# The keepers stay connected for so long after the last need of them (seconds).
-LINGER_SECONDS = 30.0
 # Requests that find no permit are not promised one that comes later (seconds).
 PROMISE_SECONDS = 2.0
 
@@ -56,7 +54,7 @@
             state.paced_until = 0.0
             self._wake()
             return
-        self._allowances.keep_linked(LINGER_SECONDS)
+        self._allowances.link()
         state.paced_until = trio.current_time() + FIRST_SECONDS
 
     async def take(self, state: ServerState, urgency: int) -> bool:
@@ -67,7 +65,6 @@
         rate = state.rate_limit.rate
         if rate is None:
             return True
-        self._allowances.keep_linked(LINGER_SECONDS)
         verdict = None
         with trio.move_on_after(PATIENCE_SECONDS):
             verdict = await self._allowances.ask_for_server(
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -176,6 +176,7 @@
             self.metrics.count_allowance,
             self.rng,
             find_server_rate=self.table.find_rate,
+            has_server_limits=self.table.has_limits,
         )
         self.permits = Permits(self.allowances, log, self.rng, self.places.wake)
         self.news = Newsroom(
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -122,6 +122,7 @@
             random.Random(member.name),
             lambda peer: fleet.connect(member.name, peer),
             self.table.find_rate,
+            self.table.has_limits,
         )
 
     def find_declaration(self, fleet: Fleet) -> Declaration | None:
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -132,12 +132,14 @@
         marks = AnswerMarks(None, False, None, None, rate)
         life.statements.take_answer(life.state, 200, marks, sent_at)
 
-    async def press_server(self, per_second: float, seconds: float) -> None:
-        """Send requests at instances drawn at random."""
+    async def press_server(
+        self, per_second: float, seconds: float, only: str = ""
+    ) -> None:
+        """Send requests at instances drawn at random, or at one."""
         until = trio.current_time() + seconds
         while trio.current_time() < until:
             await trio.sleep(self.rng.expovariate(per_second))
-            name = self.rng.choice(list(self.members))
+            name = only or self.rng.choice(list(self.members))
             if name in self.instances:
                 self.nursery.start_soon(self.send, name)
 
--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -142,3 +142,18 @@
         nursery.cancel_scope.cancel()
     assert fleet.measure_fullest(0.0) <= 1.0
     assert 3 <= fleet.count_arrivals(named_at + 4, named_at + 62) <= 12
+
+
+async def test_instances_without_requests_go_on_earning_for_a_limited_server(
+    autojump_clock: object,
+) -> None:
+    """Their time is a part of what the server takes, whoever uses it."""
+    async with trio.open_nursery() as nursery:
+        fleet = LimitFleet(nursery, 6)
+        named_at = await name_and_press(fleet, 3.0, 8.0)
+        await trio.sleep(8.0)
+        fleet.nursery.start_soon(fleet.press_server, 20.0, 60.0, "i0")
+        await trio.sleep(60.0)
+        nursery.cancel_scope.cancel()
+    assert fleet.count_arrivals(named_at + 50, named_at + 66) >= 0.8 * 3.0 * 16
+    assert fleet.measure_fullest(3.0) <= 1.0
