--- a/ashpond/controllers/allowances.py
+++ b/ashpond/controllers/allowances.py
@@ -260,7 +260,8 @@
         self, ledger: Ledger, request: AllowanceRequest, now: float
     ) -> AllowanceVerdict:
         allowance = self._find_allowance(request)
-        if allowance is None:
+        if allowance is None or not allowance.rate:
+            # A team that is told to have a rate of 0 has no limit.
             return AllowanceVerdict(request.number, True, None, 0.0, 0.0)
         outcome = ledger.ask(
             request.team,
--- a/tests/test_allowance_fleet.py
+++ b/tests/test_allowance_fleet.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 
-from ashpond.clients.keeper import ReturnedAllowance, encode_ask
+from ashpond.clients.keeper import AllowanceRequest, ReturnedAllowance, encode_ask
 from ashpond.clients.peer import AllowanceAsk, PeerStream
 from ashpond.controllers import keeperlink
 from ashpond.decisions.allowances import AllowanceUnit
@@ -232,3 +232,18 @@
         assert link.keeper not in ("", keeper)
         nursery.cancel_scope.cancel()
     assert told == []
+
+
+@pytest.mark.parametrize("unit", list(AllowanceUnit))
+async def test_an_ask_with_a_rate_of_0_does_not_end_its_keeper(
+    unit: AllowanceUnit, autojump_clock: object
+) -> None:
+    """It divided by the rate, and what a peer's task raises ends the process."""
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, 1)
+        await trio.sleep(SETTLED_SECONDS)
+        allowances = fleet.instances["i0"].allowances
+        request = AllowanceRequest(1, 99, "other", unit, 0.0, 0.0, 1, 1, 1.0)
+        verdict = allowances.decide_here(1, 0, allowances._links[0], request)
+        nursery.cancel_scope.cancel()
+    assert verdict.number == 1
