Let emulated engines name limits, ask for rest and leave

The laboratory had no engine that says anything of itself, so that what callers pay for it could not be measured. Engines now speak, and reject while they rest; instances ask one keeper for permits, which each always reaches; three scenarios join the standard file.

Tests: callers do not pay; the limited engine's windows and the one that leaves, counted at the engines over all instances.

--- a/ashpond/controllers/permits.py
+++ b/ashpond/controllers/permits.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
-__all__ = ["Permits", "grant_unasked"]
+__all__ = ["Keeper", "Permits", "grant_unasked"]
 
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 
 from ashpond.decisions.ratelimits import make_allowance, plan_pause
 
 if TYPE_CHECKING:
-    from ashpond.controllers.allowances import Allowances
+    from ashpond.clients.keeper import AllowanceVerdict
     from ashpond.controllers.directory import ServerState
+    from ashpond.decisions.allowances import Allowance
     from ashpond.gateway.decisionlog import DecisionLog
 
 # A keeper that answers later is not waited for: other servers are there (seconds).
@@ -27,6 +28,18 @@
 PROMISE_SECONDS = 2.0
 
 
+class Keeper(Protocol):
+    """Whom permits are asked from."""
+
+    def link(self) -> None:
+        """Connect to whoever decides."""
+
+    async def ask_for_server(
+        self, start: str, allowance: Allowance, urgency: int, patience: float
+    ) -> AllowanceVerdict | None:
+        """Return a verdict, None if there is none in time."""
+
+
 class Permits:
     """Asks the keepers of allowances before requests go to limited servers.
 
@@ -35,12 +48,12 @@
 
     def __init__(
         self,
-        allowances: Allowances,
+        keeper: Keeper,
         log: DecisionLog,
         rng: random.Random,
         wake: Callable[[], None],
     ):
-        self._allowances = allowances
+        self._keeper = keeper
         self._log = log
         self._rng = rng
         self._wake = wake
@@ -54,7 +67,7 @@
             state.paced_until = 0.0
             self._wake()
             return
-        self._allowances.link()
+        self._keeper.link()
         state.paced_until = trio.current_time() + FIRST_SECONDS
 
     async def take(self, state: ServerState, urgency: int) -> bool:
@@ -67,7 +80,7 @@
             return True
         verdict = None
         with trio.move_on_after(PATIENCE_SECONDS):
-            verdict = await self._allowances.ask_for_server(
+            verdict = await self._keeper.ask_for_server(
                 state.info.start, make_allowance(rate), urgency, PROMISE_SECONDS
             )
         if verdict is None:
--- a/ashpond/emulator/engines.py
+++ b/ashpond/emulator/engines.py
@@ -5,12 +5,15 @@
 __all__ = ["EmulatedEngine", "EngineShape", "Run"]
 
 from collections import OrderedDict
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from ashpond.decisions.prompts import Prompt
 
+if TYPE_CHECKING:
+    from ashpond.emulator.scenarios import EngineStatement
+
 
 class EngineShape(NamedTuple):
     """What one engine can do; tokens and seconds.
@@ -66,6 +69,9 @@
         self.name = name
         self.shape = shape
         self.is_down = False
+        # What it says of itself at present, and when requests reached it (seconds).
+        self.statement: EngineStatement | None = None
+        self.arrivals: list[float] = []
         self.version = 1
         self.accepted_orders = 0
         self.ordered_version: int | None = None
--- a/ashpond/emulator/experiments.py
+++ b/ashpond/emulator/experiments.py
@@ -12,7 +12,12 @@
 import msgspec
 
 from ashpond.emulator.engines import EngineShape
-from ashpond.emulator.scenarios import Crash, RequestKind, Scenario
+from ashpond.emulator.scenarios import (
+    Crash,
+    EngineStatement,
+    RequestKind,
+    Scenario,
+)
 from ashpond.emulator.world import Outcome, run_scenario
 from ashpond.errors import InputError, InputProblem
 from ashpond.tables import load_toml
@@ -53,6 +58,7 @@
     instances: int = 8
     load: float = 1.0
     crashes: list[Crash] = []
+    statements: list[EngineStatement] = []
     versions_at: list[float] = []
     bound_seconds: float = 8.0
 
@@ -92,6 +98,9 @@
             )
         if any(crash.engine >= entry.engines for crash in entry.crashes):
             raise InputError([InputProblem(path, f"{key}.crashes", "", "no engine")])
+        if any(said.engine >= entry.engines for said in entry.statements):
+            problem = InputProblem(path, f"{key}.statements", "", "no engine")
+            raise InputError([problem])
         scenarios[name] = _build_scenario(entry, kinds, shape)
     return Experiment(checked.seeds, scenarios)
 
@@ -129,6 +138,7 @@
         instances=entry.instances,
         shape=shape,
         crashes=tuple(entry.crashes),
+        statements=tuple(entry.statements),
         versions_at=tuple(entry.versions_at),
         bound_seconds=entry.bound_seconds,
     )
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -15,7 +15,7 @@
 from ashpond.controllers.cachestores import CacheStores
 from ashpond.controllers.directory import BackendServer, ServerState, ServerTable
 from ashpond.controllers.invalidrows import InvalidRows
-from ashpond.controllers.permits import grant_unasked
+from ashpond.controllers.permits import Permits
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverends import ServerEnds, WatchedServer
 from ashpond.controllers.serverstatements import ServerStatements
@@ -31,6 +31,7 @@
 from ashpond.decisions.prompts import Prompt
 from ashpond.decisions.quarantine import Suspicions
 from ashpond.emulator.engines import EmulatedEngine
+from ashpond.emulator.permits import EmulatedKeeper
 from ashpond.emulator.scenarios import Scenario
 from ashpond.emulator.wire import (
     EmulatedPool,
@@ -70,6 +71,7 @@
     engines: dict[str, EmulatedEngine]
     pool: EmulatedPool
     store: MemoryStore
+    keeper: EmulatedKeeper
     tell: Callable[[list[Holding]], None]
     announce: Callable[[ServerNotice], None]
 
@@ -81,6 +83,7 @@
     holdings: Holdings
     places: Places
     knowledge: Knowledge
+    statements: ServerStatements
     rollouts: RolloutController
     dispatcher: Dispatcher
 
@@ -113,6 +116,10 @@
         find_required,
         rng,
     )
+    permits = Permits(around.keeper, log, rng, places.wake)
+    statements = ServerStatements(
+        table, log, lambda kind: None, around.announce, rng, permits.on_limit
+    )
     tools = Tools(
         places,
         around.pool,  # type: ignore[arg-type]
@@ -125,18 +132,20 @@
         note_held,
         lambda call, team: None,
         ServerEnds(_check_nothing, log.note, lambda lost: None),
-        ServerStatements(table, log, lambda kind: None, lambda notice: None, rng),
+        statements,
         _build_quarantine(around, log),
         lambda state, seconds: None,
         take_unlimited,
         lambda taken: None,
-        grant_unasked,
+        permits.take,
         lambda kind: None,
         rng,
     )
     rollouts = _build_rollouts(number, around, table, knowledge, places, budget)
     dispatcher = Dispatcher(tools)
-    return EmulatedInstance(table, holdings, places, knowledge, rollouts, dispatcher)
+    return EmulatedInstance(
+        table, holdings, places, knowledge, statements, rollouts, dispatcher
+    )
 
 
 def make_domain(number: int) -> str:
--- /dev/null
+++ b/ashpond/emulator/permits.py
@@ -0,0 +1,63 @@
+"""One keeper of all emulated instances' permits, which each of them always reaches."""
+
+from __future__ import annotations
+
+__all__ = ["EmulatedKeeper"]
+
+import random
+
+import trio
+
+from ashpond.clients.keeper import AllowanceVerdict
+from ashpond.decisions.allowances import (
+    Allowance,
+    Granted,
+    Ledger,
+    TimeSpan,
+    plan_pace,
+)
+from ashpond.decisions.ratelimits import SERVER_BOUNDS
+
+# Instances hand over what they have earned so often (seconds).
+HAND_OVER_SECONDS = 0.25
+
+
+class EmulatedKeeper:
+    """Decides as the keeper of a fleet that hands it all of its time.
+
+    :param delay: one way between instances (seconds).
+    """
+
+    def __init__(self, delay: float, rng: random.Random):
+        self._delay = delay
+        self._rng = rng
+        self._ledger = Ledger()
+
+    async def run(self) -> None:
+        """Take the time of all instances until cancelled."""
+        begin = trio.current_time()
+        while True:
+            await trio.sleep(HAND_OVER_SECONDS)
+            now = trio.current_time()
+            self._ledger.receive(TimeSpan(begin, now), 1.0, now)
+            begin = now
+
+    def link(self) -> None:
+        """Do nothing: instances are always linked."""
+
+    async def ask_for_server(
+        self, start: str, allowance: Allowance, urgency: int, patience: float
+    ) -> AllowanceVerdict:
+        """Return whether a request may be sent to a server that names a limit."""
+        await trio.sleep(2 * self._delay)
+        now = trio.current_time()
+        pace = plan_pace(allowance, SERVER_BOUNDS)
+        draw = self._rng.random()
+        outcome = self._ledger.ask(
+            start, allowance, pace, 1, urgency, patience, draw, now
+        )
+        if isinstance(outcome, Granted):
+            return AllowanceVerdict(0, True, None, 0.0, 0.0)
+        return AllowanceVerdict(
+            0, False, outcome.retry_after, outcome.left, outcome.share
+        )
--- a/ashpond/emulator/scenarios.py
+++ b/ashpond/emulator/scenarios.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-__all__ = ["Crash", "RequestKind", "Scenario"]
+__all__ = ["Crash", "EngineStatement", "RequestKind", "Scenario", "StatementKind"]
 
+from enum import StrEnum
 from typing import NamedTuple
 
 from ashpond.emulator.engines import EngineShape
@@ -17,6 +18,28 @@
     seconds: float = 1.0
 
 
+class StatementKind(StrEnum):
+    """What an engine says of itself in its answers."""
+
+    LIMIT = "limit"
+    REST = "rest"
+    LEAVING = "leaving"
+
+
+class EngineStatement(NamedTuple):
+    """An engine says something of itself for a while (seconds).
+
+    ``value`` is a rate limit in requests a second, or the rest in seconds that it asks
+    for with each rejection; an engine that rests rejects all.
+    """
+
+    at: float
+    engine: int
+    seconds: float
+    kind: StatementKind
+    value: float = 0.0
+
+
 class RequestKind(NamedTuple):
     """One kind of request; times in seconds, sizes in tokens.
 
@@ -57,6 +80,7 @@
     instances: int = 8
     shape: EngineShape = EngineShape()
     crashes: tuple[Crash, ...] = ()
+    statements: tuple[EngineStatement, ...] = ()
     versions_at: tuple[float, ...] = ()
     news_seconds: float = 0.08
     bound_seconds: float = 8.0
--- a/ashpond/emulator/wire.py
+++ b/ashpond/emulator/wire.py
@@ -24,6 +24,9 @@
 from ashpond.outcomes import NotRun
 
 NOT_RUN: Headers = [(b"not-run", b"1")]
+REST = b"rest"
+LIMIT = b"limit"
+LEAVING = b"leaving"
 DEFAULT_URGENCY = 5
 # A call to an engine besides requests takes about this (seconds).
 ORDER_SECONDS = 0.003
@@ -49,11 +52,28 @@
         return []
 
     def read_marks(headers: Headers) -> AnswerMarks:
-        return AnswerMarks(None, headers == NOT_RUN, None, None)
+        marks = dict(headers)
+        return AnswerMarks(
+            None,
+            b"not-run" in marks,
+            None,
+            None,
+            rate_limit=float(marks[LIMIT]) if LIMIT in marks else None,
+            is_leaving=LEAVING in marks,
+            rest=float(marks[REST]) if REST in marks else None,
+        )
 
     return Codec(lambda headers: None, write_headers, read_marks)
 
 
+def format_statement(engine: EmulatedEngine) -> Headers:
+    """Return the headers of what an engine says of itself."""
+    statement = engine.statement
+    if statement is None:
+        return []
+    return [(statement.kind.encode(), str(statement.value).encode())]
+
+
 class EmulatedResponse:
     """The answer to a request: its first event, then the rest."""
 
@@ -106,10 +126,13 @@
         envelope, instructions = self.pool.memo.sent[request.request_id]
         prompt = envelope.prompt
         assert prompt is not None
-        if self.engine.ordered_version is not None:
-            return EmulatedResponse(503, NOT_RUN, None)
+        self.engine.arrivals.append(trio.current_time())
+        said = format_statement(self.engine)
+        is_resting = any(name == REST for name, _ in said)
+        if self.engine.ordered_version is not None or is_resting:
+            return EmulatedResponse(503, [*NOT_RUN, *said], None)
         if instructions.weights_version != self.engine.version:
-            return EmulatedResponse(421, [], None)
+            return EmulatedResponse(421, said, None)
         urgency = instructions.urgency
         earlier = self.pool.memo.runs.setdefault(request.request_id, [])
         run = Run(
@@ -127,7 +150,7 @@
             run.is_cancelled = not run.has_begun.is_set()
         if run.is_broken:
             raise ChannelError("the engine crashed", is_sent=True)
-        return EmulatedResponse(200, [], run)
+        return EmulatedResponse(200, said, run)
 
     def close(self) -> None:
         """Do nothing; a run that is not read to its end is cancelled."""
--- a/ashpond/emulator/world.py
+++ b/ashpond/emulator/world.py
@@ -21,7 +21,8 @@
     Surroundings,
     build_instance,
 )
-from ashpond.emulator.scenarios import Crash, RequestKind, Scenario
+from ashpond.emulator.permits import EmulatedKeeper
+from ashpond.emulator.scenarios import Crash, EngineStatement, RequestKind, Scenario
 from ashpond.emulator.wire import EmulatedPool, Memo
 from ashpond.gateway.admission import Accepted
 from ashpond.gateway.calls import Envelope, Headers, IncomingCall
@@ -109,6 +110,7 @@
         self.engines = {n: EmulatedEngine(n, scenario.shape, ever_read) for n in names}
         self.memo = Memo()
         self.store = MemoryStore()
+        self.keeper = EmulatedKeeper(scenario.delay, random.Random(scenario.seed))
         self.named: list[tuple[float, int]] = []
         self.pool = EmulatedPool(self.engines, self.memo, scenario.delay)
         self.notices, self.heard = trio.open_memory_channel[ServerNotice](1_000)
@@ -117,6 +119,7 @@
             self.engines,
             self.pool,
             self.store,
+            self.keeper,
             lambda holdings: self.told.extend(holdings),
             self.notices.send_nowait,
         )
@@ -128,6 +131,7 @@
         async with trio.open_nursery() as background:
             for engine in self.engines.values():
                 background.start_soon(engine.run)
+            background.start_soon(self.keeper.run)
             background.start_soon(self._spread_news)
             background.start_soon(self._take_notices)
             for instance in self.instances:
@@ -136,6 +140,8 @@
             async with trio.open_nursery() as nursery:
                 for crash in self.scenario.crashes:
                     nursery.start_soon(self._strike, crash)
+                for statement in self.scenario.statements:
+                    nursery.start_soon(self._speak, statement)
                 for kind in self.scenario.kinds:
                     nursery.start_soon(self._send_all, kind, nursery)
             background.cancel_scope.cancel()
@@ -248,6 +254,14 @@
         await trio.sleep(crash.seconds)
         engine.restart()
 
+    async def _speak(self, statement: EngineStatement) -> None:
+        """Let an engine say something of itself for a while."""
+        await trio.sleep(statement.at)
+        engine = list(self.engines.values())[statement.engine]
+        engine.statement = statement
+        await trio.sleep(statement.seconds)
+        engine.statement = None
+
     async def _tell_versions(self, instance: EmulatedInstance) -> None:
         for number, at in enumerate(self.scenario.versions_at):
             await trio.sleep_until(at)
@@ -261,8 +275,11 @@
             await trio.sleep(NOTICE_DELAY)
             now = trio.current_time()
             for instance in self.instances:
-                instance.rollouts.note_progress()
                 state = instance.table.by_id[notice.server_id]
+                if notice.limit is not None or notice.is_leaving:
+                    instance.statements.take_notice(state, notice)
+                    continue
+                instance.rollouts.note_progress()
                 state.learn_weights(notice.model, notice.version)
                 if notice.closed_seconds:
                     state.close_for(notice.closed_seconds, now)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -6,13 +6,20 @@
 
 import pytest
 import trio
+import trio.testing
 from click.testing import CliRunner
 
 from ashpond.cli import main
 from ashpond.emulator.engines import EmulatedEngine, EngineShape, Run
 from ashpond.emulator.experiments import load_experiment, measure
-from ashpond.emulator.scenarios import Crash, RequestKind, Scenario
-from ashpond.emulator.world import run_scenario
+from ashpond.emulator.scenarios import (
+    Crash,
+    EngineStatement,
+    RequestKind,
+    Scenario,
+    StatementKind,
+)
+from ashpond.emulator.world import _World, run_scenario
 from ashpond.errors import InputError
 from tests.gateway_builders import make_prompt
 
@@ -90,7 +97,15 @@
 
 def test_the_standard_experiment_is_valid() -> None:
     experiment = load_experiment(str(EXPERIMENT))
-    assert set(experiment.scenarios) == {"calm", "versions", "crashes", "burst"}
+    assert set(experiment.scenarios) == {
+        "calm",
+        "versions",
+        "crashes",
+        "burst",
+        "limits",
+        "rests",
+        "leaves",
+    }
 
 
 @pytest.mark.parametrize(
@@ -101,6 +116,8 @@
         ("objective = 0.6\n", "", "kinds.check.objective", "required"),
         ('["check", "note"]', '["chek"]', "scenarios.calm.kinds", "no kind"),
         ("[[4.0, 0,", "[[4.0, 9,", "scenarios.crashes.crashes", "no engine"),
+        ("[[4.0, 0, 10", "[[4.0, 7, 10", "scenarios.limits.statements", "no engine"),
+        ('"leaving"], [9', '"gone"], [9', "(file)", "Invalid enum value"),
     ],
 )
 def test_a_fault_names_file_key_and_reason(
@@ -127,3 +144,56 @@
     assert runs[0].exit_code == 0
     assert "calm" in runs[0].output
     assert runs[0].output == runs[1].output
+
+
+NOTE = RequestKind(
+    "note", 15.0, 0.4, 15.0, 1.7, 0.1, 0, 50, 150, 628, 290, 150, is_resumable=True
+)
+LIMIT = EngineStatement(4.0, 0, 12.0, StatementKind.LIMIT, 1.5)
+
+
+@pytest.mark.parametrize("instances", [1, 8])
+@pytest.mark.parametrize(
+    "statements",
+    [
+        (LIMIT,),
+        (LIMIT, LIMIT._replace(at=6.0, engine=1, seconds=8.0, value=0.0)),
+        (EngineStatement(4.0, 0, 8.0, StatementKind.REST, 3.0),),
+        (EngineStatement(4.0, 0, 16.0, StatementKind.LEAVING),),
+    ],
+)
+def test_callers_do_not_pay_for_what_an_engine_asks_for(
+    statements: tuple[EngineStatement, ...], instances: int
+) -> None:
+    """Three of five engines and more go on as before."""
+    scenario = Scenario(
+        (CHECK, NOTE), seconds=20.0, instances=instances, statements=statements
+    )
+    figures = measure(scenario)
+    assert figures.unserved == 0
+    assert figures.worth > 0.95
+
+
+def test_emulated_engines_get_what_they_ask_for() -> None:
+    """Arrivals of all instances, from 3 s after the first word."""
+    world = _World(
+        Scenario(
+            (CHECK, NOTE),
+            seconds=20.0,
+            statements=(
+                LIMIT,
+                EngineStatement(4.0, 1, 8.0, StatementKind.REST, 3.0),
+                EngineStatement(4.0, 2, 16.0, StatementKind.LEAVING),
+            ),
+        )
+    )
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(world.run, clock=clock)
+    limited, resting, leaving = (world.engines[f"e{n}"].arrivals for n in range(3))
+    named = [at for at in limited if 7.0 <= at <= 16.0]
+    windows = [sum(1 for at in named if end - 4.0 <= at <= end) for end in named]
+    assert max(windows) <= 1.5 * 1.5 * 4 + 5
+    assert len(named) >= 0.7 * 1.5 * 9
+    assert not [at for at in leaving if at > 6.5]
+    # Eight instances, of which each may have two on their way in a rest of 3 s.
+    assert len([at for at in resting if 4.5 <= at <= 12.0]) <= 8 * 3 * 3
