Keep what is known of a server's limit with its start, and count permits

Two tables by start of a server were never freed: refusals in a row, and limits to be told once more. Both are fields of the server's state now, which goes with its start. Permits are counted by outcome in place of a log that was handed over and not used. No decision changed.

--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -67,8 +67,11 @@
         # Until when the server wants no request from this instance.
         self.resting_until = 0.0
         self.rate_limit = NO_LIMIT
-        # Until when no permit is asked for: the limit is used up.
+        # When an answer here raised or lifted the limit, until that is told again.
+        self.limit_raised_at: float | None = None
+        # Until when no permit is asked for, as there was none so many times in a row.
         self.paced_until = 0.0
+        self.permit_refusals = 0
         # Its entry cannot be read: it names no server to use, until it can again.
         self.is_entry_invalid = False
         self.vanished_at: float | None = None
--- a/ashpond/controllers/permits.py
+++ b/ashpond/controllers/permits.py
@@ -16,7 +16,6 @@
     from ashpond.clients.keeper import AllowanceVerdict
     from ashpond.controllers.directory import ServerState
     from ashpond.decisions.allowances import Allowance
-    from ashpond.gateway.decisionlog import DecisionLog
 
 # A keeper that answers later is not waited for: other servers are there (seconds).
 PATIENCE_SECONDS = 0.15
@@ -43,29 +42,28 @@
 class Permits:
     """Asks the keepers of allowances before requests go to limited servers.
 
+    :param count: counts an outcome of asking.
     :param wake: looks for places for calls that wait.
     """
 
     def __init__(
         self,
         keeper: Keeper,
-        log: DecisionLog,
+        count: Callable[[str], None],
         rng: random.Random,
         wake: Callable[[], None],
     ):
         self._keeper = keeper
-        self._log = log
+        self._count = count
         self._rng = rng
         self._wake = wake
-        # Refusals in a row, by start of a server.
-        self._refusals: dict[str, int] = {}
 
     def on_limit(self, state: ServerState, before: float | None) -> None:
         """Take a server's new limit.
 
         :param before: the limit before it, None if there was none.
         """
-        self._refusals.pop(state.owner, None)
+        state.permit_refusals = 0
         rate = state.rate_limit.rate
         if rate is not None and before is None:
             self._keeper.link()
@@ -88,23 +86,24 @@
                 state.info.start, make_allowance(rate), urgency, PROMISE_SECONDS
             )
         if verdict is None:
+            self._count("unanswered")
             self._pace(state, UNASKED_SECONDS)
             return False
         if verdict.is_granted:
-            self._refusals.pop(state.owner, None)
+            self._count("granted")
+            state.permit_refusals = 0
             return True
-        refusals = self._refusals[state.owner] = self._refusals.get(state.owner, 0) + 1
-        self._pace(state, plan_pause(verdict.retry_after, refusals, self._rng.random()))
+        self._count("refused")
+        state.permit_refusals += 1
+        draw = self._rng.random()
+        pause = plan_pause(verdict.retry_after, state.permit_refusals, draw)
+        self._pace(state, pause)
         return False
 
     def _pace(self, state: ServerState, seconds: float) -> None:
         if state.is_limited:
             state.paced_until = trio.current_time() + seconds
 
-    def forget(self, state: ServerState) -> None:
-        """Forget a start of a server that has ended."""
-        self._refusals.pop(state.owner, None)
-
 
 async def grant_unasked(state: ServerState, urgency: int) -> bool:
     """Grant a permit without asking, where no server names a limit."""
--- a/ashpond/controllers/serverstatements.py
+++ b/ashpond/controllers/serverstatements.py
@@ -20,6 +20,8 @@
     from ashpond.gateway.calls import AnswerMarks
     from ashpond.gateway.decisionlog import DecisionLog
 
+# Gets a server whose limit has changed, and its limit before (requests a second).
+OnLimit = Callable[["ServerState", float | None], None]
 MISDIRECTED = 421
 # A server that asks for more is asked again after this (seconds).
 MOST_REST_SECONDS = 3600.0
@@ -34,7 +36,7 @@
 
     :param count: counts a statement by its kind.
     :param tell: tells the peers.
-    :param on_limit: is called with a server whose limit has changed, and its last one.
+    :param on_limit: is called when a limit has changed.
     :param on_leaving: is called when a server has said that it leaves.
     """
 
@@ -45,10 +47,8 @@
         count: Callable[[str], None],
         tell: Callable[[ServerNotice], None],
         rng: random.Random,
-        on_limit: Callable[[ServerState, float | None], None] = lambda state, rate: (
-            None
-        ),
-        on_leaving: Callable[[], None] = lambda: None,
+        on_limit: OnLimit | None = None,
+        on_leaving: Callable[[], None] | None = None,
     ):
         self._table = table
         self._log = log
@@ -57,8 +57,6 @@
         self._rng = rng
         self._on_limit = on_limit
         self._on_leaving = on_leaving
-        # When an answer here raised or lifted a limit, until that is told again.
-        self._raised: dict[str, float] = {}
 
     def take_answer(
         self, state: ServerState, status: int, marks: AnswerMarks, sent_at: float
@@ -111,7 +109,7 @@
             self._confirm(state, sent_at, now)
             return
         if not _is_lower(weighed, known):
-            self._raised[state.owner] = now
+            state.limit_raised_at = now
         self._tell_limit(state, now - sent_at)
 
     def _confirm(self, state: ServerState, sent_at: float, now: float) -> None:
@@ -120,9 +118,9 @@
         A peer that read an answer with the limit before, just then, does not believe
         the first word: it cannot tell which of the two is older.
         """
-        raised_at = self._raised.get(state.owner)
+        raised_at = state.limit_raised_at
         if raised_at is not None and sent_at >= raised_at + 2 * NEWS_SECONDS:
-            del self._raised[state.owner]
+            state.limit_raised_at = None
             self._tell_limit(state, now - sent_at)
 
     def _adopt(self, state: ServerState, limit: RateLimit, source: str) -> None:
@@ -130,16 +128,18 @@
         state.rate_limit = limit
         if limit.rate == before:
             return
-        self._raised.pop(state.owner, None)
+        state.limit_raised_at = None
         self._note(state, "server_limit", rate=limit.rate, before=before, source=source)
-        self._on_limit(state, before)
+        if self._on_limit is not None:
+            self._on_limit(state, before)
 
     def _note_leaving(self, state: ServerState, source: str) -> None:
         if state.is_leaving:
             return
         self._table.note_leaving(state)
         self._note(state, "server_leaving", source=source)
-        self._on_leaving()
+        if self._on_leaving is not None:
+            self._on_leaving()
         if source == "answer":
             info = state.info
             notice = ServerNotice(info.id, "", 0, 0.0, born=info.born, is_leaving=True)
@@ -169,10 +169,6 @@
         limit = LimitNotice(state.rate_limit.rate, min(age, MAX_CLOSED_SECONDS))
         self._tell(ServerNotice(info.id, "", 0, 0.0, born=info.born, limit=limit))
 
-    def forget(self, state: ServerState) -> None:
-        """Forget a start of a server that has ended."""
-        self._raised.pop(state.owner, None)
-
     def _note(self, state: ServerState, event: str, **fields: object) -> None:
         self._count(event)
         info = state.info
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -116,7 +116,7 @@
         find_required,
         rng,
     )
-    permits = Permits(around.keeper, log, rng, places.wake)
+    permits = Permits(around.keeper, lambda outcome: None, rng, places.wake)
     statements = ServerStatements(
         table, log, lambda kind: None, around.announce, rng, permits.on_limit
     )
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -175,7 +175,9 @@
             find_server_rate=self.table.find_rate,
             has_server_limits=self.table.has_limits,
         )
-        self.permits = Permits(self.allowances, log, self.rng, self.places.wake)
+        self.permits = Permits(
+            self.allowances, self.metrics.count_permit, self.rng, self.places.wake
+        )
         self.news = Newsroom(
             self.members,
             self.table,
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -55,6 +55,11 @@
             "What servers newly said of themselves in answers, by kind",
             registry=self.registry,
         )
+        self.permits = Counter(
+            "ashpond_gateway_permits",
+            "Permits asked for requests to servers with a rate limit, by outcome",
+            registry=self.registry,
+        )
         self.allowances = Counter(
             "ashpond_gateway_allowance",
             "What teams asked for here, in the units of their limits, by outcome",
@@ -94,6 +99,10 @@
         """Count what a server has newly said of itself."""
         self.statements.inc({"kind": kind})
 
+    def count_permit(self, outcome: str) -> None:
+        """Count one permit that was asked for."""
+        self.permits.inc({"outcome": outcome})
+
     def count_allowance(self, team: str, cost: int, is_granted: bool) -> None:
         """Count what a team asked for."""
         if len(self._teams) < MOST_TEAMS:
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -44,7 +44,10 @@
         log = DecisionLog(instance.name)
         self.state = instance.table.by_id[LIMITED]
         self.permits = Permits(
-            instance.allowances, log, random.Random(instance.name), lambda: None
+            instance.allowances,
+            lambda outcome: None,
+            random.Random(instance.name),
+            lambda: None,
         )
         self.statements = ServerStatements(
             instance.table,
