Call the time that a server asks for a backoff, as the field does

The names and log events had the users' word for it. Events are `server_backoff` and `server_backoff_invalid`, the status field is `backoff_seconds`, the laboratory's kind is "backoff".

--- a/ashpond/clients/engine.py
+++ b/ashpond/clients/engine.py
@@ -29,7 +29,7 @@
 import httpx
 import orjson
 
-from ashpond.clients.http import NOT_SENT_ERRORS, read_rest
+from ashpond.clients.http import NOT_SENT_ERRORS, read_backoff
 from ashpond.decisions.placement import BLOCK_TOKENS, LoadReport
 from ashpond.outcomes import Answered, MaybeRun, NotRun
 
@@ -167,10 +167,10 @@
     status = response.status_code
     if response.headers.get(NOT_RUN_HEADER) == "true":
         await response.aclose()
-        return NotRun(f"refused with status {status}", rest=read_rest(response))
+        return NotRun(f"refused with status {status}", backoff=read_backoff(response))
     if status >= SERVER_ERROR:
         await response.aclose()
-        return MaybeRun(f"failed with status {status}", read_rest(response))
+        return MaybeRun(f"failed with status {status}", read_backoff(response))
     if status == OK and response.headers.get(ATTEMPT_HEADER) != attempt:
         # Another request's answer: its connection is of no more use.
         await response.aclose()
--- a/ashpond/clients/http.py
+++ b/ashpond/clients/http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["NOT_SENT_ERRORS", "make_client", "read_rest"]
+__all__ = ["NOT_SENT_ERRORS", "make_client", "read_backoff"]
 
 import ssl
 
@@ -22,13 +22,13 @@
 IDLE_SECONDS = 20.0
 
 
-def read_rest(response: httpx.Response) -> float | None:
+def read_backoff(response: httpx.Response) -> float | None:
     """Return for how long a server that rejects a request wants none (seconds)."""
     if response.status_code not in REJECTIONS:
         return None
     texts = response.headers.get_list("Retry-After")
-    rest, _ = parse_retry_after(texts, response.headers.get("Date"))
-    return rest
+    backoff, _ = parse_retry_after(texts, response.headers.get("Date"))
+    return backoff
 
 
 def make_client(
--- a/ashpond/clients/service.py
+++ b/ashpond/clients/service.py
@@ -10,7 +10,7 @@
 import orjson
 
 from ashpond.clients.engine import ATTEMPT_HEADER, NOT_RUN_HEADER, limit_silence
-from ashpond.clients.http import NOT_SENT_ERRORS, read_rest
+from ashpond.clients.http import NOT_SENT_ERRORS, read_backoff
 from ashpond.outcomes import Answered, MaybeRun, NotRun
 
 SERVER_ERROR = 500
@@ -79,10 +79,10 @@
         return MaybeRun(repr(error))
     if response.headers.get(NOT_RUN_HEADER) == "true":
         reason = f"refused with status {response.status_code}"
-        return NotRun(reason, rest=read_rest(response))
+        return NotRun(reason, backoff=read_backoff(response))
     if response.status_code >= SERVER_ERROR:
         reason = f"failed with status {response.status_code}"
-        return MaybeRun(reason, read_rest(response))
+        return MaybeRun(reason, read_backoff(response))
     echo = response.headers.get(ATTEMPT_HEADER)
     if echo not in (None, request.attempt):
         return MaybeRun("the answer belongs to another request")
--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -65,7 +65,7 @@
         # Whether an answer has said so; its row may say it much later.
         self.is_leaving = False
         # Until when the server wants no request from this instance.
-        self.resting_until = 0.0
+        self.backoff_until = 0.0
         self.rate_limit = NO_LIMIT
         # When an answer here raised or lifted the limit, until that is told again.
         self.limit_raised_at: float | None = None
@@ -96,15 +96,15 @@
 
     def is_barred(self, now: float) -> bool:
         """Return whether the server itself has asked for no new work now."""
-        return now < max(self.paced_until, self.resting_until)
+        return now < max(self.paced_until, self.backoff_until)
 
     def find_return(self, now: float) -> float:
-        """Return when a request that comes back may be taken, by the server's words.
+        """Return when a request that comes back may be taken, by what the server says.
 
         A permit may be had elsewhere before this instance asks for one again.
         """
         paced_until = min(self.paced_until, now + MOST_PACED_SECONDS)
-        return max(now, self.resting_until, paced_until)
+        return max(now, self.backoff_until, paced_until)
 
     def may_return(self) -> bool:
         """Return whether the server may get new work, now or later, as it is known."""
@@ -263,7 +263,7 @@
     def note_leaving(self, state: ServerState) -> None:
         """Send no new work to a start of a server any more.
 
-        Its row may be older than its word, also one that comes back after it had gone.
+        Its row may be older than its answer, also one that is back after it had gone.
         """
         state.is_leaving = True
         self._leaving[state.info.id, state.info.born] = None
--- a/ashpond/controllers/engines.py
+++ b/ashpond/controllers/engines.py
@@ -321,22 +321,22 @@
             self._metrics.ejections.inc({"server": name})
             logger.warning("server_ejected", extra={"server": name})
 
-    def note_rest(self, name: str, seconds: float) -> None:
+    def note_backoff(self, name: str, seconds: float) -> None:
         """Leave a server alone for as long as it has asked for."""
         state = self.servers.get(name)
         if state is not None:
-            state.health.note_rest(trio.current_time(), seconds)
-            logger.notice("server_rest", extra={"server": name, "seconds": seconds})
+            state.health.note_backoff(trio.current_time(), seconds)
+            logger.notice("server_backoff", extra={"server": name, "seconds": seconds})
 
     def find_return(self, service: str) -> float | None:
-        """Return in how many seconds the first server of a service ends its rest.
+        """Return in how many seconds the first backoff of a service ends.
 
         None if one takes work now, or all leave.
         """
         now = trio.current_time()
         healths = [state.health for state in self.list_of_service(service)]
         staying = [health for health in healths if not health.draining]
-        wait = min((h.resting_until for h in staying), default=now) - now
+        wait = min((h.backoff_until for h in staying), default=now) - now
         return wait if wait > 0 else None
 
     def is_silent(self, name: str) -> bool:
--- a/ashpond/controllers/serverstatements.py
+++ b/ashpond/controllers/serverstatements.py
@@ -23,10 +23,10 @@
 # Gets a server whose limit has changed, and its limit before (requests a second).
 OnLimit = Callable[["ServerState", float | None], None]
 MISDIRECTED = 421
-# A server that asks for more is asked again after this (seconds).
-MOST_REST_SECONDS = 3600.0
+# A longer backoff is kept for so long (seconds).
+MOST_BACKOFF_SECONDS = 3600.0
 # Instances that were rejected together return one after the other: each up to this
-# share of the rest later, and no more than so many seconds.
+# share of the backoff later, and no more than so many seconds.
 SPREAD_SHARE = 0.1
 MOST_SPREAD_SECONDS = 0.5
 
@@ -75,10 +75,10 @@
         if marks.is_leaving:
             self._note_leaving(state, "answer")
         if status in REJECTIONS:
-            self._take_rest(state, marks)
+            self._take_backoff(state, marks)
 
     def take_notice(self, state: ServerState, notice: ServerNotice) -> None:
-        """Take a peer's word of what a server says."""
+        """Take a notice of a peer of what a server says."""
         if notice.is_leaving:
             self._note_leaving(state, "peer")
         if notice.limit is not None:
@@ -116,7 +116,7 @@
         """Tell once more of a limit that was raised or lifted a moment ago.
 
         A peer that read an answer with the limit before, just then, does not believe
-        the first word: it cannot tell which of the two is older.
+        the first notice: it cannot tell which of the two is older.
         """
         raised_at = state.limit_raised_at
         if raised_at is not None and sent_at >= raised_at + 2 * NEWS_SECONDS:
@@ -145,22 +145,22 @@
             notice = ServerNotice(info.id, "", 0, 0.0, born=info.born, is_leaving=True)
             self._tell(notice)
 
-    def _take_rest(self, state: ServerState, marks: AnswerMarks) -> None:
-        """Take for how long a server wants no request from this instance."""
-        if marks.is_rest_invalid:
-            self._note(state, "server_rest_invalid")
-        if marks.rest is None:
+    def _take_backoff(self, state: ServerState, marks: AnswerMarks) -> None:
+        """Take the backoff that a server asks this instance for."""
+        if marks.is_backoff_invalid:
+            self._note(state, "server_backoff_invalid")
+        if marks.backoff is None:
             return
         now = trio.current_time()
-        seconds = min(marks.rest, MOST_REST_SECONDS)
+        seconds = min(marks.backoff, MOST_BACKOFF_SECONDS)
         spread = self._rng.uniform(0, min(MOST_SPREAD_SECONDS, seconds * SPREAD_SHARE))
         until = now + seconds + spread
-        if until > state.resting_until:
-            state.resting_until = until
+        if until > state.backoff_until:
+            state.backoff_until = until
             self._note(
                 state,
-                "server_rest",
-                asked=marks.rest,
+                "server_backoff",
+                asked=marks.backoff,
                 seconds=round(until - now, 3),
             )
 
--- a/ashpond/decisions/health.py
+++ b/ashpond/decisions/health.py
@@ -10,8 +10,8 @@
 EJECT_SECONDS = 1.0
 EJECT_LIMIT_SECONDS = 15.0
 SILENCE_SECONDS = 3.0
-# A server that asks for more rest is asked again after this.
-MOST_REST_SECONDS = 3600.0
+# A longer backoff is kept for so long.
+MOST_BACKOFF_SECONDS = 3600.0
 
 
 class ServerHealth:
@@ -24,7 +24,7 @@
         self.probing = False
         self.draining = False
         # Until when the server wants no request from this instance.
-        self.resting_until = 0.0
+        self.backoff_until = 0.0
         self.last_heard = now
 
     def note_answer(self, now: float) -> None:
@@ -53,14 +53,14 @@
         self.ejected_until = now + min(pause, EJECT_LIMIT_SECONDS)
         return True
 
-    def note_rest(self, now: float, seconds: float) -> None:
+    def note_backoff(self, now: float, seconds: float) -> None:
         """Record for how long the server wants no request; the longest word counts."""
-        until = now + min(seconds, MOST_REST_SECONDS)
-        self.resting_until = max(self.resting_until, until)
+        until = now + min(seconds, MOST_BACKOFF_SECONDS)
+        self.backoff_until = max(self.backoff_until, until)
 
     def is_kept_out(self, now: float) -> bool:
         """Return whether the server itself has said that it takes no new work now."""
-        return self.draining or now < self.resting_until
+        return self.draining or now < self.backoff_until
 
     def allows_work(self, now: float) -> bool:
         """Return whether the server may get a request, or one as a probe."""
@@ -89,7 +89,7 @@
 ) -> list[str]:
     """Return the servers that get new work, never leaving out all.
 
-    A server that leaves, or has asked for rest, is always left out. If all others
+    A server that leaves, or has asked for a backoff, is always left out. If all others
     look bad at once, the sign is more likely wrong than the servers are: then
     those that still report are used, or else every one.
     """
--- a/ashpond/decisions/ratelimits.py
+++ b/ashpond/decisions/ratelimits.py
@@ -78,13 +78,13 @@
 def weigh_told_limit(
     known: RateLimit, rate: float | None, age: float, now: float
 ) -> RateLimit:
-    """Return the limit that holds after a peer's word.
+    """Return the limit that holds after a notice of a peer.
 
     A limit is not believed where an answer that names none has been read here since: if
     it holds, the next answer names it as well.
 
-    :param age: how long before its word the peer sent the request whose answer it
-        speaks of (seconds).
+    :param age: how long before the notice the request was sent whose answer it
+        tells of (seconds).
     """
     told_at = now - age
     if known.rate is None and told_at < known.seen_at:
--- a/ashpond/emulator/scenarios.py
+++ b/ashpond/emulator/scenarios.py
@@ -22,15 +22,15 @@
     """What an engine says of itself in its answers."""
 
     LIMIT = "limit"
-    REST = "rest"
+    BACKOFF = "backoff"
     LEAVING = "leaving"
 
 
 class EngineStatement(NamedTuple):
     """An engine says something of itself for a while (seconds).
 
-    ``value`` is a rate limit in requests a second, or the rest in seconds that it asks
-    for with each rejection; an engine that rests rejects all.
+    ``value`` is a rate limit in requests a second, or the backoff in seconds that it
+    asks for with each rejection; such an engine rejects all.
     """
 
     at: float
--- a/ashpond/emulator/wire.py
+++ b/ashpond/emulator/wire.py
@@ -24,7 +24,7 @@
 from ashpond.outcomes import NotRun
 
 NOT_RUN: Headers = [(b"not-run", b"1")]
-REST = b"rest"
+BACKOFF = b"backoff"
 LIMIT = b"limit"
 LEAVING = b"leaving"
 DEFAULT_URGENCY = 5
@@ -60,7 +60,7 @@
             None,
             rate_limit=float(marks[LIMIT]) if LIMIT in marks else None,
             is_leaving=LEAVING in marks,
-            rest=float(marks[REST]) if REST in marks else None,
+            backoff=float(marks[BACKOFF]) if BACKOFF in marks else None,
         )
 
     return Codec(lambda headers: None, write_headers, read_marks)
@@ -128,8 +128,8 @@
         assert prompt is not None
         self.engine.arrivals.append(trio.current_time())
         said = format_statement(self.engine)
-        is_resting = any(name == REST for name, _ in said)
-        if self.engine.ordered_version is not None or is_resting:
+        is_rejecting = any(name == BACKOFF for name, _ in said)
+        if self.engine.ordered_version is not None or is_rejecting:
             return EmulatedResponse(503, [*NOT_RUN, *said], None)
         if instructions.weights_version != self.engine.version:
             return EmulatedResponse(421, said, None)
--- a/ashpond/filters/dispatch.py
+++ b/ashpond/filters/dispatch.py
@@ -182,8 +182,8 @@
             return
         if isinstance(outcome, NotRun):
             call.progress.run = before
-        if outcome.rest is not None:
-            self._engines.note_rest(placement.server, outcome.rest)
+        if outcome.backoff is not None:
+            self._engines.note_backoff(placement.server, outcome.backoff)
         refused = isinstance(outcome, NotRun) and outcome.unreached
         if refused or isinstance(outcome, MaybeRun):
             self._engines.note_failure(placement.server, refused=refused)
--- a/ashpond/gateway/calls.py
+++ b/ashpond/gateway/calls.py
@@ -60,9 +60,10 @@
     """What the headers of a backend server's answer say to the router.
 
     ``rate_limit`` is in requests a second, from all instances together; None if the
-    answer names none. ``is_leaving`` tells that the server leaves; ``rest`` is for how
-    long it wants no request from here (seconds). ``is_limit_invalid``,
-    ``is_leaving_invalid`` and ``is_rest_invalid`` tell of values that cannot be read.
+    answer names none. ``is_leaving`` tells that the server leaves; ``backoff``
+    is for how long it wants no request from here (seconds). ``is_limit_invalid``,
+    ``is_leaving_invalid`` and ``is_backoff_invalid`` tell of values that cannot be
+    read.
     """
 
     request_id: str | None
@@ -73,8 +74,8 @@
     is_limit_invalid: bool = False
     is_leaving: bool = False
     is_leaving_invalid: bool = False
-    rest: float | None = None
-    is_rest_invalid: bool = False
+    backoff: float | None = None
+    is_backoff_invalid: bool = False
 
 
 class Codec(NamedTuple):
--- a/ashpond/gateway/places.py
+++ b/ashpond/gateway/places.py
@@ -144,7 +144,7 @@
                 self._waiters.remove(waiter)
 
     def find_return(self, demand: Demand, now: float) -> float:
-        """Return from when on a server may take a request, by the servers' own words.
+        """Return from when on a server may take a request, by what the servers say.
 
         Infinite if all leave; ``now`` if none is known, or one has asked for nothing.
         """
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -185,7 +185,7 @@
             if lag.state.info.id not in self._ordering
             and now >= self._paused_until.get(lag.state.info.id, 0.0)
             and not (lag.state.unreached and now < lag.state.closed_until)
-            and now >= lag.state.resting_until
+            and now >= lag.state.backoff_until
         ]
         waiting.sort(key=lambda lag: self._table.sum_load(lag.state.info.id, now))
         room = self._count_loading_places(now) - len(self._ordering)
--- a/ashpond/gateway/sends.py
+++ b/ashpond/gateway/sends.py
@@ -87,8 +87,8 @@
         """
         if not state.is_present():
             return "the server is leaving"
-        if trio.current_time() < state.resting_until:
-            return "the server has asked for rest"
+        if trio.current_time() < state.backoff_until:
+            return "the server has asked for a backoff"
         if not state.is_limited:
             return None
         permitted_at = self._place.permitted_at
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -71,7 +71,7 @@
         "born": state.info.born,
         "rate_limit": state.rate_limit.rate,
         "leaving": state.is_leaving,
-        "rests_for_seconds": round(max(0.0, state.resting_until - now), 3),
+        "backoff_seconds": round(max(0.0, state.backoff_until - now), 3),
         "weights": state.weights,
         "load": gateway.table.sum_load(state.info.id, now)._asdict(),
         "failure_share": round(state.failure_share, 3),
--- a/ashpond/outcomes.py
+++ b/ashpond/outcomes.py
@@ -79,20 +79,20 @@
 class NotRun(NamedTuple):
     """An attempt had no effect: never sent, or refused by the server itself.
 
-    ``unreached`` tells that no connection to the server could be made. ``rest`` is for
-    how long the server asked for no request, None if it did not (seconds).
+    ``unreached`` tells that no connection to the server could be made. ``backoff`` is
+    for how long the server asked for no request, None if it did not (seconds).
     """
 
     reason: str
     unreached: bool = False
-    rest: float | None = None
+    backoff: float | None = None
 
 
 class MaybeRun(NamedTuple):
     """Bytes of an attempt left this instance and its result is not known.
 
-    ``rest`` is as in :class:`NotRun`.
+    ``backoff`` is as in :class:`NotRun`.
     """
 
     reason: str
-    rest: float | None = None
+    backoff: float | None = None
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -269,4 +269,4 @@
             outcome = await send_request(client, address, request)
         nursery.cancel_scope.cancel()
     assert not isinstance(outcome, Answered)
-    assert outcome.rest == rest
+    assert outcome.backoff == rest
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -103,7 +103,7 @@
         "crashes",
         "burst",
         "limits",
-        "rests",
+        "backoffs",
         "leaves",
     }
 
@@ -158,7 +158,7 @@
     [
         (LIMIT,),
         (LIMIT, LIMIT._replace(at=6.0, engine=1, seconds=8.0, value=0.0)),
-        (EngineStatement(4.0, 0, 8.0, StatementKind.REST, 3.0),),
+        (EngineStatement(4.0, 0, 8.0, StatementKind.BACKOFF, 3.0),),
         (EngineStatement(4.0, 0, 16.0, StatementKind.LEAVING),),
     ],
 )
@@ -182,7 +182,7 @@
             seconds=20.0,
             statements=(
                 LIMIT,
-                EngineStatement(4.0, 1, 8.0, StatementKind.REST, 3.0),
+                EngineStatement(4.0, 1, 8.0, StatementKind.BACKOFF, 3.0),
                 EngineStatement(4.0, 2, 16.0, StatementKind.LEAVING),
             ),
         )
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -413,7 +413,7 @@
     status: int, autojump_clock: object
 ) -> None:
     bench = await run_call(Answer(status, headers=REST), route=NON_IDEMPOTENT)
-    assert not any(state.resting_until for state in bench.table.list_all())
+    assert not any(state.backoff_until for state in bench.table.list_all())
     assert bench.reply.get(b"retry-after") == b"3"
 
 
@@ -425,4 +425,4 @@
             Answer(503, headers=((b"retry-after", seconds), *NOT_RUN)), table=table
         )
         state.closed_until = 0.0
-    assert 5.0 <= state.resting_until - trio.current_time() <= 5.5
+    assert 5.0 <= state.backoff_until - trio.current_time() <= 5.5
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -116,7 +116,7 @@
     """It would be held until its wait is over, and be refused then."""
     places = make_places(make_table(make_server("a"), make_server("b")))
     states = places.table.by_id
-    states["a"].resting_until, states["b"].resting_until = 5.0, 3.0
+    states["a"].backoff_until, states["b"].backoff_until = 5.0, 3.0
     demand = make_demand(make_prompt())
     assert await places.take(demand, 1, 2.0) is None
     assert trio.current_time() == 0.0
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -238,12 +238,12 @@
 ) -> None:
     """Of several the longest counts."""
     marks = read_marks([DATE, *((b"Retry-After", value) for value in values)])
-    assert (marks.rest, marks.is_rest_invalid) == expected
+    assert (marks.backoff, marks.is_backoff_invalid) == expected
 
 
 @given(st.lists(st.binary(max_size=40), max_size=3))
 def test_whatever_a_server_says_of_itself_makes_marks(values: list[bytes]) -> None:
     names = (b"retry-after", b"server-limit", b"server-leaving", b"date")
     marks = read_marks([(name, value) for name in names for value in values])
-    assert marks.rest is None or 0 <= marks.rest < float("inf")
+    assert marks.backoff is None or 0 <= marks.backoff < float("inf")
     assert marks.rate_limit is None or 0 <= marks.rate_limit < float("inf")
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -207,12 +207,12 @@
 
 def test_a_server_that_rests_is_left_out_though_all_others_look_bad():
     health = {name: ServerHealth(0.0) for name in NAMES}
-    health[NAMES[0]].note_rest(1.0, 3.0)
-    health[NAMES[0]].note_rest(1.0, 1.0)
+    health[NAMES[0]].note_backoff(1.0, 3.0)
+    health[NAMES[0]].note_backoff(1.0, 1.0)
     for name in NAMES[1:]:
         health[name].note_failure(1.0, refused=True)
     assert NAMES[0] not in select_usable(NAMES, health, 3.9)
     for name in NAMES:
-        health[name].note_rest(5.0, 2.0)
+        health[name].note_backoff(5.0, 2.0)
     assert not select_usable(NAMES, health, 6.0)
     assert select_usable(NAMES, health, 7.0)
