--- a/tests/soak/statements.py
+++ b/tests/soak/statements.py
@@ -1,4 +1,4 @@
-"""Servers of the soak that name limits, ask for rest and leave, and what must hold."""
+"""Servers of the soak that name limits, ask for backoffs and leave; what must hold."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 import trio
 
 from tests.statements import (
+    BACKOFF_SLACK,
     LEAVING_SECONDS,
     LIMIT_SETTLED_SECONDS,
     LIMIT_SHARE,
     LIMIT_SLACK,
     LIMIT_WINDOW_SECONDS,
-    REST_SLACK,
     SILENT,
     TOLD_SECONDS,
     Statement,
@@ -28,8 +28,8 @@
 BETWEEN_SECONDS = (0.1, 0.8)
 LIMITS = (0.0, 0.5, 1.5, 6.0)
 LIMITED_SECONDS = (3.5, 7.0)
-RESTS = (0.3, 1.0, 2.5)
-RESTING_SECONDS = (0.5, 2.5)
+BACKOFFS = (0.3, 1.0, 2.5)
+REJECTING_SECONDS = (0.5, 2.5)
 # From a server's first word that it leaves until its entry goes.
 LISTED_SECONDS = (1.0, 4.0)
 MOST_LEAVING = 3
@@ -58,7 +58,7 @@
 
     async def run(self) -> None:
         """Play statements until cancelled."""
-        kinds = [self._name_limit, self._name_limit, self._ask_for_rest, self._leave]
+        kinds = [self._name_limit, self._name_limit, self._ask_for_backoff, self._leave]
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self._rng.uniform(*BETWEEN_SECONDS))
@@ -82,10 +82,10 @@
             phase = Phase(server.server_id, rate, begin, end)
             self._world.ledger.phases.append(phase)
 
-    async def _ask_for_rest(self, server: Server) -> None:
-        server.statement = Statement(503, rest=self._rng.choice(RESTS))
+    async def _ask_for_backoff(self, server: Server) -> None:
+        server.statement = Statement(503, backoff=self._rng.choice(BACKOFFS))
         try:
-            await trio.sleep(self._rng.uniform(*RESTING_SECONDS))
+            await trio.sleep(self._rng.uniform(*REJECTING_SECONDS))
         finally:
             server.statement = SILENT
 
@@ -105,7 +105,7 @@
     overruns = _Overruns(world)
     return [
         *overruns.list_after_leaving(),
-        *overruns.list_in_rests(),
+        *overruns.list_in_backoffs(),
         *overruns.list_over_limits(),
     ]
 
@@ -151,22 +151,24 @@
                     )
         return broken
 
-    def list_in_rests(self) -> list[str]:
+    def list_in_backoffs(self) -> list[str]:
         broken = []
         for word in self._world.ledger.told:
-            rest = word.statement.rest
-            name = self._find_told(word) if rest is not None else None
-            if rest is None or name is None:
+            backoff = word.statement.backoff
+            name = self._find_told(word) if backoff is not None else None
+            if backoff is None or name is None:
                 continue
-            end = word.at + rest
+            end = word.at + backoff
             sent = [
                 at
                 for at in self._reached[word.server, name]
                 if word.at + TOLD_SECONDS <= at < end
             ]
             excused = self._is_excused(word.server, name, word.at, end)
-            if len(sent) > REST_SLACK and not excused:
-                broken.append(f"{name} sent {len(sent)} to {word.server} in its rest")
+            if len(sent) > BACKOFF_SLACK and not excused:
+                broken.append(
+                    f"{name} sent {len(sent)} to {word.server} in its backoff"
+                )
         return broken
 
     def list_over_limits(self) -> list[str]:
--- a/tests/statements.py
+++ b/tests/statements.py
@@ -12,8 +12,8 @@
 LIMIT_SETTLED_SECONDS = 3.0
 # From an instance's word that a server leaves until it gets nothing more from there.
 LEAVING_SECONDS = 2.0
-# So many requests may reach a server in the rest that it asked an instance for.
-REST_SLACK = 2
+# So many requests may reach a server in a backoff that it asked an instance for.
+BACKOFF_SLACK = 2
 # An instance is bound from so long after it was told.
 TOLD_SECONDS = 0.5
 
@@ -27,7 +27,7 @@
     status: int = 200
     limit: float | None = None
     is_leaving: bool = False
-    rest: float | None = None
+    backoff: float | None = None
 
     def format_headers(self) -> str:
         """Return the header lines of the answer."""
@@ -38,8 +38,8 @@
             lines += f"Server-Limit: {self.limit}\r\n"
         if self.is_leaving:
             lines += "Server-Leaving: 1\r\n"
-        if self.rest is not None:
-            lines += f"Retry-After: {self.rest}\r\n"
+        if self.backoff is not None:
+            lines += f"Retry-After: {self.backoff}\r\n"
         return lines
 
 
--- a/tests/stating.py
+++ b/tests/stating.py
@@ -145,8 +145,8 @@
     ]
 
 
-def count_in_rests(reached: Iterable[Reached], stated: Iterable[Stated]) -> int:
-    """Return the most requests that reached a server in a rest it had asked for."""
+def count_in_backoffs(reached: Iterable[Reached], stated: Iterable[Stated]) -> int:
+    """Return the most requests that reached a server in a backoff it had asked for."""
     arrivals = group_by_server(reached)
     return max(
         (
@@ -154,10 +154,10 @@
                 1
                 for one in arrivals[word.server]
                 if one.instance == word.instance
-                and word.at + TOLD_SECONDS <= one.at < word.at + word.statement.rest
+                and word.at + TOLD_SECONDS <= one.at < word.at + word.statement.backoff
             )
             for word in stated
-            if word.statement.rest is not None
+            if word.statement.backoff is not None
         ),
         default=0,
     )
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -238,7 +238,7 @@
 
 
 @pytest.mark.parametrize(
-    ("head", "rest"),
+    ("head", "backoff"),
     [
         (b"503 No\r\nX-Not-Run: true\r\nRetry-After: 2.5", 2.5),
         (b"429 No\r\nX-Not-Run: true\r\nRetry-After: 1\r\nRetry-After: 4", 4.0),
@@ -248,8 +248,8 @@
     ],
 )
 @pytest.mark.parametrize("is_plain", [True, False])
-async def test_the_rest_that_a_server_asks_for_is_read(
-    head: bytes, rest: float | None, is_plain: bool
+async def test_the_backoff_that_a_server_asks_for_is_read(
+    head: bytes, backoff: float | None, is_plain: bool
 ) -> None:
     async def reject(stream: trio.SocketStream) -> None:
         await read_request(stream)
@@ -269,4 +269,4 @@
             outcome = await send_request(client, address, request)
         nursery.cancel_scope.cancel()
     assert not isinstance(outcome, Answered)
-    assert outcome.backoff == rest
+    assert outcome.backoff == backoff
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -391,15 +391,15 @@
         assert not state.is_limited
 
 
-REST = ((b"retry-after", b"3"),)
+BACKOFF = ((b"retry-after", b"3"),)
 
 
-async def test_a_server_that_rests_is_not_tried_even_if_it_is_the_only_one(
+async def test_a_server_in_a_backoff_is_not_tried_even_if_it_is_the_only_one(
     autojump_clock: object,
 ) -> None:
     """The request is refused at once, with the time at which the server is back."""
     table = make_table(make_server("a"))
-    await run_call(Answer(503, headers=(*REST, *NOT_RUN)), table=table)
+    await run_call(Answer(503, headers=(*BACKOFF, *NOT_RUN)), table=table)
     bench = await run_call(table=table)
     assert not bench.pool.requests
     assert bench.reply.status == 503
@@ -412,12 +412,12 @@
 async def test_a_time_that_is_for_the_client_closes_no_server(
     status: int, autojump_clock: object
 ) -> None:
-    bench = await run_call(Answer(status, headers=REST), route=NON_IDEMPOTENT)
+    bench = await run_call(Answer(status, headers=BACKOFF), route=NON_IDEMPOTENT)
     assert not any(state.backoff_until for state in bench.table.list_all())
     assert bench.reply.get(b"retry-after") == b"3"
 
 
-async def test_the_longest_of_several_rests_counts(autojump_clock: object) -> None:
+async def test_the_longest_of_several_backoffs_counts(autojump_clock: object) -> None:
     table = make_table(make_server("a"))
     state = table.by_id["a"]
     for seconds in (b"5", b"1"):
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -205,7 +205,7 @@
     assert rows[0].budget_left < 0
 
 
-def test_a_server_that_rests_is_left_out_though_all_others_look_bad():
+def test_a_server_in_a_backoff_is_left_out_though_all_others_look_bad():
     health = {name: ServerHealth(0.0) for name in NAMES}
     health[NAMES[0]].note_backoff(1.0, 3.0)
     health[NAMES[0]].note_backoff(1.0, 1.0)
