--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -70,6 +70,12 @@
         self.ledger = ledger
         # What it says of itself in its answers at present.
         self.statement = SILENT
+        self.is_speaking = False
+
+    def fall_silent(self) -> None:
+        """Say nothing more of itself."""
+        self.statement = SILENT
+        self.is_speaking = False
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Answer requests on one connection until it ends."""
--- a/tests/soak/statements.py
+++ b/tests/soak/statements.py
@@ -16,7 +16,6 @@
     LIMIT_SHARE,
     LIMIT_SLACK,
     LIMIT_WINDOW_SECONDS,
-    SILENT,
     TOLD_SECONDS,
     Statement,
 )
@@ -62,13 +61,12 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self._rng.uniform(*BETWEEN_SECONDS))
-                silent = [
-                    server
-                    for server in self._world.servers.values()
-                    if server.statement == SILENT
-                ]
+                servers = self._world.servers.values()
+                silent = [server for server in servers if not server.is_speaking]
                 if len(silent) > 1:
-                    nursery.start_soon(self._rng.choice(kinds), silent[0])
+                    server = self._rng.choice(silent)
+                    server.is_speaking = True
+                    nursery.start_soon(self._rng.choice(kinds), server)
 
     async def _name_limit(self, server: Server) -> None:
         rate = self._rng.choice(LIMITS)
@@ -77,7 +75,7 @@
         try:
             await trio.sleep(self._rng.uniform(*LIMITED_SECONDS))
         finally:
-            server.statement = SILENT
+            server.fall_silent()
             end = trio.current_time()
             phase = Phase(server.server_id, rate, begin, end)
             self._world.ledger.phases.append(phase)
@@ -87,11 +85,12 @@
         try:
             await trio.sleep(self._rng.uniform(*REJECTING_SECONDS))
         finally:
-            server.statement = SILENT
+            server.fall_silent()
 
     async def _leave(self, server: Server) -> None:
         """Leave for good; another server takes its place at once."""
         if self._left >= MOST_LEAVING:
+            server.fall_silent()
             return
         self._left += 1
         server.statement = Statement(is_leaving=True)
