--- /dev/null
+++ b/tests/test_serverstatements.py
@@ -0,0 +1,80 @@
+"""What answers say of their servers, and what becomes of calls after it."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from ashpond.decisions.declared import Route
+from tests.gateway_builders import make_server, make_table
+from tests.scripted import BROKEN, NON_IDEMPOTENT, NOT_RUN, STREAM, Answer, run_call
+
+LEAVING = ((b"server-leaving", b"1"),)
+
+
+@pytest.mark.parametrize(
+    ("answer", "route"),
+    [
+        (Answer(200, headers=LEAVING), None),
+        (Answer(500, headers=LEAVING), NON_IDEMPOTENT),
+        (Answer(421, headers=LEAVING), None),
+        (Answer(503, headers=(*LEAVING, *NOT_RUN)), None),
+        (Answer(200, headers=LEAVING), STREAM),
+        (Answer(200, (b"half",), LEAVING, BROKEN), STREAM),
+        (Answer(200, (b"half",), LEAVING, BROKEN), None),
+    ],
+)
+async def test_whichever_answer_says_so_its_server_leaves(
+    answer: Answer, route: Route | None, autojump_clock: object
+) -> None:
+    bench = await run_call(answer, Answer(), route=route)
+    first = bench.pool.requests[0][0]
+    leaving = [state.info.id for state in bench.table.list_all() if state.is_leaving]
+    assert leaving == [first]
+
+
+async def test_what_another_server_at_the_address_says_is_not_of_this_one(
+    autojump_clock: object,
+) -> None:
+    other = (*LEAVING, (b"server-limit", b"1"), (b"x-instance-id", b"other"))
+    bench = await run_call(Answer(421, headers=other), Answer())
+    for state in bench.table.list_all():
+        assert not state.is_leaving
+        assert not state.is_limited
+
+
+BACKOFF = ((b"retry-after", b"3"),)
+
+
+async def test_a_server_in_a_backoff_is_not_tried_even_if_it_is_the_only_one(
+    autojump_clock: object,
+) -> None:
+    """The request is refused at once, with the time at which the server is back."""
+    table = make_table(make_server("a"))
+    await run_call(Answer(503, headers=(*BACKOFF, *NOT_RUN)), table=table)
+    bench = await run_call(table=table)
+    assert not bench.pool.requests
+    assert bench.reply.status == 503
+    assert bench.reply.ended_at == trio.current_time()
+    wait = float(bench.reply.get(b"retry-after") or 0)
+    assert 2.9 <= wait <= 3.5
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+async def test_a_time_that_is_for_the_client_closes_no_server(
+    status: int, autojump_clock: object
+) -> None:
+    bench = await run_call(Answer(status, headers=BACKOFF), route=NON_IDEMPOTENT)
+    assert not any(state.backoff_until for state in bench.table.list_all())
+    assert bench.reply.get(b"retry-after") == b"3"
+
+
+async def test_the_longest_of_several_backoffs_counts(autojump_clock: object) -> None:
+    table = make_table(make_server("a"))
+    state = table.by_id["a"]
+    for seconds in (b"5", b"1"):
+        await run_call(
+            Answer(503, headers=((b"retry-after", seconds), *NOT_RUN)), table=table
+        )
+        state.closed_until = 0.0
+    assert 5.0 <= state.backoff_until - trio.current_time() <= 5.5
