--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -46,6 +46,7 @@
 from ashpond.gateway.metrics import GatewayMetrics
 from ashpond.gateway.reservations import ReservationQueue
 from ashpond.gateway.rollouts import RolloutController
+from ashpond.gateway.serverchoice import ServerChooser
 from ashpond.gateway.store import StoreClock
 from ashpond.standins.tables import MemoryStore
 
@@ -117,7 +118,7 @@
             cache_index.note_read(state.info.id, salt, prompt, now)
         )
 
-    reservations = ReservationQueue(
+    chooser = ServerChooser(
         table,
         cache_index,
         CacheStores(),
@@ -127,6 +128,7 @@
         find_required_version,
         rng,
     )
+    reservations = ReservationQueue(table, chooser)
     permits = Permits(
         environment.coordinator, lambda outcome: None, rng, reservations.assign
     )
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -41,6 +41,7 @@
 from ashpond.gateway.replies import send_refusal
 from ashpond.gateway.reservations import ReservationQueue
 from ashpond.gateway.rollouts import RolloutController
+from ashpond.gateway.serverchoice import ServerChooser
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
 from ashpond.gateway.signals import watch_signals
 from ashpond.gateway.status import render_status
@@ -121,7 +122,7 @@
             lambda: self.members.count(),
         )
         self.leave_event = trio.Event()
-        self.slot_queue = ReservationQueue(
+        self.chooser = ServerChooser(
             self.table,
             self.cache_index,
             self.cache_stores,
@@ -132,6 +133,7 @@
             self.rng,
             lambda: bool(self.peers.links.group),
         )
+        self.slot_queue = ReservationQueue(self.table, self.chooser)
         self.directives = ServerDirectives(
             self.table,
             log,
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -32,6 +32,7 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.metrics import GatewayMetrics
 from ashpond.gateway.reservations import ReservationQueue
+from ashpond.gateway.serverchoice import ServerChooser
 from ashpond.gateway.settings import GatewaySettings
 from ashpond.gateway.store import Snapshot, StoreClock
 from ashpond.standins.tables import MemoryStore
@@ -140,11 +141,16 @@
     return Demand(service, prompt.model if prompt else None, prompt, "shared")
 
 
-def make_reservations(
-    table: ServerTable, cache_index: CacheIndex | None = None, required: int = 0
-) -> ReservationQueue:
+def make_chooser(
+    table: ServerTable,
+    cache_index: CacheIndex | None = None,
+    required: int = 0,
+    *,
+    rng: random.Random | None = None,
+    has_delayed_updates: bool = False,
+) -> ServerChooser:
     declaration = make_declaration()
-    return ReservationQueue(
+    return ServerChooser(
         table,
         cache_index or CacheIndex(),
         CacheStores(),
@@ -152,10 +158,17 @@
         lambda: declaration,
         lambda model, now: 0,
         lambda model, now: required,
-        random.Random(1),
+        rng or random.Random(1),
+        lambda: has_delayed_updates,
     )
 
 
+def make_reservations(
+    table: ServerTable, cache_index: CacheIndex | None = None, required: int = 0
+) -> ReservationQueue:
+    return ReservationQueue(table, make_chooser(table, cache_index, required))
+
+
 def make_crash(
     server_id: str = "s1", at: float = 1000.0, **changes: object
 ) -> ServerCrash:
--- a/tests/test_gateway_selection.py
+++ b/tests/test_gateway_selection.py
@@ -246,7 +246,7 @@
     store = StoreContents(CacheStore("10.0.0.9:80", "north"))
     store.is_up = True
     store.is_complete = is_complete
-    places.stores.by_address[store.store.address] = store
+    places.chooser.stores.by_address[store.store.address] = store
     now = trio.current_time()
     place = await places.reserve(make_demand(prompt), 1, now)
     assert place is not None
--- a/tests/test_late_updates.py
+++ b/tests/test_late_updates.py
@@ -18,8 +18,8 @@
 from ashpond.gateway.reservations import Reservation, ReservationQueue
 from tests.gateway_builders import (
     MODEL,
+    make_chooser,
     make_demand,
-    make_reservations,
     make_server,
     make_table,
 )
@@ -57,9 +57,10 @@
         self.queues: list[ReservationQueue] = []
         for number in range(INSTANCES):
             table = make_table(*servers)
-            queue = make_reservations(table)
-            queue._rng = random.Random(number)
-            queue._has_delayed_updates = lambda: samples
+            chooser = make_chooser(
+                table, rng=random.Random(number), has_delayed_updates=samples
+            )
+            queue = ReservationQueue(table, chooser)
             self.tables.append(table)
             self.queues.append(queue)
         self.read_until = dict.fromkeys((s.id for s in servers), 0.0)
