Add the messages and terms of coordinated placement

Two message kinds, their encoding, and the interface between a coordinator and the instances that ask it.

--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -21,6 +21,8 @@
     "Notices",
     "PeerMessage",
     "PeerStream",
+    "PlacementAnswer",
+    "PlacementQuery",
     "CrashReport",
     "TableChanges",
     "query_peer",
@@ -33,13 +35,34 @@
 import hmac
 import secrets
 import struct
-from typing import Any, NamedTuple, get_origin, get_type_hints
+from typing import Any
 
 import msgpack
 import trio
 
 from ashpond.addresses import parse_address
 from ashpond.clients.liveness import enable_dead_peer_detection
+from ashpond.clients.peermessages import (
+    FIELD_TYPES,
+    KIND_NAMES,
+    KINDS,
+    AllowanceAnswer,
+    AllowanceQuery,
+    AttemptAnswer,
+    AttemptQuery,
+    CacheAnswer,
+    CacheRequest,
+    ConfigAnswer,
+    ConfigRequest,
+    CrashReport,
+    Facts,
+    Notices,
+    PeerMessage,
+    PeerUpdate,
+    PlacementAnswer,
+    PlacementQuery,
+    TableChanges,
+)
 from ashpond.errors import FrameError
 from ashpond.outcomes import Unavailable
 
@@ -53,184 +76,6 @@
 CLIENT_ROLE = b"client"
 
 
-class Facts(NamedTuple):
-    """Membership facts as lists of [origin, epoch, sequence, body]."""
-
-    sender: str
-    facts: list[Any]
-
-
-class AttemptQuery(NamedTuple):
-    """Query whether an attempt was sent, to the instance that owns it."""
-
-    attempt: str
-
-
-class AttemptAnswer(NamedTuple):
-    """The owner's answer; ``state`` is ``never``, ``sent`` or ``unknown``."""
-
-    state: str
-
-
-class ConfigRequest(NamedTuple):
-    """Request the peer's configuration if its generation is above ``above``."""
-
-    above: int
-
-
-class ConfigAnswer(NamedTuple):
-    """A configuration generation: its files by name, and the head's apply ids."""
-
-    generation: int
-    files: dict[str, str]
-    applies: dict[str, int]
-
-
-class CacheRequest(NamedTuple):
-    """Request the peer's view of the blocks that engines have cached."""
-
-    limit: int
-
-
-class CacheAnswer(NamedTuple):
-    """Incarnation and cached blocks of each backend server."""
-
-    views: dict[str, Any]
-
-
-class PeerUpdate(NamedTuple):
-    """Periodic update of an instance on the state of the backend servers.
-
-    ``scope`` says which instances' load is reported; ``group`` is the group of a hub
-    that reports the load of all its members. ``loads`` maps server ids to [requests,
-    unread tokens, held tokens, requests that no other server can resume]. ``notices``
-    are lists of [server id, model, version, seconds without new requests, whether it
-    could not be reached, start, rate limit as nil or [requests per second or nil, age
-    in seconds], whether it is leaving]; ``cache_entries`` are lists of [server id,
-    salt, prompt part, start]. ``attempts`` maps services to [first attempts, retries]
-    within the window of the retry budget. ``sender`` identifies one incarnation of an
-    instance.
-    """
-
-    sender: str
-    scope: str
-    group: str
-    loads: dict[str, Any]
-    notices: list[Any]
-    cache_entries: list[Any]
-    attempts: dict[str, Any]
-
-
-class Notices(NamedTuple):
-    """Notices sent before the next :class:`PeerUpdate`, with the same fields."""
-
-    sender: str
-    scope: str
-    notices: list[Any]
-
-
-class CrashReport(NamedTuple):
-    """Requests that were in flight when servers crashed.
-
-    ``scope`` is as in :class:`PeerUpdate`; ``crashes`` are lists of [fingerprint of the
-    request, server id, start, when the request was sent and when it was lost on the
-    store's clock in seconds, whether the request is not the cause].
-    """
-
-    sender: str
-    scope: str
-    crashes: list[Any]
-
-
-class TableChanges(NamedTuple):
-    """Changes of one table of the platform's store, from the instance that reads it.
-
-    ``scope`` is as in :class:`PeerUpdate`. ``rows`` are lists of [key, value or nil,
-    version]: all changes from version ``after`` to ``version``, or with ``is_whole``
-    the complete table. ``store_time`` is the store's monotonic clock at its answer, in
-    seconds; ``era`` is the era of its data, -1 if the store reports none.
-    """
-
-    sender: str
-    scope: str
-    table: str
-    after: int
-    version: int
-    store_time: float
-    rows: list[Any]
-    era: int
-    is_whole: bool
-
-
-class AllowanceQuery(NamedTuple):
-    """Request allowances from the coordinator of some teams, and send it accrued time.
-
-    ``hash_slot`` of ``hash_slots`` selects the teams. ``accrued`` is empty, or [begin,
-    end] in seconds on the coordinator's clock as the sender estimates it;
-    ``wants_time`` requests the time of that clock. ``requests`` are lists of [number,
-    version of the configuration, team, unit, rate per second, burst, cost, urgency,
-    the client's timeout in seconds], ``returned`` of [team, unit, cost].
-    """
-
-    sender: str
-    hash_slots: int
-    hash_slot: int
-    wants_time: bool
-    accrued: list[Any]
-    requests: list[Any]
-    returned: list[Any]
-
-
-class AllowanceAnswer(NamedTuple):
-    """The coordinator's decisions, and the time of its clock in seconds.
-
-    ``answers`` are lists of [number, whether it is granted, seconds until a retry or
-    nil, remaining allowance of the team, the coordinator's share of the fleet's time].
-    """
-
-    now: float
-    answers: list[Any]
-
-
-PeerMessage = (
-    Facts
-    | AttemptQuery
-    | AttemptAnswer
-    | ConfigRequest
-    | ConfigAnswer
-    | CacheRequest
-    | CacheAnswer
-    | PeerUpdate
-    | Notices
-    | CrashReport
-    | TableChanges
-    | AllowanceQuery
-    | AllowanceAnswer
-)
-KINDS: dict[str, Any] = {
-    "facts": Facts,
-    "ask_attempt": AttemptQuery,
-    "attempt": AttemptAnswer,
-    "ask_config": ConfigRequest,
-    "config": ConfigAnswer,
-    "ask_cache": CacheRequest,
-    "cache": CacheAnswer,
-    "news": PeerUpdate,
-    "notices": Notices,
-    "ends": CrashReport,
-    "table": TableChanges,
-    "allowance_ask": AllowanceQuery,
-    "allowance": AllowanceAnswer,
-}
-FIELD_TYPES: dict[Any, dict[str, Any]] = {
-    kind: {
-        field: get_origin(hint) or hint for field, hint in get_type_hints(kind).items()
-    }
-    for kind in KINDS.values()
-}
-KIND_NAMES = {kind: name for name, kind in KINDS.items()}
-
-
 class PeerStream:
     """A connection to a peer; use :meth:`authenticate` before anything else."""
 
--- /dev/null
+++ b/ashpond/clients/placements.py
@@ -0,0 +1,175 @@
+"""Encoding of the messages between an instance and the coordinator of a shard."""
+
+from __future__ import annotations
+
+__all__ = [
+    "DecisionState",
+    "EndedPlacement",
+    "HeldPlacement",
+    "PlacementAsk",
+    "PlacementDecision",
+    "ReportedWait",
+    "decode_placement_answer",
+    "decode_placement_query",
+    "encode_placement_answer",
+    "encode_placement_query",
+]
+
+from collections.abc import Sequence
+from enum import IntEnum
+from typing import NamedTuple
+
+from ashpond.bounds import Amount, Count
+from ashpond.clients.fields import convert_list
+from ashpond.clients.peer import PlacementAnswer, PlacementQuery
+from ashpond.decisions.placementterms import PlacementEvent
+from ashpond.decisions.prompts import PromptPart
+from ashpond.errors import FrameError
+
+
+class DecisionState(IntEnum):
+    """The state of an ask after a coordinator's answer."""
+
+    GRANTED = 0
+    QUEUED = 1
+    REFUSED = 2
+
+
+class PlacementAsk(NamedTuple):
+    """A request that needs a server.
+
+    ``number`` identifies it on its connection; a grant keeps it. ``waited`` is how long
+    the request has waited, ``left`` the time until its deadline, ``longest_pause`` as
+    in :class:`~ashpond.decisions.placementterms.PlacementTerms` (seconds).
+    """
+
+    number: Count
+    model: str | None
+    cache_namespace: str
+    tokens: Count
+    max_output_tokens: Count
+    parts: list[PromptPart]
+    is_resumable: bool
+    is_suspected: bool
+    excluded: list[str]
+    urgency: Count
+    team: str
+    fingerprint: str
+    waited: Amount
+    left: Amount
+    objective: Amount
+    longest_pause: Amount
+
+
+class HeldPlacement(NamedTuple):
+    """A request that is in flight at a server of the shard.
+
+    ``unread_tokens``, ``held_tokens`` and ``bound`` are those of its
+    :class:`~ashpond.decisions.loads.Load`; ``read_tokens`` are the prompt tokens that
+    the server reads for it, before and after they are read. ``left`` is the time until
+    its deadline (seconds).
+    """
+
+    number: Count
+    start_id: str
+    unread_tokens: Count
+    held_tokens: Count
+    read_tokens: Count
+    bound: Count
+    is_read: bool
+    left: Amount
+
+
+class EndedPlacement(NamedTuple):
+    """What has happened to a granted placement."""
+
+    number: Count
+    event: PlacementEvent
+
+
+class PlacementDecision(NamedTuple):
+    """A coordinator's decision on an ask.
+
+    A grant names the start of a server and what the request is sent with. ``seconds``
+    is 0 for a grant, the estimated wait of a queued ask, and for a refusal the time
+    after which to return, -1 if there is none.
+    """
+
+    number: Count
+    state: DecisionState
+    start_id: str | None = None
+    weights_version: Count | None = None
+    salt: str | None = None
+    fetch_from: str | None = None
+    cached_tokens: Count = 0
+    fetch_tokens: Count = 0
+    save_to: str | None = None
+    seconds: float = 0.0
+
+
+class ReportedWait(NamedTuple):
+    """The estimated wait of a new request of an urgency (seconds)."""
+
+    urgency: Count
+    seconds: Amount
+
+
+def encode_placement_query(
+    sender: str,
+    service: str,
+    shard: str,
+    asks: Sequence[PlacementAsk] = (),
+    held: Sequence[HeldPlacement] = (),
+    ended: Sequence[EndedPlacement] = (),
+) -> PlacementQuery:
+    """Return the message that asks for servers and reports ended requests."""
+    return PlacementQuery(
+        sender,
+        service,
+        shard,
+        [[*ask[:5], [list(part) for part in ask.parts], *ask[6:]] for ask in asks],
+        [list(entry) for entry in held],
+        [list(entry) for entry in ended],
+    )
+
+
+def decode_placement_query(
+    message: PlacementQuery,
+) -> tuple[list[PlacementAsk], list[HeldPlacement], list[EndedPlacement]]:
+    """Return the asks, held and ended placements of a message.
+
+    :raises FrameError: if a field is not valid.
+    """
+    try:
+        return (
+            convert_list(message.asks, PlacementAsk),
+            convert_list(message.held, HeldPlacement),
+            convert_list(message.ended, EndedPlacement),
+        )
+    except ValueError as error:
+        raise FrameError(f"invalid placement query: {error!r}") from error
+
+
+def encode_placement_answer(
+    decisions: Sequence[PlacementDecision], waits: Sequence[ReportedWait] = ()
+) -> PlacementAnswer:
+    """Return the message that answers asks."""
+    return PlacementAnswer(
+        [list(decision) for decision in decisions], [list(wait) for wait in waits]
+    )
+
+
+def decode_placement_answer(
+    message: PlacementAnswer,
+) -> tuple[list[PlacementDecision], list[ReportedWait]]:
+    """Return a coordinator's decisions and its estimated waits.
+
+    :raises FrameError: if a field is not valid.
+    """
+    try:
+        return (
+            convert_list(message.answers, PlacementDecision),
+            convert_list(message.waits, ReportedWait),
+        )
+    except ValueError as error:
+        raise FrameError(f"invalid placement answer: {error!r}") from error
--- /dev/null
+++ b/ashpond/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of requests by coordinators: one instance for each shard of a service."""
--- a/ashpond/decisions/selection.py
+++ b/ashpond/decisions/selection.py
@@ -14,12 +14,8 @@
     "choose_scored",
     "choose_server",
     "count_shared_tokens",
-    "describe_candidate",
-    "describe_demand",
     "find_home_ranks",
     "make_load",
-    "parse_candidate",
-    "parse_demand",
     "pick_candidate",
     "pick_least_loaded",
     "rank_homes",
@@ -30,13 +26,13 @@
 
 import random
 from collections.abc import Iterable, Sequence
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import xxhash
 
 from ashpond.decisions.loads import Load
 from ashpond.decisions.placement import rank_by_rendezvous
-from ashpond.decisions.prompts import Prompt, PromptPart
+from ashpond.decisions.prompts import Prompt
 
 # An idle engine prefills 57 prompt tokens per ms, one with running requests 50: the
 # first event of an answer comes 0.05 s and 20 us per token after the request is sent.
@@ -93,7 +89,8 @@
 
     ``cache_namespace`` separates the cached prompt parts of teams that share none.
     Servers in ``excluded`` are not chosen. ``is_suspected`` marks a request that may
-    crash its server.
+    crash its server. ``longest_pause`` bounds the reading at an engine of known speed,
+    ``objective`` the queue at a plain server of known speed; 0 sets no bound (seconds).
     """
 
     service: str
@@ -103,6 +100,8 @@
     excluded: frozenset[str] = frozenset()
     is_resumable: bool = False
     is_suspected: bool = False
+    longest_pause: float = 0.0
+    objective: float = 0.0
 
 
 class Candidate(NamedTuple):
@@ -114,6 +113,10 @@
     ``memory_tokens`` is 0 for a plain server. ``matches_prompt_size`` is false for a
     server that is reserved for prompts of another length. ``stale_cost`` is the cost of
     weights that are not the newest (seconds).
+
+    The other fields are those of a server whose speed is known: ``read_rate`` in prompt
+    tokens a second, ``work_seconds`` the time that a plain server works on a request,
+    ``reading_tokens`` the prompt tokens that it reads for all its unfinished requests.
     """
 
     id: str
@@ -130,6 +133,9 @@
     fetches_from_store: bool = False
     matches_prompt_size: bool = True
     stale_cost: float = STALE_COST_SECONDS
+    read_rate: float = PREFILL_TOKENS_PER_SECOND
+    work_seconds: float = SLOT_COST_SECONDS
+    reading_tokens: int = 0
 
 
 class ScoredCandidate(NamedTuple):
@@ -359,42 +365,3 @@
         if demand.is_suspected
         else pick_candidate(scored, rng)
     )
-
-
-def describe_candidate(candidate: Candidate) -> list[Any]:
-    """Return a candidate as a list for a log line, see :func:`parse_candidate`."""
-    load = list(candidate.load)
-    share = round(candidate.failure_share, 3)
-    return list(candidate._replace(load=load, failure_share=share))  # type: ignore
-
-
-def parse_candidate(fields: list[Any]) -> Candidate:
-    """Return the candidate that :func:`describe_candidate` wrote to a log line."""
-    candidate = Candidate(*fields)
-    return candidate._replace(load=Load(*candidate.load))
-
-
-def describe_demand(demand: Demand) -> list[Any]:
-    """Return the properties that the choice of a server depends on, for a log line."""
-    prompt = demand.prompt
-    sizes = [part.tokens for part in prompt.parts] if prompt else []
-    tokens = [prompt.tokens, prompt.max_output_tokens, sizes] if prompt else None
-    described = [demand.service, demand.model, demand.is_resumable, tokens]
-    return [*described, True] if demand.is_suspected else described
-
-
-def parse_demand(fields: list[Any]) -> Demand:
-    """Return the demand that a log line holds; its parts have sizes only."""
-    service, model, is_resumable, tokens, *rest = fields
-    prompt = None
-    if tokens is not None:
-        parts = tuple(PromptPart("", size) for size in tokens[2])
-        prompt = Prompt(model or "", tokens[0], tokens[1], parts)
-    return Demand(
-        service,
-        model,
-        prompt,
-        "",
-        is_resumable=is_resumable,
-        is_suspected=bool(rest),
-    )
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -15,7 +15,7 @@
 )
 from ashpond.decisions.declared import RouteKind
 from ashpond.decisions.ratelimits import PERMIT_SECONDS
-from ashpond.decisions.selection import describe_candidate, describe_demand
+from ashpond.decisions.selectionlog import describe_candidate, describe_demand
 from ashpond.gateway.callprogress import (
     Answer,
     AttemptFailed,
--- a/ashpond/gateway/explanations.py
+++ b/ashpond/gateway/explanations.py
@@ -10,12 +10,8 @@
 
 import orjson
 
-from ashpond.decisions.selection import (
-    choose_server,
-    estimate_seconds,
-    parse_candidate,
-    parse_demand,
-)
+from ashpond.decisions.selection import choose_server, estimate_seconds
+from ashpond.decisions.selectionlog import parse_candidate, parse_demand
 
 Line = dict[str, Any]
 # The outcome of a request by its last event.
--- a/ashpond/lossreport.py
+++ b/ashpond/lossreport.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from ashpond.decisions.selection import parse_candidate, parse_demand
+from ashpond.decisions.selectionlog import parse_candidate, parse_demand
 
 Line = dict[str, Any]
 # Losses are counted in time spans of this length (seconds of the logs' time).
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -6,7 +6,7 @@
 from click.testing import CliRunner
 
 from ashpond.cli import main
-from ashpond.decisions.selection import describe_candidate, describe_demand
+from ashpond.decisions.selectionlog import describe_candidate, describe_demand
 from ashpond.gateway.explanations import explain_request, read_lines, replay_choices
 from tests.gateway_builders import make_candidate, make_demand, make_prompt
 
--- a/tests/test_lossreport.py
+++ b/tests/test_lossreport.py
@@ -8,7 +8,7 @@
 
 from ashpond.cli import main
 from ashpond.decisions.loads import Load
-from ashpond.decisions.selection import describe_candidate, describe_demand
+from ashpond.decisions.selectionlog import describe_candidate, describe_demand
 from ashpond.lossreport import Cause, find_losses
 from tests.gateway_builders import make_candidate, make_demand, make_prompt
 from tests.test_explanations import write_log
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -7,7 +7,7 @@
 from hypothesis import given, strategies as st
 
 from ashpond.decisions.prompts import PromptPart
-from ashpond.decisions.selection import describe_demand
+from ashpond.decisions.selectionlog import describe_demand
 from ashpond.gateway.calls import Instructions
 from ashpond_platform.headers import read_answer_headers, read_envelope, write_headers
 from tests.gateway_builders import make_demand
