--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -63,7 +63,7 @@
 LEASE_SECONDS = 3.0
 QUARANTINE_SECONDS = 600.0
 # Older weights are no longer used after this share of the bound, as in
-# :mod:`ashpond.gateway.application`.
+# :mod:`ashpond.gateway.composition`.
 REQUIRED_SHARE = 0.85
 
 
