Ask coordinators for servers

An instance of a large fleet knows the loads of engines up to 1.2 s late, so it samples two engines at random. With coordinated_from set, it now asks the coordinator of a shard once per request, over one link per shard in use, and chooses by itself if there is no answer within a tenth of the objective. A new coordinator is first told what is in flight; grants that cannot be used are returned. Nothing of it runs with the default of 0.

--- /dev/null
+++ b/ashpond/coordination/asks.py
@@ -0,0 +1,163 @@
+"""What an instance has asked a coordinator for, and what it holds in its shard."""
+
+from __future__ import annotations
+
+__all__ = ["Ask", "FallbackReason", "HeldReservation", "limit_seconds"]
+
+from enum import StrEnum
+
+import trio
+
+from ashpond.clients.placements import (
+    DecisionState,
+    HeldPlacement,
+    PlacementAsk,
+    PlacementDecision,
+)
+from ashpond.decisions.loads import NO_LOAD, Load
+from ashpond.decisions.placementterms import PlacementTerms
+from ashpond.decisions.selection import Demand
+
+# A queued ask that is not decided after this multiple of its estimated wait and these
+# seconds more is overdue.
+OVERDUE_WAITS = 2.0
+OVERDUE_SECONDS = 0.5
+# Longer times from a coordinator are not used (seconds).
+MAX_SECONDS = 3600.0
+
+
+class FallbackReason(StrEnum):
+    """Why this instance chose a server without a coordinator."""
+
+    NO_ANSWER = "no_answer"
+    UNREACHABLE = "unreachable"
+    # The granted servers could not be used here.
+    UNUSABLE = "unusable"
+    # The instance knows no server of the service.
+    NO_SERVERS = "no_servers"
+
+
+class Ask:
+    """A request that waits for a coordinator's decision.
+
+    ``unanswered_since`` is None while it is queued. ``forecast`` is the wait that the
+    coordinator first estimated (seconds). ``changed`` is replaced once it is set.
+    """
+
+    def __init__(self, number: int, demand: Demand, terms: PlacementTerms, now: float):
+        self.number = number
+        self.demand = demand
+        self.terms = terms
+        self.asked_at = now
+        self.unanswered_since: float | None = now
+        self.is_sent = False
+        self.overdue_at = float("inf")
+        self.forecast: float | None = None
+        self.coordinator = ""
+        self.decision: PlacementDecision | None = None
+        self.failure: FallbackReason | None = None
+        self.changed = trio.Event()
+
+    @property
+    def is_granted(self) -> bool:
+        """Whether a coordinator has granted a server."""
+        decision = self.decision
+        return decision is not None and decision.state is DecisionState.GRANTED
+
+    @property
+    def is_decided(self) -> bool:
+        """Whether the coordinator has decided, or none is reachable."""
+        return self.decision is not None or self.failure is not None
+
+    def apply(self, decision: PlacementDecision, coordinator: str, now: float) -> None:
+        """Record an answer of the coordinator."""
+        self.unanswered_since = None
+        if decision.state is DecisionState.QUEUED:
+            wait = limit_seconds(decision.seconds) or 0.0
+            self.overdue_at = now + wait * OVERDUE_WAITS + OVERDUE_SECONDS
+            if self.forecast is None:
+                self.forecast = wait
+        else:
+            self.decision = decision
+            self.coordinator = coordinator
+        self._notify()
+
+    def note_lost(self, now: float) -> None:
+        """Record that the connection is lost; another coordinator is asked."""
+        self.is_sent = False
+        if self.unanswered_since is None:
+            self.unanswered_since = now
+            self._notify()
+
+    def fail(self, reason: FallbackReason) -> None:
+        """Record that no coordinator can be asked."""
+        self.failure = reason
+        self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def build_message(self, now: float) -> PlacementAsk:
+        """Return the ask as it is sent now."""
+        demand, terms = self.demand, self.terms
+        prompt = demand.prompt
+        return PlacementAsk(
+            self.number,
+            demand.model,
+            demand.cache_namespace,
+            prompt.tokens if prompt else 0,
+            prompt.max_output_tokens if prompt else 0,
+            list(prompt.parts) if prompt else [],
+            demand.is_resumable,
+            demand.is_suspected,
+            sorted(demand.excluded),
+            terms.urgency,
+            terms.team,
+            terms.fingerprint,
+            max(0.0, now - terms.arrived_at),
+            max(0.0, terms.deadline - now),
+            terms.objective,
+            terms.longest_pause,
+        )
+
+
+class HeldReservation:
+    """A request in flight at a server of the shard.
+
+    ``is_reported`` is whether the coordinator of the present connection knows it.
+    """
+
+    def __init__(self, start_id: str, load: Load, deadline: float):
+        self.start_id = start_id
+        self.load = load
+        self.read_tokens = load.unread_tokens
+        self.is_read = False
+        self.deadline = deadline
+        self.is_reported = False
+
+    def note_read(self) -> None:
+        """Record that the server has read the prompt."""
+        self.is_read = True
+        self.load = self.load.subtract(
+            NO_LOAD._replace(unread_tokens=self.load.unread_tokens)
+        )
+
+    def build_message(self, number: int, now: float) -> HeldPlacement:
+        """Return the description that a new coordinator is sent."""
+        load = self.load
+        return HeldPlacement(
+            number,
+            self.start_id,
+            load.unread_tokens,
+            load.held_tokens,
+            self.read_tokens,
+            load.bound,
+            self.is_read,
+            max(0.0, self.deadline - now),
+        )
+
+
+def limit_seconds(seconds: float) -> float | None:
+    """Return a time from a coordinator, None if it means nothing or is not valid."""
+    return seconds if 0.0 <= seconds <= MAX_SECONDS else None
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -83,6 +83,7 @@
                 nursery.start_soon(follower.run)
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.allowances.run)
+            nursery.start_soon(self.reservations.run)
             nursery.start_soon(self.crash_detector.run)
             watch = SuspensionWatch(self.log, self.metrics.observe_suspension)
             nursery.start_soon(watch.run)
@@ -161,6 +162,7 @@
         """Begin the shutdown: stop taking connections, finish open calls, then stop."""
         self.log.note("stopping", open_calls=self.ingress.open_calls)
         self.ingress.is_leaving = True
+        self.reservations.leave()
         self.leave_event.set()
 
     async def _wait_to_close(self) -> None:
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -353,6 +353,8 @@
     origin = reservation.origin
     if origin is not None:
         fields["waited"] = round(origin.waited, 4)
+    if origin is not None and origin.fallback:
+        fields["fallback"] = origin.fallback
     if origin is not None and origin.coordinator:
         # The candidates are known to the coordinator only.
         fields["coordinator"] = origin.coordinator
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -21,6 +21,8 @@
 from ashpond.controllers.serverdirectives import ServerDirectives
 from ashpond.controllers.serverupdates import ServerUpdates
 from ashpond.controllers.storeview import StoreView, build_feeds
+from ashpond.coordination.client import CoordinatedReservations
+from ashpond.coordination.sessions import Coordinators
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.quarantine import CrashRecords
@@ -118,6 +120,7 @@
             lambda: bool(self.peers.links.group),
         )
         self.slot_queue = ReservationQueue(self.table, self.chooser)
+        self.coordinators: Coordinators | None = None
         self.directives = ServerDirectives(
             self.table,
             log,
@@ -151,6 +154,16 @@
             lambda: self.peers.adjust_links(),
             self.invalid_rows,
         )
+        self.reservations = CoordinatedReservations(
+            self.slot_queue,
+            self.members,
+            log,
+            self.metrics,
+            lambda: self.settings.coordinated_from,
+            self._find_required_version,
+            self.rng,
+            self.coordinators,
+        )
         self.allowances = Allowances(
             self.members,
             log,
@@ -212,7 +225,7 @@
         )
         self.dispatcher = Dispatcher(
             DispatchContext(
-                self.slot_queue,
+                self.reservations,
                 pool,
                 platform.codec,
                 platform.id_header,
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -11,6 +11,7 @@
 # Teams beyond this number share one series, which bounds the size of the page.
 MAX_TEAM_SERIES = 50
 OTHER_TEAMS = "(others)"
+PLACEMENT_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5]
 DELAY_BUCKETS = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5]
 
 
@@ -65,6 +66,23 @@
             "What teams asked for here, in the units of their limits, by outcome",
             registry=self.registry,
         )
+        self.placements = Counter(
+            "ashpond_gateway_placements",
+            "Servers asked of coordinators, by outcome and reason",
+            registry=self.registry,
+        )
+        self.placement_waits = Histogram(
+            "ashpond_gateway_placement_seconds",
+            "Time from asking a coordinator to its decision, by outcome",
+            buckets=PLACEMENT_BUCKETS,
+            registry=self.registry,
+        )
+        self.forecast_errors = Histogram(
+            "ashpond_gateway_forecast_error_seconds",
+            "Difference of the estimated from the actual wait, by sign",
+            buckets=PLACEMENT_BUCKETS,
+            registry=self.registry,
+        )
         self._teams_with_series: set[str] = set()
         self.suspensions = Histogram(
             "ashpond_gateway_suspended_seconds",
@@ -111,6 +129,26 @@
         outcome = "granted" if is_granted else "refused"
         self.allowances.add({"team": name, "outcome": outcome}, cost)
 
+    def count_placement(self, outcome: str, reason: str = "") -> None:
+        """Count one outcome of an ask for a server.
+
+        :param reason: why this instance decided by itself, empty if it did not.
+        """
+        self.placements.inc({"outcome": str(outcome), "reason": str(reason)})
+
+    def observe_placement(
+        self, outcome: str, waited: float, forecast: float | None
+    ) -> None:
+        """Record the wait for a coordinator's decision.
+
+        :param forecast: the wait that the coordinator estimated, None if it decided at
+            once (seconds).
+        """
+        self.placement_waits.observe({"outcome": str(outcome)}, waited)
+        if forecast is not None:
+            sign = "longer" if waited > forecast else "shorter"
+            self.forecast_errors.observe({"actual": sign}, abs(waited - forecast))
+
     def observe_suspension(self, seconds: float) -> None:
         """Record the length of one suspension of the machine."""
         self.suspensions.observe({}, seconds)
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -44,7 +44,8 @@
             "fence": lease.fence,
         },
         "cache_stores_up": gateway.cache_stores.count_up(),
-        "waiting": gateway.slot_queue.waiting,
+        "waiting": gateway.reservations.waiting,
+        "placements": gateway.reservations.describe(),
         "open_calls": gateway.ingress.open_calls,
         "log_lines_dropped": dict(gateway.log.dropped),
         "repeats_left": {
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -29,12 +29,21 @@
 class Instance:
     """One instance as a process, which may be stopped and started again."""
 
-    def __init__(self, name: str, folder: Path, store: str, host: str, mesh_limit: int):
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        store: str,
+        host: str,
+        mesh_limit: int,
+        coordinated_from: int = 0,
+    ):
         self.name = name
         self.path = folder / f"{name}.toml"
         self.log = (folder / f"{name}.log").open("ab")
         values = make_settings()._asdict()
-        del values["bounds"], values["mesh_limit"], values["link_mbps"]
+        for key in ("bounds", "mesh_limit", "link_mbps", "coordinated_from"):
+            del values[key]
         # Each soak has its own loopback addresses, so that several can run at once.
         values = {k: v.replace("127.0.0.1", host) for k, v in values.items()}
         values |= {"name": name, "store_address": store}
@@ -44,6 +53,7 @@
         }
         lines = [f'{key} = "{value}"' for key, value in values.items()]
         lines.append(f"mesh_limit = {mesh_limit}")
+        lines.append(f"coordinated_from = {coordinated_from}")
         lines += ["[bounds]", *(f"{key} = {value}" for key, value in bounds.items())]
         self.path.write_text("\n".join(lines))
         self.address: str = values["callers_address"]
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -39,7 +39,8 @@
 
 def write_settings(path: Path, store: str) -> dict[str, str]:
     values = make_settings()._asdict()
-    del values["bounds"], values["mesh_limit"], values["link_mbps"]
+    for name in ("bounds", "mesh_limit", "link_mbps", "coordinated_from"):
+        del values[name]
     values["store_address"] = store
     lines = [f'{name} = "{value}"' for name, value in values.items()]
     path.write_text("\n".join([*lines, "[bounds]", f"grace_s = {GRACE_SECONDS}"]))
