--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -14,6 +14,7 @@
     ServerState,
 )
 from ashpond.decisions.declared import RouteKind
+from ashpond.decisions.placementorigin import PlacementOrigin
 from ashpond.decisions.placementterms import PlacementEvent
 from ashpond.decisions.ratelimits import PERMIT_SECONDS
 from ashpond.decisions.selectionlog import describe_candidate, describe_demand
@@ -153,11 +154,13 @@
             weights=reservation.weights_version,
             objective=self.call.route.objective,
             demand=describe_demand(self.call.demand),
+            # Empty after a coordinator's choice, which does not list them.
+            candidates=[describe_candidate(c) for c in reservation.candidates],
             held=reservation.cached_tokens,
             fetch=reservation.fetch_tokens if reservation.fetch_from else 0,
             fetch_from=reservation.fetch_from,
             saves=reservation.save_to is not None,
-            **_describe_origin(reservation),
+            **_describe_origin(reservation.origin),
             limit=reservation.state.rate_limit.rate,
             config=declaration.version if declaration else None,
             knowledge_age=round(knowledge.measure_age(trio.current_time()), 3),
@@ -347,20 +350,16 @@
     return PlacementEvent.FAILED if outcome or is_sent else PlacementEvent.UNUSED
 
 
-def _describe_origin(reservation: Reservation) -> dict[str, object]:
-    """Return the log fields on who chose the server, among which candidates."""
-    fields: dict[str, object] = {}
-    origin = reservation.origin
-    if origin is not None:
-        fields["waited"] = round(origin.waited, 4)
-    if origin is not None and origin.fallback:
-        fields["fallback"] = origin.fallback
-    if origin is not None and origin.coordinator:
-        # The candidates are known to the coordinator only.
-        fields["coordinator"] = origin.coordinator
-        fields["forecast"] = round(origin.forecast, 4)
-        fields["shard"] = origin.shard
-    else:
-        candidates = [describe_candidate(c) for c in reservation.candidates]
-        fields["candidates"] = candidates
-    return fields
+def _describe_origin(origin: PlacementOrigin | None) -> dict[str, object]:
+    """Return the log fields on how a coordinator placed the request, if one is used."""
+    if origin is None:
+        return {}
+    waited = round(origin.waited, 4)
+    if origin.fallback:
+        return {"fallback": origin.fallback, "waited": waited}
+    return {
+        "coordinator": origin.coordinator,
+        "shard": origin.shard,
+        "waited": waited,
+        "forecast": round(origin.forecast, 4),
+    }
--- a/ashpond/gateway/explanations.py
+++ b/ashpond/gateway/explanations.py
@@ -68,6 +68,7 @@
     own_lines.sort(key=_get_time)
     history = [_describe(line) for line in own_lines]
     if own_lines:
+        history += _describe_placements(own_lines)
         history += _describe_crashes(quarantine_lines, _find_fingerprint(own_lines))
         history.append(_summarize(own_lines))
     return history
@@ -118,6 +119,30 @@
     return history
 
 
+def _describe_placements(own_lines: Iterable[Line]) -> list[str]:
+    """Return who chose each server, after which wait and which estimate of it."""
+    history = []
+    for line in own_lines:
+        if line["event"] != "sent" or "waited" not in line:
+            continue
+        waited = f"after {line['waited']:.3f} s"
+        if "coordinator" in line:
+            shard = line.get("shard") or "the whole service"
+            history.append(
+                f"   {line['server']} was chosen by the coordinator "
+                f"{line['coordinator']} of {shard} {waited}; "
+                f"it had estimated {line['forecast']:.3f} s"
+            )
+        else:
+            history.append(
+                f"   {line['server']} was chosen by {line['instance']} without a "
+                f"coordinator ({line.get('fallback')}) {waited}"
+            )
+    if history:
+        history.insert(0, "=> placements:")
+    return history
+
+
 def _describe(line: Line) -> str:
     after = line.get("after")
     offset = f"+{after * 1000:7.1f} ms" if after is not None else " " * 11
@@ -158,7 +183,8 @@
     count = 0
     changed = []
     for line in lines:
-        if line["event"] != "sent" or "candidates" not in line:
+        # A coordinator's choice has no candidates in this instance's log.
+        if line["event"] != "sent" or not line.get("candidates"):
             continue
         count += 1
         demand = parse_demand(line["demand"])
--- /dev/null
+++ b/tests/coordination_builders.py
@@ -0,0 +1,253 @@
+"""An instance that asks scripted coordinators for servers, in virtual time."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+
+import msgpack
+import trio
+
+from ashpond.clients.peer import (
+    PeerMessage,
+    PlacementAnswer,
+    PlacementQuery,
+    parse_message,
+)
+from ashpond.clients.peermessages import KIND_NAMES
+from ashpond.clients.placements import (
+    DecisionState,
+    EndedPlacement,
+    HeldPlacement,
+    PlacementAsk,
+    PlacementDecision,
+    ReportedWait,
+    decode_placement_query,
+    encode_placement_answer,
+)
+from ashpond.controllers.directory import BackendServer
+from ashpond.coordination.client import CoordinatedReservations
+from ashpond.coordination.sessions import Deliver
+from ashpond.decisions.fleetlinks import Member
+from ashpond.decisions.placementterms import PlacementTerms
+from ashpond.errors import FrameError
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.metrics import GatewayMetrics
+from ashpond.gateway.reservations import ReservationQueue
+from tests.allowance_fleet import FleetMembers
+from tests.gateway_builders import make_chooser, make_demand, make_server, make_table
+
+OBJECTIVE = 0.4
+LATENCY_SECONDS = 0.002
+QUEUED_SECONDS = 0.3
+OWN = "own"
+
+
+def make_terms(**changes: object) -> PlacementTerms:
+    now = trio.current_time()
+    values: dict = {
+        "urgency": 1,
+        "team": "desk",
+        "fingerprint": "f" * 24,
+        "arrived_at": now,
+        "objective": OBJECTIVE,
+        "deadline": now + 4.0,
+    }
+    return PlacementTerms(**(values | changes))
+
+
+class FakeCoordinator:
+    """Grants ``servers`` in turn; queues while ``is_full``; records what it is sent."""
+
+    def __init__(self, name: str, *servers: str):
+        self.name = name
+        self.servers = servers or ("s1",)
+        self.is_full = False
+        self.is_frozen = False
+        self.is_down = False
+        self.retry_after: float | None = None
+        self.waits: list[ReportedWait] = []
+        self.asks: list[PlacementAsk] = []
+        self.held: list[list[HeldPlacement]] = []
+        self.ended: list[EndedPlacement] = []
+        # The kinds of entries in each message, in order.
+        self.messages: list[tuple[int, int, int]] = []
+        self.queued: list[tuple[FakeSession, int]] = []
+        self.sessions: list[FakeSession] = []
+        self._unread: list[tuple[FakeSession, PlacementQuery]] = []
+
+    def open_session(
+        self, sender: str, service: str, shard: str, deliver: Deliver
+    ) -> FakeSession:
+        session = FakeSession(self, deliver)
+        self.sessions.append(session)
+        return session
+
+    def handle(self, session: FakeSession, query: PlacementQuery) -> None:
+        if self.is_frozen:
+            self._unread.append((session, query))
+            return
+        asks, held, ended = decode_placement_query(query)
+        self.messages.append((len(asks), len(held), len(ended)))
+        if len(session.queries) == 1:
+            self.held.append(held)
+        self.asks += asks
+        self.ended += ended
+        answers = [self.decide(session, ask) for ask in asks]
+        if answers:
+            session.deliver(encode_placement_answer(answers, self.waits))
+
+    def decide(self, session: FakeSession, ask: PlacementAsk) -> PlacementDecision:
+        if self.retry_after is not None:
+            return PlacementDecision(
+                ask.number, DecisionState.REFUSED, seconds=self.retry_after
+            )
+        if self.is_full:
+            self.queued.append((session, ask.number))
+            return PlacementDecision(
+                ask.number, DecisionState.QUEUED, seconds=QUEUED_SECONDS
+            )
+        free = [s for s in self.servers if s not in ask.excluded] or self.servers
+        return make_grant(ask.number, free[len(self.asks) % len(free)])
+
+    def thaw(self) -> None:
+        """Answer everything that has arrived meanwhile, as after SIGCONT."""
+        self.is_frozen = False
+        unread, self._unread = self._unread, []
+        for session, query in unread:
+            self.handle(session, query)
+
+    def admit(self) -> None:
+        """Grant what is queued."""
+        queued, self.queued = self.queued, []
+        for session, number in queued:
+            grant = make_grant(number, self.servers[0])
+            session.deliver(encode_placement_answer([grant]))
+
+    def end(self) -> None:
+        """End all sessions and refuse new ones, as a killed or a leaving instance."""
+        self.is_down = True
+        for session in self.sessions:
+            session.is_reset.set()
+
+
+def make_grant(number: int, start_id: str) -> PlacementDecision:
+    return PlacementDecision(number, DecisionState.GRANTED, start_id)
+
+
+class FakeSession:
+    """A session that is also the client's end of a connection."""
+
+    def __init__(self, coordinator: FakeCoordinator, deliver: Deliver):
+        self.coordinator = coordinator
+        self.deliver = deliver
+        self.queries: list[PlacementQuery] = []
+        self.is_reset = trio.Event()
+        self.is_closed = False
+
+    def submit(self, query: PlacementQuery) -> None:
+        self.queries.append(query)
+        self.coordinator.handle(self, query)
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class FakeConnection:
+    """The client's end of a connection; messages pass through their encoding."""
+
+    def __init__(self, coordinator: FakeCoordinator):
+        self._send, self._receive = trio.open_memory_channel[PeerMessage](math.inf)
+        self.session = coordinator.open_session("", "", "", self._deliver)
+
+    def _deliver(self, answer: PlacementAnswer) -> None:
+        if not self.session.is_closed:
+            self._send.send_nowait(encode_and_parse(answer))
+
+    async def send(self, message: PlacementQuery) -> None:
+        await trio.sleep(LATENCY_SECONDS)
+        if self.session.is_reset.is_set():
+            raise trio.BrokenResourceError
+        query = encode_and_parse(message)
+        assert isinstance(query, PlacementQuery)
+        self.session.submit(query)
+
+    async def receive(self) -> PeerMessage:
+        received: list[PeerMessage] = []
+        async with trio.open_nursery() as nursery:
+
+            async def receive() -> None:
+                received.append(await self._receive.receive())
+                nursery.cancel_scope.cancel()
+
+            async def wait_for_reset() -> None:
+                await self.session.is_reset.wait()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(receive)
+            nursery.start_soon(wait_for_reset)
+        if not received:
+            raise FrameError("the connection has ended")
+        await trio.sleep(LATENCY_SECONDS)
+        return received[0]
+
+    async def aclose(self) -> None:
+        self.session.close()
+
+
+def encode_and_parse(message: PeerMessage) -> PeerMessage:
+    packed = msgpack.packb([KIND_NAMES[type(message)], list(message)])
+    return parse_message(msgpack.unpackb(packed))
+
+
+class AskingInstance:
+    """One instance, and the coordinators ``peers`` by preference; it comes last.
+
+    :param own: the coordinator at this instance, None if it has none.
+    """
+
+    def __init__(
+        self,
+        peers: Sequence[FakeCoordinator],
+        servers: Sequence[BackendServer] = (),
+        own: FakeCoordinator | None = None,
+        minimum: int = 1,
+    ):
+        self.peers = {peer.name: peer for peer in peers}
+        self.minimum = minimum
+        members = {
+            peer.name: Member(peer.name, "", "north", 100.0 - rank)
+            for rank, peer in enumerate(peers)
+        }
+        self.log = DecisionLog(OWN)
+        self.table = make_table(*(servers or (make_server("s1"), make_server("s2"))))
+        self.client = CoordinatedReservations(
+            ReservationQueue(self.table, make_chooser(self.table)),
+            FleetMembers(Member(OWN, "", "north"), members),  # type: ignore[arg-type]
+            self.log,
+            GatewayMetrics(),
+            lambda: self.minimum,
+            lambda model, now: 0,
+            random.Random(1),
+            own,  # type: ignore[arg-type]
+            self.connect,
+        )
+
+    async def connect(self, member: Member) -> FakeConnection:
+        await trio.sleep(LATENCY_SECONDS)
+        peer = self.peers[member.name]
+        if peer.is_frozen:
+            await trio.sleep_forever()
+        if peer.is_down:
+            raise OSError("refused")
+        return FakeConnection(peer)
+
+    async def reserve(self, wait: float = 0.0, **changes: object):  # noqa: ANN201
+        """Ask for a server; ``wait`` is the time allowed without a coordinator."""
+        terms = make_terms(**changes)
+        until = trio.current_time() + wait
+        return await self.client.reserve(make_demand(), terms.urgency, until, terms)
+
+    def list_events(self, event: str) -> list[dict]:
+        return [line for line in self.log._lines if line["event"] == event]
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -22,7 +22,7 @@
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.loads import Load
 from ashpond.gateway.admission import admit_call
-from ashpond.gateway.callprogress import DispatchContext
+from ashpond.gateway.callprogress import DispatchContext, Reservations
 from ashpond.gateway.calls import Headers
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
@@ -165,6 +165,7 @@
     pools: list[ScriptedPool] | None = None,
     reply: RecordedReply | None = None,
     quarantine: Quarantine | None = None,
+    reservations: Reservations | None = None,
     **call_changes: Any,
 ) -> CallResult:
     declaration: Declaration = make_declaration(route or make_route())
@@ -182,7 +183,7 @@
     log = DecisionLog("test")
     budget = FleetRetryBudget(0.0, slack, 10.0, started_at=now - 60)
     context = DispatchContext(
-        make_reservations(table),
+        reservations or make_reservations(table),
         pool,  # type: ignore[arg-type]
         CODEC,
         REQUEST_ID,
--- /dev/null
+++ b/tests/test_coordination_client.py
@@ -0,0 +1,323 @@
+"""Reservations through coordinators that die, freeze, leave and join."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from ashpond.clients.placements import EndedPlacement, ReportedWait
+from ashpond.decisions.loads import Load
+from ashpond.decisions.placementterms import PlacementEvent, PlacementRefusal
+from ashpond.gateway.serverchoice import Reservation
+from tests.coordination_builders import (
+    OBJECTIVE,
+    OWN,
+    QUEUED_SECONDS,
+    AskingInstance,
+    FakeCoordinator,
+    make_terms,
+)
+from tests.gateway_builders import make_demand, make_server
+from tests.scripted import Answer, run_call
+
+SECONDS = 0.05
+
+
+@asynccontextmanager
+async def run_instance(instance: AskingInstance) -> AsyncIterator[trio.Nursery]:
+    """Run the client, connect it to its first coordinator, then the test."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(instance.client.run)
+        await trio.sleep(SECONDS)
+        yield nursery
+        nursery.cancel_scope.cancel()
+    assert all(state.load == Load() for state in instance.table.by_id.values())
+
+
+async def reserve_and_keep(instance: AskingInstance) -> Reservation:
+    reservation = await instance.reserve()
+    assert isinstance(reservation, Reservation)
+    return reservation
+
+
+async def test_a_grant_is_used_and_its_end_reported(autojump_clock: object) -> None:
+    """Else the coordinator counts requests that have ended."""
+    first = FakeCoordinator("c1", "s2")
+    instance = AskingInstance([first])
+    async with run_instance(instance):
+        reservation = await reserve_and_keep(instance)
+        assert reservation.state.info.id == "s2"
+        assert reservation.state.load == Load(1, bound=1)
+        assert reservation.origin is not None
+        assert reservation.origin.coordinator == "c1"
+        reservation = instance.client.note_prompt_read(reservation)
+        instance.client.release(reservation, PlacementEvent.ANSWERED)
+        await trio.sleep(SECONDS)
+        number = reservation.origin.number
+        assert first.ended == [
+            EndedPlacement(number, PlacementEvent.READ),
+            EndedPlacement(number, PlacementEvent.ANSWERED),
+        ]
+        # Asks of the same turn share a message, and carry the ends.
+        assert first.messages[0] == (0, 0, 0)
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(instance.reserve, 0.0)
+        assert first.messages[-1] == (3, 0, 0)
+        for number in (2, 3, 4):
+            link = instance.client._links["reader", ""]
+            held = link._held[number]
+            instance.table.by_id[held.start_id].load = Load()
+
+
+@pytest.mark.parametrize("seconds", [1.25, -1.0, float("nan")])
+async def test_a_refusal_names_the_coordinators_time(
+    autojump_clock: object, seconds: float
+) -> None:
+    """A fixed Retry-After brought all refused clients back into the same overload."""
+    first = FakeCoordinator("c1")
+    first.retry_after = seconds
+    instance = AskingInstance([first])
+    async with run_instance(instance):
+        refusal = await instance.reserve()
+        assert isinstance(refusal, PlacementRefusal)
+        assert refusal.retry_after == (1.25 if seconds == 1.25 else None)
+        result = await run_call(Answer(), reservations=instance.client)
+        assert (result.reply.status, result.pool.requests) == (503, [])
+        expected = b"1.25" if seconds == 1.25 else None
+        assert result.reply.get(b"retry-after") == expected
+
+
+@pytest.mark.parametrize("own", [None, FakeCoordinator(OWN)])
+async def test_a_queued_request_asks_the_next_candidate_after_a_reset(
+    autojump_clock: object, own: FakeCoordinator | None
+) -> None:
+    """It keeps its place: it states how long it has waited. What is held is told.
+
+    A killed and a leaving coordinator both end their connections.
+    """
+    first, second = FakeCoordinator("c1"), own or FakeCoordinator("c2")
+    instance = AskingInstance([first] if own else [first, second], own=own)
+    async with run_instance(instance) as nursery:
+        held = await reserve_and_keep(instance)
+        first.is_full = True
+        results: list = []
+
+        async def ask() -> None:
+            results.append(await instance.reserve())
+
+        nursery.start_soon(ask)
+        await trio.sleep(0.2)
+        assert first.queued
+        first.end()
+        await trio.sleep(SECONDS)
+        assert results[0].origin.coordinator == second.name
+        assert second.asks[0].waited >= 0.2
+        assert [entry.start_id for entry in second.held[0]] == ["s1"]
+        assert second.messages == [(0, 1, 0), (1, 0, 0)]
+        # The new coordinator learns of the end of what the first one has granted.
+        instance.client.release(held, PlacementEvent.ANSWERED)
+        instance.client.release(results[0], PlacementEvent.REJECTED)
+        await trio.sleep(SECONDS)
+        assert len(second.ended) == 2
+        assert instance.list_events("placement_conflict")
+        assert not instance.client.fallbacks
+
+
+async def test_a_frozen_coordinator_costs_a_tenth_of_the_objective(
+    autojump_clock: object,
+) -> None:
+    """Then this instance decides; after 0.2 s it has the next candidate.
+
+    The late grant is returned, so that it does not occupy the server.
+    """
+    first, second = FakeCoordinator("c1"), FakeCoordinator("c2")
+    instance = AskingInstance([first, second])
+    async with run_instance(instance):
+        instance.client.release(await reserve_and_keep(instance))
+        first.is_frozen = True
+        started = trio.current_time()
+        alone = await reserve_and_keep(instance)
+        waited = trio.current_time() - started
+        assert 0.1 * OBJECTIVE <= waited < 0.1 * OBJECTIVE + 0.005
+        assert alone.origin is not None
+        assert alone.origin.fallback == "no_answer"
+        assert instance.client.fallbacks == {"no_answer": 1}
+        await trio.sleep(0.1)
+        first.thaw()
+        await trio.sleep(SECONDS)
+        number = first.asks[-1].number
+        assert EndedPlacement(number, PlacementEvent.UNUSED) in first.ended
+        first.is_frozen = True
+        second_alone = await reserve_and_keep(instance)
+        await trio.sleep(0.25)
+        reservation = await reserve_and_keep(instance)
+        assert reservation.origin is not None
+        assert reservation.origin.coordinator == "c2"
+        # What was placed without a coordinator is told too.
+        assert len(second.held[0]) == 2
+        assert instance.client.fallbacks["no_answer"] == 2
+        for one in (alone, second_alone, reservation):
+            instance.client.release(one)
+
+
+async def test_a_queue_at_a_frozen_coordinator_is_left(autojump_clock: object) -> None:
+    """Without new asks, queued ones waited there until their deadline."""
+    first, second = FakeCoordinator("c1"), FakeCoordinator("c2")
+    first.is_full = True
+    instance = AskingInstance([first, second])
+    async with run_instance(instance):
+        started = trio.current_time()
+        with trio.move_on_after(SECONDS):
+            await instance.reserve()
+        assert first.queued
+        await trio.sleep(SECONDS)
+        # The caller has gone: its ask is withdrawn, and no timer runs any longer.
+        assert first.ended[-1].event is PlacementEvent.UNUSED
+        await trio.sleep(3.0)
+        assert not instance.list_events("placement_lost")
+        started = trio.current_time()
+        reservation = await reserve_and_keep(instance)
+        assert reservation.origin is not None
+        assert reservation.origin.coordinator == "c2"
+        assert trio.current_time() - started < 2 * QUEUED_SECONDS + 0.6
+        instance.client.release(reservation)
+
+
+async def test_a_preferred_candidate_that_joins_is_told_and_asked(
+    autojump_clock: object,
+) -> None:
+    """Else the instances that know it would ask it, and the others not."""
+    first, second = FakeCoordinator("c1"), FakeCoordinator("c2")
+    first.is_down = True
+    instance = AskingInstance([first, second])
+    async with run_instance(instance):
+        held = await reserve_and_keep(instance)
+        assert held.origin is not None
+        assert held.origin.coordinator == "c2"
+        first.is_down = False
+        await trio.sleep(4.5)
+        reservation = await reserve_and_keep(instance)
+        assert reservation.origin is not None
+        assert reservation.origin.coordinator == "c1"
+        assert first.messages == [(0, 1, 0), (1, 0, 0)]
+        assert second.sessions[0].is_closed
+        assert not instance.client.fallbacks
+        for one in (held, reservation):
+            instance.client.release(one)
+
+
+async def test_without_a_coordinator_instances_choose_as_in_a_small_fleet(
+    autojump_clock: object,
+) -> None:
+    """An unreachable fleet, a small fleet and the default setting."""
+    first = FakeCoordinator("c1")
+    first.is_down = True
+    instance = AskingInstance([first])
+    async with run_instance(instance):
+        instance.client.release(await reserve_and_keep(instance))
+        started = trio.current_time()
+        instance.client.release(await reserve_and_keep(instance))
+        assert trio.current_time() == started
+        assert instance.client.fallbacks == {"unreachable": 2}
+        for minimum in (0, 2):
+            instance.minimum = minimum
+            reservation = await reserve_and_keep(instance)
+            assert reservation.origin is None
+            instance.client.release(reservation)
+        assert instance.client.fallbacks["unreachable"] == 2
+        assert not first.sessions
+
+
+async def test_a_server_that_cannot_be_used_here_is_returned(
+    autojump_clock: object,
+) -> None:
+    """A server in backoff would get requests; its grant would stay in the ledger."""
+    first = FakeCoordinator("c1", "s1", "s2")
+    instance = AskingInstance([first])
+    states = instance.table.by_id
+    async with run_instance(instance):
+        states["s1"].backoff_until = states["s2"].backoff_until = 100.0
+        assert await instance.reserve() is None
+        assert [len(ask.excluded) for ask in first.asks] == [0, 1]
+        assert instance.client.fallbacks == {"unusable": 1}
+        states["s2"].backoff_until = 0.0
+        reservation = await reserve_and_keep(instance)
+        assert reservation.state is states["s2"]
+        first.servers = ("s1#77",)
+        first.asks.clear()
+        instance.client.release(reservation)
+        # It was granted another start than the present one.
+        reservation = await reserve_and_keep(instance)
+        assert first.asks[1].excluded == ["s1", "s1#77"]
+        instance.client.release(reservation)
+        await trio.sleep(SECONDS)
+        returned = [e for e in first.ended if e.event is PlacementEvent.UNUSED]
+        assert len(returned) == 5
+
+
+async def test_an_invalid_answer_ends_the_connection_only(
+    autojump_clock: object,
+) -> None:
+    """A faulty coordinator must not end the processes of the others."""
+    first, second = FakeCoordinator("c1"), FakeCoordinator("c2")
+    first.waits = [ReportedWait(1, -5.0)]
+    instance = AskingInstance([first, second])
+    async with run_instance(instance):
+        reservation = await reserve_and_keep(instance)
+        assert reservation.origin is not None
+        assert reservation.origin.coordinator == "c2"
+        assert "invalid" in instance.list_events("placement_lost")[0]["reason"]
+        instance.client.release(reservation)
+
+
+async def test_load_spills_to_a_shard_with_a_shorter_wait(
+    autojump_clock: object,
+) -> None:
+    """Reports older than a second do not count, so the first shard is tried again."""
+    first = FakeCoordinator("c1", "n0")
+    first.waits = [ReportedWait(1, 100.0)]
+    servers = [
+        make_server(f"{domain[0]}{number}", failure_domain=domain)
+        for domain in ("north", "south")
+        for number in range(7)
+    ]
+    instance = AskingInstance([first], servers)
+    async with run_instance(instance):
+
+        async def find_shard() -> str:
+            reservation = await reserve_and_keep(instance)
+            instance.client.release(reservation)
+            assert reservation.origin is not None
+            return reservation.origin.shard
+
+        assert await find_shard() == "north"
+        first.servers, first.waits = ("s0",), [ReportedWait(1, 0.0)]
+        assert [await find_shard() for _ in range(5)] == ["south"] * 5
+        await trio.sleep(1.1)
+        assert await find_shard() == "north"
+
+
+async def test_a_leaving_instance_asks_others(autojump_clock: object) -> None:
+    """It has ended the sessions of its own coordinator."""
+    own, second = FakeCoordinator(OWN), FakeCoordinator("c1")
+    second.is_down = True
+    instance = AskingInstance([second], own=own)
+    async with run_instance(instance):
+        reservation = await reserve_and_keep(instance)
+        assert reservation.origin is not None
+        assert reservation.origin.coordinator == OWN
+        await trio.sleep(1.0)
+        second.is_down = False
+        instance.client.release(reservation)
+        instance.client.leave()
+        await trio.sleep(4.0)
+        terms = make_terms()
+        reservation = await instance.client.reserve(make_demand(), 1, 0.0, terms)
+        assert isinstance(reservation, Reservation)
+        assert reservation.origin is not None
+        assert reservation.origin.coordinator == "c1"
+        instance.client.release(reservation)
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -49,6 +49,23 @@
 }
 
 
+def test_an_explanation_names_who_chose_the_server() -> None:
+    """A late request's wait has to be found at the instance that decided it."""
+    placed = make_sent(
+        "a", coordinator="i7", shard="north", waited=0.12, forecast=0.1, candidates=[]
+    )
+    alone = make_sent("b", fallback="no_answer", waited=0.04, t=1.5)
+    history = explain_request([placed, alone, REFUSED], "id-1")
+    assert history[3:6] == [
+        "=> placements:",
+        "   a was chosen by the coordinator i7 of north after 0.120 s; "
+        "it had estimated 0.100 s",
+        "   b was chosen by i0 without a coordinator (no_answer) after 0.040 s",
+    ]
+    # The candidates are known to the coordinator, so nothing can be replayed.
+    assert replay_choices([placed]).choices == 0
+
+
 def write_log(*lines: dict[str, object]) -> str:
     return "\n".join(orjson.dumps(line).decode() for line in lines)
 
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -20,6 +20,7 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.settings import (
     GatewayBounds,
+    GatewaySettings,
     SettingsFile,
     parse_gateway_settings,
 )
@@ -313,6 +314,21 @@
     assert problem.reason
 
 
+def test_the_least_instances_for_coordinators_are_checked() -> None:
+    """A negative number would count as a fleet that is always large enough."""
+    values = make_settings()._asdict().items()
+    lines = [f'{name} = "{value}"' for name, value in values if isinstance(value, str)]
+
+    def parse(number: int) -> GatewaySettings:
+        text = "\n".join([*lines, f"coordinated_from = {number}"])
+        return parse_gateway_settings("node.toml", text)
+
+    assert parse(13).coordinated_from == 13
+    with pytest.raises(SettingsError) as caught:
+        parse(-1)
+    assert caught.value.problems[0].key == "coordinated_from"
+
+
 def write_settings(path: str, revocation_ms: str) -> None:
     values = make_settings()._asdict()
     lines = [
--- a/tests/test_platform_rows.py
+++ b/tests/test_platform_rows.py
@@ -11,7 +11,7 @@
 )
 from ashpond.gateway.store import Row
 from ashpond_platform.rows import decode_operator_row, decode_server_row
-from tests.row_builders import CONFIGURATION, SERVER, make_row
+from tests.row_builders import CONFIGURATION, ROUTE, SERVER, make_row
 
 
 def test_a_configuration_is_read_whole() -> None:
@@ -29,6 +29,14 @@
     assert found.limits.max_body_bytes > 0
 
 
+def test_the_longest_pause_of_a_stream_is_read() -> None:
+    """Without it a coordinator bounds no reading, and streams pause too long."""
+    for fields, expected in (({"gap_aim_ms": 500}, 0.5), ({}, 0.0)):
+        configuration = CONFIGURATION | {"routes": [ROUTE | fields]}
+        found = decode_operator_row(make_row("config", configuration))
+        assert find_route(found, "a.example", "/x/y").longest_pause == expected
+
+
 def test_without_tenants_no_key_is_needed() -> None:
     table = {k: v for k, v in CONFIGURATION.items() if k != "tenants"}
     assert not decode_operator_row(make_row("config", table)).needs_keys
