Encode the state of links for the status page

orjson takes no dictionary with keys that are numbers or enumeration members, so the status page would have failed once a coordinator was asked.

--- a/ashpond/coordination/client.py
+++ b/ashpond/coordination/client.py
@@ -352,5 +352,5 @@
         return {
             "active": self.is_coordinated(),
             "shards": [link.describe(now) for link in self._links.values()],
-            "fallbacks": dict(self.fallbacks),
+            "fallbacks": {str(reason): n for reason, n in self.fallbacks.items()},
         }
--- a/ashpond/coordination/link.py
+++ b/ashpond/coordination/link.py
@@ -111,7 +111,11 @@
             "reachable": not self._is_unreachable,
             "asks": len(self._asks),
             "held": len(self._held),
-            "waits": {urgency: self.get_wait(urgency, now) for urgency in self._waits},
+            # The estimated wait of a new request by urgency (seconds).
+            "waits": [
+                [urgency, round(self.get_wait(urgency, now), 3)]
+                for urgency in sorted(self._waits)
+            ],
         }
 
     async def ask(self, demand: Demand, terms: PlacementTerms) -> Ask:
@@ -145,11 +149,13 @@
             if ask.unanswered_since is not None:
                 until = min(until, ask.unanswered_since + patience)
             changed = ask.changed
-            with trio.move_on_at(until + LATE_ANSWER_SECONDS) as scope:
-                with trio.move_on_at(until):
-                    await changed.wait()
+            with trio.move_on_at(until):
+                await changed.wait()
+            if changed.is_set():
+                continue
+            with trio.move_on_after(LATE_ANSWER_SECONDS):
                 await changed.wait()
-            if scope.cancelled_caught and not changed.is_set():
+            if not changed.is_set():
                 if ask.unanswered_since is not None:
                     ask.failure = FallbackReason.NO_ANSWER
                 return
--- a/tests/coordination_builders.py
+++ b/tests/coordination_builders.py
@@ -221,12 +221,13 @@
             for rank, peer in enumerate(peers)
         }
         self.log = DecisionLog(OWN)
+        self.metrics = GatewayMetrics()
         self.table = make_table(*(servers or (make_server("s1"), make_server("s2"))))
         self.client = CoordinatedReservations(
             ReservationQueue(self.table, make_chooser(self.table)),
             FleetMembers(Member(OWN, "", "north"), members),  # type: ignore[arg-type]
             self.log,
-            GatewayMetrics(),
+            self.metrics,
             lambda: self.minimum,
             lambda model, now: 0,
             random.Random(1),
--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -64,6 +64,7 @@
         is_deadly: Callable[[bytes], bool],
         mesh_limit: int = MAX_MESH_MEMBERS,
         limit: dict[str, object] | None = None,
+        coordinated_from: int = 0,
     ):
         self._limit = limit or {}
         self.memory = MemoryStore()
@@ -74,6 +75,7 @@
         self._folder = folder
         self._counts = (instances, servers)
         self._mesh_limit = mesh_limit
+        self._coordinated_from = coordinated_from
         self._requests = 0
         # The instance that each request was sent to, by request id.
         self.instance_by_request: dict[str, int] = {}
@@ -111,6 +113,7 @@
                 store,
                 f"127.77.0.{number + 1}",
                 self._mesh_limit,
+                self._coordinated_from,
             )
             instance.start()
             self.instances.append(instance)
--- a/tests/test_coordination_client.py
+++ b/tests/test_coordination_client.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import orjson
 import pytest
 import trio
 
@@ -125,6 +126,11 @@
         assert len(second.ended) == 2
         assert instance.list_events("placement_conflict")
         assert not instance.client.fallbacks
+        text = instance.metrics.render().decode()
+        counted = {line for line in text.splitlines() if "placements{" in line}
+        for outcome, count in {"granted": 2, "queued": 1, "rejected": 1}.items():
+            labels = f'outcome="{outcome}",reason=""'
+            assert f"ashpond_gateway_placements{{{labels}}} {count}" in counted
 
 
 async def test_a_frozen_coordinator_costs_a_tenth_of_the_objective(
@@ -146,6 +152,9 @@
         assert alone.origin is not None
         assert alone.origin.fallback == "no_answer"
         assert instance.client.fallbacks == {"no_answer": 1}
+        status = orjson.loads(orjson.dumps(instance.client.describe()))
+        assert status["fallbacks"] == {"no_answer": 1}
+        assert status["shards"][0]["coordinator"] == "c1"
         await trio.sleep(0.1)
         first.thaw()
         await trio.sleep(SECONDS)
