--- a/ashpond/coordination/link.py
+++ b/ashpond/coordination/link.py
@@ -246,6 +246,7 @@
     async def _run_connection(self, coordinator: str, connection: Connection) -> None:
         """Ask a coordinator until it is lost or a preferred one is reachable."""
         self._unanswered.clear()
+        # Placements that have ended meanwhile are not held any longer.
         self._ended.clear()
         reason = NO_ANSWER
         try:
@@ -267,10 +268,8 @@
         self._search.avoid(coordinator, reason)
 
     def _reset(self) -> None:
-        """Prepare for another connection: all asks are sent and all held told again."""
+        """Prepare for another connection, on which all asks are sent again."""
         now = trio.current_time()
-        for held in self._held.values():
-            held.is_reported = False
         for ask in self._asks.values():
             if not ask.is_decided:
                 ask.note_lost(now)
--- a/tests/coordination_builders.py
+++ b/tests/coordination_builders.py
@@ -30,7 +30,7 @@
 from ashpond.coordination.client import CoordinatedReservations
 from ashpond.coordination.sessions import Deliver
 from ashpond.decisions.fleetlinks import Member
-from ashpond.decisions.placementterms import PlacementTerms
+from ashpond.decisions.placementterms import PlacementEvent, PlacementTerms
 from ashpond.errors import FrameError
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.metrics import GatewayMetrics
@@ -94,6 +94,8 @@
             self.held.append(held)
         self.asks += asks
         self.ended += ended
+        session.live |= {entry.number for entry in held}
+        session.live -= {e.number for e in ended if e.event is not PlacementEvent.READ}
         answers = [self.decide(session, ask) for ask in asks]
         if answers:
             session.deliver(encode_placement_answer(answers, self.waits))
@@ -103,6 +105,7 @@
             return PlacementDecision(
                 ask.number, DecisionState.REFUSED, seconds=self.retry_after
             )
+        session.live.add(ask.number)
         if self.is_full:
             self.queued.append((session, ask.number))
             return PlacementDecision(
@@ -122,6 +125,8 @@
         """Grant what is queued."""
         queued, self.queued = self.queued, []
         for session, number in queued:
+            if number not in session.live:
+                continue
             grant = make_grant(number, self.servers[0])
             session.deliver(encode_placement_answer([grant]))
 
@@ -143,6 +148,8 @@
         self.coordinator = coordinator
         self.deliver = deliver
         self.queries: list[PlacementQuery] = []
+        # The numbers that are held, granted or queued.
+        self.live: set[int] = set()
         self.is_reset = trio.Event()
         self.is_closed = False
 
--- a/tests/test_coordination_client.py
+++ b/tests/test_coordination_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -19,6 +21,7 @@
     QUEUED_SECONDS,
     AskingInstance,
     FakeCoordinator,
+    make_grant,
     make_terms,
 )
 from tests.gateway_builders import make_demand, make_server
@@ -173,6 +176,32 @@
             instance.client.release(one)
 
 
+async def test_a_grant_that_nobody_awaits_is_returned(autojump_clock: object) -> None:
+    """A caller that leaves in the turn of its grant left the server occupied."""
+    first = FakeCoordinator("c1")
+    first.is_full = True
+    instance = AskingInstance([first])
+    async with run_instance(instance) as nursery:
+        scope = trio.CancelScope()
+
+        async def ask() -> None:
+            with scope:
+                await instance.reserve()
+
+        nursery.start_soon(ask)
+        await trio.sleep(SECONDS)
+        number = first.asks[0].number
+        scope.cancel()
+        link = instance.client._links["reader", ""]
+        link._apply(make_grant(number, "s1"), "c1", trio.current_time())
+        await trio.sleep(SECONDS)
+        assert first.ended == [EndedPlacement(number, PlacementEvent.UNUSED)]
+        # It is returned again if it is granted again.
+        link._apply(make_grant(number, "s1"), "c1", trio.current_time())
+        await trio.sleep(SECONDS)
+        assert len(first.ended) == 2
+
+
 async def test_a_queue_at_a_frozen_coordinator_is_left(autojump_clock: object) -> None:
     """Without new asks, queued ones waited there until their deadline."""
     first, second = FakeCoordinator("c1"), FakeCoordinator("c2")
@@ -330,3 +359,63 @@
         assert reservation.origin is not None
         assert reservation.origin.coordinator == "c1"
         instance.client.release(reservation)
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_no_placement_is_left_behind_after_faults(
+    autojump_clock: object, seed: int
+) -> None:
+    """A grant that is not ended would occupy its server until its deadline."""
+    rng = random.Random(seed)
+    peers = [FakeCoordinator(f"c{number}", "s1", "s2") for number in range(3)]
+    instance = AskingInstance(peers, own=FakeCoordinator(OWN, "s2"))
+    outcomes: Counter[str] = Counter()
+
+    async def send_request() -> None:
+        with trio.move_on_after(rng.choice((0.02, 0.3, 5.0))):
+            reservation = await instance.reserve(0.1, objective=rng.choice((0.1, 0.6)))
+            if isinstance(reservation, Reservation):
+                assert reservation.origin is not None
+                outcomes[reservation.origin.coordinator] += 1
+                try:
+                    await trio.sleep(rng.expovariate(8.0))
+                finally:
+                    instance.client.release(reservation, PlacementEvent.ANSWERED)
+
+    async def disturb() -> None:
+        while True:
+            await trio.sleep(rng.expovariate(2.0))
+            peer = rng.choice(peers)
+            if rng.random() < 0.3:
+                peer.end()
+                await trio.sleep(rng.expovariate(1.0))
+                peer.is_down = False
+            elif rng.random() < 0.5:
+                peer.is_frozen = True
+                await trio.sleep(rng.expovariate(2.0))
+                peer.thaw()
+            else:
+                peer.is_full = True
+                await trio.sleep(rng.expovariate(3.0))
+                peer.is_full = False
+                peer.admit()
+
+    async with run_instance(instance) as nursery:
+        async with trio.open_nursery() as faults:
+            faults.start_soon(disturb)
+            until = trio.current_time() + 30.0
+            while trio.current_time() < until:
+                nursery.start_soon(send_request)
+                await trio.sleep(rng.expovariate(30.0))
+            faults.cancel_scope.cancel()
+        await trio.sleep(8.0)
+        for peer in peers:
+            peer.is_full = False
+            peer.thaw()
+            peer.admit()
+        await trio.sleep(1.0)
+        sessions = [s for peer in peers for s in peer.sessions]
+        assert [s.live for s in sessions if not s.is_closed and s.live] == []
+        assert instance.client.waiting == 0
+        assert len(outcomes) >= 3
+        assert sum(outcomes.values()) > 600
