--- a/tests/test_coordination_client.py
+++ b/tests/test_coordination_client.py
@@ -67,14 +67,19 @@
         ]
         # Asks of the same turn share a message, and carry the ends.
         assert first.messages[0] == (0, 0, 0)
+
+        async def reserve_and_release() -> None:
+            instance.client.release(await reserve_and_keep(instance))
+
         async with trio.open_nursery() as nursery:
             for _ in range(3):
-                nursery.start_soon(instance.reserve, 0.0)
+                nursery.start_soon(reserve_and_release)
         assert first.messages[-1] == (3, 0, 0)
-        for number in (2, 3, 4):
-            link = instance.client._links["reader", ""]
-            held = link._held[number]
-            instance.table.by_id[held.start_id].load = Load()
+        # An unused link is closed, and opened again when it is needed.
+        await trio.sleep(35.0)
+        assert first.sessions[0].is_closed
+        await reserve_and_release()
+        assert len(first.sessions) == 2
 
 
 @pytest.mark.parametrize("seconds", [1.25, -1.0, float("nan")])
