--- a/ashpond/coordination/client.py
+++ b/ashpond/coordination/client.py
@@ -19,10 +19,10 @@
 from ashpond.clients.peer import connect_peer
 from ashpond.clients.placements import DecisionState
 from ashpond.controllers.directory import ServerState, ServerTable
-from ashpond.coordination.asks import Ask, FallbackReason, limit_seconds
 from ashpond.coordination.candidates import Connect, Connection, CoordinatorSearch
-from ashpond.coordination.grants import build_reservation, exclude_granted
+from ashpond.coordination.grantedservers import build_reservation, exclude_granted
 from ashpond.coordination.link import ShardLink
+from ashpond.coordination.pendingasks import Ask, FallbackReason, limit_seconds
 from ashpond.coordination.sessions import Coordinators
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.placementorigin import PlacementOrigin
--- a/ashpond/coordination/grants.py
+++ b/ashpond/coordination/grantedservers.py
@@ -8,7 +8,7 @@
 
 from ashpond.clients.placements import PlacementDecision
 from ashpond.controllers.directory import ServerState, ServerTable
-from ashpond.coordination.asks import Ask
+from ashpond.coordination.pendingasks import Ask
 from ashpond.decisions.cacheindex import make_salt
 from ashpond.decisions.selection import Demand, make_load
 from ashpond.gateway.serverchoice import Reservation
--- a/ashpond/coordination/link.py
+++ b/ashpond/coordination/link.py
@@ -19,13 +19,13 @@
     decode_placement_answer,
     encode_placement_query,
 )
-from ashpond.coordination.asks import Ask, FallbackReason, HeldReservation
 from ashpond.coordination.candidates import (
     AVOID_SECONDS,
     Connection,
     CoordinatorSearch,
     Found,
 )
+from ashpond.coordination.pendingasks import Ask, FallbackReason, HeldReservation
 from ashpond.decisions.loads import Load
 from ashpond.decisions.placementterms import PlacementEvent, PlacementTerms
 from ashpond.decisions.selection import Demand
