Let few instances request permits often enough that none lies unused

Instances that were refused a permit paused for up to 15 s each, so that six of them could all pause while permits of a server with 1.5 requests per second expired. Only an answer shows that a limit was lifted: it was noticed 2.3 s late once. The longest pause now follows from the number of instances and the rate.

--- a/ashpond/controllers/permits.py
+++ b/ashpond/controllers/permits.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from ashpond.decisions.ratelimits import make_allowance, plan_pause
+from ashpond.decisions.ratelimits import limit_pause, make_allowance, plan_pause
 
 if TYPE_CHECKING:
     from ashpond.clients.coordinator import AllowanceDecision
@@ -46,6 +46,7 @@
 
     :param count: counts the outcome of a request for a permit.
     :param wake: wakes calls that wait for a server.
+    :param count_instances: returns the number of instances in the fleet.
     """
 
     def __init__(
@@ -54,11 +55,13 @@
         count: Callable[[str], None],
         rng: random.Random,
         wake: Callable[[], None],
+        count_instances: Callable[[], int],
     ):
         self._permit_source = permit_source
         self._count = count
         self._rng = rng
         self._wake = wake
+        self._count_instances = count_instances
 
     def on_limit(self, state: ServerState, before: float | None) -> None:
         """Adapt to a change of a server's rate limit.
@@ -101,7 +104,8 @@
         self._count("refused")
         state.permit_refusals += 1
         jitter = self._rng.random()
-        pause = plan_pause(verdict.retry_after, state.permit_refusals, jitter)
+        longest = limit_pause(rate, self._count_instances())
+        pause = plan_pause(verdict.retry_after, state.permit_refusals, jitter, longest)
         self._pause(state, pause)
         return False
 
--- a/ashpond/decisions/ratelimits.py
+++ b/ashpond/decisions/ratelimits.py
@@ -7,6 +7,7 @@
     "PERMIT_SECONDS",
     "SERVER_BOUNDS",
     "RateLimit",
+    "limit_pause",
     "make_allowance",
     "plan_pause",
     "update_limit",
@@ -40,6 +41,8 @@
 MAX_PAUSE_SECONDS = 15.0
 PAUSE_FACTOR = 1.5
 MAX_PAUSE_STEPS = 12
+# How many permits all instances together request for each one that there is, at least.
+REQUESTS_PER_PERMIT = 6
 
 
 class RateLimit(NamedTuple):
@@ -98,7 +101,24 @@
     return Allowance(max(rate, MIN_RATE), unit=AllowanceUnit.SERVER_REQUESTS)
 
 
-def plan_pause(retry_after: float | None, refusals: int, draw: float) -> float:
+def limit_pause(rate: float, instances: int) -> float:
+    """Return the longest pause between two requests for a permit (seconds).
+
+    Few instances that have all been refused would otherwise pause together while
+    permits expire, and only an answer shows that a limit was lifted: six instances sent
+    a server with 1.5 requests per second nothing for 2.8 s. Within these pauses, the
+    instances together request several times as many permits as there are.
+
+    :param rate: the server's limit (requests per second).
+    :param instances: the number of instances that share the limit.
+    """
+    pause = instances / (max(rate, MIN_RATE) * REQUESTS_PER_PERMIT)
+    return min(MAX_PAUSE_SECONDS, max(MIN_PAUSE_SECONDS, pause))
+
+
+def plan_pause(
+    retry_after: float | None, refusals: int, draw: float, longest: float
+) -> float:
     """Return the pause before the next request for a permit (seconds).
 
     Among hundreds of instances, each rarely gets a permit. Asking for one with every
@@ -107,7 +127,8 @@
     :param retry_after: when the coordinator expects to have a permit (seconds).
     :param refusals: the number of refusals in a row.
     :param draw: a random number from 0 to 1, so that instances do not ask all at once.
+    :param longest: the longest pause, see :func:`limit_pause` (seconds).
     """
     pause = max(MIN_PAUSE_SECONDS, retry_after or 0.0)
     pause *= PAUSE_FACTOR ** min(refusals - 1, MAX_PAUSE_STEPS)
-    return min(pause, MAX_PAUSE_SECONDS) * (1 + draw) / 2
+    return min(pause, longest) * (1 + draw) / 2
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -130,7 +130,11 @@
     )
     reservations = ReservationQueue(table, chooser)
     permits = Permits(
-        environment.coordinator, lambda outcome: None, rng, reservations.assign
+        environment.coordinator,
+        lambda outcome: None,
+        rng,
+        reservations.assign,
+        lambda: environment.scenario.instances,
     )
     directives = ServerDirectives(
         table, log, lambda kind: None, environment.announce, rng, permits.on_limit
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -178,7 +178,11 @@
             has_server_limits=self.table.has_limits,
         )
         self.permits = Permits(
-            self.allowances, self.metrics.count_permit, self.rng, self.slot_queue.assign
+            self.allowances,
+            self.metrics.count_permit,
+            self.rng,
+            self.slot_queue.assign,
+            lambda: self.members.count(),
         )
         self.peers = PeerExchange(
             self.members,
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -51,6 +51,7 @@
             lambda outcome: None,
             random.Random(instance.name),
             lambda: None,
+            lambda: len(fleet.members),
         )
         self.directives = ServerDirectives(
             instance.table,
--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -18,6 +18,8 @@
 RAMP_UP_SECONDS = 4.0
 # A limited server must get at least this share of its limit.
 MIN_USED_SHARE = 0.8
+# The longest time without a request, as a multiple of the mean time between permits.
+MAX_GAP_PERMITS = 2.0
 
 
 async def load_and_set_limit(fleet: LimitFleet, rate: float, seconds: float) -> float:
@@ -202,3 +204,23 @@
         nursery.cancel_scope.cancel()
     used = fleet.count_arrivals(raised_at + 1.0, raised_at + 6.0)
     assert used >= MIN_USED_SHARE * 20.0 * 5.0
+
+
+@pytest.mark.parametrize("seed", range(10))
+async def test_a_small_fleet_leaves_no_permit_unused_for_long(
+    seed: int, autojump_clock: object
+) -> None:
+    """Only an answer shows that a limit was lifted, so permits must not lie unused.
+
+    Pauses that grow with each refusal left gaps of over 2 s among six instances.
+    """
+    rate = 1.5
+    async with trio.open_nursery() as nursery:
+        fleet = LimitFleet(nursery, 6, seed)
+        limit_set_at = await load_and_set_limit(fleet, rate, 40.0)
+        await trio.sleep(36.0)
+        nursery.cancel_scope.cancel()
+    times = [a.at for a in fleet.arrivals if a.at > limit_set_at + RAMP_UP_SECONDS]
+    gaps = [later - at for at, later in zip(times, times[1:], strict=False)]
+    assert fleet.measure_fullest_server_window(rate) <= 1.0
+    assert max(gaps) <= MAX_GAP_PERMITS / rate
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -10,6 +10,7 @@
     NO_LIMIT,
     SERVER_BOUNDS,
     RateLimit,
+    limit_pause,
     make_allowance,
     plan_pause,
     update_limit,
@@ -73,11 +74,19 @@
     )
 
 
-@given(st.floats(0, 1e6), st.integers(1, 1000), st.floats(0, 1))
+@given(
+    st.floats(0, 1e6),
+    st.integers(1, 1000),
+    st.floats(0, 1),
+    st.floats(0, 1e6),
+    st.integers(1, 1000),
+)
 def test_pauses_between_permit_requests_are_bounded(
-    retry_after: float, refusals: int, draw: float
+    retry_after: float, refusals: int, draw: float, rate: float, instances: int
 ) -> None:
-    assert 0 < plan_pause(retry_after, refusals, draw) <= MAX_PAUSE_SECONDS
+    longest = limit_pause(rate, instances)
+    assert 0 < plan_pause(retry_after, refusals, draw, longest) <= longest
+    assert longest <= MAX_PAUSE_SECONDS
 
 
 @given(st.floats(0, 1e18))
