Serve placement queries by a handler, and bound what they hold

A connection whose first message is a placement query reaches a new handler, serve_placements; its default ends the connection. Sizes of prompt parts and the seconds of a decision had no bounds, so a peer's message could hold sizes that fit no sum and a wait that is not finite.

--- a/ashpond/clients/placements.py
+++ b/ashpond/clients/placements.py
@@ -17,15 +17,20 @@
 
 from collections.abc import Sequence
 from enum import IntEnum
-from typing import NamedTuple
+from typing import Annotated, Any, NamedTuple
 
-from ashpond.bounds import Amount, Count
+import msgspec
+
+from ashpond.bounds import MAX_NUMBER, Amount, Count
 from ashpond.clients.fields import convert_list
 from ashpond.clients.peer import PlacementAnswer, PlacementQuery
 from ashpond.decisions.placementterms import PlacementEvent
 from ashpond.decisions.prompts import PromptPart
 from ashpond.errors import FrameError
 
+# Below 0 for a refusal without a time to return.
+DecisionSeconds = Annotated[float, msgspec.Meta(ge=-1, le=float(MAX_NUMBER))]
+
 
 class DecisionState(IntEnum):
     """The state of an ask after a coordinator's answer."""
@@ -104,7 +109,7 @@
     cached_tokens: Count = 0
     fetch_tokens: Count = 0
     save_to: str | None = None
-    seconds: float = 0.0
+    seconds: DecisionSeconds = 0.0
 
 
 class ReportedWait(NamedTuple):
@@ -122,17 +127,25 @@
     held: Sequence[HeldPlacement] = (),
     ended: Sequence[EndedPlacement] = (),
 ) -> PlacementQuery:
-    """Return the message that asks for servers and reports ended requests."""
+    """Return the message that asks for servers and reports ended requests.
+
+    A deadline that has just passed counts as now; the message would not be valid.
+    """
     return PlacementQuery(
         sender,
         service,
         shard,
-        [[*ask[:5], [list(part) for part in ask.parts], *ask[6:]] for ask in asks],
-        [list(entry) for entry in held],
+        [_list_fields(ask) for ask in asks],
+        [list(entry._replace(left=max(0.0, entry.left))) for entry in held],
         [list(entry) for entry in ended],
     )
 
 
+def _list_fields(ask: PlacementAsk) -> list[Any]:
+    ask = ask._replace(waited=max(0.0, ask.waited), left=max(0.0, ask.left))
+    return [*ask[:5], [list(part) for part in ask.parts], *ask[6:]]
+
+
 def decode_placement_query(
     message: PlacementQuery,
 ) -> tuple[list[PlacementAsk], list[HeldPlacement], list[EndedPlacement]]:
@@ -141,8 +154,10 @@
     :raises FrameError: if a field is not valid.
     """
     try:
+        asks = convert_list(message.asks, PlacementAsk)
+        _check_parts(asks)
         return (
-            convert_list(message.asks, PlacementAsk),
+            asks,
             convert_list(message.held, HeldPlacement),
             convert_list(message.ended, EndedPlacement),
         )
@@ -150,6 +165,16 @@
         raise FrameError(f"invalid placement query: {error!r}") from error
 
 
+def _check_parts(asks: Sequence[PlacementAsk]) -> None:
+    """Check the sizes of parts, which have no bounds of their own.
+
+    :raises ValueError: if one is out of bounds.
+    """
+    for ask in asks:
+        if not all(0 <= part.tokens <= MAX_NUMBER for part in ask.parts):
+            raise ValueError(f"the parts of ask {ask.number} have invalid sizes")
+
+
 def encode_placement_answer(
     decisions: Sequence[PlacementDecision], waits: Sequence[ReportedWait] = ()
 ) -> PlacementAnswer:
--- a/ashpond/fleet/exchange.py
+++ b/ashpond/fleet/exchange.py
@@ -12,7 +12,6 @@
 from ashpond.addresses import parse_address
 from ashpond.clients.liveness import enable_dead_peer_detection
 from ashpond.clients.peer import (
-    AllowanceQuery,
     CrashReport,
     Notices,
     PeerStream,
@@ -289,11 +288,11 @@
         try:
             await stream.authenticate(is_server=True)
             first = await receive_first(stream)
-            if isinstance(first, AllowanceQuery):
-                serve = self._handlers.serve_allowances
-                reason = await run_until_end(lambda: serve(first, stream))
-            else:
+            if isinstance(first, UpdateMessage):
                 reason = await self._handle_updates(first, stream)
+            else:
+                serve = self._handlers.serve
+                reason = await run_until_end(lambda: serve(first, stream))
         except PEER_ERRORS as error:
             reason = repr(error)
         finally:
--- a/ashpond/fleet/links.py
+++ b/ashpond/fleet/links.py
@@ -5,6 +5,7 @@
 __all__ = [
     "PEER_ERRORS",
     "SCOPE_BY_ROLE",
+    "FirstMessage",
     "Link",
     "PeerRole",
     "UpdateMessage",
@@ -30,6 +31,7 @@
     Notices,
     PeerStream,
     PeerUpdate,
+    PlacementQuery,
     TableChanges,
 )
 from ashpond.controllers.feeds import TableUpdate
@@ -60,6 +62,8 @@
 MAX_PENDING_CRASHES = 500
 # The messages of updates.
 UpdateMessage = PeerUpdate | Notices | CrashReport | TableChanges
+# The messages that a connection may begin with.
+FirstMessage = UpdateMessage | AllowanceQuery | PlacementQuery
 # Exceptions that end a connection between instances.
 PEER_ERRORS = (
     OSError,
@@ -253,9 +257,9 @@
             return message
 
 
-async def receive_first(stream: PeerStream) -> UpdateMessage | AllowanceQuery:
-    """Return the first update or ask for allowances of a peer that has connected."""
+async def receive_first(stream: PeerStream) -> FirstMessage:
+    """Return the first update, or the first query of a peer that has connected."""
     while True:
         message = await stream.receive()
-        if isinstance(message, UpdateMessage | AllowanceQuery):
+        if isinstance(message, FirstMessage):
             return message
--- a/ashpond/fleet/updates.py
+++ b/ashpond/fleet/updates.py
@@ -31,6 +31,7 @@
     Notices,
     PeerStream,
     PeerUpdate,
+    PlacementQuery,
     TableChanges,
 )
 from ashpond.controllers.feeds import TableUpdate
@@ -95,6 +96,14 @@
     cache_entries: list[CacheEntry]
 
 
+async def end_placements(first: PlacementQuery, stream: PeerStream) -> None:
+    """End the connection of a peer that takes this instance for a coordinator.
+
+    :raises FrameError: always.
+    """
+    raise FrameError("this instance places no requests of others")
+
+
 class UpdateHandlers(NamedTuple):
     """Callbacks for received updates, and for the values that this instance sends.
 
@@ -103,7 +112,7 @@
     connected. ``retain_peers`` gets the keys of the reports that together cover the
     fleet. ``on_table`` returns whether the table update should be forwarded.
     ``serve_allowances`` answers a peer that asks this instance for allowances, until
-    its connection ends.
+    its connection ends. ``serve_placements`` does so for a peer that asks for servers.
     """
 
     on_notice: Callable[[ServerNotice], None]
@@ -115,6 +124,21 @@
     on_crashes: Callable[[list[ServerCrash], str], list[ServerCrash]]
     list_crashes: Callable[[], list[ServerCrash]]
     serve_allowances: Callable[[AllowanceQuery, PeerStream], Awaitable[None]]
+    serve_placements: Callable[[PlacementQuery, PeerStream], Awaitable[None]] = (
+        end_placements
+    )
+
+    async def serve(
+        self, first: AllowanceQuery | PlacementQuery, stream: PeerStream
+    ) -> None:
+        """Serve a peer whose first message is a query, until its connection ends.
+
+        :raises FrameError: if the peer sends an invalid message, or is not served.
+        """
+        if isinstance(first, PlacementQuery):
+            await self.serve_placements(first, stream)
+        else:
+            await self.serve_allowances(first, stream)
 
 
 class _Change(NamedTuple):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -10,7 +10,14 @@
 
 from ashpond.clients import peer
 from ashpond.clients.liveness import UNACKNOWLEDGED_MS, enable_dead_peer_detection
-from ashpond.clients.peer import PeerUpdate, TableChanges
+from ashpond.clients.peer import (
+    PeerStream,
+    PeerUpdate,
+    PlacementAnswer,
+    PlacementQuery,
+    TableChanges,
+    connect_peer,
+)
 from ashpond.decisions.budget import AttemptCounts
 from ashpond.decisions.cacheindex import CacheEntry
 from ashpond.decisions.loads import Load
@@ -27,6 +34,7 @@
     limit_cache_entries,
 )
 from ashpond.fleet.members import Members
+from ashpond.fleet.reconnection import MAX_FRAME_BYTES
 from ashpond.fleet.updates import ServerNotice
 from ashpond.standins.tables import MemoryStore
 from tests.peer_fleet import Instance, wait_for
@@ -241,3 +249,48 @@
     assert MIN_GROUP_CACHE_ENTRIES < between < MAX_GROUP_CACHE_ENTRIES
     spent = between * CACHE_ENTRY_BYTES * 30 / interval
     assert spent <= 60.0 * BYTES_PER_MBIT * CACHE_ENTRIES_SHARE
+
+
+async def ask_for_placements(instance: Instance) -> PlacementAnswer | None:
+    """Send an instance a query for placements; None if it ends the connection."""
+    await wait_for(lambda: bool(instance.members.secret))
+    address = instance.members.own.address
+    stream = None
+    while stream is None:
+        try:
+            stream = await connect_peer(
+                address, instance.members.secret, MAX_FRAME_BYTES
+            )
+        except OSError:
+            await trio.sleep(0.01)
+    try:
+        await stream.send(PlacementQuery("i9#a", "reader", "", [], [], []))
+        answer = await stream.receive()
+        assert isinstance(answer, PlacementAnswer)
+        return answer
+    except FrameError:
+        return None
+    finally:
+        await stream.aclose()
+
+
+async def test_a_peer_that_asks_for_placements_reaches_their_handler(
+    instances: list[Instance],
+) -> None:
+    """An instance without a coordinator ends the connection and keeps running."""
+    first, second, _ = instances
+
+    async def serve(query: PlacementQuery, stream: PeerStream) -> None:
+        await stream.send(PlacementAnswer([], [[1, 0.5]]))
+        await stream.receive()
+
+    handlers = first.peers._handlers._replace(serve_placements=serve)
+    first.peers._handlers = handlers
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(first.run)
+        nursery.start_soon(second.run)
+        with trio.fail_after(20):
+            assert await ask_for_placements(first) == PlacementAnswer([], [[1, 0.5]])
+            assert await ask_for_placements(second) is None
+            assert await ask_for_placements(second) is None
+        nursery.cancel_scope.cancel()
