--- /dev/null
+++ b/ashpond/decisions/shardloads.py
@@ -0,0 +1,116 @@
+"""What a coordinator learns of its servers beyond its own grants.
+
+Answers the loads of requests that were placed without the coordinator, and of servers
+that take fewer requests than their rows say.
+"""
+
+from __future__ import annotations
+
+__all__ = ["SAMPLE_SECONDS", "ExcessLoads", "SeenCapacities"]
+
+import math
+from collections.abc import Mapping
+
+from ashpond.decisions.loads import NO_LOAD, Load
+
+# How often the loads that peers report are compared with the ledger (seconds). Peers
+# report them every 0.12 to 0.6 s.
+SAMPLE_SECONDS = 0.1
+# The time constant of the smoothing (seconds). Reports are up to 1.2 s late, so that a
+# single difference is mostly one of time.
+SMOOTHING_SECONDS = 2.0
+# After a longer pause the smoothing begins anew (seconds). A new coordinator is told
+# what is in flight by one instance after another, and would count all of it twice.
+MAX_GAP_SECONDS = 2.0
+# A server that rejected a request gets no other for this time (seconds).
+REJECTED_PAUSE_SECONDS = 0.15
+# The time in which a capacity that was seen doubles, and after which it is forgotten
+# (seconds): a server may have rejected a request for another reason.
+DOUBLING_SECONDS = 1.0
+MAX_SEEN_SECONDS = 5.0
+
+
+class ExcessLoads:
+    """The loads of servers by requests that are not in the ledger, smoothed."""
+
+    def __init__(self) -> None:
+        self._sampled_at = -math.inf
+        self._smoothed: dict[str, list[float]] = {}
+        self._loads: dict[str, Load] = {}
+
+    def is_due(self, now: float) -> bool:
+        """Return whether the loads should be compared again."""
+        return now - self._sampled_at >= SAMPLE_SECONDS
+
+    def sample(self, differences: Mapping[str, Load], now: float) -> None:
+        """Add a comparison.
+
+        :param differences: by start, the reported load less the load in the ledger.
+        """
+        passed = now - self._sampled_at
+        self._sampled_at = now
+        if passed > MAX_GAP_SECONDS:
+            self._smoothed = {}
+            self._loads = {}
+            return
+        weight = 1 - math.exp(-passed / SMOOTHING_SECONDS)
+        smoothed = {}
+        for start_id, difference in differences.items():
+            values = self._smoothed.get(start_id, [0.0] * len(difference))
+            smoothed[start_id] = [
+                value + weight * (number - value)
+                for value, number in zip(values, difference, strict=True)
+            ]
+        self._smoothed = smoothed
+        loads = {
+            start_id: Load(*(max(0, round(value)) for value in values))
+            for start_id, values in smoothed.items()
+        }
+        self._loads = {key: load for key, load in loads.items() if load != NO_LOAD}
+
+    def get(self, start_id: str) -> Load:
+        """Return the load beyond the ledger at a start of a server."""
+        return self._loads.get(start_id, NO_LOAD)
+
+
+class SeenCapacities:
+    """How many requests servers took at once when they rejected one more."""
+
+    def __init__(self) -> None:
+        self._seen: dict[str, tuple[float, int]] = {}
+
+    def note_rejected(self, start_id: str, in_flight: int, now: float) -> None:
+        """Record that a server rejected a request.
+
+        :param in_flight: the number of its other requests.
+        """
+        self._expire(now)
+        seen = max(1, in_flight)
+        limit = self.get_limit(start_id, now)
+        # Requests that were sent before it was full are rejected one after the other.
+        self._seen[start_id] = now, seen if limit is None else min(seen, int(limit))
+
+    def get_limit(self, start_id: str, now: float) -> float | None:
+        """Return how many requests a server takes at once, None if that is unknown."""
+        if start_id not in self._seen:
+            return None
+        at, count = self._seen[start_id]
+        if now - at > MAX_SEEN_SECONDS:
+            return None
+        return count * 2 ** ((now - at) / DOUBLING_SECONDS)
+
+    def may_take(self, start_id: str, in_flight: int, now: float) -> bool:
+        """Return whether a server may get one more request."""
+        if start_id not in self._seen:
+            return True
+        if now - self._seen[start_id][0] < REJECTED_PAUSE_SECONDS:
+            return False
+        limit = self.get_limit(start_id, now)
+        return limit is None or in_flight < limit
+
+    def _expire(self, now: float) -> None:
+        self._seen = {
+            key: entry
+            for key, entry in self._seen.items()
+            if now - entry[0] <= MAX_SEEN_SECONDS
+        }
