Place the requests of a shard at its coordinator

No instance knows the load of an engine, and nothing orders the callers of different instances. The coordinator decides with the existing chooser over the ledger's loads, keeps one queue per shard, answers each ask at once and a queued one again, and learns speeds from first events. Parts being read count as cached for requests that go to that engine, and for all after the first event.

--- /dev/null
+++ b/ashpond/coordination/asks.py
@@ -0,0 +1,97 @@
+"""The requests that instances send to a coordinator, as it handles them."""
+
+from __future__ import annotations
+
+__all__ = [
+    "MAX_LEFT_SECONDS",
+    "PlacedRequest",
+    "WaitingRequest",
+    "build_demand",
+    "estimate_cost",
+]
+
+from typing import NamedTuple
+
+from ashpond.clients.placements import PlacementAsk
+from ashpond.coordination.queueing import Speeds, Ticket
+from ashpond.decisions.placementledger import GrantKey
+from ashpond.decisions.prompts import Prompt
+from ashpond.decisions.selection import Demand, count_shared_tokens, make_load
+
+# The longest time until a deadline that counts (seconds), far above any real timeout. A
+# grant with a faulty deadline would never end.
+MAX_LEFT_SECONDS = 3_600.0
+# Stands for the start of an engine or server of unknown speed.
+ANY_START = ""
+
+# What limits the choice of a server, besides the memory that a request needs.
+Constraints = tuple[str | None, frozenset[str], int, bool, float, float]
+
+
+class WaitingRequest:
+    """A request that waits for a server, or is about to get one.
+
+    ``forecast`` is the wait that its instance was told first (seconds), None if none.
+    """
+
+    def __init__(self, ticket: Ticket, demand: Demand, domain: str | None, now: float):
+        self.ticket = ticket
+        self.demand = demand
+        self.domain = domain
+        self.asked_at = now
+        self.forecast: float | None = None
+        self.memory_tokens = make_load(demand, 0).held_tokens
+        self.constraints: Constraints = (
+            demand.model,
+            demand.excluded,
+            ticket.urgency,
+            demand.is_suspected,
+            demand.longest_pause,
+            demand.objective,
+        )
+
+    @property
+    def key(self) -> GrantKey:
+        """The session and number of the request."""
+        return GrantKey(self.ticket.session, self.ticket.number)
+
+
+class PlacedRequest(NamedTuple):
+    """What a grant was based on. ``prompt`` and ``salt`` are None at a plain server.
+
+    ``begins_at_once`` is whether a plain server had a free slot.
+    """
+
+    prompt: Prompt | None
+    salt: str | None
+    begins_at_once: bool
+
+
+def build_demand(service: str, ask: PlacementAsk) -> Demand:
+    """Return what the choice of a server for a request depends on."""
+    prompt = None
+    if ask.model is not None:
+        prompt = Prompt(ask.model, ask.tokens, ask.max_output_tokens, tuple(ask.parts))
+    return Demand(
+        service,
+        ask.model,
+        prompt,
+        ask.cache_namespace,
+        frozenset(ask.excluded),
+        ask.is_resumable,
+        ask.is_suspected,
+        ask.longest_pause,
+        ask.objective,
+    )
+
+
+def estimate_cost(demand: Demand, speeds: Speeds, now: float) -> float:
+    """Return how long a typical server works on a request (seconds).
+
+    The shared parts of a prompt count as cached.
+    """
+    prompt = demand.prompt
+    if prompt is None:
+        return speeds.get_work_seconds(demand.service, ANY_START, now)
+    own_tokens = max(0, prompt.tokens - count_shared_tokens(prompt))
+    return own_tokens / speeds.get_read_rate(demand.service, ANY_START, now)
--- /dev/null
+++ b/ashpond/coordination/shard.py
@@ -0,0 +1,301 @@
+"""The queue of one shard: its requests are placed, wait, or are refused."""
+
+from __future__ import annotations
+
+__all__ = ["RECHECK_SECONDS", "Answer", "PlacementShard"]
+
+import math
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from ashpond.clients.placements import (
+    DecisionState,
+    EndedPlacement,
+    PlacementAsk,
+    PlacementDecision,
+    ReportedWait,
+)
+from ashpond.coordination.asks import (
+    MAX_LEFT_SECONDS,
+    Constraints,
+    WaitingRequest,
+    build_demand,
+    estimate_cost,
+)
+from ashpond.coordination.grants import CoordinatorReports, ShardGrants
+from ashpond.coordination.queueing import Queue, Speeds, Ticket
+from ashpond.coordination.shardservers import ShardServers
+from ashpond.decisions.placementledger import GrantKey, PlacementLedger
+from ashpond.decisions.placementterms import PlacementEvent
+from ashpond.gateway.serverchoice import Reservation, ServerChooser
+
+# Waiting requests are not woken when a peer's load changes or a pause ends, so the
+# search is repeated this often (seconds).
+RECHECK_SECONDS = 0.05
+# Waits are reported for the urgencies that were asked for lately (seconds, entries).
+URGENCY_SECONDS = 10.0
+MAX_URGENCIES = 8
+# More requests than can be served within any timeout; the others are refused (entries).
+MAX_WAITING = 4_000
+# The ``seconds`` of a refusal without a time to return.
+NO_TIME = -1.0
+
+# Takes the decision on an ask of a session.
+Answer = Callable[[int, PlacementDecision], None]
+
+
+class PlacementShard:
+    """The requests of one shard.
+
+    Its methods change the state only; decisions go to ``answer`` at once.
+
+    :param ledger: the grants of all shards that this instance coordinates.
+    :param answer: takes a decision, with the session that it is for.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        servers: ShardServers,
+        chooser: ServerChooser,
+        grants: ShardGrants,
+        ledger: PlacementLedger,
+        queue: Queue,
+        speeds: Speeds,
+        answer: Answer,
+        reports: CoordinatorReports,
+    ):
+        self.servers = servers
+        self.grants = grants
+        self.waiting: dict[GrantKey, WaitingRequest] = {}
+        self._service = service
+        self._chooser = chooser
+        self._ledger = ledger
+        self._queue = queue
+        self._speeds = speeds
+        self._answer = answer
+        self._reports = reports
+        self._starts: set[str] = set()
+        self._asked_at: dict[int, float] = {}
+        # The least memory with which requests of the same constraints found no server,
+        # since anything changed that could have given them one.
+        self._unmet: dict[Constraints, int] = {}
+        self._unmet_at = -math.inf
+
+    def note_event(self, session: int, ended: EndedPlacement, now: float) -> bool:
+        """Apply what has happened to a request; return whether anything changed."""
+        key = GrantKey(session, ended.number)
+        if key not in self.waiting:
+            return self.grants.note_event(key, ended.event, now)
+        if ended.event is PlacementEvent.READ:
+            return False
+        self._withdraw(self.waiting[key])
+        return True
+
+    def end_session(self, session: int) -> None:
+        """Remove a session's waiting requests, and end its grants."""
+        for request in list(self.waiting.values()):
+            if request.ticket.session == session:
+                self._withdraw(request)
+        self.grants.end_session(session)
+
+    def note_servers_changed(self, now: float) -> None:
+        """Read the list of servers again, and drop what is kept of those gone."""
+        self.servers.forget_lists()
+        starts = {state.info.start_id for state in self.servers.list_own(now)}
+        for start_id in self._starts - starts:
+            self.grants.forget_start(start_id)
+        self._starts = starts
+
+    def _withdraw(self, request: WaitingRequest) -> None:
+        """Remove a waiting request."""
+        self.waiting.pop(request.key, None)
+        self._queue.remove(request.ticket)
+        self._ledger.note_withdrawn(*request.key)
+
+    def take_ask(
+        self, session: int, ask: PlacementAsk, domain: str | None, now: float
+    ) -> None:
+        """Place a request, queue it or refuse it.
+
+        :param domain: the failure domain of the instance that has it, None if unknown.
+        """
+        key = GrantKey(session, ask.number)
+        if key in self.waiting or not self._ledger.is_new(*key):
+            return
+        request = self._build_request(session, ask, domain, now)
+        ticket = request.ticket
+        self._asked_at[ticket.urgency] = now
+        if now - self._unmet_at >= RECHECK_SECONDS:
+            self._forget_unmet(now)
+        if not self._is_unmet(request) and self._try_grant(request, now):
+            return
+        retry_at = self.servers.find_retry_time(request.demand, now)
+        if retry_at > ticket.deadline:
+            self._refuse(request, retry_at - now, now)
+            return
+        request.forecast = self._queue.forecast(ticket.urgency, ticket.team, now)
+        is_late = now + request.forecast + ticket.cost > ticket.deadline
+        if is_late or len(self.waiting) >= MAX_WAITING:
+            self._refuse(request, None, now)
+            return
+        self._queue.add(ticket)
+        self.waiting[key] = request
+        self._reports.count_placement("queued")
+        decision = PlacementDecision(
+            ticket.number, DecisionState.QUEUED, seconds=request.forecast
+        )
+        self._answer(session, decision)
+
+    def _build_request(
+        self, session: int, ask: PlacementAsk, domain: str | None, now: float
+    ) -> WaitingRequest:
+        demand = build_demand(self._service, ask)
+        arrived_at = now - ask.waited
+        promised = self._queue.take_promise(ask.fingerprint, ask.urgency, ask.team, now)
+        ticket = Ticket(
+            number=ask.number,
+            session=session,
+            service=self._service,
+            urgency=ask.urgency,
+            team=ask.team,
+            weight=1.0,
+            cost=estimate_cost(demand, self._speeds, now),
+            arrived_at=arrived_at if promised is None else min(arrived_at, promised),
+            objective_at=arrived_at + ask.objective,
+            deadline=now + min(ask.left, MAX_LEFT_SECONDS),
+            fingerprint=ask.fingerprint,
+        )
+        return WaitingRequest(ticket, demand, domain, now)
+
+    def assign(self, now: float) -> None:
+        """Place the waiting requests that there is a server for, the next one first.
+
+        A request is skipped if one with the same constraints and no greater need of
+        memory has found no server: with full engines, many requests cost one search.
+        """
+        self._forget_unmet(now)
+        if not self.waiting:
+            return
+        for ticket in list(self._queue.list_in_order(now)):
+            request = self.waiting.get(GrantKey(ticket.session, ticket.number))
+            if request is None:
+                continue
+            if now + ticket.cost > ticket.deadline:
+                self._refuse(request, None, now)
+            elif not self._is_unmet(request):
+                self._try_grant(request, now)
+
+    def refuse_hopeless(self, now: float) -> None:
+        """Refuse waiting requests that by the present estimate can't be served.
+
+        The estimate of a new request is divided by the places before it.
+        """
+        ahead: Counter[int] = Counter()
+        for ticket in list(self._queue.list_in_order(now)):
+            ahead[ticket.urgency] += 1
+        passed: Counter[int] = Counter()
+        forecasts: dict[tuple[int, str], float] = {}
+        for ticket in list(self._queue.list_in_order(now)):
+            passed[ticket.urgency] += 1
+            share = passed[ticket.urgency] / (ahead[ticket.urgency] + 1)
+            kind = (ticket.urgency, ticket.team)
+            if kind not in forecasts:
+                forecasts[kind] = self._queue.forecast(*kind, now)
+            request = self.waiting.get(GrantKey(ticket.session, ticket.number))
+            wait = forecasts[kind] * share
+            if request and now + wait + ticket.cost > ticket.deadline:
+                self._refuse(request, None, now)
+
+    def _forget_unmet(self, now: float) -> None:
+        self._unmet.clear()
+        self._unmet_at = now
+
+    def _is_unmet(self, request: WaitingRequest) -> bool:
+        least = self._unmet.get(request.constraints)
+        return least is not None and request.memory_tokens >= least
+
+    def _try_grant(self, request: WaitingRequest, now: float) -> bool:
+        reservation = self._chooser.choose(request.demand, now, request.domain)
+        if reservation is None:
+            self._unmet[request.constraints] = request.memory_tokens
+            return False
+        self._grant(request, reservation, now)
+        return True
+
+    def _grant(
+        self, request: WaitingRequest, reservation: Reservation, now: float
+    ) -> None:
+        ticket = request.ticket
+        self.grants.add(request.key, reservation, request.demand, ticket.deadline, now)
+        if self.waiting.pop(request.key, None) is None:
+            self._queue.add(ticket)
+        self._queue.note_started(ticket, now)
+        self._queue.remove(ticket)
+        waited = now - request.asked_at
+        self._reports.count_placement("granted")
+        self._reports.observe_wait(waited)
+        if request.forecast is not None:
+            self._reports.observe_error(waited - request.forecast)
+        self._answer(ticket.session, describe_grant(ticket.number, reservation))
+
+    def _refuse(
+        self, request: WaitingRequest, seconds: float | None, now: float
+    ) -> None:
+        """Refuse a request; ``seconds`` is None for the time that the queue gives."""
+        if seconds is None:
+            seconds = self._queue.refuse(request.ticket, now)
+        self._withdraw(request)
+        if not 0 <= seconds < MAX_LEFT_SECONDS:
+            seconds = NO_TIME
+        self._reports.count_placement("refused")
+        decision = PlacementDecision(
+            request.ticket.number, DecisionState.REFUSED, seconds=seconds
+        )
+        self._answer(request.ticket.session, decision)
+
+    def list_waits(self, now: float) -> list[ReportedWait]:
+        """Return the estimated wait of a new request by urgency."""
+        for urgency in list(self._asked_at):
+            if now - self._asked_at[urgency] > URGENCY_SECONDS:
+                del self._asked_at[urgency]
+        urgencies = sorted(self._asked_at)[:MAX_URGENCIES]
+        if not self.waiting:
+            return [ReportedWait(urgency, 0.0) for urgency in urgencies]
+        return [
+            ReportedWait(urgency, max(0.0, self._queue.forecast(urgency, "", now)))
+            for urgency in urgencies
+        ]
+
+    def describe(self, now: float) -> dict[str, Any]:
+        """Return the queue and the servers for operators."""
+        by_urgency: Counter[str] = Counter()
+        by_team: Counter[str] = Counter()
+        for request in self.waiting.values():
+            by_urgency[str(request.ticket.urgency)] += 1
+            by_team[request.ticket.team] += 1
+        return {
+            "waiting_by_urgency": dict(by_urgency),
+            "waiting_by_team": dict(by_team),
+            "forecast_seconds": {
+                str(wait.urgency): round(wait.seconds, 3)
+                for wait in self.list_waits(now)
+            },
+            "servers": self.grants.describe_servers(now),
+        }
+
+
+def describe_grant(number: int, reservation: Reservation) -> PlacementDecision:
+    """Return the decision that tells an instance of its reservation."""
+    return PlacementDecision(
+        number,
+        DecisionState.GRANTED,
+        reservation.state.info.start_id,
+        reservation.weights_version,
+        reservation.salt,
+        reservation.fetch_from,
+        reservation.cached_tokens,
+        reservation.fetch_tokens,
+        reservation.save_to,
+    )
--- a/tests/test_damaged_messages.py
+++ b/tests/test_damaged_messages.py
@@ -22,10 +22,18 @@
     Notices,
     PeerMessage,
     PeerUpdate,
+    PlacementAnswer,
+    PlacementQuery,
     TableChanges,
     parse_message,
     unpack_value,
 )
+from ashpond.clients.placements import (
+    HeldPlacement,
+    decode_placement_answer,
+    decode_placement_query,
+    encode_placement_query,
+)
 from ashpond.controllers.cachestores import EVENTS_PREFIX, StoreContents
 from ashpond.controllers.feeds import TableUpdate
 from ashpond.decisions.declared import CacheStore
@@ -41,6 +49,7 @@
 from ashpond_platform.store import decode_body
 from tests.damage import damage, values
 from tests.peer_fleet import make_update
+from tests.placement_builders import make_ask
 
 REPORT = {"models": [{"name": "m", "version": 1}], "busy": False, "seq": 2, "born": 5}
 EVENTS = {
@@ -275,3 +284,125 @@
     ):
         with pytest.raises(FrameError):
             decode_allowance(value)
+
+
+PLACEMENT_ASK = [
+    "placement_ask",
+    list(
+        encode_placement_query(
+            "i1#a",
+            "reader",
+            "north",
+            [make_ask(parts=[("rules", 6300), ("own", 2890)])],
+            [HeldPlacement(7, "e1#2a", 500, 800, 500, 1, False, 2.0)],
+        )._replace(ended=[[6, 1]])
+    ),
+]
+PLACEMENT = [
+    "placement",
+    [[[1, 0, "e1#2a", 3, "salt", None, 6300, 0, None, 0.0]], [[1, 0.2]]],
+]
+
+
+def decode_placement(value: Any) -> None:
+    """Decode a query or an answer; check that its numbers can be added and waited."""
+    message = parse_message(value)
+    numbers: list[float] = []
+    if isinstance(message, PlacementQuery):
+        asks, held, ended = decode_placement_query(message)
+        for ask in asks:
+            numbers += [ask.number, ask.tokens, ask.max_output_tokens, ask.urgency]
+            numbers += [ask.waited, ask.left, ask.objective, ask.longest_pause]
+            numbers += [part.tokens for part in ask.parts]
+        for entry in held:
+            numbers += [entry.number, entry.unread_tokens, entry.held_tokens]
+            numbers += [entry.read_tokens, entry.bound, entry.left]
+        numbers += [entry.number for entry in ended]
+    elif isinstance(message, PlacementAnswer):
+        decisions, waits = decode_placement_answer(message)
+        for decision in decisions:
+            numbers += [decision.number, decision.cached_tokens, decision.fetch_tokens]
+            assert decision.seconds >= -1
+            numbers.append(abs(decision.seconds))
+        numbers += [number for wait in waits for number in wait]
+    assert all(0 <= number <= MAX_NUMBER for number in numbers)
+
+
+def test_whole_placement_messages_are_decoded() -> None:
+    for value in (PLACEMENT_ASK, PLACEMENT):
+        decode_placement(unpack_value(msgpack.packb(value)))
+
+
+@given(
+    good=st.sampled_from([PLACEMENT_ASK, PLACEMENT]),
+    field=st.integers(0, 5),
+    entry=st.integers(0, 15),
+    bad=values | st.lists(st.lists(values, max_size=3), max_size=2),
+    is_whole=st.booleans(),
+)
+def test_damaged_placement_messages_are_refused(
+    good: list[Any], field: int, entry: int, bad: Any, is_whole: bool
+) -> None:
+    kind, fields = good
+    changed = list(fields)
+    position = field % len(fields)
+    if is_whole or not isinstance(changed[position], list):
+        changed[position] = bad
+    else:
+        first = list(changed[position][0])
+        first[entry % len(first)] = bad
+        changed[position] = [first]
+    value = unpack_value(msgpack.packb([kind, changed], default=str))
+    try:
+        decode_placement(value)
+    except FrameError:
+        return
+
+
+@pytest.mark.parametrize(
+    ("field", "entry", "bad"),
+    [
+        (3, 0, -1),
+        (3, 3, 2**63),
+        (3, 5, [["rules", -1]]),
+        (3, 5, [["rules", 2**60]]),
+        (3, 5, [["rules"]]),
+        (3, 9, -1),
+        (3, 12, math.inf),
+        (3, 13, math.nan),
+        (3, 13, -0.1),
+        (4, 2, 2**63),
+        (4, 7, math.inf),
+        (5, 1, 5),
+    ],
+)
+def test_placement_queries_out_of_bounds_are_refused(
+    field: int, entry: int, bad: Any
+) -> None:
+    """Loads of such numbers can't be summed; such a deadline never passes."""
+    changed = list(PLACEMENT_ASK[1])
+    first = list(changed[field][0])
+    first[entry] = bad
+    changed[field] = [first]
+    with pytest.raises(FrameError):
+        decode_placement(["placement_ask", changed])
+
+
+@pytest.mark.parametrize("seconds", [math.nan, math.inf, -2.0])
+def test_placement_answers_out_of_bounds_are_refused(seconds: float) -> None:
+    """A request would wait for ever, or be told to return in the past."""
+    for value in (
+        ["placement", [[[1, 1, None, None, None, None, 0, 0, None, seconds]], []]],
+        ["placement", [[], [[1, seconds]]]],
+    ):
+        with pytest.raises(FrameError):
+            decode_placement(value)
+
+
+def test_a_deadline_that_has_just_passed_is_sent_as_now() -> None:
+    """Else the coordinator takes the message for damaged, and ends the connection."""
+    held = HeldPlacement(7, "e1", 5, 8, 5, 1, False, -0.01)
+    ask = make_ask(left=-0.001, waited=-0.001)
+    query = encode_placement_query("i1#a", "reader", "", [ask], [held])
+    asks, found, _ = decode_placement_query(query)
+    assert (asks[0].left, asks[0].waited, found[0].left) == (0.0, 0.0, 0.0)
