--- a/ashpond/decisions/shards.py
+++ b/ashpond/decisions/shards.py
@@ -1,7 +1,7 @@
-"""Split the servers of a service into shards, and choose the shard for a request.
+"""Divide the servers of a service into shards, and choose who coordinates each.
 
-One instance coordinates a shard. This bounds the load of a coordinator, and lets each
-failure domain place requests while it is cut off from the others.
+Answers the load of many instances that each know the servers' loads up to a second
+late: one instance places all requests of a shard.
 """
 
 from __future__ import annotations
@@ -9,6 +9,7 @@
 __all__ = [
     "WHOLE_SERVICE",
     "choose_shard",
+    "is_in_shard",
     "list_shards",
     "rank_shard_coordinators",
     "rank_shards",
@@ -22,45 +23,60 @@
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.placement import rank_by_rendezvous
 from ashpond.decisions.prompts import Prompt
-from ashpond.decisions.selection import FEW_SERVERS, count_shared_tokens, rank_homes
-
-# The only shard of a service with few servers.
+from ashpond.decisions.selection import (
+    FEW_SERVERS,
+    PROMPT_DOMAIN_COST_SECONDS,
+    count_shared_tokens,
+    rank_homes,
+)
+
+# The name of the only shard of a service with few servers.
 WHOLE_SERVICE = ""
-# Reading as many tokens takes 0.04 s, as long as the use of another failure domain
-# costs.
-HOME_TOKENS = 2_000
-DOMAIN_COST_SECONDS = 0.04
-# A shard whose wait exceeds another's by this is left by half of its requests.
-SPILL_SECONDS = 0.25
-CANDIDATES = 4
-# Candidates for a failure domain's shard that are in that domain, as far as possible.
-LOCAL_CANDIDATES = 3
+# Reading as many shared tokens again takes as long as the use of another failure domain
+# costs: 0.04 s at 50,000 tokens a second.
+HOME_SHARED_TOKENS = 2_000
+# The candidates for coordinator of a shard, and how many of them are from its domain:
+# one stays reachable when that domain is cut off.
+COORDINATOR_CANDIDATES = 4
+DOMAIN_CANDIDATES = 3
+# The excess of a shard's wait at which half of its requests go elsewhere (seconds). All
+# of them at once would move the queue from shard to shard.
+HALF_SHIFT_SECONDS = 0.25
 
 
 def list_shards(servers: Mapping[str, str]) -> list[str]:
-    """Return the shards of a service, sorted.
+    """Return the shards of a service.
+
+    A service with few servers, or with a server whose failure domain is unknown, is one
+    shard.
 
-    :param servers: the failure domain of each server by its id.
+    :param servers: the failure domains of its servers, by id.
     """
-    if len(servers) <= FEW_SERVERS:
-        return [WHOLE_SERVICE] if servers else []
-    return sorted(set(servers.values()))
+    domains = set(servers.values())
+    if len(servers) <= FEW_SERVERS or WHOLE_SERVICE in domains:
+        return [WHOLE_SERVICE]
+    return sorted(domains)
+
+
+def is_in_shard(shard: str, failure_domain: str) -> bool:
+    """Return whether a shard contains the servers of a failure domain."""
+    return shard in (WHOLE_SERVICE, failure_domain)
 
 
 def rank_shards(
-    shards: Sequence[str],
-    prompt: Prompt | None,
-    cache_namespace: str,
-    own_domain: str,
+    shards: Sequence[str], prompt: Prompt | None, cache_namespace: str, own_domain: str
 ) -> list[str]:
-    """Return the shards for a request, the preferred one first.
+    """Return the shards in the order in which a request prefers them.
 
-    Prompts with a long shared part go to the part's home, so that one shard reads it;
-    others stay in this instance's failure domain.
+    Prompts with long shared parts go to the home of the last one, so that it is read in
+    one shard only. Others stay in the failure domain of their instance; the order of
+    the other domains differs from domain to domain.
     """
-    if prompt is not None and count_shared_tokens(prompt) >= HOME_TOKENS:
+    if prompt is not None and count_shared_tokens(prompt) >= HOME_SHARED_TOKENS:
         return rank_homes(prompt.parts[-2].id, cache_namespace, shards)
-    return sorted(shards, key=lambda shard: shard != own_domain)
+    ranked = rank_by_rendezvous(_hash(own_domain), shards)
+    ranked.sort(key=lambda shard: shard != own_domain)
+    return ranked
 
 
 def rank_shard_coordinators(
@@ -68,41 +84,55 @@
 ) -> list[Member]:
     """Return the candidates for coordinator of a shard, the first choice first.
 
-    All instances agree on the order. The last candidate for a failure domain's shard is
-    in another domain, so that the shard is coordinated if its own domain fails.
+    The order is the same at all instances: the highest bandwidth first, equal ones in
+    the rendezvous order of the shard.
+
+    :param members: all instances by name.
     """
-    key = xxhash.xxh3_64_intdigest(f"{service}/{shard}".encode())
-    ranked = [members[name] for name in rank_by_rendezvous(key, list(members))]
+    names = rank_by_rendezvous(_hash(f"{service}/{shard}"), sorted(members))
+    ranked = [members[name] for name in names]
     ranked.sort(key=lambda member: -member.link_mbps)
-    if shard != WHOLE_SERVICE:
-        local = [m for m in ranked if m.failure_domain == shard][:LOCAL_CANDIDATES]
-        others = [m for m in ranked if m.failure_domain != shard]
-        return local + others[: CANDIDATES - len(local)]
-    domains: set[str] = set()
-    first: list[Member] = []
-    rest: list[Member] = []
-    for member in ranked:
-        is_new = member.failure_domain not in domains
-        (first if is_new else rest).append(member)
-        domains.add(member.failure_domain)
-    return (first + rest)[:CANDIDATES]
+    if shard == WHOLE_SERVICE:
+        return _spread(ranked)[:COORDINATOR_CANDIDATES]
+    near = [member for member in ranked if member.failure_domain == shard]
+    far = _spread([member for member in ranked if member.failure_domain != shard])
+    first = near[:DOMAIN_CANDIDATES]
+    others = far or near[DOMAIN_CANDIDATES:]
+    return first + others[: COORDINATOR_CANDIDATES - len(first)]
 
 
 def choose_shard(
     ranked: Sequence[str], waits: Mapping[str, float], rng: random.Random
 ) -> str:
-    """Return the first shard, or a later one whose wait is much shorter.
+    """Return the shard to send a request to: mostly the first one.
 
-    The later one is chosen with a probability that grows with the difference, so that
-    the load does not swing between shards.
+    If another one's wait is shorter by more than a change of failure domain costs, some
+    of the requests go there, the more the longer the excess.
 
-    :param waits: the estimated wait of a new request by shard (seconds).
+    :param ranked: the shards by :func:`rank_shards`, at least one.
+    :param waits: the waits reported of shards (seconds); those without one have none.
     """
-    first = ranked[0]
-    if len(ranked) == 1:
+    first, *others = ranked
+    if not others:
         return first
-    best = min(ranked[1:], key=lambda shard: waits.get(shard, 0.0))
-    excess = waits.get(first, 0.0) - waits.get(best, 0.0) - DOMAIN_COST_SECONDS
-    if excess <= 0 or rng.random() >= excess / (excess + SPILL_SECONDS):
+    shortest = min(others, key=lambda shard: waits.get(shard, 0.0))
+    excess = waits.get(first, 0.0) - waits.get(shortest, 0.0)
+    excess -= PROMPT_DOMAIN_COST_SECONDS
+    if excess <= 0 or rng.random() >= excess / (excess + HALF_SHIFT_SECONDS):
         return first
-    return best
+    return shortest
+
+
+def _spread(ranked: Sequence[Member]) -> list[Member]:
+    """Return members with the first one of each failure domain before all others."""
+    domains: set[str] = set()
+    first: list[Member] = []
+    rest: list[Member] = []
+    for member in ranked:
+        (rest if member.failure_domain in domains else first).append(member)
+        domains.add(member.failure_domain)
+    return first + rest
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode())
