Connect the coordinator of an instance

The instance constructs its coordinator, serves peers with it, asks it directly where it is its own coordinator, and ends its sessions on SIGTERM; status shows both sides.

--- a/ashpond/coordination/client.py
+++ b/ashpond/coordination/client.py
@@ -316,13 +316,6 @@
         if event is PlacementEvent.REJECTED and origin and origin.coordinator:
             # Others place requests at the server too, such as a second coordinator.
             self._metrics.count_placement("rejected")
-            self._log.note(
-                "placement_conflict",
-                coordinator=origin.coordinator,
-                service=origin.service,
-                shard=origin.shard,
-                server=reservation.state.info.id,
-            )
         self.queue.release(reservation, event)
 
     def note_prompt_read(self, reservation: Reservation) -> Reservation:
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -84,6 +84,7 @@
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.allowances.run)
             nursery.start_soon(self.reservations.run)
+            nursery.start_soon(self.coordinator.run)
             nursery.start_soon(self.crash_detector.run)
             watch = SuspensionWatch(self.log, self.metrics.observe_suspension)
             nursery.start_soon(watch.run)
@@ -163,6 +164,7 @@
         self.log.note("stopping", open_calls=self.ingress.open_calls)
         self.ingress.is_leaving = True
         self.reservations.leave()
+        self.coordinator.close_all()
         self.leave_event.set()
 
     async def _wait_to_close(self) -> None:
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -22,7 +22,9 @@
 from ashpond.controllers.serverupdates import ServerUpdates
 from ashpond.controllers.storeview import StoreView, build_feeds
 from ashpond.coordination.client import CoordinatedReservations
-from ashpond.coordination.sessions import Coordinators
+from ashpond.coordination.coordinator import Coordinator
+from ashpond.coordination.grants import CoordinatorReports
+from ashpond.coordination.shardservers import ChoiceSources
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.quarantine import CrashRecords
@@ -120,7 +122,20 @@
             lambda: bool(self.peers.links.group),
         )
         self.slot_queue = ReservationQueue(self.table, self.chooser)
-        self.coordinators: Coordinators | None = None
+        self.coordinator = Coordinator(
+            self.table,
+            ChoiceSources(
+                self.cache_index,
+                self.cache_stores,
+                settings.failure_domain,
+                lambda: self.knowledge.declaration,
+                self.knowledge.find_required_version,
+                self._find_required_version,
+                self.rng,
+            ),
+            self._find_domain,
+            CoordinatorReports(log.note, self.metrics.count_coordinated),
+        )
         self.directives = ServerDirectives(
             self.table,
             log,
@@ -162,7 +177,7 @@
             lambda: self.settings.coordinated_from,
             self._find_required_version,
             self.rng,
-            self.coordinators,
+            self.coordinator,
         )
         self.allowances = Allowances(
             self.members,
@@ -195,6 +210,7 @@
                 self.quarantine.merge_reported,
                 self.quarantine.list_for_new_peer,
                 self.allowances.serve,
+                self.coordinator.serve,
             ),
             settings.bounds.retry_window_s,
             settings.mesh_limit,
@@ -262,12 +278,17 @@
 
     def _on_servers(self) -> None:
         self.slot_queue.assign()
+        self.coordinator.assign()
         self.rollouts.note_change()
 
     def _find_required_version(self, model: str, now: float) -> int:
         bound = self.settings.bounds.weights_ms / MS * REQUIRED_SHARE
         return self.knowledge.find_possible_version(model, now - bound)
 
+    def _find_domain(self, instance: str) -> str | None:
+        member = self.members.by_name.get(instance)
+        return member.failure_domain if member else None
+
     def _has_service(self, service: str) -> bool:
         declaration = self.knowledge.declaration
         return declaration is not None and service in declaration.services
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -71,6 +71,11 @@
             "Servers asked of coordinators, by outcome and reason",
             registry=self.registry,
         )
+        self.coordinated = Counter(
+            "ashpond_gateway_coordinated",
+            "Asks of all instances and ends of grants at the coordinator, by outcome",
+            registry=self.registry,
+        )
         self.placement_waits = Histogram(
             "ashpond_gateway_placement_seconds",
             "Time from asking a coordinator to its decision, by outcome",
@@ -136,6 +141,10 @@
         """
         self.placements.inc({"outcome": str(outcome), "reason": str(reason)})
 
+    def count_coordinated(self, outcome: str) -> None:
+        """Count one decision of the coordinator here, or the end of its grant."""
+        self.coordinated.inc({"outcome": str(outcome)})
+
     def observe_placement(
         self, outcome: str, waited: float, forecast: float | None
     ) -> None:
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -46,6 +46,7 @@
         "cache_stores_up": gateway.cache_stores.count_up(),
         "waiting": gateway.reservations.waiting,
         "placements": gateway.reservations.describe(),
+        "coordinated_here": gateway.coordinator.describe(),
         "open_calls": gateway.ingress.open_calls,
         "log_lines_dropped": dict(gateway.log.dropped),
         "repeats_left": {
