--- /dev/null
+++ b/ashpond/decisions/speeds.py
@@ -0,0 +1,176 @@
+"""Learn how fast each backend server works, from the requests that it answers.
+
+The load is that of engines whose speeds differ by a factor of two, that are 2.5 times
+slower for 15% of the time in periods of 0.6 s, and of which some become 3.5 times
+slower for seconds. The value is the median of the recent measurements, which single
+long answers and short slow periods don't change.
+"""
+
+from __future__ import annotations
+
+__all__ = ["ServerSpeeds"]
+
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ashpond.decisions.servercosts import PREFILL_TOKENS_PER_SECOND, SLOT_COST_SECONDS
+
+# The median is that of the last 1.5 s: a slow period of 0.6 s is less than half of it,
+# and a lasting change is the majority after 0.75 s.
+WINDOW_SECONDS = 1.5
+# At least this many are used, however old, and at most MAX_SAMPLES.
+MIN_SAMPLES = 5
+MAX_SAMPLES = 32
+# With fewer measurements than this, the value of the pool counts as the missing ones.
+TRUSTED_SAMPLES = 3
+# A server that gets no requests counts as fast as the others again. Otherwise a server
+# that was slow once would never be tried again.
+SILENT_SECONDS = 4.0
+# The step in which an engine reads so few tokens takes longer than reading them.
+MIN_READ_TOKENS = 512
+# The pool's value is computed this often; it changes slowly.
+POOL_SECONDS = 0.25
+
+
+class _Sample(NamedTuple):
+    """A measurement: seconds for one unit of work, and how many units it covers."""
+
+    at: float
+    seconds: float
+    weight: float
+
+
+class _Server:
+    """The measurements of one start of a server, and the value they give."""
+
+    def __init__(self) -> None:
+        self.samples: deque[_Sample] = deque(maxlen=MAX_SAMPLES)
+        self.value = 0.0
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the last measurement is too old to count."""
+        return now - self.samples[-1].at > SILENT_SECONDS
+
+    def add(self, sample: _Sample, pool_value: float) -> None:
+        self.samples.append(sample)
+        oldest = sample.at - WINDOW_SECONDS
+        recent = [entry for entry in self.samples if entry.at >= oldest]
+        if len(recent) < MIN_SAMPLES:
+            recent = list(self.samples)[-MIN_SAMPLES:]
+        missing = TRUSTED_SAMPLES - len(recent)
+        recent += [_Sample(0.0, pool_value, sample.weight)] * max(0, missing)
+        self.value = compute_weighted_median(recent)
+
+
+def compute_weighted_median(samples: list[_Sample]) -> float:
+    """Return the value at which half of the weight is reached."""
+    ordered = sorted(samples, key=lambda sample: sample.seconds)
+    half = sum(sample.weight for sample in ordered) / 2
+    total = 0.0
+    for sample in ordered:
+        total += sample.weight
+        if total >= half:
+            return sample.seconds
+    return ordered[-1].seconds
+
+
+class _Pool:
+    """The servers of one service, measured in one unit."""
+
+    def __init__(self, default: float):
+        self.servers: dict[str, _Server] = {}
+        self._default = default
+        self._value = default
+        self._computed_at = float("-inf")
+
+    def get_value(self, now: float) -> float:
+        """Return the median over the servers that are measured at present."""
+        if now - self._computed_at > POOL_SECONDS:
+            values = sorted(s.value for s in self.servers.values() if s.value)
+            self._value = values[(len(values) - 1) // 2] if values else self._default
+            self._computed_at = now
+        return self._value
+
+    def add(self, start_id: str, sample: _Sample) -> None:
+        server = self.servers.get(start_id)
+        if server is None:
+            server = self.servers[start_id] = _Server()
+            # The median of the others changes with their number.
+            self._computed_at = float("-inf")
+        server.add(sample, self.get_value(sample.at))
+
+    def get_seconds(self, start_id: str, now: float) -> float:
+        """Return the seconds of a server, the pool's if it isn't measured."""
+        server = self.servers.get(start_id)
+        if server is None or server.is_silent(now):
+            return self.get_value(now)
+        return server.value
+
+    def forget(self, start_id: str) -> None:
+        if self.servers.pop(start_id, None) is not None:
+            self._computed_at = float("-inf")
+
+
+class ServerSpeeds:
+    """The read rates of engines and the work times of plain servers.
+
+    A start of a server without measurements, or without any for some seconds, has the
+    median of its service, or the constants of
+    :mod:`~ashpond.decisions.servercosts` if no server of it is measured.
+
+    :param sum_reading_tokens: returns the prompt tokens that a start of an engine reads
+        for all its unfinished requests; without it they count as 0.
+    """
+
+    def __init__(self, sum_reading_tokens: Callable[[str], int] | None = None):
+        self._sum_reading_tokens = sum_reading_tokens
+        self._readers: dict[str, _Pool] = {}
+        self._workers: dict[str, _Pool] = {}
+
+    def note_read(
+        self, service: str, start_id: str, tokens: int, seconds: float, now: float
+    ) -> None:
+        """Record how long an engine read prompt tokens and nothing else.
+
+        :param seconds: from the later of the grant and the previous first event there
+            to this request's first event.
+        """
+        if tokens < MIN_READ_TOKENS or seconds <= 0.0:
+            return
+        pool = self._readers.get(service)
+        if pool is None:
+            pool = self._readers[service] = _Pool(1.0 / PREFILL_TOKENS_PER_SECOND)
+        pool.add(start_id, _Sample(now, seconds / tokens, tokens))
+
+    def note_run(self, service: str, start_id: str, seconds: float, now: float) -> None:
+        """Record how long a plain server worked on a request that began at once."""
+        if seconds <= 0.0:
+            return
+        pool = self._workers.get(service)
+        if pool is None:
+            pool = self._workers[service] = _Pool(SLOT_COST_SECONDS)
+        pool.add(start_id, _Sample(now, seconds, 1.0))
+
+    def get_read_rate(self, service: str, start_id: str, now: float) -> float:
+        """Return how many prompt tokens an engine reads a second."""
+        pool = self._readers.get(service)
+        if pool is None:
+            return PREFILL_TOKENS_PER_SECOND
+        return 1.0 / pool.get_seconds(start_id, now)
+
+    def get_work_seconds(self, service: str, start_id: str, now: float) -> float:
+        """Return how long a plain server works on a request (seconds)."""
+        pool = self._workers.get(service)
+        return SLOT_COST_SECONDS if pool is None else pool.get_seconds(start_id, now)
+
+    def sum_reading_tokens(self, start_id: str) -> int:
+        """Return the prompt tokens that an engine reads for its unfinished requests."""
+        if self._sum_reading_tokens is None:
+            return 0
+        return self._sum_reading_tokens(start_id)
+
+    def forget(self, start_id: str) -> None:
+        """Remove a start of a server that has ended."""
+        for pool in (*self._readers.values(), *self._workers.values()):
+            pool.forget(start_id)
