--- a/ashpond/coordination/coordinator.py
+++ b/ashpond/coordination/coordinator.py
@@ -38,8 +38,9 @@
 EXPIRY_CHECK_SECONDS = 0.5
 # A shard without sessions is kept this long (seconds), with its queue's estimates.
 IDLE_SHARD_SECONDS = 10.0
-# Incarnations that a later one has replaced and that must not return (entries).
-MAX_REPLACED = 1_000
+# The latest incarnations that are remembered, and those that a later one has replaced,
+# which must not return (entries of each).
+MAX_INCARNATIONS = 1_000
 
 
 class PlacementSession:
@@ -113,7 +114,8 @@
         self._used_at: dict[tuple[str, str], float] = {}
         self._sessions: dict[int, PlacementSession] = {}
         self._numbers = itertools.count(1)
-        self._replaced: dict[str, None] = {}
+        self._latest: dict[str, str] = {}
+        self._replaced: dict[str, str] = {}
         self._outbox: dict[int, list[PlacementDecision]] = {}
         self._is_leaving = False
         self._wake = trio.Event()
@@ -162,15 +164,17 @@
         lost, and all sessions of the instance's earlier incarnations.
         """
         instance = get_peer_name(sender)
+        latest = self._latest.pop(instance, sender)
+        self._latest[instance] = sender
+        if latest != sender:
+            self._replaced[latest] = sender
         for session in list(self._sessions.values()):
-            if session.sender == sender:
-                if session.names == names:
-                    self.close(session)
-            elif get_peer_name(session.sender) == instance:
-                self._replaced[session.sender] = None
+            is_earlier = session.sender in self._replaced
+            if is_earlier or (session.sender, session.names) == (sender, names):
                 self.close(session)
-        while len(self._replaced) > MAX_REPLACED:
-            del self._replaced[next(iter(self._replaced))]
+        for known in (self._latest, self._replaced):
+            while len(known) > MAX_INCARNATIONS:
+                known.pop(next(iter(known)))
 
     def _get_shard(self, service: str, name: str) -> PlacementShard:
         key = (service, name)
@@ -222,7 +226,7 @@
         now = trio.current_time()
         shard, number = session.shard, session.number
         for held_placement in held:
-            shard.grants.take_held(number, held_placement, now)
+            shard.take_held(number, held_placement, now)
         changed = [shard.note_event(number, entry, now) for entry in ended]
         if any(changed):
             shard.assign(now)
--- a/ashpond/coordination/shard.py
+++ b/ashpond/coordination/shard.py
@@ -12,6 +12,7 @@
 from ashpond.clients.placements import (
     DecisionState,
     EndedPlacement,
+    HeldPlacement,
     PlacementAsk,
     PlacementDecision,
     ReportedWait,
@@ -83,6 +84,11 @@
         self._unmet: dict[Constraints, int] = {}
         self._unmet_at = -math.inf
 
+    def take_held(self, session: int, held: HeldPlacement, now: float) -> None:
+        """Add a grant that another coordinator made, or the instance itself."""
+        if GrantKey(session, held.number) not in self.waiting:
+            self.grants.take_held(session, held, now)
+
     def note_event(self, session: int, ended: EndedPlacement, now: float) -> bool:
         """Apply what has happened to a request; return whether anything changed."""
         key = GrantKey(session, ended.number)
