Let coordinators use the queue with promises and the learned speeds

The stand-ins of both move to the tests of the coordinator. A request is queued only if it can be served, leaves the reserved share of each server to urgent ones, and a returning client keeps the time of its first arrival. 151 tests of the coordinator, its queue, speeds, shards, client and selection passed.

--- a/ashpond/coordination/asks.py
+++ b/ashpond/coordination/asks.py
@@ -8,19 +8,23 @@
     "WaitingRequest",
     "build_demand",
     "estimate_cost",
+    "estimate_service_seconds",
 ]
 
 from typing import NamedTuple
 
 from ashpond.clients.placements import PlacementAsk
-from ashpond.coordination.queueing import Speeds, Ticket
+from ashpond.coordination.queueing import Speeds
 from ashpond.decisions.placementledger import GrantKey
 from ashpond.decisions.prompts import Prompt
 from ashpond.decisions.selection import Demand, count_shared_tokens, make_load
+from ashpond.decisions.ticketorder import Ticket
 
 # The longest time until a deadline that counts (seconds), far above any real timeout. A
 # grant with a faulty deadline would never end.
 MAX_LEFT_SECONDS = 3_600.0
+# How long an engine takes for an output token beside other running answers (seconds).
+OUTPUT_TOKEN_SECONDS = 0.008
 # Stands for the start of an engine or server of unknown speed.
 ANY_START = ""
 
@@ -95,3 +99,14 @@
         return speeds.get_work_seconds(demand.service, ANY_START, now)
     own_tokens = max(0, prompt.tokens - count_shared_tokens(prompt))
     return own_tokens / speeds.get_read_rate(demand.service, ANY_START, now)
+
+
+def estimate_service_seconds(demand: Demand, cost: float) -> float:
+    """Return the time from the start of a request to the end of its answer (seconds).
+
+    :param cost: that of :func:`estimate_cost`.
+    """
+    prompt = demand.prompt
+    if prompt is None:
+        return cost
+    return cost + prompt.max_output_tokens * OUTPUT_TOKEN_SECONDS
--- a/ashpond/coordination/coordinator.py
+++ b/ashpond/coordination/coordinator.py
@@ -19,18 +19,15 @@
 from ashpond.controllers.directory import ServerTable
 from ashpond.coordination.grants import CoordinatorReports, ShardGrants
 from ashpond.coordination.outgoing import OutgoingAnswers
-from ashpond.coordination.queueing import (
-    ConstantSpeeds as DefaultSpeeds,
-    FirstComeQueue as DefaultQueue,
-    Queue,
-    Speeds,
-)
+from ashpond.coordination.queueing import Queue, Speeds
 from ashpond.coordination.sessions import Deliver
 from ashpond.coordination.shard import RECHECK_SECONDS, PlacementShard
 from ashpond.coordination.shardservers import ChoiceSources, ShardChooser, ShardServers
 from ashpond.decisions.partreading import PartsBeingRead
 from ashpond.decisions.placementledger import PlacementLedger
+from ashpond.decisions.placementqueue import PlacementQueue
 from ashpond.decisions.shardloads import SeenCapacities
+from ashpond.decisions.speeds import ServerSpeeds
 from ashpond.errors import FrameError
 from ashpond.fleet.links import get_peer_name, run_until_end
 
@@ -99,7 +96,7 @@
         sources: ChoiceSources,
         find_domain: Callable[[str], str | None],
         reports: CoordinatorReports | None = None,
-        make_queue: Callable[[], Queue] = DefaultQueue,
+        make_queue: Callable[[], Queue] = PlacementQueue,
         speeds: Speeds | None = None,
     ):
         self._table = table
@@ -107,7 +104,7 @@
         self._find_domain = find_domain
         self._reports = reports or CoordinatorReports()
         self._make_queue = make_queue
-        self._speeds = speeds or DefaultSpeeds()
+        self._speeds = speeds or ServerSpeeds()
         self._ledger = PlacementLedger()
         self._capacities = SeenCapacities()
         self._shards: dict[tuple[str, str], PlacementShard] = {}
--- a/ashpond/coordination/shard.py
+++ b/ashpond/coordination/shard.py
@@ -23,12 +23,14 @@
     WaitingRequest,
     build_demand,
     estimate_cost,
+    estimate_service_seconds,
 )
 from ashpond.coordination.grants import CoordinatorReports, ShardGrants
-from ashpond.coordination.queueing import Queue, Speeds, Ticket
+from ashpond.coordination.queueing import Queue, Speeds
 from ashpond.coordination.shardservers import ShardServers
 from ashpond.decisions.placementledger import GrantKey, PlacementLedger
 from ashpond.decisions.placementterms import PlacementEvent
+from ashpond.decisions.ticketorder import Ticket
 from ashpond.gateway.serverchoice import Reservation, ServerChooser
 
 # Waiting requests are not woken when a peer's load changes or a pause ends, so the
@@ -141,12 +143,12 @@
         if retry_at > ticket.deadline:
             self._refuse(request, retry_at - now, now)
             return
-        request.forecast = self._queue.forecast(ticket.urgency, ticket.team, now)
-        is_late = now + request.forecast + ticket.cost > ticket.deadline
-        if is_late or len(self.waiting) >= MAX_WAITING:
+        can_wait = len(self.waiting) < MAX_WAITING
+        if not can_wait or not self._queue.can_serve(ticket, now):
             self._refuse(request, None, now)
             return
-        self._queue.add(ticket)
+        request.forecast = self._queue.forecast(ticket.urgency, ticket.team, now)
+        self._queue.add(ticket, now)
         self.waiting[key] = request
         self._reports.count_placement("queued")
         decision = PlacementDecision(
@@ -160,6 +162,7 @@
         demand = build_demand(self._service, ask)
         arrived_at = now - ask.waited
         promised = self._queue.take_promise(ask.fingerprint, ask.urgency, ask.team, now)
+        cost = estimate_cost(demand, self._speeds, now)
         ticket = Ticket(
             number=ask.number,
             session=session,
@@ -167,11 +170,12 @@
             urgency=ask.urgency,
             team=ask.team,
             weight=1.0,
-            cost=estimate_cost(demand, self._speeds, now),
-            arrived_at=arrived_at if promised is None else min(arrived_at, promised),
+            cost=cost,
+            arrived_at=arrived_at if promised is None else promised,
             objective_at=arrived_at + ask.objective,
             deadline=now + min(ask.left, MAX_LEFT_SECONDS),
             fingerprint=ask.fingerprint,
+            service_seconds=estimate_service_seconds(demand, cost),
         )
         return WaitingRequest(ticket, demand, domain, now)
 
@@ -188,30 +192,16 @@
             request = self.waiting.get(GrantKey(ticket.session, ticket.number))
             if request is None:
                 continue
-            if now + ticket.cost > ticket.deadline:
+            if now + ticket.get_service_seconds() > ticket.deadline:
                 self._refuse(request, None, now)
             elif not self._is_unmet(request):
                 self._try_grant(request, now)
 
     def refuse_hopeless(self, now: float) -> None:
-        """Refuse waiting requests that by the present estimate can't be served.
-
-        The estimate of a new request is divided by the places before it.
-        """
-        ahead: Counter[int] = Counter()
-        for ticket in list(self._queue.list_in_order(now)):
-            ahead[ticket.urgency] += 1
-        passed: Counter[int] = Counter()
-        forecasts: dict[tuple[int, str], float] = {}
-        for ticket in list(self._queue.list_in_order(now)):
-            passed[ticket.urgency] += 1
-            share = passed[ticket.urgency] / (ahead[ticket.urgency] + 1)
-            kind = (ticket.urgency, ticket.team)
-            if kind not in forecasts:
-                forecasts[kind] = self._queue.forecast(*kind, now)
+        """Refuse waiting requests that by the present estimate can't be served."""
+        for ticket in self._queue.list_hopeless(now):
             request = self.waiting.get(GrantKey(ticket.session, ticket.number))
-            wait = forecasts[kind] * share
-            if request and now + wait + ticket.cost > ticket.deadline:
+            if request is not None:
                 self._refuse(request, None, now)
 
     def _forget_unmet(self, now: float) -> None:
@@ -223,7 +213,9 @@
         return least is not None and request.memory_tokens >= least
 
     def _try_grant(self, request: WaitingRequest, now: float) -> bool:
-        reservation = self._chooser.choose(request.demand, now, request.domain)
+        reserved = self._queue.compute_reserved_share(request.ticket.urgency, now)
+        demand = request.demand._replace(reserved_share=reserved)
+        reservation = self._chooser.choose(demand, now, request.domain)
         if reservation is None:
             self._unmet[request.constraints] = request.memory_tokens
             return False
@@ -235,10 +227,8 @@
     ) -> None:
         ticket = request.ticket
         self.grants.add(request.key, reservation, request.demand, ticket.deadline, now)
-        if self.waiting.pop(request.key, None) is None:
-            self._queue.add(ticket)
+        self.waiting.pop(request.key, None)
         self._queue.note_started(ticket, now)
-        self._queue.remove(ticket)
         waited = now - request.asked_at
         self._reports.count_placement("granted")
         self._reports.observe_wait(waited)
@@ -253,7 +243,7 @@
         if seconds is None:
             seconds = self._queue.refuse(request.ticket, now)
         self._withdraw(request)
-        if not 0 <= seconds < MAX_LEFT_SECONDS:
+        if seconds is None or not 0 <= seconds < MAX_LEFT_SECONDS:
             seconds = NO_TIME
         self._reports.count_placement("refused")
         decision = PlacementDecision(
--- a/ashpond/decisions/placementqueue.py
+++ b/ashpond/decisions/placementqueue.py
@@ -78,7 +78,7 @@
     def __init__(self, terms: QueueTerms | None = None):
         self.terms = terms or QueueTerms()
         self._classes: dict[int, ClassQueue] = {}
-        self._waiting: dict[tuple[str, int], _Waiting] = {}
+        self._waiting: dict[tuple[int, int], _Waiting] = {}
         self._rate = StartRate()
         self._arrivals: dict[tuple[int, str], ArrivalRate] = {}
         self._promises = PromiseBook()
--- a/ashpond/decisions/shards.py
+++ b/ashpond/decisions/shards.py
@@ -23,11 +23,10 @@
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.placement import rank_by_rendezvous
 from ashpond.decisions.prompts import Prompt
-from ashpond.decisions.selection import (
-    FEW_SERVERS,
+from ashpond.decisions.selection import FEW_SERVERS, rank_homes
+from ashpond.decisions.servercosts import (
     PROMPT_DOMAIN_COST_SECONDS,
     count_shared_tokens,
-    rank_homes,
 )
 
 # The name of the only shard of a service with few servers.
--- a/ashpond/decisions/ticketorder.py
+++ b/ashpond/decisions/ticketorder.py
@@ -35,7 +35,7 @@
     """
 
     number: int
-    session: str
+    session: int
     service: str
     urgency: int
     team: str
--- a/tests/placement_builders.py
+++ b/tests/placement_builders.py
@@ -23,7 +23,6 @@
 from ashpond.controllers.directory import ServerTable
 from ashpond.coordination.coordinator import Coordinator
 from ashpond.coordination.grants import CoordinatorReports
-from ashpond.coordination.queueing import ConstantSpeeds, FirstComeQueue, Ticket
 from ashpond.coordination.shardservers import ChoiceSources
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.fleetlinks import Member
@@ -31,11 +30,18 @@
 from ashpond.decisions.placementledger import Grant
 from ashpond.decisions.placementterms import PlacementEvent
 from ashpond.decisions.prompts import PromptPart
+from ashpond.decisions.servercosts import (
+    PREFILL_TOKENS_PER_SECOND,
+    SLOT_COST_SECONDS,
+)
+from ashpond.decisions.ticketorder import Ticket
 from tests.gateway_builders import MODEL, make_declaration, make_server, make_table
 
 PLAIN = "plain"
 ENGINES = "reader"
 DOMAINS = ("north", "south", "east", "west")
+# The Retry-After of a queue without an estimate (seconds).
+RETRY_SECONDS = 0.35
 
 
 def make_members(per_domain: int, **mbps: float) -> dict[str, Member]:
@@ -88,6 +94,95 @@
     return make_table(*(make_server(f"p{n}", slots=slots) for n in range(count)))
 
 
+class FirstComeQueue:
+    """Serves the most urgent requests first, and the earliest among equal ones.
+
+    It estimates no waits, so it refuses no request before its deadline.
+    """
+
+    def __init__(self) -> None:
+        self._tickets: dict[tuple[int, int], Ticket] = {}
+
+    def add(self, ticket: Ticket, now: float | None = None) -> None:
+        """Add a request."""
+        self._tickets[ticket.session, ticket.number] = ticket
+
+    def remove(self, ticket: Ticket) -> bool:
+        """Remove a request; return whether it was waiting."""
+        return self._tickets.pop((ticket.session, ticket.number), None) is not None
+
+    def list_in_order(self, now: float) -> list[Ticket]:
+        """Return the waiting requests, the next one to start first."""
+        return sorted(self._tickets.values(), key=lambda t: (t.urgency, t.arrived_at))
+
+    def note_started(self, ticket: Ticket, now: float) -> None:
+        """Remove the request: no interval between starts is needed."""
+        self.remove(ticket)
+
+    def forecast(self, urgency: int, team: str, now: float) -> float:
+        """Return no wait."""
+        return 0.0
+
+    def can_serve(self, ticket: Ticket, now: float) -> bool:
+        """Return whether the estimated wait leaves time for the request."""
+        wait = self.forecast(ticket.urgency, ticket.team, now)
+        return now + wait + ticket.get_service_seconds() <= ticket.deadline
+
+    def list_hopeless(self, now: float) -> list[Ticket]:
+        """Return the waiting requests whose deadlines the estimate leaves no time for.
+
+        The estimate of a new request is divided by the places before it.
+        """
+        tickets = self.list_in_order(now)
+        return [
+            ticket
+            for place, ticket in enumerate(tickets)
+            if now
+            + self.forecast(ticket.urgency, ticket.team, now)
+            * (place + 1)
+            / (len(tickets) + 1)
+            + ticket.get_service_seconds()
+            > ticket.deadline
+        ]
+
+    def compute_reserved_share(self, urgency: int, now: float) -> float:
+        """Reserve nothing for urgent requests."""
+        return 0.0
+
+    def refuse(self, ticket: Ticket, now: float) -> float | None:
+        """Return the same Retry-After for all."""
+        return RETRY_SECONDS
+
+    def take_promise(
+        self, fingerprint: str, urgency: int, team: str, now: float
+    ) -> float | None:
+        """Return None: nothing is promised."""
+        return None
+
+
+class ConstantSpeeds:
+    """Takes all servers to be as fast as the constants of the selection say."""
+
+    def note_read(
+        self, service: str, start_id: str, tokens: int, seconds: float, now: float
+    ) -> None:
+        """Do nothing."""
+
+    def note_run(self, service: str, start_id: str, seconds: float, now: float) -> None:
+        """Do nothing."""
+
+    def get_read_rate(self, service: str, start_id: str, now: float) -> float:
+        """Return the constant rate."""
+        return PREFILL_TOKENS_PER_SECOND
+
+    def get_work_seconds(self, service: str, start_id: str, now: float) -> float:
+        """Return the constant time."""
+        return SLOT_COST_SECONDS
+
+    def forget(self, start_id: str) -> None:
+        """Do nothing."""
+
+
 class ForecastingQueue(FirstComeQueue):
     """A queue whose estimate the test sets."""
 
@@ -101,11 +196,11 @@
     def forecast(self, urgency: int, team: str, now: float) -> float:
         return self.wait
 
-    def refuse(self, ticket: Ticket, now: float) -> float:
+    def refuse(self, ticket: Ticket, now: float) -> float | None:
         return self.retry_after
 
     def note_started(self, ticket: Ticket, now: float) -> None:
-        assert (ticket.session, ticket.number) in self._tickets
+        super().note_started(ticket, now)
         self.started.append(ticket.number)
 
     def take_promise(
