Bound the cost of hundreds of requests that wait for full servers

Each end of a request looked at all waiting ones, searched again for each that needed less memory than the last, and scored all engines when the promising ones were full. Now the pass ends once no waiting need can be met, a request is tried only if it needs clearly less memory, and full shards are seen without scoring. Times of readings count unless others have more than a tenth of the tokens.

--- a/ashpond/coordination/coordinator.py
+++ b/ashpond/coordination/coordinator.py
@@ -248,8 +248,9 @@
         del self._sessions[session.number]
         self._outbox.pop(session.number, None)
         session.scope.cancel()
-        session.shard.assign(now)
-        self._deliver_answers(now)
+        if not self._is_leaving:
+            session.shard.assign(now)
+            self._deliver_answers(now)
 
     def close_all(self) -> None:
         """End all sessions for good, as this instance leaves."""
--- a/ashpond/coordination/grants.py
+++ b/ashpond/coordination/grants.py
@@ -14,7 +14,7 @@
 from ashpond.coordination.shardservers import ShardServers
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.loads import Load
-from ashpond.decisions.partreading import PartsBeingRead, ReadingOrder
+from ashpond.decisions.partreading import PartsBeingRead, ReadingOrder, ReadingTime
 from ashpond.decisions.placementledger import (
     EndedGrant,
     Grant,
@@ -26,6 +26,10 @@
 from ashpond.decisions.shardloads import SeenCapacities
 from ashpond.gateway.serverchoice import Reservation
 
+# The share of unread tokens of other requests up to which the time of a reading counts.
+# Some always seem to be there, as the reports of loads are late.
+OTHERS_SHARE = 0.1
+
 
 def ignore(*values: Any, **fields: Any) -> None:
     """Do nothing with a value that nothing is to be told of."""
@@ -167,13 +171,16 @@
             self._cache_index.note_read(
                 info.id, placed.salt, placed.prompt, now, info.started_ms
             )
-        # The end of an answer without a first event is later than that of the reading;
-        # an engine that others use as well reads their prompts in between.
-        is_alone = not self._servers.excess.get(grant.start_id).unread_tokens
-        if time is not None and is_alone and not is_ended:
+        # The end of an answer without a first event is later than that of the reading.
+        if time is not None and not is_ended and self._is_alone(grant.start_id, time):
             self._speeds.note_read(self._service, grant.start_id, *time, now)
         return True
 
+    def _is_alone(self, start_id: str, time: ReadingTime) -> bool:
+        """Return whether an engine has read little for requests placed by others."""
+        others = self._servers.excess.get(start_id).unread_tokens
+        return others <= time.tokens * OTHERS_SHARE
+
     def _note_rejected(self, start_id: str, now: float) -> None:
         in_flight = self._servers.sum_start_load(start_id).requests
         self._capacities.note_rejected(start_id, in_flight, now)
--- a/ashpond/coordination/shard.py
+++ b/ashpond/coordination/shard.py
@@ -19,7 +19,6 @@
 )
 from ashpond.coordination.asks import (
     MAX_LEFT_SECONDS,
-    Constraints,
     WaitingRequest,
     build_demand,
     estimate_cost,
@@ -29,6 +28,7 @@
 from ashpond.coordination.shardservers import ShardServers
 from ashpond.decisions.placementledger import GrantKey, PlacementLedger
 from ashpond.decisions.placementterms import PlacementEvent
+from ashpond.decisions.unmetneeds import UnmetNeeds
 from ashpond.gateway.serverchoice import Reservation, ServerChooser
 
 # Waiting requests are not woken when a peer's load changes or a pause ends, so the
@@ -79,9 +79,8 @@
         self._reports = reports
         self._starts: set[str] = set()
         self._asked_at: dict[int, float] = {}
-        # The least memory with which requests of the same constraints found no server,
-        # since anything changed that could have given them one.
-        self._unmet: dict[Constraints, int] = {}
+        self._needs = UnmetNeeds()
+        # When what is unmet was forgotten last.
         self._unmet_at = -math.inf
 
     def take_held(self, session: int, held: HeldPlacement, now: float) -> None:
@@ -115,11 +114,18 @@
         self._starts = starts
 
     def _withdraw(self, request: WaitingRequest) -> None:
-        """Remove a waiting request."""
-        self.waiting.pop(request.key, None)
+        """Remove a request that gets no server."""
+        self._stop_waiting(request)
         self._queue.remove(request.ticket)
         self._ledger.note_withdrawn(*request.key)
 
+    def _stop_waiting(self, request: WaitingRequest) -> bool:
+        """Return whether a request was waiting; it is not any more."""
+        if self.waiting.pop(request.key, None) is None:
+            return False
+        self._needs.remove(request.constraints)
+        return True
+
     def take_ask(
         self, session: int, ask: PlacementAsk, domain: str | None, now: float
     ) -> None:
@@ -148,6 +154,7 @@
             return
         self._queue.add(ticket)
         self.waiting[key] = request
+        self._needs.add(request.constraints, request.memory_tokens)
         self._reports.count_placement("queued")
         decision = PlacementDecision(
             ticket.number, DecisionState.QUEUED, seconds=request.forecast
@@ -186,46 +193,45 @@
             return
         for ticket in list(self._queue.list_in_order(now)):
             request = self.waiting.get(GrantKey(ticket.session, ticket.number))
-            if request is None:
+            if request is None or self._is_unmet(request):
                 continue
             if now + ticket.cost > ticket.deadline:
                 self._refuse(request, None, now)
-            elif not self._is_unmet(request):
-                self._try_grant(request, now)
+            elif not self._try_grant(request, now) and self._needs.are_all_unmet():
+                break
 
     def refuse_hopeless(self, now: float) -> None:
         """Refuse waiting requests that by the present estimate can't be served.
 
         The estimate of a new request is divided by the places before it.
         """
-        ahead: Counter[int] = Counter()
-        for ticket in list(self._queue.list_in_order(now)):
-            ahead[ticket.urgency] += 1
+        tickets = list(self._queue.list_in_order(now))
+        ahead = Counter(ticket.urgency for ticket in tickets)
         passed: Counter[int] = Counter()
         forecasts: dict[tuple[int, str], float] = {}
-        for ticket in list(self._queue.list_in_order(now)):
+        for ticket in tickets:
             passed[ticket.urgency] += 1
             share = passed[ticket.urgency] / (ahead[ticket.urgency] + 1)
             kind = (ticket.urgency, ticket.team)
             if kind not in forecasts:
                 forecasts[kind] = self._queue.forecast(*kind, now)
+            if now + forecasts[kind] * share + ticket.cost <= ticket.deadline:
+                continue
             request = self.waiting.get(GrantKey(ticket.session, ticket.number))
-            wait = forecasts[kind] * share
-            if request and now + wait + ticket.cost > ticket.deadline:
+            if request is not None:
                 self._refuse(request, None, now)
 
     def _forget_unmet(self, now: float) -> None:
-        self._unmet.clear()
+        self._needs.clear()
         self._unmet_at = now
 
     def _is_unmet(self, request: WaitingRequest) -> bool:
-        least = self._unmet.get(request.constraints)
-        return least is not None and request.memory_tokens >= least
+        return self._needs.is_unmet(request.constraints, request.memory_tokens)
 
     def _try_grant(self, request: WaitingRequest, now: float) -> bool:
         reservation = self._chooser.choose(request.demand, now, request.domain)
         if reservation is None:
-            self._unmet[request.constraints] = request.memory_tokens
+            self._needs.note_unmet(request.constraints, request.memory_tokens)
             return False
         self._grant(request, reservation, now)
         return True
@@ -235,7 +241,7 @@
     ) -> None:
         ticket = request.ticket
         self.grants.add(request.key, reservation, request.demand, ticket.deadline, now)
-        if self.waiting.pop(request.key, None) is None:
+        if not self._stop_waiting(request):
             self._queue.add(ticket)
         self._queue.note_started(ticket, now)
         self._queue.remove(ticket)
--- a/ashpond/coordination/shardservers.py
+++ b/ashpond/coordination/shardservers.py
@@ -19,17 +19,20 @@
 from ashpond.decisions.prompts import Prompt
 from ashpond.decisions.selection import (
     FEW_SERVERS,
+    MEMORY_SHARE,
+    QUEUE_SHARE,
     RUNNING_COST_SECONDS,
     SHORT_TOKENS,
     Candidate,
     Demand,
+    make_load,
     rank_homes,
     select_by_prompt_size,
 )
 from ashpond.decisions.shardloads import ExcessLoads, SeenCapacities
 from ashpond.decisions.shards import is_in_shard
 from ashpond.gateway.promptsources import PromptSources
-from ashpond.gateway.serverchoice import ServerChooser
+from ashpond.gateway.serverchoice import Reservation, ServerChooser
 
 # How long the lists of servers and their speeds are kept (seconds). Without that, a
 # choice among 16 of 146 servers would sort and filter the whole table twice.
@@ -160,6 +163,24 @@
             self._by_size[is_short] = select_by_prompt_size(prompt, names)
         return self._by_size[is_short]
 
+    def may_have_room(self, demand: Demand, memory_tokens: int, now: float) -> bool:
+        """Return whether any server has a slot, and memory, for a request.
+
+        :param memory_tokens: the memory of an engine, 0 if unknown.
+        """
+        claim = make_load(demand, 0).held_tokens
+        share = QUEUE_SHARE if demand.prompt is None else 1.0
+        for state in self.list_own(now):
+            load = self.sum_start_load(state.info.start_id)
+            if not load.requests:
+                return True
+            if load.requests >= state.info.slots * share:
+                continue
+            held_tokens = load.held_tokens + claim
+            if not memory_tokens or held_tokens <= memory_tokens * MEMORY_SHARE:
+                return True
+        return False
+
     def estimate_waits(
         self, states: Mapping[str, ServerState], cached_tokens: Mapping[str, int]
     ) -> dict[str, float]:
@@ -244,6 +265,20 @@
         # What servers read of the prompt that a server is being chosen for.
         self._read_tokens: dict[str, int] = {}
 
+    def choose(
+        self, demand: Demand, now: float, failure_domain: str | None = None
+    ) -> Reservation | None:
+        """Return the reservation of the best server, None if none has room.
+
+        While all slots or all memory are taken, which is cheap to see, none is scored.
+        """
+        declaration = self._get_declaration()
+        service = declaration.services.get(demand.service) if declaration else None
+        memory = service.engine.cache_tokens if service and service.engine else 0
+        if not self._shard_servers.may_have_room(demand, memory, now):
+            return None
+        return super().choose(demand, now, failure_domain)
+
     def _sample_servers(
         self,
         states: Mapping[str, ServerState],
