Refuse asks whose parts sum to more than fits an answer

The sizes of an ask's parts are bounded one by one, but their sum is sent back in the answer; of two of the largest, it is out of bounds there. Found by a new test that submits asks with extreme values; no other error was found.

--- a/ashpond/clients/placements.py
+++ b/ashpond/clients/placements.py
@@ -166,12 +166,13 @@
 
 
 def _check_parts(asks: Sequence[PlacementAsk]) -> None:
-    """Check the sizes of parts, which have no bounds of their own.
+    """Check the sizes of parts, whose sum is sent back in answers.
 
-    :raises ValueError: if one is out of bounds.
+    :raises ValueError: if one is negative, or their sum is too large.
     """
     for ask in asks:
-        if not all(0 <= part.tokens <= MAX_NUMBER for part in ask.parts):
+        sizes = [part.tokens for part in ask.parts]
+        if min(sizes, default=0) < 0 or sum(sizes) > MAX_NUMBER:
             raise ValueError(f"the parts of ask {ask.number} have invalid sizes")
 
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -5,7 +5,9 @@
 import pytest
 import trio
 import trio.testing
+from hypothesis import given, strategies as st
 
+from ashpond.bounds import MAX_NUMBER
 from ashpond.clients.peer import PeerStream, PlacementAnswer
 from ashpond.clients.placements import (
     DecisionState,
@@ -32,6 +34,7 @@
 GRANTED = DecisionState.GRANTED
 QUEUED = DecisionState.QUEUED
 REFUSED = DecisionState.REFUSED
+SERVICES = (ENGINES, PLAIN)
 SHARED = (("rules", 6300), ("own", 2890))
 
 
@@ -497,3 +500,45 @@
     assert needs.are_all_unmet()
     needs.clear()
     assert not needs.is_unmet("a", 1000)
+
+
+SIZES = st.sampled_from([0, 1, 5000, MAX_NUMBER])
+SECONDS = st.sampled_from([0.0, 0.3, float(MAX_NUMBER)])
+
+
+@given(
+    model=st.sampled_from([None, "m1", "other"]),
+    parts=st.lists(st.tuples(st.sampled_from(["a", "b"]), SIZES), max_size=3),
+    sizes=st.tuples(SIZES, SIZES, SIZES),
+    seconds=st.tuples(SECONDS, SECONDS, SECONDS, SECONDS),
+    service=st.sampled_from([ENGINES, PLAIN, "unknown"]),
+    count=st.sampled_from([1, 20]),
+    is_suspected=st.booleans(),
+)
+async def test_no_valid_ask_raises_an_error(
+    model: str | None,
+    parts: list[tuple[str, int]],
+    sizes: tuple[int, int, int],
+    seconds: tuple[float, float, float, float],
+    service: str,
+    count: int,
+    is_suspected: bool,
+) -> None:
+    """It would end the process, and those of the next candidates."""
+    servers = [
+        make_server(f"{s}{n}", service=s) for s in SERVICES for n in range(count)
+    ]
+    asker = make_world(make_table(*servers)).connect(service=service)
+    ask = make_ask(parts=parts)._replace(
+        model=model, tokens=sizes[0], max_output_tokens=sizes[1], urgency=sizes[2]
+    )
+    ask = ask._replace(is_suspected=is_suspected, waited=seconds[0], left=seconds[1])
+    ask = ask._replace(objective=seconds[2], longest_pause=seconds[3])
+    try:
+        asker.ask(*(ask._replace(number=number) for number in range(3)))
+    except FrameError:
+        assert sum(tokens for _, tokens in parts) > MAX_NUMBER
+    else:
+        assert asker.get_state(2) is not None
+    for event in PlacementEvent:
+        asker.end(1, event)
--- a/tests/test_damaged_messages.py
+++ b/tests/test_damaged_messages.py
@@ -354,7 +354,7 @@
         (3, 0, -1),
         (3, 3, 2**63),
         (3, 5, [["rules", -1]]),
-        (3, 5, [["rules", 2**60]]),
+        (3, 5, [["rules", 2**50], ["own", 1]]),
         (3, 5, [["rules"]]),
         (3, 9, -1),
         (3, 12, math.inf),
