--- a/ashpond/coordination/coordinator.py
+++ b/ashpond/coordination/coordinator.py
@@ -245,8 +245,9 @@
         del self._sessions[session.number]
         self._outbox.pop(session.number, None)
         session.scope.cancel()
-        session.shard.assign(now)
-        self._deliver_answers(now)
+        if not self._is_leaving:
+            session.shard.assign(now)
+            self._deliver_answers(now)
 
     def close_all(self) -> None:
         """End all sessions for good, as this instance leaves."""
@@ -342,6 +343,7 @@
         """End old grants, and remove shards that nobody asks for."""
         for ended in self._ledger.expire(now):
             self._sessions[ended.key.session].shard.grants.note_expired(ended)
+        self._capacities.expire(now)
         used = {session.names for session in self._sessions.values()}
         for key in self._shards.keys() - used:
             if now - self._used_at[key] > IDLE_SHARD_SECONDS:
--- a/ashpond/coordination/grants.py
+++ b/ashpond/coordination/grants.py
@@ -14,7 +14,7 @@
 from ashpond.coordination.shardservers import ShardServers
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.loads import Load
-from ashpond.decisions.partreading import PartsBeingRead, ReadingOrder
+from ashpond.decisions.partreading import PartsBeingRead, ReadingOrder, ReadingTime
 from ashpond.decisions.placementledger import (
     EndedGrant,
     Grant,
@@ -26,6 +26,10 @@
 from ashpond.decisions.shardloads import SeenCapacities
 from ashpond.gateway.serverchoice import Reservation
 
+# The share of unread tokens of other requests up to which the time of a reading counts.
+# Some always seem to be there, as the reports of loads are late.
+OTHERS_SHARE = 0.1
+
 
 def ignore(*values: Any, **fields: Any) -> None:
     """Do nothing with a value that nothing is to be told of."""
@@ -101,12 +105,10 @@
     ) -> None:
         """Add a grant of this coordinator."""
         info, load, salt = reservation.state.info, reservation.load, reservation.salt
-        begins_at_once = self._servers.sum_start_load(info.start_id).requests < (
-            info.slots
-        )
+        before = self._servers.sum_start_load(info.start_id).requests
         tokens = load.unread_tokens
         self._ledger.add(*key, Grant(info.start_id, load, tokens, now, deadline))
-        self._placed[key] = PlacedRequest(demand.prompt, salt, begins_at_once)
+        self._placed[key] = PlacedRequest(demand.prompt, salt, before, info.slots)
         if demand.prompt is not None and salt is not None:
             self._reading.add(info.start_id, salt, demand.prompt)
             self._reading_order.add(info.start_id, key, tokens, now)
@@ -120,10 +122,10 @@
         grant = self._ledger.end(*key)
         if grant is None:
             return False
+        if event is PlacementEvent.REJECTED:
+            self._note_rejected(grant.start_id, self._placed.get(key), now)
         was_sent = event is PlacementEvent.FAILED
         self._forget(EndedGrant(key, grant), was_sent=was_sent)
-        if event is PlacementEvent.REJECTED:
-            self._note_rejected(grant.start_id, now)
         self._reports.count_placement(event.name.lower())
         return True
 
@@ -155,7 +157,7 @@
         if placed is None:
             return True
         if placed.prompt is None:
-            if placed.begins_at_once and grant.granted_at is not None:
+            if placed.in_flight < placed.slots and grant.granted_at is not None:
                 seconds = now - grant.granted_at
                 self._speeds.note_run(self._service, grant.start_id, seconds, now)
             return True
@@ -167,16 +169,23 @@
             self._cache_index.note_read(
                 info.id, placed.salt, placed.prompt, now, info.started_ms
             )
-        # The end of an answer without a first event is later than that of the reading;
-        # an engine that others use as well reads their prompts in between.
-        is_alone = not self._servers.excess.get(grant.start_id).unread_tokens
-        if time is not None and is_alone and not is_ended:
+        # The end of an answer without a first event is later than that of the reading.
+        if time is not None and not is_ended and self._is_alone(grant.start_id, time):
             self._speeds.note_read(self._service, grant.start_id, *time, now)
         return True
 
-    def _note_rejected(self, start_id: str, now: float) -> None:
-        in_flight = self._servers.sum_start_load(start_id).requests
-        self._capacities.note_rejected(start_id, in_flight, now)
+    def _is_alone(self, start_id: str, time: ReadingTime) -> bool:
+        """Return whether an engine has read little for requests placed by others."""
+        others = self._servers.excess.get(start_id).unread_tokens
+        return others <= time.tokens * OTHERS_SHARE
+
+    def _note_rejected(
+        self, start_id: str, placed: PlacedRequest | None, now: float
+    ) -> None:
+        if placed is not None:
+            # By now some of the others may have ended.
+            in_flight, slots = placed.in_flight, placed.slots
+            self._capacities.note_rejected(start_id, in_flight, slots, now)
         self._reports.note(
             "placement_conflict",
             service=self._service,
--- a/ashpond/coordination/shard.py
+++ b/ashpond/coordination/shard.py
@@ -19,7 +19,6 @@
 )
 from ashpond.coordination.asks import (
     MAX_LEFT_SECONDS,
-    Constraints,
     WaitingRequest,
     build_demand,
     estimate_cost,
@@ -31,6 +30,7 @@
 from ashpond.decisions.placementledger import GrantKey, PlacementLedger
 from ashpond.decisions.placementterms import PlacementEvent
 from ashpond.decisions.ticketorder import Ticket
+from ashpond.decisions.unmetneeds import UnmetNeeds
 from ashpond.gateway.serverchoice import Reservation, ServerChooser
 
 # Waiting requests are not woken when a peer's load changes or a pause ends, so the
@@ -81,9 +81,8 @@
         self._reports = reports
         self._starts: set[str] = set()
         self._asked_at: dict[int, float] = {}
-        # The least memory with which requests of the same constraints found no server,
-        # since anything changed that could have given them one.
-        self._unmet: dict[Constraints, int] = {}
+        self._needs = UnmetNeeds()
+        # When what is unmet was forgotten last.
         self._unmet_at = -math.inf
 
     def take_held(self, session: int, held: HeldPlacement, now: float) -> None:
@@ -117,11 +116,18 @@
         self._starts = starts
 
     def _withdraw(self, request: WaitingRequest) -> None:
-        """Remove a waiting request."""
-        self.waiting.pop(request.key, None)
+        """Remove a request that gets no server."""
+        self._stop_waiting(request)
         self._queue.remove(request.ticket)
         self._ledger.note_withdrawn(*request.key)
 
+    def _stop_waiting(self, request: WaitingRequest) -> bool:
+        """Return whether a request was waiting; it is not any more."""
+        if self.waiting.pop(request.key, None) is None:
+            return False
+        self._needs.remove(request.constraints)
+        return True
+
     def take_ask(
         self, session: int, ask: PlacementAsk, domain: str | None, now: float
     ) -> None:
@@ -150,6 +156,7 @@
         request.forecast = self._queue.forecast(ticket.urgency, ticket.team, now)
         self._queue.add(ticket, now)
         self.waiting[key] = request
+        self._needs.add(request.constraints, request.memory_tokens)
         self._reports.count_placement("queued")
         decision = PlacementDecision(
             ticket.number, DecisionState.QUEUED, seconds=request.forecast
@@ -190,12 +197,12 @@
             return
         for ticket in list(self._queue.list_in_order(now)):
             request = self.waiting.get(GrantKey(ticket.session, ticket.number))
-            if request is None:
+            if request is None or self._is_unmet(request):
                 continue
             if now + ticket.get_service_seconds() > ticket.deadline:
                 self._refuse(request, None, now)
-            elif not self._is_unmet(request):
-                self._try_grant(request, now)
+            elif not self._try_grant(request, now) and self._needs.are_all_unmet():
+                break
 
     def refuse_hopeless(self, now: float) -> None:
         """Refuse waiting requests that by the present estimate can't be served."""
@@ -205,19 +212,18 @@
                 self._refuse(request, None, now)
 
     def _forget_unmet(self, now: float) -> None:
-        self._unmet.clear()
+        self._needs.clear()
         self._unmet_at = now
 
     def _is_unmet(self, request: WaitingRequest) -> bool:
-        least = self._unmet.get(request.constraints)
-        return least is not None and request.memory_tokens >= least
+        return self._needs.is_unmet(request.constraints, request.memory_tokens)
 
     def _try_grant(self, request: WaitingRequest, now: float) -> bool:
         reserved = self._queue.compute_reserved_share(request.ticket.urgency, now)
         demand = request.demand._replace(reserved_share=reserved)
         reservation = self._chooser.choose(demand, now, request.domain)
         if reservation is None:
-            self._unmet[request.constraints] = request.memory_tokens
+            self._needs.note_unmet(request.constraints, request.memory_tokens)
             return False
         self._grant(request, reservation, now)
         return True
@@ -227,7 +233,7 @@
     ) -> None:
         ticket = request.ticket
         self.grants.add(request.key, reservation, request.demand, ticket.deadline, now)
-        self.waiting.pop(request.key, None)
+        self._stop_waiting(request)
         self._queue.note_started(ticket, now)
         waited = now - request.asked_at
         self._reports.count_placement("granted")
