Let a new coordinator hear from all instances before it is asked

The instance that becomes its own coordinator after a loss asked itself at once, 2 to 4 ms before the others had told it what they hold.

--- a/ashpond/coordination/link.py
+++ b/ashpond/coordination/link.py
@@ -41,6 +41,10 @@
 LATE_ANSWER_SECONDS = 0.002
 # After this time without an answer, the next candidate is asked (seconds).
 IDLE_SECONDS = 0.2
+# How long a new coordinator is not asked after the loss of the previous one (seconds).
+# The instance that becomes its own coordinator would else place requests some ms before
+# the others have told it what they hold.
+FILL_SECONDS = 0.01
 # How long ends wait for an ask to be sent with (seconds).
 END_SECONDS = 0.02
 # Reported waits are not used any longer after this time (seconds).
@@ -85,6 +89,8 @@
         self._wake = trio.Event()
         self._next: Found | None = None
         self._is_unreachable = False
+        # Whether the previous coordinator was lost, so that all instances change.
+        self._was_lost = False
         self._waits: dict[int, float] = {}
         self._waits_at = -math.inf
         # The asks on the present connection without any answer, with their times.
@@ -266,6 +272,7 @@
             with trio.CancelScope(shield=True):
                 await connection.aclose()
         self._search.avoid(coordinator, reason)
+        self._was_lost = True
 
     def _reset(self) -> None:
         """Prepare for another connection, on which all asks are sent again."""
@@ -287,6 +294,9 @@
 
     async def _send_queries(self, connection: Connection) -> None:
         await self._send(connection, held=self._report_held())
+        if self._was_lost:
+            self._was_lost = False
+            await trio.sleep(FILL_SECONDS)
         while True:
             await self._wait_until_due()
             now = trio.current_time()
