Reduce the cost of a decision of the queue

The wait model moves to a module of its own.

The capacity counts requests that start without a wait while others wait: with urgent work the measured capacity was that of the rest.

--- a/ashpond/decisions/placementqueue.py
+++ b/ashpond/decisions/placementqueue.py
@@ -3,9 +3,6 @@
 The load is bursts of 2.5 times the capacity, teams at five times their usual load, and
 less urgent work of twice the capacity, from 71 instances at once. A request waits only
 while it can be served; a refused one learns when there is capacity for it.
-
-Waits are those of a fluid model: the work ahead of a request, divided by the part of
-the measured capacity that its team gets.
 """
 
 from __future__ import annotations
@@ -16,7 +13,6 @@
 from typing import NamedTuple
 
 from ashpond.decisions.promises import PromiseBook
-from ashpond.decisions.startrates import ArrivalRate, StartRate, compute_fair_share
 from ashpond.decisions.ticketorder import (
     SHARE_DECAY,
     ClassQueue,
@@ -24,9 +20,8 @@
     list_by_urgency,
 )
 from ashpond.decisions.urgentreserve import UrgentReserve
+from ashpond.decisions.waitmodel import WaitModel
 
-# A team with requests waiting counts as if they had to start within this (seconds).
-BACKLOG_SECONDS = 0.5
 # Bounds and smoothing of the learned ratio of actual to estimated waits. The prior
 # weighs as much as some ten waits of 0.1 s.
 MIN_RATIO, MAX_RATIO = 0.5, 2.0
@@ -79,9 +74,8 @@
         self.terms = terms or QueueTerms()
         self._classes: dict[int, ClassQueue] = {}
         self._waiting: dict[tuple[str, int], _Waiting] = {}
-        self._rate = StartRate()
-        self._arrivals: dict[tuple[int, str], ArrivalRate] = {}
         self._promises = PromiseBook()
+        self._model = WaitModel(self._classes, self._promises, self.terms.min_share)
         # The first arrivals of clients that returned, until their tickets are added.
         self._returned: dict[float, float] = {}
         self._urgent = UrgentReserve()
@@ -114,7 +108,7 @@
 
     def get_rate(self, now: float) -> float:
         """Return the capacity in server seconds a second, 0 if it isn't known."""
-        return self._rate.get_rate(now)
+        return self._model.rate.get_rate(now)
 
     def add(self, ticket: Ticket, now: float | None = None) -> None:
         """Let a request wait.
@@ -127,15 +121,16 @@
         if key in self._waiting:
             return
         is_promised = self._is_promised(ticket)
-        estimate = self._estimate(ticket.urgency, ticket.team, now)
-        if estimate > self._estimate_waiting(ticket.urgency, ticket.team, now):
+        estimate = self._model.estimate(ticket.urgency, ticket.team, now)
+        if estimate > self._model.estimate_waiting(ticket.urgency, ticket.team, now):
             # An error of this estimate may be that promises are not kept.
             estimate = 0.0
         self._note_arrival(ticket, now)
         self._returned.pop(ticket.arrived_at, None)
         self._get_class(ticket.urgency).push(ticket, is_promised=is_promised)
+        self._model.note_change()
         self._waiting[key] = _Waiting(now, estimate, is_promised)
-        self._rate.note_waiting(self._started.in_flight, now)
+        self._model.rate.note_waiting(self._started.in_flight, now)
 
     def remove(self, ticket: Ticket) -> bool:
         """Remove a request; return whether it was waiting."""
@@ -143,8 +138,9 @@
         if self._waiting.pop(key, None) is None:
             return False
         self._get_class(ticket.urgency).remove(ticket)
+        self._model.note_change()
         if not self._waiting:
-            self._rate.note_empty()
+            self._model.rate.note_empty()
         return True
 
     def list_in_order(self, now: float, limit: int | None = None) -> list[Ticket]:
@@ -162,7 +158,8 @@
         waiting = self._waiting.get((ticket.session, ticket.number))
         if waiting is not None:
             self._note_wait(waiting, now)
-            self._rate.note_start(ticket.cost, now)
+        # Urgent requests that never wait use the capacity as well.
+        self._model.rate.note_start(ticket.cost, now)
         own = self._get_class(ticket.urgency)
         own.note_started(ticket)
         own.served += ticket.cost
@@ -177,7 +174,7 @@
     def forecast(self, urgency: int, team: str, now: float) -> float:
         """Return the estimated wait of a new request (seconds)."""
         self._promises.expire(now)
-        return self._estimate(urgency, team, now) * self.wait_ratio
+        return self._model.estimate(urgency, team, now) * self.wait_ratio
 
     def can_serve(self, ticket: Ticket, now: float) -> bool:
         """Return whether a request that isn't waiting yet can be served.
@@ -191,7 +188,7 @@
             return False
         if self._is_promised(ticket):
             team = self._get_class(ticket.urgency).teams.get(ticket.team)
-            share = self._find_share(ticket.urgency, ticket.team, now)
+            share = self._model.find_share(ticket.urgency, ticket.team, now)
             ahead = team.promised_cost if team else 0.0
             return not share or earliest + ahead / share <= ticket.deadline
         wait = self.forecast(ticket.urgency, ticket.team, now)
@@ -200,10 +197,10 @@
             return True
         if earliest + wait > ticket.deadline:
             return False
-        share = self._find_share(ticket.urgency, ticket.team, now)
+        share = self._model.find_share(ticket.urgency, ticket.team, now)
         if not share:
             return True
-        arriving = self._get_arrival_rate(ticket.urgency, ticket.team, now)
+        arriving = self._model.get_arrival_rate(ticket.urgency, ticket.team, now)
         spare = 1.0 - arriving / share
         if spare < MIN_SPARE_SHARE:
             return False
@@ -213,9 +210,9 @@
         """Return the waiting requests that can't be served before their deadlines."""
         hopeless = []
         for urgency, entry in self._classes.items():
-            before = self._estimate_more_urgent(urgency, now)
+            before = self._model.estimate_more_urgent(urgency, now)
             for name, team in entry.teams.items():
-                share = self._find_share(urgency, name, now) if team else 0.0
+                share = self._model.find_share(urgency, name, now) if team else 0.0
                 ahead = 0.0
                 for ticket in team.list_in_order(now):
                     wait = before + ahead / share if share else 0.0
@@ -285,7 +282,7 @@
             served = sum(entry.served for entry in self._classes.values())
             if own.served < self.terms.min_share * served:
                 return 0.0
-        return self._urgent.compute_share(self._rate.get_rate(now), now)
+        return self._urgent.compute_share(self._model.rate.get_rate(now), now)
 
     def _get_class(self, urgency: int) -> ClassQueue:
         own = self._classes.get(urgency)
@@ -300,14 +297,7 @@
         """Count the work of a request, unless it has waited."""
         if (ticket.session, ticket.number) in self._waiting:
             return
-        own = ticket.urgency, ticket.team
-        if own not in self._arrivals:
-            self._arrivals[own] = ArrivalRate()
-        self._arrivals[own].note(ticket.cost, now)
-
-    def _get_arrival_rate(self, urgency: int, team: str, now: float) -> float:
-        arrivals = self._arrivals.get((urgency, team))
-        return arrivals.get_rate(now) if arrivals else 0.0
+        self._model.note_arrival(ticket.urgency, ticket.team, ticket.cost, now)
 
     def _note_wait(self, waiting: _Waiting, now: float) -> None:
         """Learn the error of an estimate.
@@ -319,69 +309,9 @@
         self._actual = self._actual * RATIO_DECAY + now - waiting.added_at
         self._estimated = self._estimated * RATIO_DECAY + waiting.estimate
 
-    def _find_share(self, urgency: int, team: str, now: float) -> float:
-        """Return the part of the capacity that a team gets, 0 if it isn't known.
-
-        More urgent work leaves what doesn't arrive of it, but at least the minimum
-        share; less urgent work that waits gets its minimum share. The teams of an
-        urgency share the rest equally, as far as they need it.
-        """
-        rate = self._rate.get_rate(now)
-        if not rate:
-            return 0.0
-        left = rate
-        least = rate * self.terms.min_share
-        others = []
-        for (other_urgency, name), arrivals in self._arrivals.items():
-            if other_urgency < urgency:
-                left -= arrivals.get_rate(now)
-            elif other_urgency == urgency and name != team:
-                waiting = self._get_class(urgency).teams.get(name)
-                backlog = waiting.cost if waiting else 0.0
-                demand = arrivals.get_rate(now) + backlog / BACKLOG_SECONDS
-                others.append((demand, waiting.weight if waiting else 1.0))
-        left -= least * sum(
-            1
-            for other, entry in self._classes.items()
-            if other > urgency and entry.waiting
-        )
-        own = self._get_class(urgency).teams.get(team)
-        weight = own.weight if own else 1.0
-        return compute_fair_share(max(least, left), weight, others)
-
-    def _estimate_more_urgent(self, urgency: int, now: float) -> float:
-        """Return how long the more urgent requests that wait occupy the servers."""
-        rate = self._rate.get_rate(now)
-        if not rate:
-            return 0.0
-        cost = sum(e.cost for other, e in self._classes.items() if other < urgency)
-        return cost / rate
-
-    def _estimate(self, urgency: int, team: str, now: float) -> float:
-        """Return the wait of a new request by the fluid model (seconds).
-
-        Promises that fall due before its turn come before it.
-        """
-        share = self._find_share(urgency, team, now)
-        wait = self._estimate_waiting(urgency, team, now)
-        if not share:
-            return wait
-        for promise in self._promises.list_team(urgency, team):
-            if promise.at > now + wait:
-                break
-            wait += promise.cost * self._promises.kept_share / share
-        return wait
-
-    def _estimate_waiting(self, urgency: int, team: str, now: float) -> float:
-        """Return how long the requests that wait at present delay a new one."""
-        own = self._get_class(urgency).teams.get(team)
-        share = self._find_share(urgency, team, now)
-        ahead = own.cost / share if own and share else 0.0
-        return ahead + self._estimate_more_urgent(urgency, now)
-
     def _estimate_after_promises(self, ticket: Ticket, now: float) -> float:
         """Return the wait for capacity that no promise takes (seconds)."""
-        share = self._find_share(ticket.urgency, ticket.team, now)
+        share = self._model.find_share(ticket.urgency, ticket.team, now)
         wait = self.forecast(ticket.urgency, ticket.team, now)
         promises = self._promises.list_team(ticket.urgency, ticket.team)
         if promises and share:
--- a/ashpond/decisions/startrates.py
+++ b/ashpond/decisions/startrates.py
@@ -11,7 +11,6 @@
 import math
 from collections import deque
 from collections.abc import Iterable
-from typing import NamedTuple
 
 # The rate is that of the last 64 starts; engines start a dozen requests at once.
 MAX_SAMPLES = 64
@@ -23,19 +22,14 @@
 ARRIVAL_SECONDS = 0.5
 
 
-class _Interval(NamedTuple):
-    """The time between two starts while requests waited, and the cost of the second."""
-
-    at: float
-    seconds: float
-    cost: float
-
-
 class StartRate:
     """The capacity of a pool: the rate of starts while requests wait."""
 
     def __init__(self) -> None:
-        self._intervals: deque[_Interval] = deque(maxlen=MAX_SAMPLES)
+        # Of each start: when it was, the interval before it, and its cost.
+        self._times: deque[float] = deque(maxlen=MAX_SAMPLES)
+        self._intervals: deque[float] = deque(maxlen=MAX_SAMPLES)
+        self._costs: deque[float] = deque(maxlen=MAX_SAMPLES)
         # The last start, or when requests began to wait, if that is later.
         self._since: float | None = None
         self._guess = 0.0
@@ -60,20 +54,23 @@
         """Record a start."""
         if self._since is None:
             return
-        self._intervals.append(_Interval(now, now - self._since, cost))
+        self._times.append(now)
+        self._intervals.append(now - self._since)
+        self._costs.append(cost)
         self._since = now
         oldest = now - SAMPLE_SECONDS
-        while len(self._intervals) > MIN_SAMPLES and self._intervals[0].at < oldest:
-            self._intervals.popleft()
-        ordered = sorted(interval.seconds for interval in self._intervals)
+        while len(self._times) > MIN_SAMPLES and self._times[0] < oldest:
+            for samples in (self._times, self._intervals, self._costs):
+                samples.popleft()
+        ordered = sorted(self._intervals)
         # A single long interval counts no more than the next one.
         self._longest = ordered[-2] if len(ordered) > 1 else ordered[-1]
-        self._seconds = sum(ordered[:-1]) + self._longest
-        self._cost = sum(interval.cost for interval in self._intervals)
+        self._seconds = sum(ordered) - ordered[-1] + self._longest
+        self._cost = sum(self._costs)
 
     def get_rate(self, now: float) -> float:
         """Return the server seconds that are started a second, 0 if unknown."""
-        if len(self._intervals) < MIN_SAMPLES or not self._seconds:
+        if len(self._times) < MIN_SAMPLES or not self._seconds:
             return self._guess
         seconds = self._seconds
         if self._since is not None:
--- a/ashpond/decisions/ticketorder.py
+++ b/ashpond/decisions/ticketorder.py
@@ -18,6 +18,8 @@
 LAST_START_SECONDS = 0.25
 # Factor by which each start decays the served cost that minimum shares are based on.
 SHARE_DECAY = 0.98
+# A request whose prompt is cached costs next to nothing; its team must still advance.
+MIN_COST, MIN_WEIGHT = 1e-4, 1e-3
 # Teams without waiting requests are forgotten beyond this number.
 MAX_IDLE_TEAMS = 64
 
@@ -52,6 +54,11 @@
         return self.service_seconds or self.cost
 
 
+def get_charge(ticket: Ticket) -> float:
+    """Return by how much the start of a request advances its team's tag."""
+    return max(MIN_COST, ticket.cost) / max(MIN_WEIGHT, ticket.weight)
+
+
 class _Entry(NamedTuple):
     """A waiting ticket, in the order of service while it can meet its objective."""
 
@@ -159,7 +166,7 @@
         team = self._activate(ticket.team)
         was_waiting = self.remove(ticket)
         self._virtual_time = max(self._virtual_time, team.tag)
-        team.tag += ticket.cost / ticket.weight
+        team.tag += get_charge(ticket)
         if len(self.teams) > MAX_IDLE_TEAMS:
             self.teams = {n: t for n, t in self.teams.items() if t or t is team}
         return was_waiting
@@ -177,7 +184,7 @@
             if ticket is None:
                 heapq.heappop(tags)
                 continue
-            heapq.heapreplace(tags, (tag + ticket.cost / ticket.weight, name))
+            heapq.heapreplace(tags, (tag + get_charge(ticket), name))
             yield ticket
 
     def _activate(self, name: str) -> TeamQueue:
--- a/ashpond/decisions/urgentreserve.py
+++ b/ashpond/decisions/urgentreserve.py
@@ -30,6 +30,8 @@
         self._ends: list[tuple[float, float]] = []
         self.in_flight = 0.0
         self._samples: deque[tuple[float, float]] = deque()
+        self._needed = 0.0
+        self._last_start = float("-inf")
 
     def note_started(self, cost: float, service_seconds: float, now: float) -> None:
         """Record the start of an urgent request."""
@@ -39,6 +41,7 @@
         used = cost / service_seconds
         heapq.heappush(self._ends, (now + service_seconds, used))
         self.in_flight += used
+        self._last_start = now
         self._sample(now)
 
     def compute_share(self, capacity: float, now: float) -> float:
@@ -50,15 +53,18 @@
         if not self._samples or capacity <= 0.0:
             return 0.0
         self._sample(now)
-        values = [value for _, value in self._samples]
-        mean = sum(values) / len(values)
-        deviation = math.sqrt(sum((v - mean) ** 2 for v in values) / len(values))
-        free = mean + DEVIATIONS * deviation - self.in_flight
+        free = self._needed - self.in_flight
         return min(MAX_SHARE, max(0.0, free) / capacity)
 
     def _sample(self, now: float) -> None:
-        if not self._samples or now - self._samples[-1][0] >= SAMPLE_SECONDS:
-            self._samples.append((now, self.in_flight))
+        """Record the work in flight, and compute what is needed from all records."""
+        if self._samples and now - self._samples[-1][0] < SAMPLE_SECONDS:
+            return
+        self._samples.append((now, self.in_flight))
+        values = [value for _, value in self._samples]
+        mean = sum(values) / len(values)
+        variance = sum([value * value for value in values]) / len(values) - mean**2
+        self._needed = mean + DEVIATIONS * math.sqrt(max(0.0, variance))
 
     def _expire(self, now: float) -> None:
         while self._ends and self._ends[0][0] <= now:
@@ -67,5 +73,5 @@
             self.in_flight = 0.0
         while self._samples and self._samples[0][0] < now - WINDOW_SECONDS:
             self._samples.popleft()
-        if not any(value for _, value in self._samples):
+        if self._last_start < now - WINDOW_SECONDS:
             self._samples.clear()
