--- a/ashpond/coordination/shardservers.py
+++ b/ashpond/coordination/shardservers.py
@@ -19,16 +19,18 @@
 from ashpond.decisions.prompts import Prompt
 from ashpond.decisions.selection import (
     FEW_SERVERS,
-    MEMORY_SHARE,
-    QUEUE_SHARE,
-    RUNNING_COST_SECONDS,
-    SHORT_TOKENS,
     Candidate,
     Demand,
     make_load,
     rank_homes,
     select_by_prompt_size,
 )
+from ashpond.decisions.servercosts import (
+    MEMORY_SHARE,
+    QUEUE_SHARE,
+    RUNNING_COST_SECONDS,
+    SHORT_TOKENS,
+)
 from ashpond.decisions.shardloads import ExcessLoads, SeenCapacities
 from ashpond.decisions.shards import is_in_shard
 from ashpond.gateway.promptsources import PromptSources
