Bound the reading of engines by time, and notice a stopped engine at once

Three causes: the prompts of all unfinished requests counted against the longest pause, although read ones delay nothing any more; the time before the reading counted as reading, so engines of 57,000 tokens a second seemed to read 28,000; and refusals lowered the measured capacity, which led to more refusals.

An engine may now read for three quarters of each span as long as the longest pause, with 0.2 s unread at most. The time before the reading is learned from short prompts, a late first event lowers the rate at once, and half of what the usable servers can work is the least capacity.

--- a/ashpond/coordination/grants.py
+++ b/ashpond/coordination/grants.py
@@ -14,7 +14,7 @@
 from ashpond.coordination.shardservers import ShardServers
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.loads import Load
-from ashpond.decisions.partreading import PartsBeingRead, ReadingOrder, ReadingTime
+from ashpond.decisions.partreading import PartsBeingRead, ReadingTime
 from ashpond.decisions.placementledger import (
     EndedGrant,
     Grant,
@@ -77,7 +77,7 @@
         self._capacities = capacities
         self._speeds = speeds
         self._reading = reading
-        self._reading_order = ReadingOrder()
+        self._reading_order = servers.reading_order
         self._cache_index = cache_index
         self._is_local = is_local
         self._reports = reports
@@ -142,6 +142,7 @@
     def forget_start(self, start_id: str) -> None:
         """Drop what is kept of a start of a server that is gone."""
         self._reading_order.forget(start_id)
+        self._servers.recent.forget(start_id)
         self._speeds.forget(start_id)
 
     def describe_servers(self, now: float) -> list[dict[str, Any]]:
@@ -153,6 +154,7 @@
         if grant is None:
             return False
         time = self._reading_order.finish(grant.start_id, key, now)
+        self._servers.recent.note_read(grant.start_id, grant.read_tokens, now)
         placed = self._placed.get(key)
         if placed is None:
             return True
--- a/ashpond/coordination/queueing.py
+++ b/ashpond/coordination/queueing.py
@@ -16,6 +16,9 @@
     that never waited, and removes it.
     """
 
+    def note_servers(self, expected: float) -> None:
+        """Record the server seconds a second that the usable servers should work."""
+
     def add(self, ticket: Ticket, now: float | None = None) -> None:
         """Let a request wait."""
 
@@ -53,7 +56,13 @@
     """The speeds of servers, learned from the requests they served."""
 
     def note_read(
-        self, service: str, start_id: str, tokens: int, seconds: float, now: float
+        self,
+        service: str,
+        start_id: str,
+        tokens: int,
+        seconds: float,
+        was_queued: bool,
+        now: float,
     ) -> None:
         """Record how long an engine took to read a prompt."""
 
--- a/ashpond/coordination/shard.py
+++ b/ashpond/coordination/shard.py
@@ -214,6 +214,7 @@
     def _forget_unmet(self, now: float) -> None:
         self._needs.clear()
         self._unmet_at = now
+        self._queue.note_servers(self.servers.estimate_capacity(now))
 
     def _is_unmet(self, request: WaitingRequest) -> bool:
         return self._needs.is_unmet(request.constraints, request.memory_tokens)
--- a/ashpond/coordination/shardservers.py
+++ b/ashpond/coordination/shardservers.py
@@ -14,9 +14,10 @@
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.declared import Declaration
 from ashpond.decisions.loads import NO_LOAD, Load
-from ashpond.decisions.partreading import PartsBeingRead
+from ashpond.decisions.partreading import PartsBeingRead, ReadingOrder
 from ashpond.decisions.placementledger import PlacementLedger
 from ashpond.decisions.prompts import Prompt
+from ashpond.decisions.recentreading import RecentReading
 from ashpond.decisions.selection import (
     FEW_SERVERS,
     Candidate,
@@ -28,6 +29,7 @@
 from ashpond.decisions.servercosts import (
     MEMORY_SHARE,
     QUEUE_SHARE,
+    READING_SHARE,
     RUNNING_COST_SECONDS,
     SHORT_TOKENS,
 )
@@ -84,6 +86,8 @@
         self._capacities = capacities
         self._speeds = speeds
         self.excess = ExcessLoads()
+        self.recent = RecentReading()
+        self.reading_order = ReadingOrder()
         self._listed_at = float("-inf")
         self._all: list[ServerState] = []
         self._own: list[ServerState] = []
@@ -236,7 +240,10 @@
         """Return how many prompt tokens an engine reads a second."""
         rate = self._read_rates.get(start_id)
         if rate is None:
-            rate = self._speeds.get_read_rate(service, start_id, now)
+            rate = min(
+                self._speeds.get_read_rate(service, start_id, now),
+                self.reading_order.limit_rate(start_id, now),
+            )
             self._read_rates[start_id] = rate
         return rate
 
@@ -244,10 +251,24 @@
         """Return how long a plain server works on a request."""
         return self._speeds.get_work_seconds(service, start_id, now)
 
-    def sum_reading_tokens(self, start_id: str) -> int:
-        """Return the prompt tokens of all unfinished requests that an engine reads."""
-        excess = self.excess.get(start_id).unread_tokens
-        return self._ledger.sum_read_tokens(start_id) + excess
+    def sum_reading_tokens(self, start_id: str, seconds: float, now: float) -> int:
+        """Return what an engine has to read, and what it read in the last ``seconds``.
+
+        Both are in prompt tokens.
+        """
+        unread_tokens = self.sum_start_load(start_id).unread_tokens
+        return unread_tokens + self.recent.sum_tokens(start_id, seconds, now)
+
+    def estimate_capacity(self, now: float) -> float:
+        """Return the server seconds a second that the usable servers can work.
+
+        An engine works on one prompt at a time, a plain server on one request per slot.
+        """
+        usable = self.list_usable(self._service, now)
+        return sum(
+            READING_SHARE if state.info.weights else float(state.info.slots)
+            for state in usable
+        )
 
 
 class ShardChooser(ServerChooser):
--- a/ashpond/decisions/partreading.py
+++ b/ashpond/decisions/partreading.py
@@ -8,15 +8,21 @@
 
 __all__ = ["PartsBeingRead", "ReadingOrder", "ReadingTime"]
 
+import math
 from collections import deque
 from typing import NamedTuple
 
 from ashpond.decisions.placementledger import GrantKey
 from ashpond.decisions.prompts import Prompt
 
-# The first event of an idle engine comes 0.05 s after the prompt, whatever its length;
-# shorter prompts show the speed only of an engine that was busy (tokens).
-MIN_MEASURED_TOKENS = 1_000
+# A prompt that came to its engine this long before the previous first event there was
+# queued (seconds): the way to an engine takes less.
+QUEUED_SECONDS = 0.03
+# Engines read prompts in chunks of up to this many tokens; all prompts that end in one
+# have their first events at its end.
+CHUNK_TOKENS = 4_096
+# The time from a grant to the first event besides the reading, at most (seconds).
+START_SECONDS = 0.1
 
 
 class PartsBeingRead:
@@ -56,10 +62,15 @@
 
 
 class ReadingTime(NamedTuple):
-    """The prompt tokens that an engine has read, and how long that took (seconds)."""
+    """The prompt tokens that an engine has read, and how long that took (seconds).
+
+    ``was_queued`` means that the prompt waited for the reading of another one. If not,
+    the way to the engine and the start of the answer are part of the time.
+    """
 
     tokens: int
     seconds: float
+    was_queued: bool
 
 
 class _Reading(NamedTuple):
@@ -104,11 +115,26 @@
             return None
         if reading.began_at is None or not reading.tokens:
             return None
-        was_busy = previous >= reading.began_at
-        if reading.tokens < MIN_MEASURED_TOKENS and not was_busy:
-            return None
+        was_queued = previous >= reading.began_at + QUEUED_SECONDS
         seconds = now - max(reading.began_at, previous)
-        return ReadingTime(reading.tokens, seconds) if seconds > 0 else None
+        if seconds <= 0:
+            return None
+        return ReadingTime(reading.tokens, seconds, was_queued)
+
+    def limit_rate(self, start_id: str, now: float) -> float:
+        """Return how many tokens a second an engine reads at most, by what it has done.
+
+        Infinite unless the first event that is due next is late.
+        """
+        queue = self._unread.get(start_id)
+        if not queue or queue[0].began_at is None:
+            return math.inf
+        reading = queue[0]
+        since = max(queue[0].began_at, self._read_at.get(start_id, -math.inf))
+        late_seconds = now - since - START_SECONDS
+        if late_seconds <= 0:
+            return math.inf
+        return max(reading.tokens, CHUNK_TOKENS) / late_seconds
 
     def remove(self, start_id: str, key: GrantKey, *, was_sent: bool) -> None:
         """Remove a prompt without a first event.
--- a/ashpond/decisions/placementqueue.py
+++ b/ashpond/decisions/placementqueue.py
@@ -106,6 +106,10 @@
             if team
         }
 
+    def note_servers(self, expected: float) -> None:
+        """Record the server seconds a second that the usable servers should work."""
+        self._model.rate.note_servers(expected)
+
     def get_rate(self, now: float) -> float:
         """Return the capacity in server seconds a second, 0 if it isn't known."""
         return self._model.rate.get_rate(now)
--- a/ashpond/decisions/servercosts.py
+++ b/ashpond/decisions/servercosts.py
@@ -57,6 +57,13 @@
 QUEUE_SHARE = 1.5
 # A plain server of known speed queues what it processes in this share of the objective.
 QUEUE_OBJECTIVE_SHARE = 0.25
+# Share of each span as long as the longest pause between events that an engine may
+# read for: in the rest of it, the running answers progress by 40 tokens and more.
+READING_SHARE = 0.75
+# An engine gets no further prompt while it has this much unread (seconds). Two chunks
+# keep it busy until the next prompt arrives; with more, an engine that turns slow would
+# hold many prompts before that is noticed.
+UNREAD_SECONDS = 0.2
 # While a prompt is read, no running answer of the engine progresses. This is the weight
 # of their delay against that of the prompt itself; 1.0 gave the same waits in trials.
 DELAY_SHARE = 0.1
@@ -104,7 +111,8 @@
 
     The other fields are those of a server whose speed is known: ``read_rate`` in prompt
     tokens a second, ``work_seconds`` the time that a plain server works on a request,
-    ``reading_tokens`` the prompt tokens that it reads for all its unfinished requests.
+    ``reading_tokens`` what an engine has to read and what it read within the longest
+    pause that the request allows.
     """
 
     id: str
@@ -180,17 +188,20 @@
 
 
 def exceeds_reading(candidate: Candidate, demand: Demand) -> bool:
-    """Return whether a busy engine would read for too long with one more prompt.
+    """Return whether one more prompt would keep an engine reading for too long.
 
-    The prompts of its unfinished requests delay each of their answers, which is why
-    those that are read count as well.
+    While it reads, the answers that it makes hardly progress. An engine that has read
+    nothing lately takes a prompt of any length.
     """
     if not demand.longest_pause or demand.prompt is None:
         return False
     usable = 1.0 - demand.reserved_share
+    if candidate.load.unread_tokens > UNREAD_SECONDS * usable * candidate.read_rate:
+        return True
     reusable = max(candidate.cached_tokens, candidate.fetch_tokens)
     reading = candidate.reading_tokens + max(0, demand.prompt.tokens - reusable)
-    return reading > demand.longest_pause * usable * candidate.read_rate
+    bound = demand.longest_pause * READING_SHARE * usable
+    return candidate.reading_tokens > 0 and reading > bound * candidate.read_rate
 
 
 def estimate_work_seconds(candidate: Candidate, demand: Demand) -> float:
--- a/ashpond/decisions/speeds.py
+++ b/ashpond/decisions/speeds.py
@@ -11,7 +11,6 @@
 __all__ = ["ServerSpeeds"]
 
 from collections import deque
-from collections.abc import Callable
 from typing import NamedTuple
 
 from ashpond.decisions.servercosts import PREFILL_TOKENS_PER_SECOND, SLOT_COST_SECONDS
@@ -36,6 +35,10 @@
 MERGED_SECONDS = 0.25
 # The step in which an engine reads so few tokens takes longer than reading them.
 MIN_READ_TOKENS = 512
+# A prompt shorter than this that was not queued shows the time that a first event takes
+# besides reading, a longer one the speed. Without that difference, engines of 57,000
+# tokens a second seemed to read 28,000 (tokens).
+SHORT_TOKENS = 1_000
 # Times of first events that differ by less are equal.
 ROUNDING_SECONDS = 1e-6
 # The pool's value is computed this often; it changes slowly.
@@ -109,6 +112,15 @@
         self._default = default
         self._value = default
         self._computed_at = float("-inf")
+        self._overheads: deque[float] = deque(maxlen=MAX_SAMPLES)
+        # The time from a grant to the first event besides the reading (seconds).
+        self.overhead = 0.0
+
+    def note_overhead(self, seconds: float) -> None:
+        """Record the time to a first event besides the reading of its prompt."""
+        self._overheads.append(max(0.0, seconds))
+        ordered = sorted(self._overheads)
+        self.overhead = ordered[(len(ordered) - 1) // 2]
 
     def get_value(self, now: float) -> float:
         """Return the median over the servers that are measured at present."""
@@ -148,29 +160,41 @@
     A start of a server without measurements, or without any for some seconds, has the
     median of its service, or the constants of
     :mod:`~ashpond.decisions.servercosts` if no server of it is measured.
-
-    :param sum_reading_tokens: returns the prompt tokens that a start of an engine reads
-        for all its unfinished requests; without it they count as 0.
     """
 
-    def __init__(self, sum_reading_tokens: Callable[[str], int] | None = None):
-        self._sum_reading_tokens = sum_reading_tokens
+    def __init__(self) -> None:
         self._readers: dict[str, _Pool] = {}
         self._workers: dict[str, _Pool] = {}
 
     def note_read(
-        self, service: str, start_id: str, tokens: int, seconds: float, now: float
+        self,
+        service: str,
+        start_id: str,
+        tokens: int,
+        seconds: float,
+        was_queued: bool,
+        now: float,
     ) -> None:
         """Record how long an engine read prompt tokens and nothing else.
 
         :param seconds: from the later of the grant and the previous first event there
             to this request's first event.
+        :param was_queued: whether the prompt waited for the reading of another one. If
+            not, the way to the engine and the start of the answer took a part of the
+            time, which is learned from short prompts.
         """
-        if tokens < MIN_READ_TOKENS or seconds < 0.0:
+        if seconds < 0.0:
             return
         pool = self._readers.get(service)
         if pool is None:
             pool = self._readers[service] = _Pool(DEFAULT_READ_SECONDS)
+        if not was_queued:
+            if tokens < SHORT_TOKENS:
+                pool.note_overhead(seconds - tokens * pool.get_value(now))
+                return
+            seconds -= pool.overhead
+        if tokens < MIN_READ_TOKENS or seconds < 0.0:
+            return
         pool.add(start_id, _Sample(now, seconds / tokens, tokens), merges=True)
 
     def note_run(self, service: str, start_id: str, seconds: float, now: float) -> None:
@@ -197,12 +221,6 @@
         pool = self._workers.get(service)
         return SLOT_COST_SECONDS if pool is None else pool.get_seconds(start_id, now)
 
-    def sum_reading_tokens(self, start_id: str) -> int:
-        """Return the prompt tokens that an engine reads for its unfinished requests."""
-        if self._sum_reading_tokens is None:
-            return 0
-        return self._sum_reading_tokens(start_id)
-
     def forget(self, start_id: str) -> None:
         """Remove a start of a server that has ended."""
         for pool in (*self._readers.values(), *self._workers.values()):
--- a/ashpond/decisions/startrates.py
+++ b/ashpond/decisions/startrates.py
@@ -20,6 +20,10 @@
 # The time constant of arrival rates: a burst of 2.5 times the capacity exceeds it
 # after 0.15 s.
 ARRIVAL_SECONDS = 0.5
+# The rate is at least this share of what the servers should work. Otherwise a short
+# stop, as when engines load weights, leads to refusals, fewer starts and a lower rate
+# in turn: seven engines that read nothing were taken for a quarter of one.
+MIN_EXPECTED_SHARE = 0.5
 
 
 class StartRate:
@@ -36,6 +40,7 @@
         self._cost = 0.0
         self._seconds = 0.0
         self._longest = 0.0
+        self._expected = 0.0
 
     def note_waiting(self, guess: float, now: float) -> None:
         """Record that requests wait.
@@ -68,8 +73,15 @@
         self._seconds = sum(ordered) - ordered[-1] + self._longest
         self._cost = sum(self._costs)
 
+    def note_servers(self, expected: float) -> None:
+        """Record the server seconds a second that the servers should work."""
+        self._expected = expected
+
     def get_rate(self, now: float) -> float:
         """Return the server seconds that are started a second, 0 if unknown."""
+        return max(self._measure(now), self._expected * MIN_EXPECTED_SHARE)
+
+    def _measure(self, now: float) -> float:
         if len(self._times) < MIN_SAMPLES or not self._seconds:
             return self._guess
         seconds = self._seconds
--- a/ashpond/gateway/serverchoice.py
+++ b/ashpond/gateway/serverchoice.py
@@ -85,8 +85,11 @@
     def get_work_seconds(self, service: str, start_id: str, now: float) -> float:
         """Return how long a plain server works on a request."""
 
-    def sum_reading_tokens(self, start_id: str) -> int:
-        """Return the prompt tokens of all unfinished requests that an engine reads."""
+    def sum_reading_tokens(self, start_id: str, seconds: float, now: float) -> int:
+        """Return what an engine has to read, and what it read in the last ``seconds``.
+
+        Both are in prompt tokens.
+        """
 
 
 class ServerChooser:
@@ -327,13 +330,19 @@
         if self._speeds is None:
             return candidates
         return [
-            self._add_speed(candidate, states[candidate.id], self._speeds, now)
+            self._add_speed(
+                candidate, states[candidate.id], self._speeds, demand.longest_pause, now
+            )
             for candidate in candidates
         ]
 
     @staticmethod
     def _add_speed(
-        candidate: Candidate, state: ServerState, speeds: SpeedSource, now: float
+        candidate: Candidate,
+        state: ServerState,
+        speeds: SpeedSource,
+        pause: float,
+        now: float,
     ) -> Candidate:
         service, start_id = state.info.service, state.info.start_id
         if not candidate.memory_tokens:
@@ -341,7 +350,7 @@
             return candidate._replace(work_seconds=work_seconds)
         return candidate._replace(
             read_rate=speeds.get_read_rate(service, start_id, now),
-            reading_tokens=speeds.sum_reading_tokens(start_id),
+            reading_tokens=speeds.sum_reading_tokens(start_id, pause, now),
         )
 
 
