Test whether a candidate serves before requests wait for it again

While only older builds were reachable, each search every 2 s let requests wait for a connection that ended at the first query. The new test fails without the change; 24 tests of the asking side pass.

--- a/ashpond/coordination/candidates.py
+++ b/ashpond/coordination/candidates.py
@@ -113,10 +113,11 @@
         """The name of this instance."""
         return self._members.own.name
 
-    async def find(self, current: str = "") -> Found | None:
+    async def find(self, current: str = "", *, probes: bool = True) -> Found | None:
         """Return the first candidate that can be reached, or None.
 
         :param current: the present coordinator; only those before it are tried.
+        :param probes: whether to make sure that it serves this instance.
         """
         for member in self._list_candidates():
             if member.name == current:
@@ -124,7 +125,7 @@
             connection = await self._connect(member)
             if connection is None:
                 continue
-            if not current or await self._is_ready(member, connection):
+            if not probes or await self._is_ready(member, connection):
                 return Found(member.name, connection)
         return None
 
--- a/ashpond/coordination/link.py
+++ b/ashpond/coordination/link.py
@@ -203,7 +203,10 @@
         """Stay connected to the preferred reachable candidate until unused."""
         with self._scope:
             while True:
-                found = self._next or await self._search.find()
+                # After a loss, requests wait for the next coordinator; while none can
+                # be asked, they do not, and must not begin to in vain.
+                probes = self._is_unreachable
+                found = self._next or await self._search.find(probes=probes)
                 self._next = None
                 if found is None:
                     self._set_coordinator("")
--- a/tests/coordination_builders.py
+++ b/tests/coordination_builders.py
@@ -66,6 +66,7 @@
         self.is_full = False
         self.is_frozen = False
         self.is_down = False
+        self.is_old_build = False
         self.retry_after: float | None = None
         self.waits: list[ReportedWait] = []
         self.asks: list[PlacementAsk] = []
@@ -85,6 +86,10 @@
         return session
 
     def handle(self, session: FakeSession, query: PlacementQuery) -> None:
+        if self.is_old_build:
+            session.is_closed = True
+            session.reset()
+            return
         if self.is_frozen:
             self._unread.append((session, query))
             return
--- a/tests/test_coordination_client.py
+++ b/tests/test_coordination_client.py
@@ -276,6 +276,26 @@
         assert not first.sessions
 
 
+async def test_older_builds_cost_requests_no_wait(autojump_clock: object) -> None:
+    """They end the connection at the first query; each search delayed requests."""
+    first = FakeCoordinator("c1")
+    first.is_old_build = True
+    instance = AskingInstance([first])
+    async with run_instance(instance):
+        instance.client.release(await reserve_and_keep(instance))
+        for _ in range(5000):
+            started = trio.current_time()
+            instance.client.release(await reserve_and_keep(instance))
+            assert trio.current_time() == started
+            await trio.sleep(0.001)
+        assert len(first.sessions) > 2
+        first.is_old_build = False
+        await trio.sleep(2.5)
+        reservation = await reserve_and_keep(instance)
+        assert get_origin(reservation).coordinator == "c1"
+        instance.client.release(reservation)
+
+
 async def test_a_server_that_cannot_be_used_here_is_returned(
     autojump_clock: object,
 ) -> None:
