--- a/ashpond/coordination/candidates.py
+++ b/ashpond/coordination/candidates.py
@@ -107,6 +107,8 @@
         self._coordinators = coordinators
         self._connect_to = connect
         self._avoided: dict[str, float] = {}
+        # The candidates whose loss is logged; one is tried again every 2 s.
+        self._lost: set[str] = set()
 
     @property
     def own_name(self) -> str:
@@ -126,6 +128,7 @@
             if connection is None:
                 continue
             if not probes or await self._is_ready(member, connection):
+                self._lost.discard(member.name)
                 return Found(member.name, connection)
         return None
 
@@ -178,8 +181,11 @@
         return None
 
     def avoid(self, name: str, reason: str) -> None:
-        """Do not connect to a candidate for some time."""
+        """Do not connect to a candidate for some time; log the first time."""
         self._avoided[name] = trio.current_time() + AVOID_SECONDS
+        if name in self._lost:
+            return
+        self._lost.add(name)
         self._log.note(
             "placement_lost",
             coordinator=name,
--- a/tests/test_coordination_client.py
+++ b/tests/test_coordination_client.py
@@ -274,6 +274,9 @@
             instance.client.release(reservation)
         assert instance.client.fallbacks["unreachable"] == 2
         assert not first.sessions
+        # Its loss is logged once, not at each search.
+        await trio.sleep(10.0)
+        assert len(instance.list_events("placement_lost")) == 1
 
 
 async def test_older_builds_cost_requests_no_wait(autojump_clock: object) -> None:
