--- a/ashpond/coordination/candidates.py
+++ b/ashpond/coordination/candidates.py
@@ -107,16 +107,19 @@
         self._coordinators = coordinators
         self._connect_to = connect
         self._avoided: dict[str, float] = {}
+        # The candidates whose loss is logged; one is tried again every 2 s.
+        self._lost: set[str] = set()
 
     @property
     def own_name(self) -> str:
         """The name of this instance."""
         return self._members.own.name
 
-    async def find(self, current: str = "") -> Found | None:
+    async def find(self, current: str = "", *, probes: bool = True) -> Found | None:
         """Return the first candidate that can be reached, or None.
 
         :param current: the present coordinator; only those before it are tried.
+        :param probes: whether to make sure that it serves this instance.
         """
         for member in self._list_candidates():
             if member.name == current:
@@ -124,7 +127,8 @@
             connection = await self._connect(member)
             if connection is None:
                 continue
-            if not current or await self._is_ready(member, connection):
+            if not probes or await self._is_ready(member, connection):
+                self._lost.discard(member.name)
                 return Found(member.name, connection)
         return None
 
@@ -177,8 +181,11 @@
         return None
 
     def avoid(self, name: str, reason: str) -> None:
-        """Do not connect to a candidate for some time."""
+        """Do not connect to a candidate for some time; log the first time."""
         self._avoided[name] = trio.current_time() + AVOID_SECONDS
+        if name in self._lost:
+            return
+        self._lost.add(name)
         self._log.note(
             "placement_lost",
             coordinator=name,
