Read a learned speed in one step, and forget starts that are silent

The pool's value is that of the servers that are measured at present, and a start that nobody reported as ended is dropped after 60 s.

--- a/ashpond/decisions/speeds.py
+++ b/ashpond/decisions/speeds.py
@@ -38,6 +38,8 @@
 MIN_READ_TOKENS = 512
 # Times of first events that differ by less are equal.
 ROUNDING_SECONDS = 1e-6
+# Starts that were not reported as ended are forgotten after this silence (seconds).
+FORGET_SECONDS = 60.0
 # The pool's value is computed this often; it changes slowly.
 POOL_SECONDS = 0.25
 
@@ -56,10 +58,8 @@
     def __init__(self) -> None:
         self.samples: deque[_Sample] = deque(maxlen=MAX_SAMPLES)
         self.value = 0.0
-
-    def is_silent(self, now: float) -> bool:
-        """Return whether the last measurement is too old to count."""
-        return now - self.samples[-1].at > SILENT_SECONDS
+        # From then on, the last measurement is too old to count.
+        self.silent_at = 0.0
 
     def merge(self, sample: _Sample) -> _Sample:
         """Return a sample joined with the last one if they are one measurement."""
@@ -77,9 +77,11 @@
         return _Sample(sample.at, (last_seconds + seconds) / weight, weight)
 
     def add(self, sample: _Sample, pool_value: float) -> None:
+        """Record a sample; the pool's value counts as those that are missing."""
         if not sample.seconds:
             return
         self.samples.append(sample)
+        self.silent_at = sample.at + SILENT_SECONDS
         oldest = sample.at - WINDOW_SECONDS
         recent = [entry for entry in self.samples if entry.at >= oldest]
         if len(recent) < MIN_SAMPLES:
@@ -106,34 +108,38 @@
 
     def __init__(self, default: float):
         self.servers: dict[str, _Server] = {}
-        self._default = default
         self._value = default
         self._computed_at = float("-inf")
 
     def get_value(self, now: float) -> float:
-        """Return the median over the servers that are measured at present."""
+        """Return the median of the servers that are measured, or the last one."""
         if now - self._computed_at > POOL_SECONDS:
-            values = sorted(s.value for s in self.servers.values() if s.value)
-            self._value = values[(len(values) - 1) // 2] if values else self._default
+            oldest = now - FORGET_SECONDS
+            for start_id in [
+                n for n, s in self.servers.items() if s.silent_at < oldest
+            ]:
+                del self.servers[start_id]
+            measured = [s for s in self.servers.values() if now <= s.silent_at]
+            values = sorted(s.value for s in measured or self.servers.values())
+            self._value = values[(len(values) - 1) // 2] if values else self._value
             self._computed_at = now
         return self._value
 
     def add(self, start_id: str, sample: _Sample, *, merges: bool = False) -> None:
         server = self.servers.get(start_id)
+        if server is None and not sample.seconds:
+            return
+        pool_value = self.get_value(sample.at)
         if server is None:
-            if not sample.seconds:
-                return
             server = self.servers[start_id] = _Server()
             # The median of the others changes with their number.
             self._computed_at = float("-inf")
-        if merges:
-            sample = server.merge(sample)
-        server.add(sample, self.get_value(sample.at))
+        server.add(server.merge(sample) if merges else sample, pool_value)
 
     def get_seconds(self, start_id: str, now: float) -> float:
         """Return the seconds of a server, the pool's if it isn't measured."""
         server = self.servers.get(start_id)
-        if server is None or server.is_silent(now):
+        if server is None or now > server.silent_at:
             return self.get_value(now)
         return server.value
 
