Count failures, cold starts and old weights when engines are preselected

An engine that fails its requests has none in flight, so that eight failing ones of 20 filled the places of the most promising, and one of them was chosen. The costs of failures, of a recent start and of weights that are not the newest now count there as well. The test fails without this.

--- a/ashpond/coordination/shardservers.py
+++ b/ashpond/coordination/shardservers.py
@@ -18,7 +18,10 @@
 from ashpond.decisions.placementledger import PlacementLedger
 from ashpond.decisions.prompts import Prompt
 from ashpond.decisions.selection import (
+    COLD_COST_SECONDS,
+    FAILURE_COST_SECONDS,
     FEW_SERVERS,
+    MANY_STALE_COST_SECONDS,
     MEMORY_SHARE,
     QUEUE_SHARE,
     RUNNING_COST_SECONDS,
@@ -82,7 +85,8 @@
         self._capacities = capacities
         self._speeds = speeds
         self.excess = ExcessLoads()
-        self._listed_at = float("-inf")
+        # When the lists of servers were read.
+        self.listed_at = float("-inf")
         self._all: list[ServerState] = []
         self._own: list[ServerState] = []
         # The homes of prompt parts and cache namespaces that were looked up.
@@ -93,12 +97,12 @@
 
     def forget_lists(self) -> None:
         """Read the table again before the next choice."""
-        self._listed_at = float("-inf")
+        self.listed_at = float("-inf")
 
     def refresh(self, now: float) -> None:
         """Bring the lists and the loads beyond the ledger up to date."""
-        if not 0 <= now - self._listed_at < LIST_SECONDS:
-            self._listed_at = now
+        if not 0 <= now - self.listed_at < LIST_SECONDS:
+            self.listed_at = now
             self._by_size = {}
             self.homes = {}
             self._read_rates = {}
@@ -182,14 +186,21 @@
         return False
 
     def estimate_waits(
-        self, states: Mapping[str, ServerState], cached_tokens: Mapping[str, int]
+        self,
+        states: Mapping[str, ServerState],
+        cached_tokens: Mapping[str, int],
+        model: str,
+        target_version: int,
     ) -> dict[str, float]:
-        """Return about how long a prompt would wait at each server with a free slot.
+        """Return about what a prompt would cost at each server with a free slot.
 
-        It differs from the wait by what all of them have to read (seconds).
+        It differs from the full cost by what is the same at all of them, and by terms
+        of a few ms (seconds).
 
         :param cached_tokens: the tokens of the prompt that servers have cached, by id.
+        :param target_version: the version of the model that servers should have.
         """
+        now = self.listed_at
         waits = {}
         for server_id, state in states.items():
             info = state.info
@@ -197,8 +208,15 @@
             if load.requests >= info.slots:
                 continue
             tokens = load.unread_tokens - cached_tokens.get(server_id, 0)
-            rate = self.get_read_rate(info.service, info.start_id, self._listed_at)
-            waits[server_id] = tokens / rate + load.requests * RUNNING_COST_SECONDS
+            rate = self.get_read_rate(info.service, info.start_id, now)
+            seconds = tokens / rate + load.requests * RUNNING_COST_SECONDS
+            if state.failure_share:
+                seconds += state.failure_share * FAILURE_COST_SECONDS
+            if now < state.cold_until:
+                seconds += COLD_COST_SECONDS
+            if state.weights.get(model, 0) < target_version:
+                seconds += MANY_STALE_COST_SECONDS
+            waits[server_id] = seconds
         return waits
 
     def find(self, start_id: str) -> ServerState | None:
@@ -292,7 +310,10 @@
             return states
         matching = set(self._list_matching(states, prompt, demand.service))
         cached_tokens = {**sources.cached_tokens, **self._read_tokens}
-        costs = self._shard_servers.estimate_waits(states, cached_tokens)
+        target = self._find_target_version(prompt.model, self._shard_servers.listed_at)
+        costs = self._shard_servers.estimate_waits(
+            states, cached_tokens, prompt.model, target
+        )
         ranked = sorted(costs, key=costs.__getitem__)
         promising = [name for name in ranked if name in matching][:PROMISING_SERVERS]
         others = [name for name in ranked if name not in matching][:OTHER_SERVERS]
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -469,8 +469,15 @@
 
     asker.ask(*(make_ask(n, parts=[("own", 5000)]) for n in range(60)))
     assert max(list_loads()) - min(list_loads()) <= 2
+    # Engines that fail look idle, but are not the most promising.
+    failing = [world.table.by_id[f"p{n}"] for n in range(8)]
+    for state in failing:
+        asker.end(next(n for n in range(60) if asker.get(n).start_id == state.info.id))
+        state.failure_share = 0.5
+    asker.ask(make_ask(99, parts=[("own", 5000)]))
+    assert asker.get(99).start_id not in {state.info.id for state in failing}
     # Engines that are not among the most promising ones take requests as well.
-    asker.ask(*(make_engine_ask(n, f"own{n}") for n in range(100, 200)))
+    asker.ask(*(make_engine_ask(n, f"own{n}") for n in range(100, 220)))
     assert list_loads() == [8] * 20
     assert asker.ask(make_engine_ask(500)) == [QUEUED]
 
