Show a new peer which version of the members' table is known

Instances that start together read the table before all rows are there, and learn of missed changes only with the next one: in a fleet of 84, one instance knew 30 members for 20 s, and seven instances coordinated the same shard. A reader or hub now sends a version without rows over each new link, so that an instance that has missed a change reads the table. The new test fails without it.

--- a/ashpond/controllers/feeds.py
+++ b/ashpond/controllers/feeds.py
@@ -103,6 +103,8 @@
         self._publish = publish
         self._version: int | None = None
         self._as_of = float("-inf")
+        # The store's clock at the newest answer that is known here.
+        self._store_time = 0.0
         self._has_gap = False
         self._is_store_down = False
         self._must_publish_table = False
@@ -168,12 +170,29 @@
                 age=round(now - as_of, 3),
             )
         self._as_of = max(self._as_of, as_of)
+        self._store_time = max(self._store_time, update.store_time)
         self._version = max(self._version, update.version)
         snapshot = Snapshot(rows, update.version, update.store_time, as_of, now)
         self.feed.on_rows(snapshot, False, as_of)
         self._wake()
         return should_forward
 
+    def describe_version(self) -> TableUpdate | None:
+        """Return an update without rows that has the version known here, if any.
+
+        It shows an instance with an older version that it has missed a change.
+        """
+        if self._version is None:
+            return None
+        return TableUpdate(
+            self.feed.table,
+            self._version,
+            self._version,
+            self._store_time,
+            (),
+            self._store.era.current,
+        )
+
     def _apply_full_table(self, update: TableUpdate, now: float) -> bool:
         """Replace all known rows by an update's; return whether it was applied."""
         as_of = self._clock.date_forwarded(update.store_time)
@@ -182,6 +201,7 @@
             self._wake()
             return False
         self._as_of = max(self._as_of, as_of)
+        self._store_time = update.store_time
         self._version = update.version
         self._log.note(
             "table_told_by_reader",
@@ -271,6 +291,7 @@
         if known is not None and known > snapshot.version:
             return
         self._version = snapshot.version
+        self._store_time = snapshot.store_time
         self.feed.on_rows(snapshot, after is None, as_of)
         # A change that a group's hub missed has not reached its group either.
         if self._is_reader() or had_gap:
--- a/ashpond/coordination/link.py
+++ b/ashpond/coordination/link.py
@@ -46,7 +46,7 @@
 # the others have told it what they hold.
 FILL_SECONDS = 0.01
 # How long ends wait for an ask to be sent with (seconds).
-END_SECONDS = 0.02
+END_SECONDS = 0.005
 # Reported waits are not used any longer after this time (seconds).
 WAIT_SECONDS = 1.0
 # A link that was not used for this time is closed (seconds).
--- a/ashpond/fleet/exchange.py
+++ b/ashpond/fleet/exchange.py
@@ -235,6 +235,8 @@
         link.is_due = True
         link.crashes.clear()
         link.add(crashes=self._handlers.list_crashes())
+        if link.role in (PeerRole.MEMBER, PeerRole.OTHER_HUB):
+            link.add(tables=self._handlers.list_versions())
         while True:
             await send_urgent(self._sender_id, link, stream)
             if link.is_due:
--- a/ashpond/fleet/updates.py
+++ b/ashpond/fleet/updates.py
@@ -113,6 +113,7 @@
     fleet. ``on_table`` returns whether the table update should be forwarded.
     ``serve_allowances`` answers a peer that asks this instance for allowances, until
     its connection ends. ``serve_placements`` does so for a peer that asks for servers.
+    ``list_versions`` returns the versions of tables for a peer that has just connected.
     """
 
     on_notice: Callable[[ServerNotice], None]
@@ -127,6 +128,7 @@
     serve_placements: Callable[[PlacementQuery, PeerStream], Awaitable[None]] = (
         end_placements
     )
+    list_versions: Callable[[], list[TableUpdate]] = list
 
     async def serve(
         self, first: AllowanceQuery | PlacementQuery, stream: PeerStream
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -29,7 +29,7 @@
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.quarantine import CrashRecords
 from ashpond.fleet.exchange import PeerExchange
-from ashpond.fleet.members import Members
+from ashpond.fleet.members import MEMBERS_TABLE, Members
 from ashpond.fleet.updates import UpdateHandlers
 from ashpond.gateway.callprogress import DispatchContext, compute_fingerprint
 from ashpond.gateway.decisionlog import DecisionLog
@@ -211,6 +211,7 @@
                 self.quarantine.list_for_new_peer,
                 self.allowances.serve,
                 self.coordinator.serve,
+                self._list_versions,
             ),
             settings.bounds.retry_window_s,
             settings.mesh_limit,
@@ -297,6 +298,15 @@
         declaration = self.knowledge.declaration
         return declaration is not None and service in declaration.services
 
+    def _list_versions(self) -> list[TableUpdate]:
+        """Return the version of the members' table, which changes rarely.
+
+        Instances that start together read it before all rows are there. Without this,
+        30 of 84 instances were known to one for 20 s.
+        """
+        version = self.followers[MEMBERS_TABLE].describe_version()
+        return [] if version is None else [version]
+
     def _apply_table_update(self, update: TableUpdate) -> bool:
         if update.table.startswith(EVENTS_PREFIX):
             return self.cache_stores.apply_update(update)
--- a/tests/test_feeds_forwarding.py
+++ b/tests/test_feeds_forwarding.py
@@ -248,3 +248,30 @@
         await trio.sleep(RESYNC_SECONDS * 3.5)
         nursery.cancel_scope.cancel()
     assert 3 <= len(asked) <= 4
+
+
+async def test_a_version_shows_a_new_peer_that_it_has_missed_a_change(
+    autojump_clock: object,
+) -> None:
+    """Instances that start together read the members' table before all have joined.
+
+    Without the version that a peer knows, one of 84 instances knew only 30 for 20 s.
+    """
+    store = MemoryStore()
+    reader, other = FollowedTable(store), FollowedTable(store)
+    other.is_reader = False
+    async with running(reader, other):
+        await trio.sleep(0.1)
+        store.put("t", "a", b"1")
+        await trio.sleep(0.1)
+        assert not other.rows
+        version = reader.follower.describe_version()
+        assert version is not None
+        assert not version.rows
+        other.follower.apply_update(version)
+        await trio.sleep(0.1)
+        assert other.rows == {"a": b"1"}
+        calls = len(store.calls)
+        other.follower.apply_update(version)
+        await trio.sleep(0.1)
+        assert len(store.calls) == calls
