Allow small socket buffers for clients, and a cut while writing

The kernel lets a socket's buffers grow to several megabytes, which count towards the memory limit of an instance. A listener may now bound them, and the size of its reads; without a bound all is as before. A connection can be reset while tasks read or write it, so that its buffers are freed at once and its client sees an incomplete answer.

--- a/ashpond/connections.py
+++ b/ashpond/connections.py
@@ -17,7 +17,7 @@
 import trio
 
 from ashpond.exchanges import Exchange
-from ashpond.wire import Wire
+from ashpond.wire import READ_BYTES, Wire
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -55,6 +55,7 @@
     HEADER_TIMEOUT = "header_timeout"
     BROKEN_ANSWER = "broken_answer"
     ANSWER_NOT_TAKEN = "answer_not_taken"
+    MEMORY_LIMIT = "memory_limit"
     FAILURE = "failure"
     GRACE_PERIOD = "grace_period"
 
@@ -83,6 +84,7 @@
     :param is_leaving: returns whether this instance is leaving; an answer then is the
         last one of its connection.
     :param note_closed: called once, when the connection has been closed.
+    :param read_bytes: size of one read.
     """
 
     def __init__(
@@ -92,9 +94,10 @@
         get_limits: Callable[[], ConnectionLimits],
         is_leaving: Callable[[], bool],
         note_closed: Callable[[ClosedConnection], None],
+        read_bytes: int = READ_BYTES,
     ):
         self._stream = stream
-        self._wire = Wire(stream, get_limits().max_header_bytes)
+        self._wire = Wire(stream, get_limits().max_header_bytes, read_bytes)
         self._handle = handle
         self._get_limits = get_limits
         self._is_leaving = is_leaving
@@ -230,7 +233,9 @@
             await self._refuse(INTERNAL_ERROR, CloseReason.FAILURE)
 
     async def _handle_unfinished(self, exchange: Exchange) -> None:
-        if self._wire.is_stalled:
+        if exchange.is_cut:
+            self._closed_by = CloseReason.MEMORY_LIMIT
+        elif self._wire.is_stalled:
             self._closed_by = CloseReason.ANSWER_NOT_TAKEN
         elif exchange.is_refused:
             self._closed_by = CloseReason.BAD_REQUEST
--- a/ashpond/exchanges.py
+++ b/ashpond/exchanges.py
@@ -28,7 +28,7 @@
     (seconds), None for its first request. ``is_started`` is true once writing the
     answer has begun, ``is_finished`` once all of it has been written. ``is_refused`` is
     true if the body was invalid or did not arrive in time, ``has_client_left`` once the
-    client has closed the connection.
+    client has closed the connection. ``is_cut`` is true if it was reset by :meth:`cut`.
     """
 
     def __init__(
@@ -48,12 +48,23 @@
         self.is_finished = False
         self.is_refused = False
         self.has_client_left = False
+        self.is_cut = False
         self._wire = wire
         self._limits = limits
         self._is_last = is_last
         self._has_body = True
         self._head: list[h11.Event] = []
 
+    def find_declared_length(self) -> int | None:
+        """Return the length of the body (bytes); None if only its end will tell."""
+        declared: int | None = 0
+        for name, value in self.headers:
+            if name.lower() == b"transfer-encoding":
+                return None
+            if name.lower() == b"content-length" and value.isdigit():
+                declared = int(value)
+        return declared
+
     async def read_piece(self) -> bytes | None:
         """Return the next piece of the body, empty at its end.
 
@@ -125,6 +136,11 @@
     async def abort(self) -> None:
         """Do nothing: an unfinished answer is cut off when the handler returns."""
 
+    def cut(self, reason: str) -> None:
+        """Reset the connection at once; the client sees an incomplete answer."""
+        self.is_cut = True
+        self._wire.cut(reason)
+
     def would_close_look_complete(self) -> bool:
         """Return whether the client would take a close for the end of the answer.
 
--- a/ashpond/listener.py
+++ b/ashpond/listener.py
@@ -4,6 +4,7 @@
 
 __all__ = ["Listener"]
 
+import socket
 from collections.abc import Awaitable, Callable, Mapping
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 
 from ashpond.addresses import parse_address
 from ashpond.connections import ClosedConnection, Connection, ConnectionLimits
+from ashpond.wire import READ_BYTES
 
 if TYPE_CHECKING:
     from ashpond.exchanges import Exchange
@@ -32,6 +34,8 @@
     :param note_closed: called when a connection has been closed.
     :param note_error: called with the name of a log event and an error that is not
         raised to any caller.
+    :param buffer_bytes: size of the buffers of each connection's socket, and of one
+        read; 0 if the kernel may choose it, which grows them to several megabytes.
     """
 
     def __init__(
@@ -41,7 +45,9 @@
         is_leaving: Callable[[], bool] = lambda: False,
         note_closed: Callable[[ClosedConnection], None] = lambda closed: None,
         note_error: Callable[[str, BaseException], None] = lambda event, error: None,
+        buffer_bytes: int = 0,
     ):
+        self._buffer_bytes = buffer_bytes
         self._handlers = dict(handlers)
         self._get_limits = get_limits
         self._is_leaving = is_leaving
@@ -61,7 +67,7 @@
         :param grace_seconds: time after which unfinished requests are cut off.
         """
         listeners = [
-            (await _listen(address), handle)
+            (await _listen(address, self._buffer_bytes), handle)
             for address, handle in self._handlers.items()
         ]
         try:
@@ -130,7 +136,12 @@
 
     async def _serve(self, stream: trio.SocketStream, handle: Handle) -> None:
         connection = Connection(
-            stream, handle, self._get_limits, self._is_leaving, self._note_closed
+            stream,
+            handle,
+            self._get_limits,
+            self._is_leaving,
+            self._note_closed,
+            self._buffer_bytes or READ_BYTES,
         )
         self._connections.add(connection)
         if self._grace_ends_at is not None:
@@ -145,7 +156,11 @@
             self._connections.discard(connection)
 
 
-async def _listen(address: str) -> trio.SocketListener:
+async def _listen(address: str, buffer_bytes: int) -> trio.SocketListener:
     host, port = parse_address(address)
     (listener,) = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+    if buffer_bytes:
+        # Accepted sockets inherit both.
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            listener.socket.setsockopt(socket.SOL_SOCKET, option, buffer_bytes)
     return listener
--- a/ashpond/wire.py
+++ b/ashpond/wire.py
@@ -32,13 +32,21 @@
     ``is_broken`` is true once receiving or sending has failed; then nothing more is
     written, and readers get the end of the stream. ``is_stalled`` is true if the client
     did not take the answer in time. ``failure`` describes the first error, for the log.
+
+    :param read_bytes: size of one read, and limit of what is read ahead.
     """
 
-    def __init__(self, stream: trio.SocketStream, max_header_bytes: int):
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        max_header_bytes: int,
+        read_bytes: int = READ_BYTES,
+    ):
         self.is_broken = False
         self.is_stalled = False
         self.failure: str | None = None
         self._stream = stream
+        self._read_bytes = read_bytes
         self._sending: trio.CancelScope | None = None
         self._send_deadline = float("inf")
         self._max_header_bytes = max_header_bytes
@@ -51,7 +59,8 @@
 
     def is_readable(self) -> bool:
         """Return whether the socket has bytes, or the end of the stream, to receive."""
-        return self._stream.socket.is_readable()
+        # A socket that was reset cannot be polled any more.
+        return self.is_broken or self._stream.socket.is_readable()
 
     async def wait_readable(self) -> None:
         """Wait until the socket is readable, without receiving anything."""
@@ -60,7 +69,7 @@
     async def receive(self) -> bytes:
         """Return the next bytes, empty once the client has closed the connection."""
         try:
-            return bytes(await self._stream.receive_some(READ_BYTES))
+            return bytes(await self._stream.receive_some(self._read_bytes))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             self._mark_broken(f"receiving failed: {error.__cause__!r}")
             return b""
@@ -92,7 +101,7 @@
 
     def can_read_ahead(self) -> bool:
         """Return whether the buffer has room for bytes of the next request."""
-        return len(self._conn.trailing_data[0]) < READ_BYTES
+        return len(self._conn.trailing_data[0]) < self._read_bytes
 
     async def read_ahead(self) -> bool:
         """Buffer bytes of the next request; return False at the end of the stream.
@@ -203,6 +212,15 @@
         """Close the socket, without waiting for the client."""
         self._stream.socket.close()
 
+    def cut(self, failure: str) -> None:
+        """Reset the connection at once, also while it is read or written.
+
+        The kernel discards what its buffers hold.
+        """
+        self.is_broken = True
+        self.failure = self.failure or failure
+        self.reset()
+
     def reset(self) -> None:
         """Reset the connection, so that the client sees an error and not its end."""
         with suppress(OSError):
