Keep an instance within its memory limit

Each call's body, answer and buffers are counted. A stream's server is read on while its client is slow; a declared body or answer is reserved as a whole, as parts of many would wait for each other. Requests at one server are bounded by bytes. Refusals are sent only before any server has the request.

The settings files of two test harnesses now take only the addresses and names, as they wrote every new number as a string.

--- a/ashpond/gateway/admission.py
+++ b/ashpond/gateway/admission.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-__all__ = ["AcceptedCall", "admit_call"]
+__all__ = ["AcceptedCall", "admit_call", "find_urgency"]
 
+import math
 from typing import NamedTuple
 
 from ashpond.decisions.declared import Declaration, Route, Team, find_route
@@ -65,6 +66,15 @@
     return _accept(call, route, team)
 
 
+def find_urgency(call: IncomingCall, knowledge: Knowledge) -> int | None:
+    """Return the urgency that a call will have; None if it will not be accepted.
+
+    Used for calls whose body is not complete yet, to decide which bodies to read.
+    """
+    accepted = admit_call(call, knowledge, math.inf, call.received_at)
+    return None if isinstance(accepted, Refusal) else accepted.urgency
+
+
 def _refuse_uninformed(message: str) -> Refusal:
     return Refusal(503, "uninformed", message, retry_after=UNINFORMED_RETRY_SECONDS)
 
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -15,6 +15,7 @@
 from ashpond.controllers.crashdetection import CrashDetector
 from ashpond.controllers.feeds import Feed, Follower, TableUpdate
 from ashpond.controllers.invalidrows import InvalidRows
+from ashpond.controllers.memory import MemoryController
 from ashpond.controllers.permits import Permits
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverdirectives import ServerDirectives
@@ -28,7 +29,7 @@
 from ashpond.fleet.exchange import PeerExchange
 from ashpond.fleet.members import Members
 from ashpond.fleet.updates import UpdateHandlers
-from ashpond.gateway.admission import admit_call
+from ashpond.gateway.admission import admit_call, find_urgency
 from ashpond.gateway.callprogress import DispatchContext, compute_fingerprint
 from ashpond.gateway.calls import IncomingCall, Reply
 from ashpond.gateway.cleanup import run_cleanup
@@ -79,6 +80,10 @@
         self.log = log
         self.rng = random.Random()
         self.metrics = GatewayMetrics()
+        self.memory = MemoryController(
+            settings.memory_mb, log.note, self.metrics.count_memory
+        )
+        pool.buffer_bytes = self.memory.socket_buffer_bytes
         self.invalid_rows = InvalidRows(log, self.metrics.count_invalid_row)
         self.crash_detector = CrashDetector(
             lambda server: pool.check(server.owner, server.address),
@@ -268,6 +273,8 @@
             self.connection_log.note_cut,
             self.connection_log.note_closed,
             self.connection_log.note_error,
+            self.memory,
+            lambda call: find_urgency(call, self.knowledge),
         )
 
     @property
@@ -295,6 +302,7 @@
             nursery.start_soon(self.rollouts.run)
             nursery.start_soon(run_cleanup, self)
             nursery.start_soon(self._watch_settings)
+            nursery.start_soon(self.memory.run)
             nursery.start_soon(
                 self.cache_stores.follow,
                 self._list_cache_stores,
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -4,6 +4,8 @@
 
 __all__ = ["Attempt"]
 
+from collections.abc import Awaitable, Callable
+
 import trio
 
 from ashpond.clients.channels import Channel, ChannelError, OutgoingRequest, Response
@@ -36,6 +38,7 @@
 MIN_ANSWER_TIMEOUT_SECONDS = 0.1
 MAX_ANSWER_BYTES = 16 << 20
 NO_ANSWER = "silent"
+NO_MEMORY = "no memory for the answer"
 
 
 class Attempt:
@@ -51,8 +54,19 @@
 
     async def run(self) -> AttemptOutcome:
         """Send the call, return the outcome and release the reservation."""
+        server_id = self._reservation.state.info.id
+        memory, size = self.call.request.memory, len(self.call.request.body)
         try:
-            return await self._run(self._reservation.state)
+            if not memory.hold_at_server(server_id, size):
+                reason = "the bytes of requests there reach their limit"
+                self.call.note(
+                    "send_failed", server=server_id, reason=reason, is_sent=False
+                )
+                return AttemptNotRun(reason)
+            try:
+                return await self._run(self._reservation.state)
+            finally:
+                memory.release_at_server(server_id, size)
         finally:
             self.context.reservations.release(self._reservation)
 
@@ -127,16 +141,47 @@
         model = self.call.demand.model
         if model and answer_headers.weights_version is not None:
             state.update_weights(model, answer_headers.weights_version)
+        reserve = await self._reserve_declared(response, timeout)
         if self.call.route.kind is RouteKind.STREAM and response.status == OK:
             timeout.deadline = float("inf")
-            return await self._relay_stream(response)
-        body = await response.read_all(MAX_ANSWER_BYTES)
+            return await self._relay_stream(response, reserve)
+        body = await (
+            response.read_all(MAX_ANSWER_BYTES, reserve)
+            if reserve is not None
+            else response.read_all(MAX_ANSWER_BYTES)
+        )
         failed = response.status >= SERVER_ERROR
         state.note_answer(trio.current_time(), failed=failed)
         if not failed:
             self.context.quarantine.note_answered(self.call.fingerprint)
         return Answer(response.status, response.headers, body)
 
+    async def _reserve_declared(
+        self, response: Response, timeout: trio.CancelScope
+    ) -> Callable[[int], Awaitable[bool]] | None:
+        """Wait for memory for an answer whose length is known.
+
+        Many answers of which each is held in part would wait for each other. Return
+        the function that reserves each piece, None if nothing more is to be reserved.
+
+        :raises ChannelError: if there will be no memory.
+        """
+        memory = self.call.request.memory
+        if not memory.is_limited or self.call.request.method == "HEAD":
+            return None
+        lengths = [
+            value for name, value in response.headers if name == b"content-length"
+        ]
+        if not lengths:
+            return memory.grow_by_answer
+        # The server has answered in time; this wait is not its fault.
+        began, deadline = trio.current_time(), timeout.deadline
+        timeout.deadline = float("inf")
+        if not await memory.grow_by_answer(min(int(lengths[0]), MAX_ANSWER_BYTES)):
+            raise ChannelError(NO_MEMORY, is_sent=True)
+        timeout.deadline = deadline + trio.current_time() - began
+        return None
+
     def _log_sent(self) -> None:
         reservation = self._reservation
         knowledge = self.context.knowledge
@@ -271,20 +316,33 @@
             state.weights[model] = state.info.weights.get(model, 0)
             state.exclude_for(LOADING_PAUSE_SECONDS, now)
 
-    async def _relay_stream(self, response: Response) -> AttemptOutcome:
-        """Forward a stream as it arrives; resumable streams in complete events."""
+    async def _relay_stream(
+        self, response: Response, reserve: Callable[[int], Awaitable[bool]] | None
+    ) -> AttemptOutcome:
+        """Forward a stream as it arrives; resumable streams in complete events.
+
+        :param reserve: waits for memory for a piece, as its client may read slowly.
+        """
         state = self._reservation.state
         is_first = True
+        incomplete: list[bytes] = []
         try:
             while piece := await response.read():
                 if is_first:
                     self._note_prompt_read()
                     is_first = False
-                data = (
-                    self.call.splitter.feed(piece)
-                    if self.call.route.is_resumable
-                    else piece
-                )
+                if reserve is not None and not await reserve(len(piece)):
+                    raise ChannelError(NO_MEMORY, is_sent=True)
+                data = piece
+                if self.call.route.is_resumable:
+                    incomplete.append(piece)
+                    data = b""
+                    # Only a line feed can complete an event, and the splitter searches
+                    # all that it holds with each piece. 300 answers of 400 KB without
+                    # one delayed other requests by 1 s.
+                    if b"\n" in piece:
+                        data = self.call.splitter.feed(b"".join(incomplete))
+                        incomplete.clear()
                 if data:
                     await self.call.start_reply(response.status, response.headers)
                     await self.call.reply.send(data)
@@ -305,6 +363,8 @@
         state.note_answer(trio.current_time(), failed=False)
         self.context.quarantine.note_answered(self.call.fingerprint)
         await self.call.start_reply(response.status, response.headers)
+        self.call.splitter.feed(b"".join(incomplete))
+        incomplete.clear()
         rest = self.call.splitter.take_remainder()
         if rest:
             await self.call.reply.send(rest)
--- a/ashpond/gateway/calls.py
+++ b/ashpond/gateway/calls.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from ashpond.controllers.memory import NO_LIMIT, CallMemory
 from ashpond.decisions.prompts import Prompt
 from ashpond.wire import Headers
 
@@ -90,7 +91,10 @@
 
 
 class IncomingCall(NamedTuple):
-    """One request, read completely; ``target`` is path and query as sent."""
+    """One request, read completely; ``target`` is path and query as sent.
+
+    ``memory`` counts the bytes that are held for it.
+    """
 
     method: str
     host: str
@@ -99,6 +103,7 @@
     envelope: Envelope
     body: bytes
     received_at: float
+    memory: CallMemory = NO_LIMIT
 
 
 class Reply(Protocol):
--- a/ashpond/gateway/ingress.py
+++ b/ashpond/gateway/ingress.py
@@ -8,6 +8,7 @@
 
 __all__ = ["CutBy", "CutCall", "Ingress", "IngressAddresses"]
 
+import sys
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
 from typing import NamedTuple
@@ -15,8 +16,11 @@
 import trio
 
 from ashpond.connections import ClosedConnection, ConnectionLimits
+from ashpond.controllers.memory import CallMemory, MemoryController
 from ashpond.decisions.declared import IngressLimits
+from ashpond.decisions.memorybudget import Purpose
 from ashpond.exchanges import Exchange
+from ashpond.gateway.bufferedreply import BufferedReply
 from ashpond.gateway.calls import Codec, IncomingCall, Reply
 from ashpond.gateway.replies import send_complete, send_refusal
 from ashpond.listener import Listener
@@ -24,6 +28,11 @@
 
 STATUS_PATH = b"/status"
 RELEASE_PATH = b"/quarantine/release"
+# How long the reading of a body may pause for want of memory before the call is refused
+# (seconds). Clients send the request again, mostly to another instance.
+MAX_PAUSE_SECONDS = 2.0
+# Urgency of calls that will not be accepted.
+LOWEST_URGENCY = 100
 METRICS_TYPE = b"text/plain; version=0.0.4"
 
 CallHandler = Callable[[IncomingCall, Reply], Awaitable[None]]
@@ -51,6 +60,7 @@
     CLIENT = "client"
     FAILURE = "failure"
     GRACE_PERIOD = "grace_period"
+    MEMORY_LIMIT = "memory_limit"
 
 
 class CutCall(NamedTuple):
@@ -86,7 +96,11 @@
         note_cut: Callable[[CutCall], None] = lambda cut: None,
         note_closed: Callable[[ClosedConnection], None] = lambda closed: None,
         note_error: Callable[[str, BaseException], None] = lambda event, error: None,
+        memory: MemoryController | None = None,
+        find_urgency: Callable[[IncomingCall], int | None] = lambda call: None,
     ):
+        self._memory = memory or MemoryController()
+        self._find_urgency = find_urgency
         self.is_leaving = False
         self.open_calls = 0
         self._codec = codec
@@ -109,6 +123,7 @@
             lambda: self.is_leaving,
             note_closed,
             note_error,
+            self._memory.socket_buffer_bytes,
         )
 
     async def run(
@@ -157,27 +172,98 @@
     async def _serve_call(self, exchange: Exchange) -> None:
         received_at = trio.current_time()
         self.open_calls += 1
+        memory: CallMemory | None = None
         try:
-            body = await self._read_body(exchange)
+            memory = await self._memory.open(self._find_id(exchange))
+            if memory is None:
+                await self._refuse_for_memory(exchange)
+                return
+            body = await self._read_body_within(exchange, memory, received_at)
             # If the event loop was delayed, the client may have left since it sent the
             # request.
             if body is None or await exchange.check_client_left():
                 return
-            call = self._build_call(exchange, body, received_at)
+            call = self._build_call(exchange, body, received_at, memory)
             if call is None:
                 refusal = Refusal(400, "no_id", "the request has no id")
                 await send_refusal(exchange, refusal)
                 return
+            memory.note_purpose(Purpose.CALL, received_at)
             await self._handle_while_connected(call, exchange)
         finally:
             self.open_calls -= 1
+            if memory is not None:
+                memory.close()
+
+    def _find_id(self, exchange: Exchange) -> str:
+        if not self._memory.is_limited:
+            return ""
+        envelope = self._codec.read_envelope(exchange.headers)
+        return envelope.request_id if envelope else ""
+
+    async def _refuse_for_memory(self, exchange: Exchange) -> None:
+        """Refuse a call that has not been sent to any server."""
+        wait = self._memory.budget.find_retry_seconds(trio.current_time())
+        message = "the instance is at its memory limit"
+        await send_refusal(exchange, Refusal(503, "memory", message, retry_after=wait))
+
+    async def _read_body_within(
+        self, exchange: Exchange, memory: CallMemory, received_at: float
+    ) -> bytes | None:
+        """Read the body as memory allows; None as for :meth:`_read_body`."""
+        if not memory.is_limited:
+            return await self._read_body(exchange)
+
+        # A declared body is reserved as a whole with its first piece: many bodies of
+        # which each is held in part would wait for each other.
+        declared = exchange.find_declared_length()
+        memory.holding.declared = declared if declared is not None else sys.maxsize
+        ahead = 0
+
+        async def reserve(size: int) -> bool:
+            nonlocal ahead
+            if size <= ahead:
+                ahead -= size
+                return True
+            total = min(declared or 0, self._get_limits().max_body_bytes)
+            ahead = max(0, total - size)
+            size = max(size, total)
+            if not self._memory.budget.is_relaxed():
+                call = self._build_call(exchange, b"", received_at, memory)
+                urgency = self._find_urgency(call) if call is not None else None
+                memory.holding.urgency = LOWEST_URGENCY if urgency is None else urgency
+            return await memory.grow(size, MAX_PAUSE_SECONDS)
+
+        body: bytes | None = None
+        with trio.CancelScope() as scope:
+            memory.cut = scope.cancel
+            body = await self._read_body(exchange, reserve)
+        memory.holding.declared = 0
+        memory.cut = lambda: exchange.cut("the memory limit of the instance")
+        if not memory.is_cut or (body is None and not scope.cancelled_caught):
+            return body
+        # The memory controller has logged and counted the cut.
+        if not exchange.is_started and not exchange.is_refused:
+            await self._refuse_for_memory(exchange)
+        return None
+
+    async def _read_body(
+        self,
+        exchange: Exchange,
+        reserve: Callable[[int], Awaitable[bool]] | None = None,
+    ) -> bytes | None:
+        """Return the whole body; None if the client left or the body was refused.
 
-    async def _read_body(self, exchange: Exchange) -> bytes | None:
-        """Return the whole body; None if the client left or the body was refused."""
+        :param reserve: waits for memory for each piece; returns False if there is none.
+        """
         limit = self._get_limits().max_body_bytes
         pieces: list[bytes] = []
         size = 0
         while piece := await exchange.read_piece():
+            if reserve is not None and not await reserve(len(piece)):
+                self._memory.note_refused(self._find_id(exchange), "body")
+                await self._refuse_for_memory(exchange)
+                return None
             pieces.append(piece)
             size += len(piece)
             if size > limit:
@@ -187,7 +273,7 @@
         return None if piece is None else b"".join(pieces)
 
     def _build_call(
-        self, exchange: Exchange, body: bytes, received_at: float
+        self, exchange: Exchange, body: bytes, received_at: float, memory: CallMemory
     ) -> IncomingCall | None:
         headers = exchange.headers
         envelope = self._codec.read_envelope(headers)
@@ -203,6 +289,7 @@
             envelope=envelope,
             body=body,
             received_at=received_at,
+            memory=memory,
         )
 
     async def _handle_while_connected(
@@ -222,9 +309,14 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(cancel_when_client_leaves)
-                await self._handle(call, exchange)
+                reply: Reply = exchange
+                if call.memory.is_limited:
+                    reply = BufferedReply(exchange, call.memory, nursery)
+                await self._handle(call, reply)
                 nursery.cancel_scope.cancel()
             by = CutBy.CLIENT if exchange.has_client_left else None
+            if exchange.is_cut:
+                by = CutBy.MEMORY_LIMIT
         except Exception as error:
             by, failure = CutBy.FAILURE, repr(error)
             raise
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -65,6 +65,11 @@
             "What teams asked for here, in the units of their limits, by outcome",
             registry=self.registry,
         )
+        self.memory = Counter(
+            "ashpond_gateway_memory",
+            "Actions that keep the instance within its memory limit, by kind",
+            registry=self.registry,
+        )
         self._teams_with_series: set[str] = set()
         self.suspensions = Histogram(
             "ashpond_gateway_suspended_seconds",
@@ -103,6 +108,10 @@
         """Count one requested permit."""
         self.permits.inc({"outcome": outcome})
 
+    def count_memory(self, action: str) -> None:
+        """Count one action at the memory limit: refused, paused, cut, server_full."""
+        self.memory.inc({"action": action})
+
     def count_allowance(self, team: str, cost: int, is_granted: bool) -> None:
         """Count the cost that a team requested, in the unit of its limit."""
         if len(self._teams_with_series) < MAX_TEAM_SERIES:
--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -82,6 +82,8 @@
     bounds: GatewayBounds = GatewayBounds()
     mesh_limit: int = MAX_MESH_MEMBERS
     link_mbps: float = 0.0
+    # Memory limit of the process in MB; 0 for none. A change takes effect on restart.
+    memory_mb: float = 0.0
 
 
 class BoundsTable(TypedDict, total=False):
@@ -113,6 +115,7 @@
     bounds: BoundsTable
     mesh_limit: Annotated[int, Meta(ge=1, le=1000)]
     link_mbps: Annotated[float, Meta(ge=0)]
+    memory_mb: Annotated[float, Meta(ge=0)]
 
 
 class SettingsFile:
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -45,6 +45,7 @@
         },
         "cache_stores_up": gateway.cache_stores.count_up(),
         "waiting": gateway.slot_queue.waiting,
+        "memory": gateway.memory.describe(),
         "open_calls": gateway.ingress.open_calls,
         "log_lines_dropped": dict(gateway.log.dropped),
         "repeats_left": {
--- /dev/null
+++ b/tests/slow_clients.py
@@ -0,0 +1,136 @@
+"""Slow clients, and a gateway in a process of its own whose memory is measured."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import orjson
+import trio
+
+from ashpond.standins.tables import MemoryStore
+from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
+from tests.row_builders import CONFIGURATION, SERVER
+from tests.servers import Script, read_request, run_server
+from tests.test_gateway_ingress import ROUTES, make_request
+from tests.test_platform_process import (
+    ROOT,
+    run_http_store,
+    wait_until_ready,
+    write_settings,
+)
+
+OBJECTIVE_SECONDS = 0.6
+SLOTS = 400
+
+
+class MeasuredGateway:
+    """A running gateway process: its address, its log and its resident size."""
+
+    def __init__(self, address: str, process: trio.Process, log_path: Path):
+        self.address = address
+        self.process = process
+        self._log_path = log_path
+
+    def measure_peak_mb(self) -> float:
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        (line,) = [row for row in status.splitlines() if row.startswith("VmHWM")]
+        return int(line.split()[1]) / 1024
+
+    def read_log(self, event: str) -> list[dict]:
+        lines = self._log_path.read_bytes().splitlines()
+        found = [orjson.loads(line) for line in lines if line.endswith(b"}")]
+        return [line for line in found if line["event"] == event]
+
+    async def connect(self, receive_bytes: int = 0) -> trio.SocketStream:
+        host, port = self.address.split(":")
+        sock = trio.socket.socket()
+        if receive_bytes:
+            sock.setsockopt(
+                trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, receive_bytes
+            )
+        await sock.connect((host, int(port)))
+        return trio.SocketStream(sock)
+
+    async def probe(self, body: bytes = b"x" * 100) -> tuple[bytes, float]:
+        """Send one ordinary request; return its status and the seconds it took."""
+        begin = trio.current_time()
+        stream = await self.connect()
+        async with stream:
+            await stream.send_all(make_request("/x/small", body))
+            answer = await read_request(stream)
+        return answer[9:12], trio.current_time() - begin
+
+
+@asynccontextmanager
+async def run_measured_gateway(
+    path: Path, script: Script, memory_mb: int
+) -> AsyncIterator[MeasuredGateway]:
+    memory = MemoryStore()
+    configuration = {**CONFIGURATION, "routes": ROUTES}
+    memory.put(OPERATOR_TABLE, "config", orjson.dumps(configuration))
+    async with run_server(script) as server, run_http_store(memory) as store:
+        entry = {**SERVER, "address": server, "slots": SLOTS}
+        memory.put(SERVERS_TABLE, "i-1", orjson.dumps(entry))
+        file = path / "node.toml"
+        settings = write_settings(file, store)
+        if memory_mb:
+            file.write_text(f"memory_mb = {memory_mb}\n{file.read_text()}")
+        with (path / "log").open("wb") as log:
+            process = await trio.lowlevel.open_process(
+                [sys.executable, "platform/serve.py"],
+                cwd=ROOT,
+                env={**os.environ, "ASHPOND_NODE_FILE": str(file)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        try:
+            await wait_until_ready(settings["readiness_address"])
+            address = settings["callers_address"]
+            yield MeasuredGateway(address, process, path / "log")
+        finally:
+            process.kill()
+            await process.wait()
+
+
+async def probe_while(
+    gateway: MeasuredGateway, bodies: tuple[bytes, ...], action: Awaitable[None]
+) -> float:
+    """Return the share of ordinary requests answered in time during ``action``."""
+    outcomes: list[bool] = []
+
+    async def probe(body: bytes) -> None:
+        while True:
+            status, seconds = await gateway.probe(body)
+            outcomes.append(status == b"200" and seconds <= OBJECTIVE_SECONDS)
+            await trio.sleep(0.05)
+
+    async with trio.open_nursery() as nursery:
+        for body in bodies:
+            nursery.start_soon(probe, body)
+        await action
+        nursery.cancel_scope.cancel()
+    return sum(outcomes) / len(outcomes)
+
+
+async def run_clients(
+    count: int, client: Callable[[], Awaitable[None]], seconds: float
+) -> None:
+    """Start clients within a second and let them run for ``seconds``."""
+
+    async def run() -> None:
+        try:
+            await client()
+        except (trio.BrokenResourceError, OSError):
+            return
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(count):
+            nursery.start_soon(run)
+            await trio.sleep(1.0 / count)
+        await trio.sleep(seconds)
+        nursery.cancel_scope.cancel()
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -34,7 +34,7 @@
         self.path = folder / f"{name}.toml"
         self.log = (folder / f"{name}.log").open("ab")
         values = make_settings()._asdict()
-        del values["bounds"], values["mesh_limit"], values["link_mbps"]
+        values = {name: text for name, text in values.items() if isinstance(text, str)}
         # Each soak has its own loopback addresses, so that several can run at once.
         values = {k: v.replace("127.0.0.1", host) for k, v in values.items()}
         values |= {"name": name, "store_address": store}
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -39,7 +39,7 @@
 
 def write_settings(path: Path, store: str) -> dict[str, str]:
     values = make_settings()._asdict()
-    del values["bounds"], values["mesh_limit"], values["link_mbps"]
+    values = {name: text for name, text in values.items() if isinstance(text, str)}
     values["store_address"] = store
     lines = [f'{name} = "{value}"' for name, value in values.items()]
     path.write_text("\n".join([*lines, "[bounds]", f"grace_s = {GRACE_SECONDS}"]))
