Cut no client that has read all, and blame no server for our memory

After its first event a stream counted as unread until the next one, so a client that had read all could be cut as the one with the oldest unread bytes. An answer for which there is no memory counted as a failure of its server, also towards quarantine. 34 tests of channels and ends of connections and the tests of dispatch passed.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -93,13 +93,12 @@
         return await self.channel.read_body()
 
     async def read_all(
-        self, limit: int, reserve: Callable[[int], Awaitable[bool]] | None = None
+        self, limit: int, reserve: Callable[[int], Awaitable[None]] | None = None
     ) -> bytes:
         """Return the whole body.
 
-        :param reserve: waits for memory for each piece; returns False if there will
-            be none.
-        :raises ChannelError: if it is truncated, too long, or there is no memory.
+        :param reserve: waits for memory for each piece.
+        :raises ChannelError: if it is truncated or longer than ``limit`` bytes.
         """
         pieces = []
         size = 0
@@ -107,8 +106,8 @@
             size += len(piece)
             if size > limit:
                 raise ChannelError("the answer is too large", is_sent=True)
-            if reserve is not None and not await reserve(len(piece)):
-                raise ChannelError("no memory for the answer", is_sent=True)
+            if reserve is not None:
+                await reserve(len(piece))
             pieces.append(piece)
         return b"".join(pieces)
 
--- a/ashpond/controllers/memory.py
+++ b/ashpond/controllers/memory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["CallMemory", "MemoryController", "NO_LIMIT"]
+__all__ = ["CallMemory", "MemoryController", "NO_LIMIT", "NoMemoryError"]
 
 from collections.abc import Callable
 from typing import Any
@@ -17,6 +17,7 @@
     Purpose,
     compute_byte_budget,
 )
+from ashpond.errors import AshpondError
 
 # Interval at which waiting reservations are decided again, as holdings grow old enough
 # to be cut without any event.
@@ -25,6 +26,10 @@
 OPEN_SECONDS = 0.1
 
 
+class NoMemoryError(AshpondError):
+    """Raised when an answer is larger than the memory for all calls."""
+
+
 class _Waiting:
     """A reservation that waits for room."""
 
@@ -70,16 +75,17 @@
             return True
         return await self._controller.reserve(self, size, longest_wait)
 
-    async def grow_by_answer(self, size: int) -> bool:
-        """Wait for room for a piece of a server's answer; return False if it is none.
+    async def grow_by_answer(self, size: int) -> None:
+        """Wait for room for a piece of a server's answer.
 
         The piece counts as credit for :meth:`take_credit` until it is handed to the
         client.
+
+        :raises NoMemoryError: if there will never be room for it.
         """
         if not await self.grow(size):
-            return False
+            raise NoMemoryError("no memory for the answer")
         self._credit += size
-        return True
 
     def take_credit(self, size: int) -> int:
         """Return how many of ``size`` bytes for the client are held already."""
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -15,6 +15,7 @@
     LOADING_PAUSE_SECONDS,
     ServerState,
 )
+from ashpond.controllers.memory import NoMemoryError
 from ashpond.decisions.declared import RouteKind
 from ashpond.decisions.ratelimits import PERMIT_SECONDS
 from ashpond.decisions.selectionlog import describe_candidate, describe_demand
@@ -38,7 +39,6 @@
 MIN_ANSWER_TIMEOUT_SECONDS = 0.1
 MAX_ANSWER_BYTES = 16 << 20
 NO_ANSWER = "silent"
-NO_MEMORY = "no memory for the answer"
 
 
 class Attempt:
@@ -59,9 +59,7 @@
         try:
             if not memory.hold_at_server(server_id, size):
                 reason = "the bytes of requests there reach their limit"
-                self.call.note(
-                    "send_failed", server=server_id, reason=reason, is_sent=False
-                )
+                self._log_failure(reason, is_sent=False)
                 return AttemptNotRun(reason)
             try:
                 return await self._run(self._reservation.state)
@@ -93,6 +91,11 @@
                     state.watched, CrashEvidence.REFUSED
                 )
             return self._handle_failure(str(error), is_sent=error.is_sent)
+        except NoMemoryError as error:
+            # The server has answered; this does not count against it.
+            self.call.splitter.drop_remainder()
+            self._log_failure(str(error), is_sent=True)
+            return AttemptFailed(str(error))
         finally:
             if channel is not None and is_complete:
                 self.context.pool.release(state.owner, channel)
@@ -158,13 +161,13 @@
 
     async def _reserve_declared(
         self, response: Response, timeout: trio.CancelScope
-    ) -> Callable[[int], Awaitable[bool]] | None:
+    ) -> Callable[[int], Awaitable[None]] | None:
         """Wait for memory for an answer whose length is known.
 
         Many answers of which each is held in part would wait for each other. Return
         the function that reserves each piece, None if nothing more is to be reserved.
 
-        :raises ChannelError: if there will be no memory.
+        :raises NoMemoryError: if there will be no memory.
         """
         memory = self.call.request.memory
         if not memory.is_limited or self.call.request.method == "HEAD":
@@ -177,8 +180,7 @@
         # The server has answered in time; this wait is not its fault.
         began, deadline = trio.current_time(), timeout.deadline
         timeout.deadline = float("inf")
-        if not await memory.grow_by_answer(min(int(lengths[0]), MAX_ANSWER_BYTES)):
-            raise ChannelError(NO_MEMORY, is_sent=True)
+        await memory.grow_by_answer(min(int(lengths[0]), MAX_ANSWER_BYTES))
         timeout.deadline = deadline + trio.current_time() - began
         return None
 
@@ -216,9 +218,7 @@
         self, reason: str, *, is_sent: bool
     ) -> AttemptNotRun | AttemptFailed:
         state = self._reservation.state
-        self.call.note(
-            "send_failed", server=state.info.id, reason=reason, is_sent=is_sent
-        )
+        self._log_failure(reason, is_sent=is_sent)
         if not is_sent:
             pause = state.note_connect_failure(trio.current_time())
             self.context.announce_unreachable(state, pause)
@@ -228,6 +228,10 @@
         self._report_incomplete(state, is_timeout=reason == NO_ANSWER)
         return AttemptFailed(reason)
 
+    def _log_failure(self, reason: str, *, is_sent: bool) -> None:
+        server_id = self._reservation.state.info.id
+        self.call.note("send_failed", server=server_id, reason=reason, is_sent=is_sent)
+
     def _report_incomplete(
         self, state: ServerState, *, is_timeout: bool = False
     ) -> None:
@@ -317,7 +321,7 @@
             state.exclude_for(LOADING_PAUSE_SECONDS, now)
 
     async def _relay_stream(
-        self, response: Response, reserve: Callable[[int], Awaitable[bool]] | None
+        self, response: Response, reserve: Callable[[int], Awaitable[None]] | None
     ) -> AttemptOutcome:
         """Forward a stream as it arrives; resumable streams in complete events.
 
@@ -331,8 +335,8 @@
                 if is_first:
                     self._note_prompt_read()
                     is_first = False
-                if reserve is not None and not await reserve(len(piece)):
-                    raise ChannelError(NO_MEMORY, is_sent=True)
+                if reserve is not None:
+                    await reserve(len(piece))
                 data = piece
                 if self.call.route.is_resumable:
                     incomplete.append(piece)
--- a/ashpond/gateway/bufferedreply.py
+++ b/ashpond/gateway/bufferedreply.py
@@ -69,6 +69,7 @@
         is_first, self._is_first = self._is_first, False
         if is_first and len(data) <= INLINE_BYTES:
             await self._write(piece)
+            self._note_read()
             return
         self._pieces.append(piece)
         if not self._has_writer:
@@ -88,7 +89,7 @@
                 await self._write(self._pieces[0])
                 self._pieces.popleft()
                 if not self._pieces:
-                    self._memory.note_purpose(Purpose.CALL, trio.current_time())
+                    self._note_read()
                     self._lot.unpark_all()
         except Exception as error:
             self._failure = error
@@ -102,10 +103,13 @@
             await self._exchange.send(piece.data[start : start + SOCKET_BUFFER_BYTES])
         self._memory.shrink(piece.counted)
 
+    def _note_read(self) -> None:
+        """Record that the client has nothing left to read, so that it is not cut."""
+        self._memory.note_purpose(Purpose.CALL, trio.current_time())
+
     async def _wait_until_written(self) -> None:
         while self._pieces and not self._has_stopped:
             await self._lot.park()
-        self._raise_failure()
 
     def _raise_failure(self) -> None:
         if self._failure is not None:
@@ -120,6 +124,7 @@
         """
         with trio.CancelScope(shield=True):
             await self._wait_until_written()
+            self._raise_failure()
             # A writer that was cancelled has left pieces: the answer is incomplete.
             if not self._pieces:
                 await self._exchange.finish()
