--- a/ashpond/decisions/memorybudget.py
+++ b/ashpond/decisions/memorybudget.py
@@ -47,6 +47,7 @@
 # Requests in flight at one server may take this share of the budget. An engine crashes
 # if the requests that it holds exceed its memory.
 SERVER_SHARE = 0.25
+LARGE_SERVER_SHARE = 0.2
 # Time named to a refused client if nothing indicates when there will be room.
 DEFAULT_RETRY_SECONDS = 1.0
 MIN_RETRY_SECONDS = 0.1
@@ -199,10 +200,12 @@
     def hold_at_server(self, server_id: str, size: int) -> bool:
         """Count a request in flight at a server; return whether it may be sent there.
 
-        A server that holds none accepts one of any size.
+        A server that holds none accepts one of any size. Large requests leave room for
+        small ones.
         """
         held = self._at_servers.get(server_id, 0)
-        if held and held + size > self.limit * SERVER_SHARE:
+        share = SERVER_SHARE if size <= SMALL_BYTES else LARGE_SERVER_SHARE
+        if held and held + size > self.limit * share:
             return False
         self._at_servers[server_id] = held + size
         return True
