Keep large bodies fast with small socket buffers

With buffers of 16 KB, a body of 400 KB took 229 ms on loopback instead of 7 ms: a segment there has 64 KB, and a receiver with less than a segment of room announces it late.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -30,6 +30,7 @@
 from ashpond.clients.liveness import enable_dead_peer_detection
 from ashpond.errors import AshpondError
 from ashpond.gateway.calls import Headers
+from ashpond.socketbuffers import bound_buffers
 
 READ_BYTES = 65_536
 # Requests up to this size fit into a socket's buffer and are sent without another task.
@@ -353,9 +354,7 @@
         target = parse_address(address)
         sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            if self.buffer_bytes:
-                for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-                    sock.setsockopt(socket.SOL_SOCKET, option, self.buffer_bytes)
+            bound_buffers(sock, self.buffer_bytes)
             with trio.fail_after(CONNECT_SECONDS):
                 await sock.connect((target.host, target.port))
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/ashpond/listener.py
+++ b/ashpond/listener.py
@@ -4,7 +4,6 @@
 
 __all__ = ["Listener"]
 
-import socket
 from collections.abc import Awaitable, Callable, Mapping
 from typing import TYPE_CHECKING
 
@@ -12,6 +11,7 @@
 
 from ashpond.addresses import parse_address
 from ashpond.connections import ClosedConnection, Connection, ConnectionLimits
+from ashpond.socketbuffers import bound_buffers
 from ashpond.wire import READ_BYTES
 
 if TYPE_CHECKING:
@@ -159,8 +159,5 @@
 async def _listen(address: str, buffer_bytes: int) -> trio.SocketListener:
     host, port = parse_address(address)
     (listener,) = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
-    if buffer_bytes:
-        # Accepted sockets inherit both.
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            listener.socket.setsockopt(socket.SOL_SOCKET, option, buffer_bytes)
+    bound_buffers(listener.socket, buffer_bytes)
     return listener
