--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from functools import partial
 from pathlib import Path
 from socket import SO_RCVBUF, SOL_SOCKET
@@ -96,9 +95,8 @@
             finally:
                 held -= length
 
-    async with run_measured_gateway(
-        tmp_path, read_large_bodies_slowly, LIMIT_MB
-    ) as gateway:
+    script = read_large_bodies_slowly
+    async with run_measured_gateway(tmp_path, script, LIMIT_MB) as gateway:
         statuses: list[bytes] = []
 
         async def client() -> None:
@@ -107,7 +105,7 @@
                 statuses.append((await read_request(stream))[9:12])
 
         share = await probe_while(gateway, SMALL_BODIES, run_clients(300, client, 6.0))
-        print(largest, Counter(statuses), gateway.measure_peak_mb(), share)
+        print(largest, statuses.count(b"200"), gateway.measure_peak_mb(), share)
         assert gateway.measure_peak_mb() < LIMIT_MB
         assert 0 < largest <= BUDGET * SERVER_SHARE
         assert statuses.count(b"503") > 0 < statuses.count(b"200")
@@ -172,8 +170,7 @@
         assert seen.endswith(b"0\r\n\r\n")
         first = await read_all(slow_readers[0])
         assert not first.endswith(EVENTS[-100:])
-        memory = running.gateway.memory.describe()
-        assert memory["actions"]["cut"] > 0
+        assert running.gateway.memory.counts["cut"] > 0
         for stream in slow_readers:
             await stream.aclose()
 
@@ -199,10 +196,8 @@
         assert answer.startswith(b"HTTP/1.1 503")
         assert b"retry-after: 1.00" in answer.lower()
         assert received == 0
-        status = await running.fetch(
-            running.gateway.settings.metrics_address, "/metrics"
-        )
-        assert b'ashpond_gateway_memory{action="refused"} 1' in status
+        page = await running.fetch(running.gateway.settings.metrics_address)
+        assert b'ashpond_gateway_memory{action="refused"} 1' in page
 
 
 async def test_bounded_buffers_do_not_delay_a_large_body() -> None:
