--- a/tests/test_memorybudget.py
+++ b/tests/test_memorybudget.py
@@ -79,7 +79,7 @@
     verdict = budget.reserve(needs_room, LARGE, now)
     assert not verdict.is_granted
     assert verdict.cut == (held[0],)
-    # The bytes of the first are still held, but on their way out.
+    # The first is still held, but counts as being released.
     assert budget.reserve(needs_room, LARGE, now).cut == ()
     budget.close(held[0])
     assert budget.reserve(needs_room, LARGE, now).is_granted
