--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -29,7 +29,9 @@
     return entry | {"value": base64.b64encode(row.value).decode()}
 
 
-async def answer_call(memory: MemoryStore, request: bytes) -> tuple[int, Any]:
+async def answer_call(
+    memory: MemoryStore, request: bytes, page: int = PAGE
+) -> tuple[int, Any]:
     head, _, body = request.partition(b"\r\n\r\n")
     method, target, _ = head.split(b"\r\n")[0].decode().split(" ")
     query = {k: v[0] for k, v in parse_qs(urlsplit(target).query).items()}
@@ -40,8 +42,8 @@
             return 503, {}
         now_ms = outcome.value.store_time * 1000
         rows = [r for r in outcome.value.rows if r.key >= query.get("from", "")]
-        shown = [encode_row(row) for row in rows[:PAGE]]
-        more = {"has_more": len(rows) > PAGE}
+        shown = [encode_row(row) for row in rows[:page]]
+        more = {"has_more": len(rows) > page}
         return 200, {"rows": shown, "ver": memory.version, "now_ms": now_ms} | more
     if path == "/api/rows-feed":
         wait = int(query["wait_ms"]) / 1000
