--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -4,7 +4,7 @@
 
 __all__ = ["GatewayMetrics"]
 
-from aioprometheus import Counter, Histogram, Registry, render
+from ashpond.gateway.deferredmetrics import Counter, Histogram, Registry, render
 
 LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
 SUSPENSION_BUCKETS = [0.1, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0]
@@ -129,4 +129,4 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return render(self.registry, [])[0]
+        return render(self.registry)
