Evaluate the annotations of modules with many named tuples at once

typing compiles each deferred annotation of a field of a NamedTuple or TypedDict when the class is created: 549 times in a start, half of its classes' cost.

--- a/ashpond/clients/peermessages.py
+++ b/ashpond/clients/peermessages.py
@@ -1,7 +1,5 @@
 """The messages between instances, and their kinds on the wire."""
 
-from __future__ import annotations
-
 __all__ = [
     "AllowanceAnswer",
     "AllowanceQuery",
--- a/ashpond/decisions/declared.py
+++ b/ashpond/decisions/declared.py
@@ -1,7 +1,5 @@
 """The configuration of routed calls: routes, services, teams and limits."""
 
-from __future__ import annotations
-
 __all__ = [
     "CacheStore",
     "Declaration",
--- a/ashpond/decisions/quarantine.py
+++ b/ashpond/decisions/quarantine.py
@@ -11,8 +11,6 @@
 the others.
 """
 
-from __future__ import annotations
-
 __all__ = [
     "QUARANTINE_CRASHES",
     "CrashRecords",
--- a/ashpond/fleet/updates.py
+++ b/ashpond/fleet/updates.py
@@ -1,7 +1,5 @@
 """Typed updates between instances, and their conversion to and from messages."""
 
-from __future__ import annotations
-
 __all__ = [
     "MAX_EXCLUDED_SECONDS",
     "Digest",
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -1,7 +1,5 @@
 """The state of one call across its attempts, and the services attempts use."""
 
-from __future__ import annotations
-
 __all__ = [
     "Answer",
     "AttemptFailed",
--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -1,7 +1,5 @@
 """The settings file of a gateway instance."""
 
-from __future__ import annotations
-
 __all__ = [
     "GatewayBounds",
     "GatewaySettings",
