Read and write connections to servers without trio's stream wrappers

Each event of a stream took a check of the socket, a cancel scope, and the wrappers of trio's stream and socket around one call of the kernel; each request that was sent took a step of the event loop of its own. The sockets are now used directly, with the same rules for deadlines: data that has arrived is returned although the deadline has passed, and reads that do not wait still give way to other tasks. The test of expiry holds a socket pair instead of a stub.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -1,9 +1,9 @@
 """HTTP/1.1 connections to backend servers, one exchange at a time on each.
 
-Uses ``h11`` on trio streams, because the connection pool of ``httpx`` hides three
-conditions: bytes after a complete response, a response to an earlier request, and a
-response that arrives before the server has read the request's body. A connection on
-which one of them occurred is not reused.
+Uses ``h11``, because the connection pool of ``httpx`` hides three conditions: bytes
+after a complete response, a response to an earlier request, and a response that arrives
+before the server has read the request's body. A connection on which one of them
+occurred is not reused.
 """
 
 from __future__ import annotations
@@ -26,8 +26,13 @@
 import h11
 import trio
 
-from ashpond.addresses import parse_address
-from ashpond.clients.liveness import enable_dead_peer_detection
+from ashpond.clients.sockets import (
+    close_socket,
+    has_data,
+    open_socket,
+    receive,
+    send_all,
+)
 from ashpond.errors import AshpondError
 from ashpond.gateway.calls import Headers
 
@@ -108,14 +113,17 @@
 
 
 class Channel:
-    """One HTTP/1.1 connection to a backend server."""
+    """One HTTP/1.1 connection to a backend server.
+
+    :param sock: a connected socket in non-blocking mode.
+    """
 
     def __init__(
         self,
-        stream: trio.SocketStream,
+        sock: socket.socket,
         clock: Callable[[], float] = trio.current_time,
     ):
-        self._stream = stream
+        self._socket = sock
         self._clock = clock
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
         self._has_sent_bytes = False
@@ -178,7 +186,7 @@
     async def _send(self, data: bytes) -> None:
         try:
             self._has_sent_bytes = True
-            await self._stream.send_all(data)
+            await send_all(self._socket, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
             raise ChannelError(f"sending failed: {error!r}", is_sent=True) from error
 
@@ -246,17 +254,15 @@
             raise ChannelError(f"reading failed: {error!r}", is_sent=True) from error
 
     async def _receive(self, *, shield_ready_data: bool) -> bytes:
-        # After a delay of the event loop, a deadline and the response may be due in
-        # the same step. Reading data that has already arrived does not block.
-        is_ready = self._stream.socket.is_readable()
-        with trio.CancelScope(shield=is_ready and shield_ready_data):
-            data = await self._stream.receive_some(READ_BYTES)
+        data, was_ready = await receive(
+            self._socket, READ_BYTES, shield_ready_data=shield_ready_data
+        )
         last_read_at, self._read_at = self._read_at, self._clock()
         # The server's idle timeout starts when it has written the end of the
         # response. Data that was already there may have arrived at any time since
         # the last read.
-        self._idle_since = last_read_at if is_ready else self._read_at
-        return bytes(data)
+        self._idle_since = last_read_at if was_ready else self._read_at
+        return data
 
     def _read_idle_limit(self, headers: Headers) -> None:
         for name, value in headers:
@@ -285,11 +291,11 @@
         if now - self._idle_since > self._idle_seconds:
             return False
         # Readable data is the end of the stream or bytes that belong to no request.
-        return not self._stream.socket.is_readable()
+        return not has_data(self._socket)
 
     def close(self) -> None:
         """Close the connection without waiting for pending data."""
-        self._stream.socket.close()
+        close_socket(self._socket)
 
 
 def _matches_request(headers: Headers, request: OutgoingRequest) -> bool:
@@ -341,24 +347,15 @@
         return await self._connect(address)
 
     async def _connect(self, address: str) -> Channel:
-        target = parse_address(address)
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            with trio.fail_after(CONNECT_SECONDS):
-                await sock.connect((target.host, target.port))
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            enable_dead_peer_detection(sock)
+            sock = await open_socket(address, CONNECT_SECONDS)
         except (OSError, trio.TooSlowError) as error:
-            sock.close()
             is_refused = isinstance(error, ConnectionRefusedError)
             raise ChannelError(
                 f"no connection: {error!r}", is_sent=False, is_refused=is_refused
             ) from error
-        except BaseException:
-            sock.close()
-            raise
         self.opened += 1
-        return Channel(trio.SocketStream(sock), self._clock)
+        return Channel(sock, self._clock)
 
     async def check(self, owner: str, address: str) -> ConnectResult:
         """Open a connection to check that a server is up, and keep it for reuse."""
--- /dev/null
+++ b/ashpond/clients/sockets.py
@@ -0,0 +1,105 @@
+"""Sending and receiving on plain non-blocking sockets in the event loop.
+
+trio's streams wrap each call in several others and give way to other tasks after each,
+which takes more processor time than the calls of the kernel.
+"""
+
+from __future__ import annotations
+
+__all__ = ["close_socket", "has_data", "open_socket", "receive", "send_all"]
+
+import socket
+
+import trio
+
+from ashpond.addresses import parse_address
+from ashpond.clients.liveness import enable_dead_peer_detection
+
+# Bytes that the kernel accepts beyond those it can send at once, as trio's streams set
+# it. More of them would only wait longer in the kernel.
+MAX_UNSENT_BYTES = 16_384
+
+
+async def open_socket(address: str, timeout: float) -> socket.socket:
+    """Return a non-blocking socket that is connected to an address.
+
+    :param timeout: how long connecting may take (seconds).
+    :raises OSError: if the address cannot be reached.
+    :raises trio.TooSlowError: if connecting takes longer.
+    """
+    target = parse_address(address)
+    plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = trio.socket.from_stdlib_socket(plain)
+    try:
+        with trio.fail_after(timeout):
+            await sock.connect((target.host, target.port))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
+        enable_dead_peer_detection(sock)
+    except BaseException:
+        sock.close()
+        raise
+    return plain
+
+
+async def send_all(sock: socket.socket, data: bytes) -> None:
+    """Send all bytes; wait only while the kernel accepts no more.
+
+    :raises OSError: if the connection is broken.
+    """
+    await trio.lowlevel.checkpoint_if_cancelled()
+    rest = memoryview(data)
+    while rest:
+        try:
+            rest = rest[sock.send(rest) :]
+        except BlockingIOError:
+            await trio.lowlevel.wait_writable(sock)
+
+
+async def receive(
+    sock: socket.socket, max_bytes: int, *, shield_ready_data: bool
+) -> tuple[bytes, bool]:
+    """Return the next bytes, empty at the end of the stream.
+
+    Return also whether they had arrived before the call.
+
+    :param shield_ready_data: return data that has already arrived even if the deadline
+        has passed. After a delay of the event loop both may be due in the same step.
+    :raises OSError: if the connection is broken.
+    """
+    if not shield_ready_data:
+        await trio.lowlevel.checkpoint_if_cancelled()
+    try:
+        data = sock.recv(max_bytes)
+    except BlockingIOError:
+        return await _receive_later(sock, max_bytes), False
+    # A sender that is faster than this process must not hold up the other tasks.
+    await trio.lowlevel.cancel_shielded_checkpoint()
+    return data, True
+
+
+async def _receive_later(sock: socket.socket, max_bytes: int) -> bytes:
+    while True:
+        await trio.lowlevel.wait_readable(sock)
+        try:
+            return sock.recv(max_bytes)
+        except BlockingIOError:
+            continue
+
+
+def has_data(sock: socket.socket) -> bool:
+    """Return whether there are bytes, an error or the end of the stream to receive."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
+def close_socket(sock: socket.socket) -> None:
+    """Close a socket without waiting for pending data; wake tasks that wait for it."""
+    if sock.fileno() >= 0:
+        trio.lowlevel.notify_closing(sock)
+    sock.close()
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -144,7 +144,7 @@
         await response.read_all(100)
         pool.release("s1", channel)
         await closed.wait()
-        await trio.lowlevel.wait_readable(channel._stream.socket)
+        await trio.lowlevel.wait_readable(channel._socket)
         assert await fetch(pool, address, make_request()) == b"2"
 
 
@@ -167,7 +167,7 @@
             self.server.sendall(data)
         else:
             self.server.close()
-        select.select([self.channel._stream.socket], [], [])
+        select.select([self.channel._socket], [], [])
 
     def close(self) -> None:
         self.channel.close()
@@ -307,14 +307,11 @@
 
 
 def make_idle_channel(idle_seconds: float) -> Channel:
-    class _Socket:
-        def is_readable(self) -> bool:
-            return False
-
-    class _Stream:
-        socket = _Socket()
-
-    channel = Channel(_Stream())  # type: ignore[arg-type]
+    own, server = socket.socketpair()
+    own.setblocking(False)
+    channel = Channel(own)
+    # Keeps the server's end open while the channel is used.
+    channel.server = server  # type: ignore[attr-defined]
     channel._read_idle_limit([(b"keep-alive", f"timeout={idle_seconds:.0f}".encode())])
     return channel
 
