Connect to servers without trio's wrapper of the socket

Each new connection parsed and checked the address of a server that is known already, resolved it once more, and ran trio's handling of a cancelled connect. A non-blocking connect needs one wait.

--- a/ashpond/clients/liveness.py
+++ b/ashpond/clients/liveness.py
@@ -16,7 +16,7 @@
 KEEPALIVE_SECONDS = 1
 
 
-def enable_dead_peer_detection(sock: trio.socket.SocketType) -> None:
+def enable_dead_peer_detection(sock: trio.socket.SocketType | socket.socket) -> None:
     """Have the kernel close a connection whose peer stops acknowledging, also if idle.
 
     A network partition, a power failure and a path that drops only this connection's
--- a/ashpond/clients/sockets.py
+++ b/ashpond/clients/sockets.py
@@ -8,6 +8,9 @@
 
 __all__ = ["close_socket", "has_data", "open_socket", "receive", "send_all"]
 
+import errno
+import functools
+import os
 import socket
 
 import trio
@@ -18,6 +21,12 @@
 # Bytes that the kernel accepts beyond those it can send at once, as trio's streams set
 # it. More of them would only wait longer in the kernel.
 MAX_UNSENT_BYTES = 16_384
+OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES),
+)
+# More addresses than any fleet has servers and stores.
+MAX_KNOWN_ADDRESSES = 1000
 
 
 async def open_socket(address: str, timeout: float) -> socket.socket:
@@ -27,19 +36,38 @@
     :raises OSError: if the address cannot be reached.
     :raises trio.TooSlowError: if connecting takes longer.
     """
-    target = parse_address(address)
-    plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock = trio.socket.from_stdlib_socket(plain)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        with trio.fail_after(timeout):
-            await sock.connect((target.host, target.port))
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
+        sock.setblocking(False)
+        for level, option, value in OPTIONS:
+            sock.setsockopt(level, option, value)
         enable_dead_peer_detection(sock)
+        await _connect(sock, _split_address(address), timeout)
     except BaseException:
         sock.close()
         raise
-    return plain
+    return sock
+
+
+# Addresses are those of known servers, and checking one takes longer than a call of the
+# kernel.
+@functools.lru_cache(maxsize=MAX_KNOWN_ADDRESSES)
+def _split_address(address: str) -> tuple[str, int]:
+    target = parse_address(address)
+    return target.host, target.port
+
+
+async def _connect(
+    sock: socket.socket, target: tuple[str, int], timeout: float
+) -> None:
+    await trio.lowlevel.checkpoint_if_cancelled()
+    code = sock.connect_ex(target)
+    if code == errno.EINPROGRESS:
+        with trio.fail_after(timeout):
+            await trio.lowlevel.wait_writable(sock)
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        raise OSError(code, os.strerror(code))
 
 
 async def send_all(sock: socket.socket, data: bytes) -> None:
