Check for updates after changes instead of at each interval

An instance checked eight times a second what to send each peer, also if nothing had changed: with the step of the event loop that it takes, a quarter of the processor time of an instance without requests. The check now takes place when a load, a report, a queued value or a link has changed, and when a heartbeat or the replacement of a hub is due. Loads are built once for all links of one role instead of twice for each. The state of a server moves to a module of its own.

--- /dev/null
+++ b/ashpond/controllers/serverstate.py
@@ -0,0 +1,162 @@
+"""The state of each start of a backend server at this instance."""
+
+from __future__ import annotations
+
+__all__ = ["FULL_PAUSE_SECONDS", "LOADING_PAUSE_SECONDS", "ServerState"]
+
+import itertools
+from collections.abc import Callable
+
+from ashpond.controllers.backendservers import BackendServer
+from ashpond.controllers.crashdetection import WatchedServer
+from ashpond.decisions.loads import Load
+from ashpond.decisions.ratelimits import NO_LIMIT
+
+# The exclusion of a server that refused a request because it is full (seconds).
+FULL_PAUSE_SECONDS = 0.15
+# The exclusion after a refusal while weights load, which takes about 0.8 s (seconds).
+LOADING_PAUSE_SECONDS = 0.4
+# The pause after a failure to connect (seconds); it doubles with each further failure.
+CONNECT_PAUSE_SECONDS = 0.5
+MAX_DOUBLINGS = 3
+# A peer that fails to connect to a server may itself be cut off: its report is ignored
+# if the server answered here within this time (seconds).
+RECENT_ANSWER_SECONDS = 0.4
+# The weight of the latest answer in the exponential moving average of failures.
+FAILURE_SMOOTHING = 0.12
+# The longest Retry-After for want of a permit (seconds).
+MAX_PERMIT_PAUSE_SECONDS = 2.0
+
+_numbers = itertools.count()
+
+
+class ServerState:
+    """The state of one start of a server, as far as this instance knows it.
+
+    ``owner`` is the key of this start's connections in the connection pool.
+
+    :param note_load: called when the load changes.
+    """
+
+    def __init__(
+        self,
+        info: BackendServer,
+        now: float,
+        note_load: Callable[[], None] = lambda: None,
+    ):
+        self.info = info
+        self.owner = f"{info.id} {next(_numbers)}"
+        self.weights = dict(info.weights)
+        self._load = Load()
+        self._note_load = note_load
+        self.cold_until = now + info.cold_seconds
+        self.excluded_until = 0.0
+        self.failure_share = 0.0
+        self.connect_failures = 0
+        self.answered_at = float("-inf")
+        self.is_misdirected = False
+        # Whether an answer announced that it leaves; the row may show it much later.
+        self.is_leaving = False
+        # The end of the backoff that the server asked this instance for.
+        self.backoff_until = 0.0
+        self.rate_limit = NO_LIMIT
+        # When an answer here raised or lifted the limit; None once that is sent again.
+        self.limit_raised_at: float | None = None
+        # Until when no permit is requested, and the number of refusals in a row.
+        self.permit_pause_until = 0.0
+        self.permit_refusals = 0
+        # Whether the latest row is invalid; the server is not used until it is valid.
+        self.is_entry_invalid = False
+        self.disappeared_at: float | None = None
+
+    @property
+    def load(self) -> Load:
+        """The load of this instance's requests at the server."""
+        return self._load
+
+    @load.setter
+    def load(self, load: Load) -> None:
+        self._load = load
+        self._note_load()
+
+    @property
+    def watched(self) -> WatchedServer:
+        """Return the description of this start for crash detection."""
+        info = self.info
+        return WatchedServer(
+            self.owner,
+            info.id,
+            info.started_ms,
+            info.address,
+            info.service,
+            info.is_draining,
+        )
+
+    def is_present(self) -> bool:
+        """Return whether the server is eligible and its row has not disappeared."""
+        return self.is_eligible() and self.disappeared_at is None
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether the server may get new requests now."""
+        return (
+            self.is_present()
+            and now >= self.excluded_until
+            and not self.is_backing_off(now)
+        )
+
+    def is_backing_off(self, now: float) -> bool:
+        """Return whether a backoff or the rate limit forbids new requests now."""
+        return now < max(self.permit_pause_until, self.backoff_until)
+
+    def find_retry_time(self, now: float) -> float:
+        """Return when a client may retry, by the server's backoff and rate limit.
+
+        The pause between permit requests counts only up to
+        ``MAX_PERMIT_PAUSE_SECONDS``: another instance may get a permit earlier.
+        """
+        pause_until = min(self.permit_pause_until, now + MAX_PERMIT_PAUSE_SECONDS)
+        return max(now, self.backoff_until, pause_until)
+
+    def is_eligible(self) -> bool:
+        """Return whether the server may get new requests, now or later."""
+        leaves = self.info.is_draining or self.is_leaving
+        return not (leaves or self.is_misdirected or self.is_entry_invalid)
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the server has a rate limit."""
+        return self.rate_limit.rate is not None
+
+    def exclude_for(self, seconds: float, now: float) -> None:
+        """Send no new requests to the server for a number of seconds."""
+        self.excluded_until = max(self.excluded_until, now + seconds)
+
+    def readmit(self) -> None:
+        """End the server's exclusion."""
+        self.excluded_until = 0.0
+
+    def update_weights(self, model: str, version: int) -> bool:
+        """Record a version seen at the server; return whether it is newer."""
+        if version <= self.weights.get(model, 0):
+            return False
+        self.weights[model] = version
+        return True
+
+    def note_answer(self, now: float, *, failed: bool) -> None:
+        """Add an answer, or a failure to get one, to the average of failures."""
+        if not failed:
+            self.connect_failures = 0
+            self.answered_at = now
+        self.failure_share += FAILURE_SMOOTHING * (failed - self.failure_share)
+
+    def note_connect_failure(self, now: float) -> float:
+        """Record a failure to connect; return the exclusion in seconds."""
+        pause = CONNECT_PAUSE_SECONDS * 2 ** min(self.connect_failures, MAX_DOUBLINGS)
+        self.connect_failures += 1
+        self.exclude_for(pause, now)
+        return pause
+
+    def note_peer_connect_failure(self, seconds: float, now: float) -> None:
+        """Exclude the server if it has not answered here lately."""
+        if now - self.answered_at > RECENT_ANSWER_SECONDS:
+            self.exclude_for(seconds, now)
--- a/ashpond/fleet/exchange.py
+++ b/ashpond/fleet/exchange.py
@@ -43,15 +43,18 @@
     get_peer_name,
     is_first_candidate,
     is_relied_on,
-    limit_cache_entries,
     list_required_links,
+    make_link,
     receive_first,
     receive_update,
     run_until_end,
+    should_act_as_hub,
 )
 from ashpond.fleet.members import Members
 from ashpond.fleet.reconnection import MAX_FRAME_BYTES, keep_connected
+from ashpond.fleet.rounds import UpdateRounds
 from ashpond.fleet.sending import send_digest, send_urgent
+from ashpond.fleet.sharedloads import SharedLoads
 from ashpond.fleet.updates import (
     Digest,
     ServerNotice,
@@ -82,15 +85,17 @@
         self.members = members
         self.view = FleetView(window)
         self.links = Links()
-        self._name = members.own.name
         self._mesh_limit = mesh_limit
         self._table = table
         self._log = log
         self._handlers = handlers
-        self._sender_id = f"{self._name}#{secrets.token_hex(INCARNATION_BYTES)}"
+        self._sender_id = f"{members.own.name}#{secrets.token_hex(INCARNATION_BYTES)}"
         self._outgoing: dict[tuple[PeerRole, Member], Link] = {}
         self._own_members: list[Link] = []
         self._counted: set[str] = set()
+        self._rounds = UpdateRounds()
+        self._loads = SharedLoads(self.view, table, handlers.list_attempts)
+        table.on_load_change = self._rounds.note_change
         self._grouped_at = float("inf")
         self._is_hub = False
         self._nursery: trio.Nursery | None = None
@@ -106,18 +111,18 @@
 
     def announce(self, notice: ServerNotice) -> None:
         """Send all peers a notice at once."""
-        for link in self._list_dependent_links():
+        for link in self._list_receivers():
             link.add([notice])
             link.wake()
 
     def send_cache_entry(self, cache_entry: CacheEntry) -> None:
         """Send all peers a new cache entry of an engine with the next update."""
-        for link in self._list_dependent_links():
+        for link in self._list_receivers():
             link.add(cache_entries=[cache_entry])
 
     def send_crashes(self, crashes: Sequence[ServerCrash]) -> None:
         """Send all peers at once the requests that were in flight at server crashes."""
-        for link in self._list_dependent_links():
+        for link in self._list_receivers():
             link.add(crashes=crashes)
             link.wake()
 
@@ -159,31 +164,27 @@
         # starts in a large fleet would link to every other.
         own = self.members.own
         members = {**self.members.by_name, own.name: own}
-        links = plan_links(members, self._name, self._mesh_limit)
+        links = plan_links(members, own.name, self._mesh_limit)
         if links.group != self.links.group:
             self._log.note(
                 "news_group", group=links.group, hubs=list_names(links.preferred_hubs)
             )
             self._grouped_at = trio.current_time()
         self.links = links
+        self._rounds.note_change()
         self.view.set_hubs(member.name for member in links.preferred_hubs)
         self._is_hub = self._should_act_as_hub(trio.current_time())
         required = list_required_links(links, is_hub=self._is_hub)
         for key in self._outgoing.keys() - required:
             self._outgoing.pop(key).scope.cancel()
         for role, member in sorted(required - self._outgoing.keys(), key=str):
-            link = Link(role, member.name, self._limit_cache_entries(role))
+            link = self._make_link(role, member.name)
             self._outgoing[role, member] = link
             self._nursery.start_soon(self._keep_connected, link, member.address)
 
     def _should_act_as_hub(self, now: float) -> bool:
-        """Return whether this instance should act as the hub of its group."""
-        if not self.links.group or not self.links.is_candidate:
-            return False
-        if not self.links.preferred_hubs:
-            return True
         waited = now - self._grouped_at
-        return waited > HEARTBEAT_SECONDS * 2 and self.view.find_hub(now) is None
+        return should_act_as_hub(self.links, self.view.find_hub(now), waited)
 
     def _check_hub(self, now: float) -> None:
         """Become the hub of the group, or stop being it, when that is due."""
@@ -200,26 +201,26 @@
     async def _run_link(self, link: Link, stream: PeerStream) -> str:
         """Send updates, and receive those of a hub; return why the connection ended."""
         link.is_connected = True
+        self._rounds.note_change()
         try:
             if link.role is not PeerRole.HUB:
                 return await run_until_end(lambda: self._send_updates(link, stream))
-            return await run_until_end(
-                lambda: self._send_updates(link, stream),
-                lambda: self._receive_updates(stream),
-            )
+            return await self._exchange_updates(link, stream)
         finally:
             link.is_connected = False
+            self._rounds.note_change()
             with trio.CancelScope(shield=True):
                 await stream.aclose()
 
     async def _schedule_updates(self) -> None:
         """Wake the links that have something to send, once per update interval.
 
-        Other links are not woken, as that would only take time: of a hub's 43 links,
-        15 only keep connections to standby hubs.
+        Others are not woken: of a hub's 43 links, 15 lead to standby hubs.
         """
         while True:
-            await trio.sleep(choose_update_interval(self.links.group))
+            await self._rounds.wait(
+                self.list_links(), self.view, self.links.group, is_hub=self._is_hub
+            )
             now = trio.current_time()
             self._check_hub(now)
             for link in self.list_links():
@@ -249,7 +250,7 @@
 
     def _is_due(self, link: Link, now: float) -> bool:
         """Return whether a peer should be sent the load and the queued values."""
-        if link.last_load is None or now - link.sent_at >= HEARTBEAT_SECONDS:
+        if link.last_load is None or now >= link.sent_at + HEARTBEAT_SECONDS:
             return True
         if not self._needs_updates(link):
             return False
@@ -258,14 +259,11 @@
         return self._build_load(link, now).loads != link.last_load.loads
 
     def _build_load(self, link: Link, now: float) -> InstanceLoad:
-        own = InstanceLoad(self._table.list_own_loads(), self._handlers.list_attempts())
-        if link.role is PeerRole.OTHER_HUB:
-            return self.view.sum_group(own, now)
-        if link.role is PeerRole.MEMBER:
-            return self.view.sum_fleet(own, link.name, now)
-        return own
+        return self._loads.build(link, now)
 
-    def _list_dependent_links(self) -> list[Link]:
+    def _list_receivers(self) -> list[Link]:
+        """Return the links on which to queue a new value, and have them checked."""
+        self._rounds.note_change()
         return [link for link in self.list_links() if self._needs_updates(link)]
 
     def _needs_updates(self, link: Link) -> bool:
@@ -275,12 +273,10 @@
         hub = self.view.find_hub(trio.current_time())
         return is_relied_on(link, hub, is_hub=self._is_hub)
 
-    def _limit_cache_entries(self, role: PeerRole) -> int:
-        link_mbps = self.members.own.link_mbps
+    def _make_link(self, role: PeerRole, name: str) -> Link:
+        interval = choose_update_interval(self.links.group)
         groups = len(self.links.other_hubs)
-        return limit_cache_entries(
-            role, link_mbps, groups, choose_update_interval(self.links.group)
-        )
+        return make_link(role, name, self.members.own.link_mbps, groups, interval)
 
     async def _serve_connection(self, raw: trio.SocketStream) -> None:
         """Serve a peer that has connected, until the connection ends."""
@@ -309,17 +305,19 @@
         return await run_until_end(lambda: self._receive_updates(stream))
 
     async def _serve_member(self, incarnation: str, stream: PeerStream) -> str:
-        limit = self._limit_cache_entries(PeerRole.MEMBER)
-        link = Link(PeerRole.MEMBER, incarnation, limit)
+        link = self._make_link(PeerRole.MEMBER, incarnation)
         self._own_members.append(link)
         try:
-            return await run_until_end(
-                lambda: self._send_updates(link, stream),
-                lambda: self._receive_updates(stream),
-            )
+            return await self._exchange_updates(link, stream)
         finally:
             self._own_members.remove(link)
 
+    async def _exchange_updates(self, link: Link, stream: PeerStream) -> str:
+        return await run_until_end(
+            lambda: self._send_updates(link, stream),
+            lambda: self._receive_updates(stream),
+        )
+
     async def _receive_updates(self, stream: PeerStream) -> None:
         while True:
             self._apply(await receive_update(stream))
@@ -331,17 +329,15 @@
             elif isinstance(message, Notices):
                 self._apply_notices(message.sender, *decode_notices(message))
             elif isinstance(message, CrashReport):
-                self._apply_crashes(message.sender, *decode_crashes(message))
+                self._add_crashes(message.sender, *decode_crashes(message))
             else:
-                self._apply_changes(message.sender, *decode_changes(message))
+                scope, update = decode_changes(message)
+                if self._handlers.on_table(update):
+                    self._forward(scope, message.sender, tables=[update])
         except FrameError as error:
             self._log.note("peer_news_invalid", peer=message.sender, reason=str(error))
 
-    def _apply_changes(self, sender: str, scope: Scope, update: TableUpdate) -> None:
-        if self._handlers.on_table(update):
-            self._forward(scope, sender, tables=[update])
-
-    def _apply_crashes(
+    def _add_crashes(
         self, sender: str, scope: Scope, crashes: list[ServerCrash]
     ) -> None:
         new = self._handlers.on_crashes(crashes, get_peer_name(sender))
@@ -358,7 +354,9 @@
         now = trio.current_time()
         scope = digest.scope
         key = f"group {digest.group}" if scope is Scope.GROUP else sender
-        self.view.add(key, PeerReport(get_peer_name(sender), scope, now, digest.load))
+        report = PeerReport(get_peer_name(sender), scope, now, digest.load)
+        if self.view.add(key, report) and self._is_hub:
+            self._rounds.note_change()
         self._retain_counted(now)
         if key in self._counted:
             self._table.note_peer_loads(key, digest.load.loads, now)
@@ -375,6 +373,8 @@
         if self._counted - counted:
             self._table.retain_peer_loads(counted)
             self._handlers.retain_peers(counted)
+        if counted != self._counted:
+            self._rounds.note_change()
         self._counted = counted
 
     def _forward(
@@ -393,6 +393,7 @@
         if scope is Scope.MEMBER:
             others = self._outgoing.values()
             links += [o for o in others if o.role is PeerRole.OTHER_HUB]
+        self._rounds.note_change()
         for link in links:
             link.add(notices, cache_entries, tables, crashes)
             if link.is_urgent and self._needs_updates(link):
--- a/ashpond/fleet/links.py
+++ b/ashpond/fleet/links.py
@@ -13,9 +13,11 @@
     "is_relied_on",
     "limit_cache_entries",
     "list_required_links",
+    "make_link",
     "receive_first",
     "receive_update",
     "run_until_end",
+    "should_act_as_hub",
 ]
 
 from collections import deque
@@ -37,6 +39,7 @@
 from ashpond.decisions.fleetlinks import Links, Member
 from ashpond.decisions.quarantine import ServerCrash
 from ashpond.errors import FrameError
+from ashpond.fleet.intervals import HEARTBEAT_SECONDS
 from ashpond.fleet.updates import ServerNotice
 from ashpond.fleet.view import InstanceLoad, Scope
 
@@ -180,6 +183,16 @@
         del self.cache_entries[self.max_cache_entries :]
 
 
+def make_link(
+    role: PeerRole, name: str, link_mbps: float, groups: int, interval: float
+) -> Link:
+    """Return a link with its limit of cache entries.
+
+    Parameters are as for :func:`limit_cache_entries`.
+    """
+    return Link(role, name, limit_cache_entries(role, link_mbps, groups, interval))
+
+
 def list_required_links(links: Links, *, is_hub: bool) -> set[tuple[PeerRole, Member]]:
     """Return the peers that an instance links to, with their roles."""
     required = {(PeerRole.EQUAL, member) for member in links.mesh_peers}
@@ -190,6 +203,19 @@
     return required
 
 
+def should_act_as_hub(links: Links, hub: str | None, waited: float) -> bool:
+    """Return whether an instance should act as the hub of its group.
+
+    :param hub: the incarnation of the hub whose reports it uses, if there is one.
+    :param waited: how long it has been in this group (seconds).
+    """
+    if not links.group or not links.is_candidate:
+        return False
+    if not links.preferred_hubs:
+        return True
+    return hub is None and waited > HEARTBEAT_SECONDS * 2
+
+
 def is_relied_on(link: Link, hub: str | None, *, is_hub: bool) -> bool:
     """Return whether an equal, a member or a hub uses the updates on its link.
 
--- a/ashpond/fleet/view.py
+++ b/ashpond/fleet/view.py
@@ -73,9 +73,19 @@
         """Set the possible hubs of this instance, the preferred one first."""
         self._hubs = tuple(names)
 
-    def add(self, key: str, report: PeerReport) -> None:
-        """Store a report; ``key`` is the sender's incarnation, or the covered group."""
+    def add(self, key: str, report: PeerReport) -> bool:
+        """Store a report; return whether its loads are new.
+
+        :param key: the sender's incarnation, or the covered group.
+        """
+        before = self._reports.get(key)
         self._reports[key] = report
+        known = EMPTY_LOAD if before is None else before.load
+        return known.loads != report.load.loads
+
+    def has_loads(self) -> bool:
+        """Return whether any report contains a load."""
+        return any(report.load.loads for report in self._reports.values())
 
     def expire(self, now: float) -> None:
         """Drop the reports that are older than the window."""
@@ -97,6 +107,13 @@
                     return incarnation
         return None
 
+    def find_hub_timeout(self, now: float) -> float:
+        """Return when the hub's last report becomes too old; ``now`` without a hub."""
+        hub = self.find_hub(now)
+        if hub is None:
+            return now
+        return self._reports[hub].received_at + HUB_TIMEOUT_SECONDS
+
     def list_counted(self, now: float) -> list[str]:
         """Return the keys of the reports that together cover all other instances.
 
--- a/tools/costs.py
+++ b/tools/costs.py
@@ -240,7 +240,8 @@
             if await self._request(instance.readiness, b"/", []) == 200:
                 return
             await trio.sleep(POLL_SECONDS)
-        raise RuntimeError(f"{instance.member.name} does not become ready")
+        log = (self._folder / f"{instance.member.name}.log").read_text()
+        raise RuntimeError(f"{instance.member.name} is not ready: {log[-800:]}")
 
     async def _request(
         self, address: str, target: bytes, headers: list[tuple[bytes, bytes]]
