--- a/ashpond/fleet/exchange.py
+++ b/ashpond/fleet/exchange.py
@@ -94,7 +94,8 @@
         self._own_members: list[Link] = []
         self._counted: set[str] = set()
         self._rounds = UpdateRounds()
-        self._loads = SharedLoads(self.view, table, handlers.list_attempts)
+        attempts = handlers.list_attempts
+        self._loads = SharedLoads(self._sender_id, self.view, table, attempts)
         table.on_load_change = self._rounds.note_change
         self._grouped_at = float("inf")
         self._is_hub = False
@@ -243,9 +244,9 @@
                 link.is_due = False
                 now = trio.current_time()
                 load = self._build_load(link, now)
-                await send_digest(self._sender_id, self.links.group, link, stream, load)
-                link.last_load = load
-                link.sent_at = now
+                encode = self._loads.encode
+                await send_digest(encode, self.links.group, link, stream, load)
+                link.last_load, link.sent_at = load, now
             await link.wait()
 
     def _is_due(self, link: Link, now: float) -> bool:
@@ -262,8 +263,7 @@
         return self._loads.build(link, now)
 
     def _list_receivers(self) -> list[Link]:
-        """Return the links on which to queue a new value, and have them checked."""
-        self._rounds.note_change()
+        self._rounds.note_change()  # The check follows once the value is queued.
         return [link for link in self.list_links() if self._needs_updates(link)]
 
     def _needs_updates(self, link: Link) -> bool:
--- a/ashpond/fleet/sending.py
+++ b/ashpond/fleet/sending.py
@@ -4,9 +4,11 @@
 
 __all__ = ["SEND_SECONDS", "send_digest", "send_urgent"]
 
+from collections.abc import Callable
+
 import trio
 
-from ashpond.clients.peer import PeerStream
+from ashpond.clients.peer import PeerStream, PeerUpdate
 from ashpond.errors import FrameError
 from ashpond.fleet.links import SCOPE_BY_ROLE, Link
 from ashpond.fleet.updates import (
@@ -14,7 +16,6 @@
     encode_changes,
     encode_crashes,
     encode_notices,
-    encode_update,
 )
 from ashpond.fleet.view import InstanceLoad
 
@@ -60,16 +61,20 @@
 
 
 async def send_digest(
-    incarnation: str, group: str, link: Link, stream: PeerStream, load: InstanceLoad
+    encode: Callable[[Digest], PeerUpdate],
+    group: str,
+    link: Link,
+    stream: PeerStream,
+    load: InstanceLoad,
 ) -> None:
     """Send the load together with the queued notices and cache entries.
 
-    :param incarnation: that of the sending instance.
+    :param encode: returns the message for a digest of the sending instance.
     :param group: the sender's group, empty in a flat fleet.
     """
     notices, cache_entries = link.take_pending()
     digest = Digest(SCOPE_BY_ROLE[link.role], group, load, notices, cache_entries)
-    update = encode_update(incarnation, digest)
+    update = encode(digest)
     try:
         with trio.fail_after(SEND_SECONDS):
             await stream.send(update)
--- a/ashpond/fleet/sharedloads.py
+++ b/ashpond/fleet/sharedloads.py
@@ -1,4 +1,4 @@
-"""The loads in updates, built once for all peers that are sent the same."""
+"""The loads in updates, built and encoded once for all peers that are sent the same."""
 
 from __future__ import annotations
 
@@ -6,9 +6,11 @@
 
 from collections.abc import Callable
 
+from ashpond.clients.peer import PeerUpdate
 from ashpond.controllers.directory import ServerTable
 from ashpond.decisions.budget import AttemptCounts
 from ashpond.fleet.links import Link, PeerRole
+from ashpond.fleet.updates import Digest, encode_update
 from ashpond.fleet.view import FleetView, InstanceLoad
 
 # Links that are checked and written in the same steps of the event loop share a load
@@ -20,21 +22,33 @@
 class SharedLoads:
     """Builds the load for each link: of this instance, its group or the fleet.
 
+    :param incarnation: that of this instance, the sender of the messages.
     :param list_attempts: returns this instance's attempts by service.
     """
 
     def __init__(
         self,
+        incarnation: str,
         view: FleetView,
         table: ServerTable,
         list_attempts: Callable[[], dict[str, AttemptCounts]],
     ):
+        self._incarnation = incarnation
         self._view = view
         self._table = table
         self._list_attempts = list_attempts
         self._built_at = float("-inf")
         self._own = InstanceLoad({}, {})
         self._group: InstanceLoad | None = None
+        self._digest: Digest | None = None
+        self._update: PeerUpdate | None = None
+
+    def encode(self, digest: Digest) -> PeerUpdate:
+        """Return the message for a digest; equal ones in a row share a message."""
+        if self._update is None or digest != self._digest:
+            self._update = encode_update(self._incarnation, digest)
+            self._digest = digest
+        return self._update
 
     def build(self, link: Link, now: float) -> InstanceLoad:
         """Return the load for a link; links of the same role may get the same object.
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -15,6 +15,7 @@
 from ashpond.fleet.links import Link, PeerRole
 from ashpond.fleet.rounds import UpdateRounds, measure_idle_time
 from ashpond.fleet.sharedloads import SHARE_SECONDS, SharedLoads
+from ashpond.fleet.updates import Digest
 from ashpond.fleet.view import FleetView, InstanceLoad, PeerReport, Scope
 
 LOADED = InstanceLoad({"a": Load(2)}, {})
@@ -118,9 +119,16 @@
     table = ServerTable()
     server = BackendServer("a", "s", "127.0.0.1:9", "north", 4, False, 0.0, {})
     table.update(server, 0.0)
-    loads = SharedLoads(FleetView(10.0), table, lambda: {})
+    loads = SharedLoads("i0#1", FleetView(10.0), table, lambda: {})
     hubs = [make_link(0.0, PeerRole.OTHER_HUB) for _ in range(2)]
     first = loads.build(hubs[0], 1.0)
     table.by_id["a"].load = Load(1)
     assert loads.build(hubs[1], 1.001) is first
-    assert loads.build(hubs[0], 1.0 + SHARE_SECONDS).loads == {"a": Load(1)}
+    digest = Digest(Scope.GROUP, "g", first, [], [])
+    update = loads.encode(digest)
+    assert loads.encode(digest._replace(cache_entries=[])) is update
+    assert update.loads == {}
+    later = loads.build(hubs[0], 1.0 + SHARE_SECONDS)
+    assert later.loads == {"a": Load(1)}
+    assert loads.encode(digest._replace(load=later)).loads == {"a": [1, 0, 0, 0]}
+    assert loads.encode(digest._replace(group="h")).group == "h"
