--- a/ashpond/socketbuffers.py
+++ b/ashpond/socketbuffers.py
@@ -15,7 +15,7 @@
 SEGMENTS = 4
 
 
-def bound_buffers(sock: trio.socket.SocketType, size: int) -> None:
+def bound_buffers(sock: socket.socket | trio.socket.SocketType, size: int) -> None:
     """Bound both buffers of a socket to ``size`` bytes; 0 leaves them to the kernel.
 
     To be called before the socket connects or accepts; accepted ones inherit it. The
