--- a/ashpond/clients/coordinator.py
+++ b/ashpond/clients/coordinator.py
@@ -1,5 +1,7 @@
 """Encoding of the messages between an instance and an allowance coordinator."""
 
+from __future__ import annotations
+
 __all__ = [
     "AllowanceRequest",
     "AllowanceDecision",
--- a/ashpond/clients/peermessages.py
+++ b/ashpond/clients/peermessages.py
@@ -1,5 +1,7 @@
 """The messages between instances, and their kinds on the wire."""
 
+from __future__ import annotations
+
 __all__ = [
     "AllowanceAnswer",
     "AllowanceQuery",
--- a/ashpond/connections.py
+++ b/ashpond/connections.py
@@ -6,11 +6,12 @@
 both tasks may become ready in the same step of the event loop.
 """
 
+from __future__ import annotations
+
 __all__ = ["ClosedConnection", "CloseReason", "Connection", "ConnectionLimits"]
 
-from collections.abc import Awaitable, Callable
 from enum import StrEnum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 import trio
@@ -18,6 +19,9 @@
 from ashpond.exchanges import Exchange
 from ashpond.wire import READ_BYTES, Wire
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
 REQUEST_TIMEOUT = 408
 HEADERS_TOO_LARGE = 431
 INTERNAL_ERROR = 500
--- a/ashpond/controllers/backendservers.py
+++ b/ashpond/controllers/backendservers.py
@@ -1,5 +1,7 @@
 """The description of one start of a backend server, and the order of two starts."""
 
+from __future__ import annotations
+
 __all__ = ["BackendServer", "StartOrder", "compare_starts"]
 
 from enum import Enum, auto
--- a/ashpond/controllers/crashdetection.py
+++ b/ashpond/controllers/crashdetection.py
@@ -6,6 +6,8 @@
 another server at its address, or a row that disappears without notice.
 """
 
+from __future__ import annotations
+
 __all__ = ["CrashDetector", "CrashEvidence", "LostRequest", "WatchedServer"]
 
 from collections import Counter
--- a/ashpond/controllers/feeds.py
+++ b/ashpond/controllers/feeds.py
@@ -7,6 +7,8 @@
 clock.
 """
 
+from __future__ import annotations
+
 __all__ = ["Feed", "Follower", "TableUpdate"]
 
 from collections.abc import Callable
--- a/ashpond/decisions/allowances.py
+++ b/ashpond/decisions/allowances.py
@@ -11,6 +11,8 @@
 prompt, and could not follow a team that sends many times its usual load.
 """
 
+from __future__ import annotations
+
 __all__ = [
     "Accrual",
     "AccruedTime",
--- a/ashpond/decisions/declared.py
+++ b/ashpond/decisions/declared.py
@@ -1,5 +1,7 @@
 """The configuration of routed calls: routes, services, teams and limits."""
 
+from __future__ import annotations
+
 __all__ = [
     "CacheStore",
     "Declaration",
--- a/ashpond/decisions/fleetlinks.py
+++ b/ashpond/decisions/fleetlinks.py
@@ -7,6 +7,8 @@
 hub is the first candidate of the group that is reachable; the next one is on standby.
 """
 
+from __future__ import annotations
+
 __all__ = ["Links", "Member", "list_names", "plan_links"]
 
 import math
--- a/ashpond/decisions/placement.py
+++ b/ashpond/decisions/placement.py
@@ -4,6 +4,8 @@
 prompts, the prefill of uncached tokens, and the network latency.
 """
 
+from __future__ import annotations
+
 __all__ = [
     "PRESUMED_HOME_SHARE",
     "SAMPLED_PRESUMED_HOME_SHARE",
--- a/ashpond/decisions/quarantine.py
+++ b/ashpond/decisions/quarantine.py
@@ -11,6 +11,8 @@
 the others.
 """
 
+from __future__ import annotations
+
 __all__ = [
     "QUARANTINE_CRASHES",
     "CrashRecords",
--- a/ashpond/decisions/selection.py
+++ b/ashpond/decisions/selection.py
@@ -3,6 +3,8 @@
 All terms of a score are seconds, so that they can be added.
 """
 
+from __future__ import annotations
+
 __all__ = [
     "MANY_STALE_COST_SECONDS",
     "STALE_COST_SECONDS",
--- a/ashpond/fleet/updates.py
+++ b/ashpond/fleet/updates.py
@@ -1,5 +1,7 @@
 """Typed updates between instances, and their conversion to and from messages."""
 
+from __future__ import annotations
+
 __all__ = [
     "MAX_EXCLUDED_SECONDS",
     "Digest",
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -1,5 +1,7 @@
 """The state of one call across its attempts, and the services attempts use."""
 
+from __future__ import annotations
+
 __all__ = [
     "Answer",
     "AttemptFailed",
--- a/ashpond/gateway/calls.py
+++ b/ashpond/gateway/calls.py
@@ -1,5 +1,7 @@
 """The values of a routed call that ingress, dispatch and channels share."""
 
+from __future__ import annotations
+
 __all__ = [
     "AnswerHeaders",
     "Codec",
--- a/ashpond/gateway/orders.py
+++ b/ashpond/gateway/orders.py
@@ -1,5 +1,7 @@
 """The calls to engines besides requests; an adapter implements them."""
 
+from __future__ import annotations
+
 __all__ = [
     "CacheEvent",
     "CacheEvents",
--- a/ashpond/gateway/serverchoice.py
+++ b/ashpond/gateway/serverchoice.py
@@ -1,5 +1,7 @@
 """Choose the server for a request among those of its service."""
 
+from __future__ import annotations
+
 __all__ = ["LoadSource", "Reservation", "ServerChooser", "SpeedSource"]
 
 import random
--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -1,5 +1,7 @@
 """The settings file of a gateway instance."""
 
+from __future__ import annotations
+
 __all__ = [
     "GatewayBounds",
     "GatewaySettings",
--- a/ashpond/gateway/store.py
+++ b/ashpond/gateway/store.py
@@ -1,5 +1,7 @@
 """The interface of the external table store; an adapter implements it."""
 
+from __future__ import annotations
+
 __all__ = [
     "Condition",
     "HistoryLost",
--- a/ashpond/outcomes.py
+++ b/ashpond/outcomes.py
@@ -1,5 +1,7 @@
 """Expected results of decisions and clients, returned instead of exceptions."""
 
+from __future__ import annotations
+
 __all__ = [
     "Answered",
     "Conflict",
--- a/tests/test_deferredmetrics.py
+++ b/tests/test_deferredmetrics.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+
 from ashpond.gateway.deferredmetrics import MAX_RECORDED, Registry
 from ashpond.gateway.metrics import GatewayMetrics
 
+IMPORTS = """
+import sys
+import ashpond_platform.composition
+assert "aioprometheus" not in sys.modules and "asyncio" not in sys.modules
+"""
+
 
 def record_values(metrics: GatewayMetrics) -> None:
     metrics.count_refusal("late")
@@ -36,3 +45,8 @@
     registry: Registry = metrics.registry
     assert len(registry._records) == 0
     assert b'{kind="late"} %d' % (MAX_RECORDED + 10) in metrics.render()
+
+
+def test_a_start_does_not_import_asyncio():
+    """A direct import of the library anywhere would undo the shorter start."""
+    subprocess.run([sys.executable, "-c", IMPORTS], check=True)
