--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -9,7 +9,7 @@
 from ashpond.clients.channels import ChannelPool
 from ashpond.decisions.declared import CacheStore, IngressLimits
 from ashpond.errors import SettingsError
-from ashpond.gateway.admission import admit_call
+from ashpond.gateway.admission import admit_call, find_urgency
 from ashpond.gateway.calls import IncomingCall, Reply
 from ashpond.gateway.cleanup import run_cleanup
 from ashpond.gateway.composition import MS, GatewayParts
@@ -68,6 +68,8 @@
             self.connection_log.note_cut,
             self.connection_log.note_closed,
             self.connection_log.note_error,
+            self.memory,
+            lambda call: find_urgency(call, self.knowledge),
         )
 
     async def run(self) -> None:
@@ -92,6 +94,7 @@
             nursery.start_soon(self.rollouts.run)
             nursery.start_soon(run_cleanup, self)
             nursery.start_soon(self._watch_settings)
+            nursery.start_soon(self.memory.run)
             nursery.start_soon(
                 self.cache_stores.follow,
                 self._list_cache_stores,
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -16,6 +16,7 @@
 from ashpond.controllers.crashdetection import CrashDetector
 from ashpond.controllers.feeds import Feed, Follower, TableUpdate
 from ashpond.controllers.invalidrows import InvalidRows
+from ashpond.controllers.memory import MemoryController
 from ashpond.controllers.permits import Permits
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverdirectives import ServerDirectives
@@ -67,6 +68,10 @@
         self.log = log
         self.rng = random.Random()
         self.metrics = GatewayMetrics()
+        self.memory = MemoryController(
+            settings.memory_mb, log.note, self.metrics.count_memory
+        )
+        pool.buffer_bytes = self.memory.socket_buffer_bytes
         self.invalid_rows = InvalidRows(log, self.metrics.count_invalid_row)
         self.crash_detector = CrashDetector(
             lambda server: pool.check(server.owner, server.address),
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -4,7 +4,7 @@
 
 __all__ = ["GatewayMetrics"]
 
-from aioprometheus import Counter, Histogram, Registry, render
+from ashpond.gateway.deferredmetrics import Counter, Histogram, Registry, render
 
 LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
 SUSPENSION_BUCKETS = [0.1, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0]
@@ -88,6 +88,11 @@
             buckets=PLACEMENT_BUCKETS,
             registry=self.registry,
         )
+        self.memory = Counter(
+            "ashpond_gateway_memory",
+            "Actions that keep the instance within its memory limit, by kind",
+            registry=self.registry,
+        )
         self._teams_with_series: set[str] = set()
         self.suspensions = Histogram(
             "ashpond_gateway_suspended_seconds",
@@ -126,6 +131,10 @@
         """Count one requested permit."""
         self.permits.inc({"outcome": outcome})
 
+    def count_memory(self, action: str) -> None:
+        """Count one action at the memory limit: refused, paused, cut, server_full."""
+        self.memory.inc({"action": action})
+
     def count_allowance(self, team: str, cost: int, is_granted: bool) -> None:
         """Count the cost that a team requested, in the unit of its limit."""
         if len(self._teams_with_series) < MAX_TEAM_SERIES:
@@ -176,4 +185,4 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return render(self.registry, [])[0]
+        return render(self.registry)
--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -86,6 +86,8 @@
     mesh_limit: int = MAX_MESH_MEMBERS
     link_mbps: float = 0.0
     coordinated_from: int = 0
+    # Memory limit of the process in MB; 0 for none. A change takes effect on restart.
+    memory_mb: float = 0.0
 
 
 class BoundsTable(TypedDict, total=False):
@@ -118,6 +120,7 @@
     mesh_limit: Annotated[int, Meta(ge=1, le=1000)]
     link_mbps: Annotated[float, Meta(ge=0)]
     coordinated_from: Annotated[int, Meta(ge=0, le=1000)]
+    memory_mb: Annotated[float, Meta(ge=0)]
 
 
 class SettingsFile:
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -47,6 +47,7 @@
         "waiting": gateway.reservations.waiting,
         "placements": gateway.reservations.describe(),
         "coordinated_here": gateway.coordinator.describe(),
+        "memory": gateway.memory.describe(),
         "open_calls": gateway.ingress.open_calls,
         "log_lines_dropped": dict(gateway.log.dropped),
         "repeats_left": {
