Let coordinators show waiting instances that they are at work

An instance left a coordinator once a queued request had waited twice its estimate and 0.5 s more. A coordinator now repeats its answer every 0.15 s while requests of an instance wait, and only 0.5 s of silence count as its loss. What peers report is compared with the greatest load of the last 1.5 s, the age of such reports: requests that had just ended counted as placed by others. The new test of a slow queue fails without the change; the test of a frozen queue now freezes its coordinator.

--- a/ashpond/coordination/coordinator.py
+++ b/ashpond/coordination/coordinator.py
@@ -33,6 +33,8 @@
 
 # Grants are looked at for expiry this often (seconds).
 EXPIRY_CHECK_SECONDS = 0.5
+# An instance whose requests wait gets an answer at least this often (seconds).
+REPEAT_SECONDS = 0.15
 # A shard without sessions is kept this long (seconds), with its queue's estimates.
 IDLE_SHARD_SECONDS = 10.0
 # The latest incarnations that are remembered, and those that a later one has replaced,
@@ -61,6 +63,7 @@
         self.is_local = is_local
         self.is_closed = False
         self.deliver = deliver
+        self.delivered_at = float("-inf")
         # Cancelled at the end of the session, if a connection belongs to it.
         self.scope = trio.CancelScope()
         self._coordinator = coordinator
@@ -272,6 +275,7 @@
             number, decisions = self._outbox.popitem()
             session = self._sessions.get(number)
             if session is not None:
+                session.delivered_at = now
                 waits = session.shard.list_waits(now)
                 session.deliver(encode_placement_answer(decisions, waits))
 
@@ -354,8 +358,17 @@
             if shard.waiting:
                 shard.assign(now)
                 shard.refuse_hopeless(now)
+                self._repeat_answers(shard, now)
         self._deliver_answers(now)
 
+    def _repeat_answers(self, shard: PlacementShard, now: float) -> None:
+        """Show instances whose requests wait that this coordinator is at work."""
+        for key, request in shard.waiting.items():
+            session = self._sessions[key.session]
+            if now - session.delivered_at >= REPEAT_SECONDS:
+                session.delivered_at = now
+                self._answer(key.session, shard.describe_queued(request, now))
+
     def describe(self) -> list[dict[str, Any]]:
         """Return the shards coordinated here, for operators."""
         now = trio.current_time()
--- a/ashpond/coordination/link.py
+++ b/ashpond/coordination/link.py
@@ -25,7 +25,12 @@
     CoordinatorSearch,
     Found,
 )
-from ashpond.coordination.pendingasks import Ask, FallbackReason, HeldReservations
+from ashpond.coordination.pendingasks import (
+    OVERDUE_SECONDS,
+    Ask,
+    FallbackReason,
+    HeldReservations,
+)
 from ashpond.decisions.loads import Load
 from ashpond.decisions.placementterms import PlacementEvent, PlacementTerms
 from ashpond.decisions.selection import Demand
@@ -357,7 +362,7 @@
             sent_at = next(iter(self._unanswered.values()))
             times.append(max(sent_at, self._received_at) + IDLE_SECONDS)
         times += [
-            max(ask.overdue_at, self._received_at + IDLE_SECONDS)
+            max(ask.overdue_at, self._received_at + OVERDUE_SECONDS)
             for ask in self._asks.values()
             if ask.is_sent and ask.unanswered_since is None
         ]
--- a/ashpond/coordination/pendingasks.py
+++ b/ashpond/coordination/pendingasks.py
@@ -18,9 +18,8 @@
 from ashpond.decisions.placementterms import PlacementTerms
 from ashpond.decisions.selection import Demand
 
-# A queued ask that is not decided after this multiple of its estimated wait and these
-# seconds more is overdue.
-OVERDUE_WAITS = 2.0
+# The coordinator of a queued ask repeats its answer more often than this; after a
+# longer silence it counts as lost (seconds).
 OVERDUE_SECONDS = 0.5
 # Longer times from a coordinator are not used (seconds).
 MAX_SECONDS = 3600.0
@@ -74,7 +73,7 @@
         self.unanswered_since = None
         if decision.state is DecisionState.QUEUED:
             wait = limit_seconds(decision.seconds) or 0.0
-            self.overdue_at = now + wait * OVERDUE_WAITS + OVERDUE_SECONDS
+            self.overdue_at = now + OVERDUE_SECONDS
             if self.forecast is None:
                 self.forecast = wait
         else:
--- a/ashpond/coordination/shard.py
+++ b/ashpond/coordination/shard.py
@@ -158,10 +158,13 @@
         self.waiting[key] = request
         self._needs.add(request.constraints, request.memory_tokens)
         self._reports.count_placement("queued")
-        decision = PlacementDecision(
-            ticket.number, DecisionState.QUEUED, seconds=request.forecast
-        )
-        self._answer(session, decision)
+        self._answer(session, self.describe_queued(request, now))
+
+    def describe_queued(self, request: WaitingRequest, now: float) -> PlacementDecision:
+        """Return the decision that tells an instance that its request waits."""
+        ticket = request.ticket
+        seconds = self._queue.forecast(ticket.urgency, ticket.team, now)
+        return PlacementDecision(ticket.number, DecisionState.QUEUED, seconds=seconds)
 
     def _build_request(
         self, session: int, ask: PlacementAsk, domain: str | None, now: float
--- a/ashpond/coordination/shardservers.py
+++ b/ashpond/coordination/shardservers.py
@@ -36,7 +36,7 @@
     RUNNING_COST_SECONDS,
     SHORT_TOKENS,
 )
-from ashpond.decisions.shardloads import ExcessLoads, SeenCapacities
+from ashpond.decisions.shardloads import ExcessLoads, RecentLoads, SeenCapacities
 from ashpond.decisions.shards import is_in_shard
 from ashpond.gateway.promptsources import PromptSources
 from ashpond.gateway.serverchoice import Reservation, ServerChooser
@@ -89,6 +89,7 @@
         self._capacities = capacities
         self._speeds = speeds
         self.excess = ExcessLoads()
+        self._placed = RecentLoads()
         self.recent = RecentReading()
         self.reading_order = ReadingOrder()
         # When the lists of servers were read.
@@ -124,8 +125,10 @@
             for state in self._own:
                 start_id = state.info.start_id
                 reported = self._table.sum_load(state.info.id, now)
-                placed = self._ledger.sum_load(start_id)
+                self._placed.note(start_id, self._ledger.sum_load(start_id), now)
+                placed = self._placed.get_greatest(start_id)
                 differences[start_id] = reported.subtract(placed)
+            self._placed.retain(differences)
             self.excess.sample(differences, now)
 
     def list_own(self, now: float) -> list[ServerState]:
--- a/ashpond/decisions/shardloads.py
+++ b/ashpond/decisions/shardloads.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-__all__ = ["SAMPLE_SECONDS", "ExcessLoads", "SeenCapacities"]
+__all__ = ["SAMPLE_SECONDS", "ExcessLoads", "RecentLoads", "SeenCapacities"]
 
 import math
-from collections.abc import Mapping
+from collections import deque
+from collections.abc import Container, Mapping
 from typing import NamedTuple
 
 from ashpond.decisions.loads import NO_LOAD, Load
@@ -20,6 +21,8 @@
 # The time constant of the smoothing (seconds). Reports are up to 1.2 s late, so that a
 # single difference is mostly one of time.
 SMOOTHING_SECONDS = 2.0
+# The age of the loads that peers report, at most (seconds).
+REPORT_LAG_SECONDS = 1.5
 # After a longer pause the smoothing begins anew (seconds). A new coordinator is told
 # what is in flight by one instance after another, and would count all of it twice.
 MAX_GAP_SECONDS = 2.0
@@ -77,6 +80,35 @@
         return self._loads.get(start_id, NO_LOAD)
 
 
+class RecentLoads:
+    """The greatest loads that the ledger had of servers in the last seconds.
+
+    What peers report is up to ``REPORT_LAG_SECONDS`` old. Compared with the present
+    load, requests that have just ended would count as placed by others.
+    """
+
+    def __init__(self) -> None:
+        self._samples: dict[str, deque[tuple[float, Load]]] = {}
+
+    def note(self, start_id: str, load: Load, now: float) -> None:
+        """Record the present load of a start of a server."""
+        samples = self._samples.setdefault(start_id, deque())
+        samples.append((now, load))
+        while samples[0][0] < now - REPORT_LAG_SECONDS:
+            samples.popleft()
+
+    def get_greatest(self, start_id: str) -> Load:
+        """Return the greatest of each number, over all recorded loads."""
+        samples = self._samples.get(start_id)
+        if not samples:
+            return NO_LOAD
+        return Load(*map(max, zip(*(load for _, load in samples), strict=True)))
+
+    def retain(self, start_ids: Container[str]) -> None:
+        """Forget all other starts."""
+        self._samples = {s: v for s, v in self._samples.items() if s in start_ids}
+
+
 class _Seen(NamedTuple):
     """A rejection at a time with a number of requests in flight."""
 
--- a/tests/coordination_builders.py
+++ b/tests/coordination_builders.py
@@ -28,6 +28,7 @@
 )
 from ashpond.controllers.directory import BackendServer
 from ashpond.coordination.client import CoordinatedReservations
+from ashpond.coordination.coordinator import REPEAT_SECONDS
 from ashpond.coordination.sessions import Deliver
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.placementterms import PlacementEvent, PlacementTerms
@@ -119,6 +120,19 @@
         free = [s for s in self.servers if s not in ask.excluded] or self.servers
         return make_grant(ask.number, free[len(self.asks) % len(free)])
 
+    async def repeat_answers(self) -> None:
+        """Show now and then that queued asks are not forgotten, until cancelled."""
+        while True:
+            await trio.sleep(REPEAT_SECONDS)
+            if self.is_frozen or self.is_down:
+                continue
+            for session, number in self.queued:
+                if number in session.live:
+                    answer = PlacementDecision(
+                        number, DecisionState.QUEUED, seconds=QUEUED_SECONDS
+                    )
+                    session.deliver(encode_placement_answer([answer]))
+
     def recover(self) -> None:
         """End all faults; answer what has arrived, as after SIGCONT, and is queued."""
         self.is_down = self.is_frozen = self.is_full = False
--- a/tests/test_coordination_client.py
+++ b/tests/test_coordination_client.py
@@ -35,6 +35,8 @@
     """Run the client, connect it to its first coordinator, then the test."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(instance.client.run)
+        for peer in instance.peers.values():
+            nursery.start_soon(peer.repeat_answers)
         await trio.sleep(SECONDS)
         yield nursery
         nursery.cancel_scope.cancel()
@@ -208,6 +210,13 @@
         assert len(first.ended) == 2
 
 
+async def freeze_later(coordinator: FakeCoordinator) -> None:
+    """Let a coordinator stop once an ask is queued there."""
+    await trio.sleep(SECONDS)
+    assert coordinator.queued
+    coordinator.is_frozen = True
+
+
 async def test_a_queue_at_a_frozen_coordinator_is_left(autojump_clock: object) -> None:
     """Without new asks, queued ones waited there until their deadline."""
     first, second = FakeCoordinator("c1"), FakeCoordinator("c2")
@@ -224,12 +233,29 @@
         await trio.sleep(3.0)
         assert not instance.list_events("placement_lost")
         started = trio.current_time()
-        reservation = await reserve_and_keep(instance)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(freeze_later, first)
+            reservation = await reserve_and_keep(instance)
         assert get_origin(reservation).coordinator == "c2"
         assert trio.current_time() - started < 2 * QUEUED_SECONDS + 0.6
         instance.client.release(reservation)
 
 
+async def test_a_slow_queue_is_not_left(autojump_clock: object) -> None:
+    """Instances left a coordinator whose estimates were too short, one by one.
+
+    Its servers then got requests from two coordinators.
+    """
+    first, second = FakeCoordinator("c1"), FakeCoordinator("c2")
+    first.is_full = True
+    instance = AskingInstance([first, second])
+    async with run_instance(instance):
+        with trio.move_on_after(10 * QUEUED_SECONDS):
+            await instance.reserve()
+        assert not instance.list_events("placement_lost")
+        assert not second.asks
+
+
 async def test_a_preferred_candidate_that_joins_is_told_and_asked(
     autojump_clock: object,
 ) -> None:
