Estimate the time to the first event apart from that to the answer

A stream is in time by its first event, but a ticket had one estimated time. Streams of 290 tokens that take 3.5 s, with an objective of 0.415 s, counted as late from their arrival.

--- a/ashpond/decisions/placementqueue.py
+++ b/ashpond/decisions/placementqueue.py
@@ -192,11 +192,11 @@
             ahead = team.promised_cost if team else 0.0
             return not share or earliest + ahead / share <= ticket.deadline
         wait = self.forecast(ticket.urgency, ticket.team, now)
-        left = ticket.objective_at - now
-        if wait + service_seconds <= left * OBJECTIVE_SHARE:
-            return True
         if earliest + wait > ticket.deadline:
             return False
+        left = ticket.objective_at - now
+        if wait + ticket.get_event_seconds() <= left * OBJECTIVE_SHARE:
+            return True
         share = self._model.find_share(ticket.urgency, ticket.team, now)
         if not share:
             return True
--- a/ashpond/decisions/ticketorder.py
+++ b/ashpond/decisions/ticketorder.py
@@ -29,7 +29,8 @@
 
     ``number`` identifies it in its ``session``. ``cost`` is in estimated server
     seconds: what the request takes of one server's capacity. ``service_seconds`` is the
-    estimated time from its start to its answer, 0 if that is the cost.
+    estimated time from its start to its answer, 0 if that is the cost;
+    ``event_seconds`` that to the event by which it is in time, 0 if that is the answer.
 
     ``arrived_at`` of a client that returns after a refusal is that of its first
     arrival, see :meth:`PlacementQueue.take_promise`; ``objective_at`` and ``deadline``
@@ -48,11 +49,16 @@
     deadline: float
     fingerprint: str
     service_seconds: float = 0.0
+    event_seconds: float = 0.0
 
     def get_service_seconds(self) -> float:
         """Return the estimated time from the start to the answer."""
         return self.service_seconds or self.cost
 
+    def get_event_seconds(self) -> float:
+        """Return the estimated time from the start to being in time."""
+        return self.event_seconds or self.get_service_seconds()
+
 
 def get_charge(ticket: Ticket) -> float:
     """Return by how much the start of a request advances its team's tag."""
@@ -88,7 +94,7 @@
     def push(self, ticket: Ticket, *, is_promised: bool) -> None:
         """Add a request; one with a promise comes before those without."""
         self._count += 1
-        latest_start = ticket.objective_at - ticket.get_service_seconds()
+        latest_start = ticket.objective_at - ticket.get_event_seconds()
         insort(
             self._entries, _Entry(not is_promised, latest_start, self._count, ticket)
         )
