Begin the measured capacity with a guess

When eight engines were filled at once, nothing started for 0.3 s, the capacity was measured as 1.3 instead of 6 servers, and 12 requests that had waited for 0.3 s were refused. The guess from the work in flight counts as 0.5 s of measurement now. Late requests go first 0.5 s before their last start instead of 0.25, as several may be due at once.

--- a/ashpond/decisions/startrates.py
+++ b/ashpond/decisions/startrates.py
@@ -17,6 +17,10 @@
 # Older starts count only if there are fewer than MIN_SAMPLES newer ones.
 SAMPLE_SECONDS = 3.0
 MIN_SAMPLES = 8
+# The guess counts as a measurement of this length, less what has been measured since
+# the beginning (seconds). When a pool is filled at once, nothing starts for the time
+# of an answer: the rate was 1.3 instead of 6 servers then, and requests were refused.
+GUESS_SECONDS = 0.5
 # The time constant of arrival rates: a burst of 2.5 times the capacity exceeds it
 # after 0.15 s.
 ARRIVAL_SECONDS = 0.5
@@ -36,6 +40,7 @@
         self._cost = 0.0
         self._seconds = 0.0
         self._longest = 0.0
+        self._measured = 0.0
 
     def note_waiting(self, guess: float, now: float) -> None:
         """Record that requests wait.
@@ -57,6 +62,7 @@
         self._times.append(now)
         self._intervals.append(now - self._since)
         self._costs.append(cost)
+        self._measured += now - self._since
         self._since = now
         oldest = now - SAMPLE_SECONDS
         while len(self._times) > MIN_SAMPLES and self._times[0] < oldest:
@@ -76,7 +82,8 @@
         if self._since is not None:
             # If nothing starts any more, the rate falls.
             seconds += max(0.0, now - self._since - self._longest)
-        return self._cost / seconds
+        guessed = max(0.0, GUESS_SECONDS - self._measured)
+        return (self._cost + self._guess * guessed) / (seconds + guessed)
 
 
 class ArrivalRate:
@@ -114,4 +121,4 @@
             break
         left -= demand
         total_weight -= other_weight
-    return left * weight / total_weight
+    return left * min(1.0, weight / total_weight)
--- a/ashpond/decisions/ticketorder.py
+++ b/ashpond/decisions/ticketorder.py
@@ -15,7 +15,7 @@
 
 # A late request goes first again this long before the last time to start it (seconds).
 # Otherwise, a continuous overload would let it wait until its deadline.
-LAST_START_SECONDS = 0.25
+LAST_START_SECONDS = 0.5
 # Factor by which each start decays the served cost that minimum shares are based on.
 SHARE_DECAY = 0.98
 # A request whose prompt is cached costs next to nothing; its team must still advance.
