--- a/ashpond/coordination/asks.py
+++ b/ashpond/coordination/asks.py
@@ -7,8 +7,7 @@
     "PlacedRequest",
     "WaitingRequest",
     "build_demand",
-    "estimate_cost",
-    "estimate_service_seconds",
+    "estimate_typical_cost",
 ]
 
 from typing import NamedTuple
@@ -18,13 +17,12 @@
 from ashpond.decisions.placementledger import GrantKey
 from ashpond.decisions.prompts import Prompt
 from ashpond.decisions.selection import Demand, count_shared_tokens, make_load
+from ashpond.decisions.servicetimes import estimate_cost
 from ashpond.decisions.ticketorder import Ticket
 
 # The longest time until a deadline that counts (seconds), far above any real timeout. A
 # grant with a faulty deadline would never end.
 MAX_LEFT_SECONDS = 3_600.0
-# How long an engine takes for an output token beside other running answers (seconds).
-OUTPUT_TOKEN_SECONDS = 0.008
 # Stands for the start of an engine or server of unknown speed.
 ANY_START = ""
 
@@ -71,6 +69,7 @@
     salt: str | None
     in_flight: int
     slots: int
+    kind: RequestKind
 
 
 def build_demand(service: str, ask: PlacementAsk) -> Demand:
@@ -91,24 +90,15 @@
     )
 
 
-def estimate_cost(demand: Demand, speeds: Speeds, now: float) -> float:
+def estimate_typical_cost(demand: Demand, speeds: Speeds, now: float) -> float:
     """Return how long a typical server works on a request (seconds).
 
     The shared parts of a prompt count as cached.
     """
-    prompt = demand.prompt
-    if prompt is None:
-        return speeds.get_work_seconds(demand.service, ANY_START, now)
-    own_tokens = max(0, prompt.tokens - count_shared_tokens(prompt))
-    return own_tokens / speeds.get_read_rate(demand.service, ANY_START, now)
-
-
-def estimate_service_seconds(demand: Demand, cost: float) -> float:
-    """Return the time from the start of a request to the end of its answer (seconds).
-
-    :param cost: that of :func:`estimate_cost`.
-    """
-    prompt = demand.prompt
-    if prompt is None:
-        return cost
-    return cost + prompt.max_output_tokens * OUTPUT_TOKEN_SECONDS
+    prompt, service = demand.prompt, demand.service
+    return estimate_cost(
+        prompt,
+        count_shared_tokens(prompt) if prompt else 0,
+        speeds.get_read_rate(service, ANY_START, now),
+        speeds.get_work_seconds(service, ANY_START, now),
+    )
--- a/ashpond/coordination/grants.py
+++ b/ashpond/coordination/grants.py
@@ -23,7 +23,9 @@
 )
 from ashpond.decisions.placementterms import PlacementEvent
 from ashpond.decisions.selection import Demand
+from ashpond.decisions.servicetimes import ServiceTimes
 from ashpond.decisions.shardloads import SeenCapacities
+from ashpond.decisions.ticketorder import Ticket
 from ashpond.gateway.serverchoice import Reservation
 
 # The share of unread tokens of other requests up to which the time of a reading counts.
@@ -82,6 +84,7 @@
         self._is_local = is_local
         self._reports = reports
         self._placed: dict[GrantKey, PlacedRequest] = {}
+        self.times = ServiceTimes()
 
     def take_held(self, session: int, held: HeldPlacement, now: float) -> None:
         """Add a grant that another coordinator made, or the instance itself."""
@@ -100,15 +103,17 @@
         key: GrantKey,
         reservation: Reservation,
         demand: Demand,
-        deadline: float,
+        ticket: Ticket,
         now: float,
     ) -> None:
         """Add a grant of this coordinator."""
         info, load, salt = reservation.state.info, reservation.load, reservation.salt
         before = self._servers.sum_start_load(info.start_id).requests
         tokens = load.unread_tokens
-        self._ledger.add(*key, Grant(info.start_id, load, tokens, now, deadline))
-        self._placed[key] = PlacedRequest(demand.prompt, salt, before, info.slots)
+        grant = Grant(info.start_id, load, tokens, now, ticket.deadline)
+        self._ledger.add(*key, grant)
+        kind = make_kind(self._service, ticket.urgency, demand.prompt)
+        self._placed[key] = PlacedRequest(demand.prompt, salt, before, info.slots, kind)
         if demand.prompt is not None and salt is not None:
             self._reading.add(info.start_id, salt, demand.prompt)
             self._reading_order.add(info.start_id, key, tokens, now)
@@ -124,6 +129,9 @@
             return False
         if event is PlacementEvent.REJECTED:
             self._note_rejected(grant.start_id, self._placed.get(key), now)
+        placed = self._placed.get(key)
+        if event is PlacementEvent.ANSWERED and placed and grant.granted_at is not None:
+            self.times.note_answered(placed.kind, now - grant.granted_at)
         was_sent = event is PlacementEvent.FAILED
         self._forget(EndedGrant(key, grant), was_sent=was_sent)
         self._reports.count_placement(event.name.lower())
@@ -158,6 +166,8 @@
         placed = self._placed.get(key)
         if placed is None:
             return True
+        if grant.granted_at is not None and not is_ended:
+            self.times.note_first_event(placed.kind, now - grant.granted_at)
         if placed.prompt is None:
             if placed.in_flight < placed.slots and grant.granted_at is not None:
                 seconds = now - grant.granted_at
--- a/ashpond/coordination/shard.py
+++ b/ashpond/coordination/shard.py
@@ -21,14 +21,14 @@
     MAX_LEFT_SECONDS,
     WaitingRequest,
     build_demand,
-    estimate_cost,
-    estimate_service_seconds,
+    estimate_typical_cost,
 )
 from ashpond.coordination.grants import CoordinatorReports, ShardGrants
 from ashpond.coordination.queueing import Queue, Speeds
 from ashpond.coordination.shardservers import ShardServers
 from ashpond.decisions.placementledger import GrantKey, PlacementLedger
 from ashpond.decisions.placementterms import PlacementEvent
+from ashpond.decisions.servicetimes import make_kind
 from ashpond.decisions.ticketorder import Ticket
 from ashpond.decisions.unmetneeds import UnmetNeeds
 from ashpond.gateway.serverchoice import Reservation, ServerChooser
@@ -172,7 +172,9 @@
         demand = build_demand(self._service, ask)
         arrived_at = now - ask.waited
         promised = self._queue.take_promise(ask.fingerprint, ask.urgency, ask.team, now)
-        cost = estimate_cost(demand, self._speeds, now)
+        cost = estimate_typical_cost(demand, self._speeds, now)
+        kind = make_kind(self._service, ask.urgency, demand.prompt)
+        times = self.grants.times
         ticket = Ticket(
             number=ask.number,
             session=session,
@@ -185,7 +187,8 @@
             objective_at=arrived_at + ask.objective,
             deadline=now + min(ask.left, MAX_LEFT_SECONDS),
             fingerprint=ask.fingerprint,
-            service_seconds=estimate_service_seconds(demand, cost),
+            service_seconds=times.get_service_seconds(kind),
+            event_seconds=times.get_event_seconds(kind),
         )
         return WaitingRequest(ticket, demand, domain, now)
 
@@ -236,7 +239,7 @@
         self, request: WaitingRequest, reservation: Reservation, now: float
     ) -> None:
         ticket = request.ticket
-        self.grants.add(request.key, reservation, request.demand, ticket.deadline, now)
+        self.grants.add(request.key, reservation, request.demand, ticket, now)
         self._stop_waiting(request)
         self._queue.note_started(ticket, now)
         waited = now - request.asked_at
