--- a/ashpond/coordination/asks.py
+++ b/ashpond/coordination/asks.py
@@ -17,7 +17,7 @@
 from ashpond.decisions.placementledger import GrantKey
 from ashpond.decisions.prompts import Prompt
 from ashpond.decisions.selection import Demand, count_shared_tokens, make_load
-from ashpond.decisions.servicetimes import estimate_cost
+from ashpond.decisions.servicetimes import RequestKind, estimate_cost
 from ashpond.decisions.ticketorder import Ticket
 
 # The longest time until a deadline that counts (seconds), far above any real timeout. A
--- a/ashpond/coordination/grants.py
+++ b/ashpond/coordination/grants.py
@@ -23,7 +23,7 @@
 )
 from ashpond.decisions.placementterms import PlacementEvent
 from ashpond.decisions.selection import Demand
-from ashpond.decisions.servicetimes import ServiceTimes
+from ashpond.decisions.servicetimes import ServiceTimes, make_kind
 from ashpond.decisions.shardloads import SeenCapacities
 from ashpond.decisions.ticketorder import Ticket
 from ashpond.gateway.serverchoice import Reservation
