--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -5,6 +5,7 @@
 import random
 import zlib
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import trio
 
@@ -221,7 +222,7 @@
 
 def make_settings() -> GatewaySettings:
     """Return settings whose addresses are free at present."""
-    addresses = {
+    addresses: dict[str, Any] = {
         name: f"127.0.0.1:{find_free_port()}"
         for name in (
             "callers_address",
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -5,6 +5,7 @@
 import random
 import signal
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -151,7 +152,7 @@
         self, nursery: trio.Nursery, serve: Callable[[trio.SocketStream], object]
     ) -> str:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        nursery.start_soon(partial(trio.serve_listeners, serve, listeners))
         return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
 
     async def _serve_store(self, stream: trio.SocketStream) -> None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -95,6 +95,7 @@
         memory.put("t", f"k{number}", b"%d" % number)
     async with run_store(memory) as store:
         outcome = await store.read("t")
+    assert isinstance(outcome, Done)
     assert [row.value for row in outcome.value.rows] == [b"0", b"1", b"2", b"3", b"4"]
     made_at = outcome.value.store_time - memory.clock_offset
     assert outcome.value.sent_at <= made_at <= outcome.value.received_at
@@ -108,6 +109,7 @@
         memory.put("t", "b", b"2")
         memory.put("t", "a", None)
         outcome = await store.follow("t", 1, 0.5)
+    assert isinstance(outcome, Done)
     assert [(row.key, row.value) for row in outcome.value.rows] == [
         ("b", b"2"),
         ("a", None),
@@ -128,6 +130,7 @@
     put = [Row("t", "a", b"2", 0)]
     async with run_store(memory) as store:
         conflict = await store.write([Condition("t", "a", 0)], put)
+        assert isinstance(conflict, Conflict)
         assert conflict.current["a"].value == b"1"
         assert await store.write([Condition("t", "a", 1)], put) == Done(2)
         assert await store.write([], [Row("t", "a", None, 0)]) == Done(3)
