--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,7 +4,7 @@
 
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -149,7 +149,9 @@
             self.instances.append(instance)
 
     async def _listen(
-        self, nursery: trio.Nursery, serve: Callable[[trio.SocketStream], object]
+        self,
+        nursery: trio.Nursery,
+        serve: Callable[[trio.SocketStream], Awaitable[object]],
     ) -> str:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         nursery.start_soon(partial(trio.serve_listeners, serve, listeners))
