Ask no coordinator of a shard without usable servers

A coordinator whose servers all leave or back off refused every request at once and reported no wait, so that requests of its failure domain kept going there while the servers of other shards were idle.

--- a/ashpond/coordination/client.py
+++ b/ashpond/coordination/client.py
@@ -268,11 +268,16 @@
         return self._get_link(demand.service, choose_shard(ranked, waits, self._rng))
 
     def _list_shards(self, service: str, now: float) -> list[str]:
+        """Return the shards of a service with usable servers, all if there are none."""
         listed_at, shards = self._shards.get(service, (float("-inf"), []))
         if now - listed_at < SHARDS_SECONDS:
             return shards
         states = self.table.list_service(service)
         shards = list_shards({s.info.id: s.info.failure_domain for s in states})
+        # The coordinator of a shard whose servers all leave or back off refuses at once
+        # what another shard can serve.
+        usable = {s.info.failure_domain for s in states if s.is_usable(now)}
+        shards = [s for s in shards if s == WHOLE_SERVICE or s in usable] or shards
         self._shards[service] = now, shards
         return shards
 
--- a/tests/test_coordination_client.py
+++ b/tests/test_coordination_client.py
@@ -395,6 +395,46 @@
         assert await find_shard() == "north"
 
 
+async def test_a_shard_without_usable_servers_is_not_asked(
+    autojump_clock: object,
+) -> None:
+    """It refused all requests, and reported no wait, beside seven idle servers."""
+    coordinator = FakeCoordinator("c1", "s0")
+    servers = [
+        make_server(f"{domain[0]}{number}", failure_domain=domain)
+        for domain in ("north", "south")
+        for number in range(7)
+    ]
+    instance = AskingInstance([coordinator], servers)
+    states = list(instance.table.by_id.values())
+    north = [state for state in states if state.info.failure_domain == "north"]
+    async with run_instance(instance):
+
+        async def find_shard() -> str:
+            reservation = await reserve_and_keep(instance)
+            instance.client.release(reservation)
+            return get_origin(reservation).shard
+
+        for state in north[:6]:
+            state.is_leaving = True
+        coordinator.servers = ("n6",)
+        assert await find_shard() == "north"
+        north[6].backoff_until = trio.current_time() + 2.0
+        await trio.sleep(0.3)
+        coordinator.servers = ("s0",)
+        assert await find_shard() == "south"
+        await trio.sleep(2.0)
+        coordinator.servers = ("n6",)
+        assert await find_shard() == "north"
+        # If none has any, the coordinator of the first one knows when to return.
+        for state in states:
+            state.is_leaving = True
+        coordinator.retry_after = 1.0
+        await trio.sleep(0.3)
+        refusal = await instance.reserve()
+        assert isinstance(refusal, PlacementRefusal)
+
+
 @pytest.mark.parametrize("seed", range(8))
 async def test_no_placement_is_left_behind_after_faults(
     autojump_clock: object, seed: int
