Bound the cost of a request by the time until its deadline

A prompt of 1e9 claimed tokens was queued, as other prompts of its kind took less than its timeout, and its cost of 20,000 s counted as work ahead of all less urgent requests, which were refused while it waited. As arriving work it reduced their estimated share of the capacity for 5 s after.

--- a/ashpond/coordination/shard.py
+++ b/ashpond/coordination/shard.py
@@ -172,6 +172,7 @@
         demand = build_demand(self._service, ask)
         arrived_at = now - ask.waited
         promised = self._queue.take_promise(ask.fingerprint, ask.urgency, ask.team, now)
+        left = min(ask.left, MAX_LEFT_SECONDS)
         cost = estimate_typical_cost(demand, self._speeds, now)
         kind = make_kind(self._service, ask.urgency, demand.prompt)
         times = self.grants.times
@@ -182,12 +183,15 @@
             urgency=ask.urgency,
             team=ask.team,
             weight=1.0,
-            cost=cost,
+            # A client may claim any number of tokens, but no request occupies a server
+            # beyond its deadline.
+            cost=min(cost, left),
             arrived_at=arrived_at if promised is None else promised,
             objective_at=arrived_at + ask.objective,
-            deadline=now + min(ask.left, MAX_LEFT_SECONDS),
+            deadline=now + left,
             fingerprint=ask.fingerprint,
-            service_seconds=times.get_service_seconds(kind),
+            # The mean of its kind may be that of much shorter prompts.
+            service_seconds=max(cost, times.get_service_seconds(kind)),
             event_seconds=times.get_event_seconds(kind),
         )
         return WaitingRequest(ticket, demand, domain, now)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -19,8 +19,10 @@
     encode_placement_query,
 )
 from ashpond.decisions.loads import Load
+from ashpond.decisions.placementqueue import PlacementQueue
 from ashpond.decisions.placementterms import PlacementEvent
 from ashpond.decisions.shardloads import ExcessLoads, SeenCapacities
+from ashpond.decisions.startrates import ARRIVAL_SECONDS
 from ashpond.decisions.unmetneeds import UnmetNeeds
 from ashpond.errors import FrameError
 from tests.gateway_builders import make_server, make_table
@@ -103,6 +105,29 @@
         assert asker.get(number).seconds == -1.0
 
 
+async def test_a_prompt_that_no_engine_can_read_in_time_is_refused_at_once(
+    autojump_clock: object,
+) -> None:
+    """One that claimed 1e9 tokens waited, and had all less urgent ones refused."""
+    world = make_world(make_engines(2, slots=1))
+    queue = PlacementQueue()
+    world.coordinator._make_queue = lambda: queue
+    asker = world.connect()
+    huge = make_ask(9, urgency=0, team="a", parts=[("own", 10**9)], left=2.0)
+    asker.ask(make_engine_ask(8, urgency=0))
+    await trio.sleep(0.3)
+    asker.end(8)
+    asker.ask(make_ask(1))
+    asker.ask(make_ask(2), make_ask(3, urgency=2, left=8.0), huge)
+    assert asker.get_state(9) is REFUSED
+    # Its team counts as one that sends work of 2 s, of which the rate is a mean.
+    rate = queue._model.get_arrival_rate(0, "a", trio.current_time())
+    assert rate == pytest.approx(2.0 / ARRIVAL_SECONDS)
+    await run_for(world, 0.2)
+    assert asker.get_state(3) is QUEUED
+    assert asker.ask(make_ask(4, urgency=2, left=8.0)) == [QUEUED]
+
+
 async def test_a_returning_request_is_queued_as_of_its_first_arrival(
     autojump_clock: object,
 ) -> None:
