--- a/ashpond/decisions/recentreading.py
+++ b/ashpond/decisions/recentreading.py
@@ -29,18 +29,24 @@
     def note_read(self, start_id: str, tokens: int, now: float) -> None:
         """Record that a start of an engine has read prompt tokens until now."""
         if tokens:
-            self._reads.setdefault(start_id, deque()).append(_Read(now, tokens))
+            reads = self._reads.setdefault(start_id, deque())
+            reads.append(_Read(now, tokens))
+            _drop_old(reads, now)
 
     def sum_tokens(self, start_id: str, seconds: float, now: float) -> int:
         """Return the tokens that an engine has read in the last ``seconds``."""
         reads = self._reads.get(start_id)
         if not reads:
             return 0
-        while reads and reads[0].at < now - MAX_WINDOW_SECONDS:
-            reads.popleft()
+        _drop_old(reads, now)
         since = now - seconds
         return sum(read.tokens for read in reads if read.at >= since)
 
     def forget(self, start_id: str) -> None:
         """Remove a start that is gone."""
         self._reads.pop(start_id, None)
+
+
+def _drop_old(reads: deque[_Read], now: float) -> None:
+    while reads and reads[0].at < now - MAX_WINDOW_SECONDS:
+        reads.popleft()
