--- a/tests/test_coordination_client.py
+++ b/tests/test_coordination_client.py
@@ -395,6 +395,31 @@
         assert await find_shard() == "north"
 
 
+async def test_a_link_that_closes_records_no_request(autojump_clock: object) -> None:
+    """Its end was reported as that of the request with this number on the next link."""
+    first = FakeCoordinator("c1", "s1")
+    instance = AskingInstance([first])
+    async with run_instance(instance) as nursery:
+        instance.client.release(await reserve_and_keep(instance))
+        [link] = instance.client._links.values()
+        first.is_frozen = True
+        reservations: list[Reservation] = []
+
+        async def reserve() -> None:
+            reservations.append(await reserve_and_keep(instance))
+
+        nursery.start_soon(reserve)
+        await trio.sleep(OBJECTIVE * 0.05)
+        link.is_closed = True
+        await trio.sleep(OBJECTIVE * 0.1)
+        [reservation] = reservations
+        origin = get_origin(reservation)
+        assert origin.fallback == "no_answer"
+        assert origin.number == 0
+        assert not link.held
+        instance.client.release(reservation)
+
+
 async def test_a_shard_without_usable_servers_is_not_asked(
     autojump_clock: object,
 ) -> None:
