Release the memory of an answer that broke off

It stayed reserved until the end of the call, so that a retry of an answer of 6 MB at a limit of 60 MB found no memory, and a smaller one held up to three times its size.

--- a/ashpond/controllers/memory.py
+++ b/ashpond/controllers/memory.py
@@ -93,6 +93,17 @@
         self._credit -= used
         return used
 
+    @property
+    def credit(self) -> int:
+        """The bytes held for answers that the client has not been handed."""
+        return self._credit
+
+    def drop_credit(self, kept: int) -> None:
+        """Release the credit beyond ``kept`` bytes, as an answer has broken off."""
+        dropped = max(0, self._credit - kept)
+        self._credit -= dropped
+        self.shrink(dropped)
+
     def shrink(self, size: int) -> None:
         """Release bytes."""
         if self._controller is not None:
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -80,6 +80,9 @@
         self._log_sent()
         channel: Channel | None = None
         is_complete = False
+        memory = self.call.request.memory
+        # That of an earlier answer, which may yet be forwarded.
+        credit = memory.credit
         try:
             with trio.move_on_after(self._choose_answer_timeout()) as timeout:
                 channel = await self.context.pool.acquire(
@@ -104,6 +107,8 @@
             self._log_failure(str(error), is_sent=True)
             return AttemptFailed(str(error))
         finally:
+            if not is_complete:
+                memory.drop_credit(credit)
             if channel is not None and is_complete:
                 self.context.pool.release(state.owner, channel)
             elif channel is not None:
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -12,6 +12,7 @@
 from ashpond.controllers.cachestores import CacheStores
 from ashpond.controllers.directory import BackendServer, ServerTable
 from ashpond.controllers.invalidrows import InvalidRows
+from ashpond.controllers.memory import NO_LIMIT
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.declared import (
@@ -119,6 +120,7 @@
         "envelope": Envelope(**envelope),
         "body": b"x",
         "received_at": 0.0,
+        "memory": NO_LIMIT,
     }
     return IncomingCall(**(values | {k: v for k, v in changes.items() if k in values}))
 
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -11,6 +11,7 @@
 
 from ashpond.clients.channels import ChannelError
 from ashpond.controllers.directory import ServerTable
+from ashpond.controllers.memory import MemoryController
 from ashpond.decisions.declared import Route, RouteKind, WeightTarget
 from ashpond.decisions.knowledge import Knowledge
 from tests.gateway_builders import (
@@ -91,6 +92,21 @@
     assert result.reply.status == 200
 
 
+async def test_an_answer_that_broke_off_holds_no_memory(autojump_clock: object) -> None:
+    """The next server's answer had no room beside it and was dropped."""
+    controller = MemoryController(60.0)
+    memory = await controller.open("id-1")
+    assert memory is not None
+    held = memory.holding.size
+    length = ((b"content-length", b"6000000"),)
+    broken, answer = Answer(200, (b"half",), length, BROKEN), Answer(200, (), length)
+    result = await run_call(broken, answer, memory=memory)
+    assert result.reply.status == 200
+    assert memory.holding.size == held + 6_000_000
+    memory.close()
+    assert controller.budget.used == 0
+
+
 async def test_a_request_that_ran_nowhere_is_refused_with_retry_after(
     autojump_clock: object,
 ) -> None:
