--- a/ashpond/gateway/replies.py
+++ b/ashpond/gateway/replies.py
@@ -4,9 +4,13 @@
 
 __all__ = ["drop_connection_headers", "send_complete", "send_refusal"]
 
+import math
+
 from ashpond.gateway.calls import Headers, Reply
 from ashpond.outcomes import Refusal
 
+# Far below a hundredth of a second, above the error of a sum of times (hundredths).
+ROUNDING = 1e-4
 CONNECTION_HEADERS = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"content-length"}
     | {b"proxy-connection", b"te", b"trailer", b"upgrade"}
@@ -22,11 +26,17 @@
     """Send a refusal as plain text, with Retry-After if it has a retry time."""
     headers: Headers = []
     if refusal.retry_after is not None:
-        headers.append((b"retry-after", f"{refusal.retry_after:.2f}".encode()))
+        headers.append((b"retry-after", _format_seconds(refusal.retry_after)))
     body = refusal.message.encode() + b"\n"
     await send_complete(reply, refusal.status, b"text/plain", body, headers)
 
 
+def _format_seconds(seconds: float) -> bytes:
+    """Return a time with two decimals, rounded up: a client must not come too early."""
+    hundredths = math.ceil(seconds * 100 - ROUNDING)
+    return f"{hundredths / 100:.2f}".encode()
+
+
 async def send_complete(
     reply: Reply,
     status: int,
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -14,6 +14,8 @@
 from ashpond.controllers.memory import MemoryController
 from ashpond.decisions.declared import Route, RouteKind, WeightTarget
 from ashpond.decisions.knowledge import Knowledge
+from ashpond.gateway.replies import send_refusal
+from ashpond.outcomes import Refusal
 from tests.gateway_builders import (
     MODEL,
     make_prompt,
@@ -92,6 +94,18 @@
     assert result.reply.status == 200
 
 
+@pytest.mark.parametrize(
+    ("seconds", "text"),
+    [(0.35, b"0.35"), (0.28, b"0.28"), (0.054, b"0.06"), (0.001, b"0.01"), (0, b"0.00")]
+    + [(6.0 - 5.65, b"0.35"), (12.3401, b"12.35")],
+)
+async def test_retry_after_is_never_rounded_down(seconds: float, text: bytes) -> None:
+    """A client that returned at the rounded time came up to 5 ms too early."""
+    reply = RecordedReply()
+    await send_refusal(reply, Refusal(503, "busy", "full", retry_after=seconds))
+    assert reply.get(b"retry-after") == text
+
+
 async def test_an_answer_that_broke_off_holds_no_memory(autojump_clock: object) -> None:
     """The next server's answer had no room beside it and was dropped."""
     controller = MemoryController(60.0)
