--- a/ashpond/coordination/shard.py
+++ b/ashpond/coordination/shard.py
@@ -109,9 +109,11 @@
 
     def note_servers_changed(self, now: float) -> None:
         """Read the list of servers again, and drop what is kept of those gone."""
+        # A new shard has chosen among servers before their first change.
+        known = self._starts | self.servers.id_by_start.keys()
         self.servers.forget_lists()
         starts = {state.info.start_id for state in self.servers.list_own(now)}
-        for start_id in self._starts - starts:
+        for start_id in known - starts:
             self.grants.forget_start(start_id)
         self._starts = starts
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -349,6 +349,20 @@
     asker.end(1)
 
 
+async def test_the_first_server_that_goes_is_forgotten(autojump_clock: object) -> None:
+    """What was learned of it was kept for as long as the shard was asked."""
+    world = make_world(make_engines(1, slots=4))
+    asker = world.connect()
+    asker.ask(make_engine_ask(1), make_engine_ask(2))
+    asker.end(1, PlacementEvent.READ)
+    world.table.remove("p0", 0.0, may_reappear=False)
+    world.coordinator.assign()
+    assert world.speeds.forgotten == ["p0"]
+    [shard] = world.coordinator._shards.values()
+    assert not shard.servers.recent._reads
+    assert not shard.servers.reading_order._unread
+
+
 async def test_a_shard_uses_the_servers_of_its_domain(autojump_clock: object) -> None:
     servers = [
         make_server(f"p{n}", failure_domain=domain)
