--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -19,8 +19,11 @@
     encode_placement_query,
 )
 from ashpond.decisions.loads import Load
+from ashpond.decisions.placementqueue import PlacementQueue
 from ashpond.decisions.placementterms import PlacementEvent
+from ashpond.decisions.recentreading import RecentReading
 from ashpond.decisions.shardloads import ExcessLoads, SeenCapacities
+from ashpond.decisions.startrates import ARRIVAL_SECONDS
 from ashpond.decisions.unmetneeds import UnmetNeeds
 from ashpond.errors import FrameError
 from tests.gateway_builders import make_server, make_table
@@ -103,6 +106,29 @@
         assert asker.get(number).seconds == -1.0
 
 
+async def test_a_prompt_that_no_engine_can_read_in_time_is_refused_at_once(
+    autojump_clock: object,
+) -> None:
+    """One that claimed 1e9 tokens waited, and had all less urgent ones refused."""
+    world = make_world(make_engines(2, slots=1))
+    queue = PlacementQueue()
+    world.coordinator._make_queue = lambda: queue
+    asker = world.connect()
+    huge = make_ask(9, urgency=0, team="a", parts=[("own", 10**9)], left=2.0)
+    asker.ask(make_engine_ask(8, urgency=0))
+    await trio.sleep(0.3)
+    asker.end(8)
+    asker.ask(make_ask(1))
+    asker.ask(make_ask(2), make_ask(3, urgency=2, left=8.0), huge)
+    assert asker.get_state(9) is REFUSED
+    # Its team counts as one that sends work of 2 s, of which the rate is a mean.
+    rate = queue._model.get_arrival_rate(0, "a", trio.current_time())
+    assert rate == pytest.approx(2.0 / ARRIVAL_SECONDS)
+    await run_for(world, 0.2)
+    assert asker.get_state(3) is QUEUED
+    assert asker.ask(make_ask(4, urgency=2, left=8.0)) == [QUEUED]
+
+
 async def test_a_returning_request_is_queued_as_of_its_first_arrival(
     autojump_clock: object,
 ) -> None:
@@ -323,6 +349,20 @@
     asker.end(1)
 
 
+async def test_the_first_server_that_goes_is_forgotten(autojump_clock: object) -> None:
+    """What was learned of it was kept for as long as the shard was asked."""
+    world = make_world(make_engines(1, slots=4))
+    asker = world.connect()
+    asker.ask(make_engine_ask(1), make_engine_ask(2))
+    asker.end(1, PlacementEvent.READ)
+    world.table.remove("p0", 0.0, may_reappear=False)
+    world.coordinator.assign()
+    assert world.speeds.forgotten == ["p0"]
+    [shard] = world.coordinator._shards.values()
+    assert not shard.servers.recent._reads
+    assert not shard.servers.reading_order._unread
+
+
 async def test_a_shard_uses_the_servers_of_its_domain(autojump_clock: object) -> None:
     servers = [
         make_server(f"p{n}", failure_domain=domain)
@@ -482,6 +522,15 @@
     assert asker.ask(make_engine_ask(500)) == [QUEUED]
 
 
+def test_reads_of_an_engine_that_is_never_chosen_are_dropped() -> None:
+    """They were dropped only when a server was chosen, and grew without a bound."""
+    recent = RecentReading()
+    for number in range(1000):
+        recent.note_read("p0", 10, number * 0.1)
+    assert len(recent._reads["p0"]) <= 21
+    assert recent.sum_tokens("p0", 1.0, 99.9) == 110
+
+
 def test_needs_of_many_sizes_are_not_all_tried() -> None:
     """Each of 600 waiting requests is a bit smaller than another."""
     needs = UnmetNeeds()
