Count attempts that the memory of a server refuses, and split two modules

A body of 600 KB at a limit of 60 MB tried all ten servers of a service whose limit is three attempts, and took a token of the retry budget for each.

--- a/ashpond/coordination/shardservers.py
+++ b/ashpond/coordination/shardservers.py
@@ -275,10 +275,7 @@
     def estimate_reading(
         self, service: str, start_id: str, window: float, now: float
     ) -> float:
-        """Return how long an engine has still to read and read in the last ``window``.
-
-        All are in seconds.
-        """
+        """Return how long an engine will read, and has read in a window (seconds)."""
         unread_tokens = self.sum_start_load(start_id).unread_tokens
         unread_seconds = unread_tokens / self.get_read_rate(service, start_id, now)
         return unread_seconds + self.recent.sum_seconds(start_id, window, now)
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ashpond.clients.channels import Channel, ChannelError, OutgoingRequest, Response
+from ashpond.clients.channels import Channel, ChannelError, Response
 from ashpond.controllers.crashdetection import CrashEvidence
 from ashpond.controllers.directory import (
     FULL_PAUSE_SECONDS,
@@ -17,10 +17,8 @@
 )
 from ashpond.controllers.memory import NoMemoryError
 from ashpond.decisions.declared import RouteKind
-from ashpond.decisions.placementorigin import PlacementOrigin
 from ashpond.decisions.placementterms import PlacementEvent
 from ashpond.decisions.ratelimits import PERMIT_SECONDS
-from ashpond.decisions.selectionlog import describe_candidate, describe_demand
 from ashpond.gateway.callprogress import (
     Answer,
     AttemptFailed,
@@ -30,8 +28,9 @@
     Delivered,
     DispatchContext,
 )
-from ashpond.gateway.calls import AnswerHeaders, Instructions
+from ashpond.gateway.calls import AnswerHeaders
 from ashpond.gateway.reservations import Reservation
+from ashpond.gateway.serverrequests import build_server_request, describe_sent
 
 OK = 200
 MISDIRECTED = 421
@@ -60,6 +59,8 @@
         outcome: AttemptOutcome | None = None
         server_id = self._reservation.state.info.id
         memory, size = self.call.request.memory, len(self.call.request.body)
+        # Also counts those that are not sent: a large body tried all servers otherwise.
+        self.call.attempts += 1
         try:
             if not memory.hold_at_server(server_id, size):
                 reason = "the bytes of requests there reach their limit"
@@ -76,8 +77,10 @@
             self.context.reservations.release(self._reservation, event)
 
     async def _run(self, state: ServerState) -> AttemptOutcome:
-        self.call.attempts += 1
-        self._log_sent()
+        sent_fields = describe_sent(
+            self.call, self._reservation, self.context.knowledge
+        )
+        self.call.note("sent", **sent_fields)
         channel: Channel | None = None
         is_complete = False
         memory = self.call.request.memory
@@ -143,7 +146,8 @@
         self._sent_at = trio.current_time()
         # From here on the request counts as run, even if the deadline cancels it.
         self.call.runs += 1
-        response = await channel.exchange(self._build_request())
+        request = build_server_request(self.call, self._reservation, self.context)
+        response = await channel.exchange(request)
         answer_headers = self.context.codec.read_answer_headers(response.headers)
         self.context.directives.apply_answer(
             state, response.status, answer_headers, self._sent_at
@@ -196,29 +200,6 @@
         timeout.deadline = deadline + trio.current_time() - began
         return None
 
-    def _log_sent(self) -> None:
-        reservation = self._reservation
-        knowledge = self.context.knowledge
-        declaration = knowledge.declaration
-        self.call.note(
-            "sent",
-            fingerprint=self.call.fingerprint,
-            server=reservation.state.info.id,
-            weights=reservation.weights_version,
-            objective=self.call.route.objective,
-            demand=describe_demand(self.call.demand),
-            # Empty after a coordinator's choice, which does not list them.
-            candidates=[describe_candidate(c) for c in reservation.candidates],
-            held=reservation.cached_tokens,
-            fetch=reservation.fetch_tokens if reservation.fetch_from else 0,
-            fetch_from=reservation.fetch_from,
-            saves=reservation.save_to is not None,
-            **_describe_origin(reservation.origin),
-            limit=reservation.state.rate_limit.rate,
-            config=declaration.version if declaration else None,
-            knowledge_age=round(knowledge.measure_age(trio.current_time()), 3),
-        )
-
     def _choose_answer_timeout(self) -> float:
         if (
             not self.call.route.is_idempotent
@@ -256,33 +237,6 @@
             is_idle_timeout=is_timeout,
         )
 
-    def _build_request(self) -> OutgoingRequest:
-        call = self.call.request
-        reservation = self._reservation
-        accepted = self.call.accepted
-        instructions = Instructions(
-            server_id=reservation.state.info.id,
-            team=accepted.team.name if accepted.team else None,
-            time_left=accepted.deadline - trio.current_time(),
-            salt=reservation.salt,
-            weights_version=reservation.weights_version,
-            urgency=accepted.urgency if self.call.demand.model else None,
-            resume_after=self.call.splitter.last_id,
-            fetch_from=reservation.fetch_from,
-            save_to=reservation.save_to,
-        )
-        headers = self.context.codec.write_headers(call.envelope, instructions)
-        if call.body or call.method in ("POST", "PUT", "PATCH"):
-            headers.append((b"Content-Length", str(len(call.body)).encode()))
-        return OutgoingRequest(
-            call.method,
-            call.target,
-            headers,
-            call.body,
-            call.envelope.request_id,
-            self.context.id_header,
-        )
-
     def _read_rejection(
         self, response: Response, answer_headers: AnswerHeaders
     ) -> AttemptNotRun | None:
@@ -418,18 +372,3 @@
     if isinstance(outcome, Answer) and outcome.status < SERVER_ERROR:
         return PlacementEvent.ANSWERED
     return PlacementEvent.FAILED if outcome or is_sent else PlacementEvent.UNUSED
-
-
-def _describe_origin(origin: PlacementOrigin | None) -> dict[str, object]:
-    """Return the log fields on how a coordinator placed the request, if one is used."""
-    if origin is None:
-        return {}
-    waited = round(origin.waited, 4)
-    if origin.fallback:
-        return {"fallback": origin.fallback, "waited": waited}
-    return {
-        "coordinator": origin.coordinator,
-        "shard": origin.shard,
-        "waited": waited,
-        "forecast": round(origin.forecast, 4),
-    }
--- a/ashpond/gateway/serverchoice.py
+++ b/ashpond/gateway/serverchoice.py
@@ -88,10 +88,7 @@
     def estimate_reading(
         self, service: str, start_id: str, window: float, now: float
     ) -> float:
-        """Return how long an engine has still to read and read in the last ``window``.
-
-        All are in seconds.
-        """
+        """Return how long an engine will read, and has read in a window (seconds)."""
 
 
 class ServerChooser:
