--- a/ashpond/coordination/grants.py
+++ b/ashpond/coordination/grants.py
@@ -162,9 +162,12 @@
         if grant is None:
             return False
         time = self._reading_order.finish(grant.start_id, key, now)
-        rate = self._speeds.get_read_rate(self._service, grant.start_id, now)
-        tokens = grant.read_tokens
-        self._servers.recent.note_read(grant.start_id, tokens, time, rate, now)
+        state = self._servers.find(grant.start_id)
+        # A late report would else keep what is forgotten of a start that is gone.
+        if state is not None:
+            rate = self._speeds.get_read_rate(self._service, grant.start_id, now)
+            tokens = grant.read_tokens
+            self._servers.recent.note_read(grant.start_id, tokens, time, rate, now)
         placed = self._placed.get(key)
         if placed is None:
             return True
@@ -177,7 +180,6 @@
             return True
         if placed.salt is not None:
             self._reading.remove(grant.start_id, placed.salt, placed.prompt)
-        state = self._servers.find(grant.start_id)
         if state is not None and placed.salt and not self._is_local(key.session):
             info = state.info
             self._cache_index.note_read(
