--- a/ashpond/coordination/link.py
+++ b/ashpond/coordination/link.py
@@ -155,11 +155,11 @@
         return ask
 
     async def _wait_for_decision(self, ask: Ask) -> None:
-        patience = ask.terms.objective * ANSWER_SHARE
+        answer_seconds = ask.terms.objective * ANSWER_SHARE
         while not ask.is_decided:
             until = ask.terms.deadline
             if ask.unanswered_since is not None:
-                until = min(until, ask.unanswered_since + patience)
+                until = min(until, ask.unanswered_since + answer_seconds)
             changed = ask.changed
             with trio.move_on_at(until):
                 await changed.wait()
