--- a/ashpond/coordination/asks.py
+++ b/ashpond/coordination/asks.py
@@ -33,7 +33,7 @@
 class WaitingRequest:
     """A request that waits for a server, or is about to get one.
 
-    ``forecast`` is the wait that its instance was told first (seconds), None if none.
+    ``forecast`` is the first estimate that its instance was sent (seconds), or None.
     """
 
     def __init__(self, ticket: Ticket, demand: Demand, domain: str | None, now: float):
--- a/ashpond/coordination/client.py
+++ b/ashpond/coordination/client.py
@@ -239,7 +239,7 @@
         shard = self._find_shard(reservation.state)
         link = self._links.get((info.service, shard))
         number = 0
-        # A link that closes is replaced by one that counts its numbers anew.
+        # A link that closes is replaced by one that starts with its own numbers.
         if link is not None and not link.is_closed:
             load = reservation.load
             number = link.hold_fallback(info.start_id, load, terms.deadline)
--- a/ashpond/coordination/coordinator.py
+++ b/ashpond/coordination/coordinator.py
@@ -22,7 +22,8 @@
 from ashpond.coordination.queueing import Queue, Speeds
 from ashpond.coordination.sessions import Deliver
 from ashpond.coordination.shard import RECHECK_SECONDS, PlacementShard
-from ashpond.coordination.shardservers import ChoiceSources, ShardChooser, ShardServers
+from ashpond.coordination.shardchoice import ChoiceSources, ShardChooser
+from ashpond.coordination.shardservers import ShardServers
 from ashpond.decisions.partreading import PartsBeingRead
 from ashpond.decisions.placementledger import PlacementLedger
 from ashpond.decisions.placementqueue import PlacementQueue
--- a/ashpond/coordination/grants.py
+++ b/ashpond/coordination/grants.py
@@ -34,7 +34,7 @@
 
 
 def ignore(*values: Any, **fields: Any) -> None:
-    """Do nothing with a value that nothing is to be told of."""
+    """Do nothing with a value that is not reported."""
 
 
 class CoordinatorReports(NamedTuple):
@@ -42,7 +42,7 @@
 
     ``count_placement`` gets the outcome of an ask, or the event of a grant that ended;
     ``observe_wait`` how long a request waited for its server, ``observe_error`` that
-    wait less the estimate that its instance was told (seconds); ``note`` an event for
+    wait less the estimate that its instance was sent (seconds); ``note`` an event for
     the log, and its fields.
     """
 
--- a/ashpond/coordination/link.py
+++ b/ashpond/coordination/link.py
@@ -48,7 +48,7 @@
 IDLE_SECONDS = 0.2
 # How long a new coordinator is not asked after the loss of the previous one (seconds).
 # The instance that becomes its own coordinator would else place requests some ms before
-# the others have told it what they hold.
+# the others have sent it what they hold.
 FILL_SECONDS = 0.01
 # How long ends wait for an ask to be sent with (seconds).
 END_SECONDS = 0.005
--- a/ashpond/coordination/shard.py
+++ b/ashpond/coordination/shard.py
@@ -163,7 +163,7 @@
         self._answer(session, self.describe_queued(request, now))
 
     def describe_queued(self, request: WaitingRequest, now: float) -> PlacementDecision:
-        """Return the decision that tells an instance that its request waits."""
+        """Return the answer to an instance whose request waits."""
         ticket = request.ticket
         seconds = self._queue.forecast(ticket.urgency, ticket.team, now)
         return PlacementDecision(ticket.number, DecisionState.QUEUED, seconds=seconds)
@@ -302,7 +302,7 @@
 
 
 def describe_grant(number: int, reservation: Reservation) -> PlacementDecision:
-    """Return the decision that tells an instance of its reservation."""
+    """Return the answer that grants an instance its reservation."""
     return PlacementDecision(
         number,
         DecisionState.GRANTED,
--- a/ashpond/decisions/shardloads.py
+++ b/ashpond/decisions/shardloads.py
@@ -23,8 +23,8 @@
 SMOOTHING_SECONDS = 2.0
 # The age of the loads that peers report, at most (seconds).
 REPORT_LAG_SECONDS = 1.5
-# After a longer pause the smoothing begins anew (seconds). A new coordinator is told
-# what is in flight by one instance after another, and would count all of it twice.
+# After a longer pause the smoothing starts again (seconds). A new coordinator receives
+# what is in flight from one instance after another, and would count all of it twice.
 MAX_GAP_SECONDS = 2.0
 # A server that rejected a request with free slots gets no other for this (seconds).
 REJECTED_PAUSE_SECONDS = 0.15
--- a/ashpond/decisions/ticketorder.py
+++ b/ashpond/decisions/ticketorder.py
@@ -194,7 +194,7 @@
             yield ticket
 
     def _activate(self, name: str) -> TeamQueue:
-        """Return the queue of a team; one that had no requests starts anew."""
+        """Return the queue of a team, a new one if it had no requests."""
         team = self.teams.get(name)
         if team is None:
             team = self.teams[name] = TeamQueue(self._virtual_time)
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -203,7 +203,7 @@
         return self.route.is_idempotent or self.route.is_resumable
 
     def make_placement_terms(self) -> PlacementTerms:
-        """Return what a coordinator is told about the caller's needs."""
+        """Return what a coordinator is sent about the caller's needs."""
         accepted = self.accepted
         return PlacementTerms(
             accepted.urgency,
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -25,7 +25,7 @@
 from ashpond.coordination.client import CoordinatedReservations
 from ashpond.coordination.coordinator import Coordinator
 from ashpond.coordination.grants import CoordinatorReports
-from ashpond.coordination.shardservers import ChoiceSources
+from ashpond.coordination.shardchoice import ChoiceSources
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.quarantine import CrashRecords
--- a/ashpond/gateway/reservations.py
+++ b/ashpond/gateway/reservations.py
@@ -138,7 +138,7 @@
     ) -> None:
         """Take the load of a reservation from its server.
 
-        :param event: what has happened to the request; coordinators are told.
+        :param event: what has happened to the request, for its coordinator.
         """
         reservation.state.load = reservation.state.load.subtract(reservation.load)
         if self._waiters:
--- a/tests/placement_builders.py
+++ b/tests/placement_builders.py
@@ -23,7 +23,7 @@
 from ashpond.controllers.directory import ServerTable
 from ashpond.coordination.coordinator import Coordinator
 from ashpond.coordination.grants import CoordinatorReports
-from ashpond.coordination.shardservers import ChoiceSources
+from ashpond.coordination.shardchoice import ChoiceSources
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.loads import Load
@@ -219,7 +219,7 @@
 
 
 class RecordingSpeeds(ConstantSpeeds):
-    """Speeds that record what they are told."""
+    """Speeds that record the measurements they get."""
 
     def __init__(self) -> None:
         self.reads: list[tuple[str, int, float]] = []
--- a/tests/test_coordination_client.py
+++ b/tests/test_coordination_client.py
@@ -110,7 +110,7 @@
 async def test_a_queued_request_asks_the_next_candidate_after_a_reset(
     autojump_clock: object, own: FakeCoordinator | None
 ) -> None:
-    """It keeps its place: it states how long it has waited. What is held is told.
+    """It keeps its place: it states how long it has waited. What is held is sent.
 
     A killed and a leaving coordinator both end their connections.
     """
@@ -177,7 +177,7 @@
         await trio.sleep(0.25)
         reservation = await reserve_and_keep(instance)
         assert get_origin(reservation).coordinator == "c2"
-        # What was placed without a coordinator is told too.
+        # What was placed without a coordinator is sent too.
         assert len(second.held[0]) == 2
         assert instance.client.fallbacks["no_answer"] == 2
         for one in (alone, second_alone, reservation):
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -302,7 +302,7 @@
     assert excess.get("a").requests <= 1
     assert excess.get("b") == Load(0, excess.get("b").unread_tokens)
     assert 850 < excess.get("b").unread_tokens <= 900
-    # A coordinator that begins again is not told of everything at once.
+    # A coordinator that begins again does not get everything at once.
     excess.sample({"a": Load(50)}, 30.0)
     assert excess.get("a") == Load()
 
--- a/tests/test_coordinator_machine.py
+++ b/tests/test_coordinator_machine.py
@@ -44,7 +44,7 @@
 
 
 class Model:
-    """What one session has been told and has reported, by number."""
+    """What one session has received and reported, by number."""
 
     def __init__(self, asker: Asker):
         self.asker = asker
--- a/tests/test_damaged_messages.py
+++ b/tests/test_damaged_messages.py
@@ -380,7 +380,7 @@
 
 @pytest.mark.parametrize("seconds", [math.nan, math.inf, -2.0])
 def test_placement_answers_out_of_bounds_are_refused(seconds: float) -> None:
-    """A request would wait for ever, or be told to return in the past."""
+    """A request would wait for ever, or get a time to return in the past."""
     decode_placement(PLACEMENT)
     for value in (
         ["placement", [[[1, 1, None, None, None, None, 0, 0, None, seconds]], []]],
