Keep and forward no answer as whole that ended with its connection

The same cause on the callers' API and towards the platform: httpx, too, reports the end of the connection as the end of a body without a length.

What callers saw: a plain service's torn answer got a length of the router's own, and with an idempotency key it was kept, so that each duplicate got it as the whole answer. A torn completion was forwarded. A torn object of the platform was read as a configuration file or a burn bucket.

Change: a plain answer whose end nothing proves is forwarded without a length, and its key keeps no answer. A completion without a length must be whole JSON. The platform's answers must have a length or chunks. Not affected, by reading: streams of this API end with their [DONE] event, feeds and cache events are JSON, peers' frames begin with their length.

113 tests of calls, streams, claims, connections and processes pass; of the new ones the two of kept and forwarded answers fail without the change, as the fields that they check do not exist there.

--- a/ashpond/api/callers.py
+++ b/ashpond/api/callers.py
@@ -13,6 +13,7 @@
 from quart_trio.asgi import TrioASGIHTTPConnection
 from werkzeug.exceptions import HTTPException
 
+from ashpond.asgi import CLOSE_DELIMITED
 from ashpond.call import Call, CallKind, Handler, Progress, Reply
 from ashpond.filters.authentication import find_team
 from ashpond.filters.parsing import RESUMABLE_HEADER
@@ -86,7 +87,10 @@
         if is_draining.is_set():
             reply.headers["Connection"] = "close"
         if isinstance(reply.body, bytes):
-            return Response(reply.body, reply.status, reply.headers)
+            response = Response(reply.body, reply.status, reply.headers)
+            if reply.is_close_delimited:
+                mark_close_delimited(response)
+            return response
         get_exit_stack().push_async_callback(close_body, reply.body)
         return Response(reply.body, reply.status, reply.headers)
 
@@ -172,6 +176,13 @@
     return exits
 
 
+def mark_close_delimited(response: Response) -> None:
+    """Have the response end with its connection, without a length."""
+    scope = cast("dict[str, Any]", request.scope)
+    scope["extensions"][CLOSE_DELIMITED]["is_set"] = True
+    response.headers.pop("Content-Length", None)
+
+
 async def close_body(body: AsyncIterator[bytes]) -> None:
     """Close a streamed body that may not have been read completely."""
     await body.aclose()  # type: ignore[attr-defined]
--- a/ashpond/asgi.py
+++ b/ashpond/asgi.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["make_handler", "run_lifespan"]
+__all__ = ["CLOSE_DELIMITED", "make_handler", "run_lifespan"]
 
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
@@ -19,6 +19,9 @@
 
 Event = dict[str, Any]
 
+# The scope's extension in which an application sets "is_set" before a response whose
+# end only the end of the connection is to mark.
+CLOSE_DELIMITED = "ashpond.close_delimited"
 ASGI_VERSIONS = {"version": "3.0", "spec_version": "2.3"}
 
 
@@ -31,7 +34,7 @@
 
     async def handle(exchange: Exchange) -> None:
         scope = _build_scope(exchange)
-        await app(scope, _make_receive(exchange), _make_send(exchange))
+        await app(scope, _make_receive(exchange), _make_send(exchange, scope))
 
     return handle
 
@@ -51,7 +54,7 @@
         "headers": [(name.lower(), value) for name, value in exchange.headers],
         "client": None,
         "server": None,
-        "extensions": {},
+        "extensions": {CLOSE_DELIMITED: {"is_set": False}},
     }
 
 
@@ -76,10 +79,14 @@
     return receive
 
 
-def _make_send(exchange: Exchange) -> Callable[[Event], Awaitable[None]]:
+def _make_send(exchange: Exchange, scope: Event) -> Callable[[Event], Awaitable[None]]:
     async def send(event: Event) -> None:
         if event["type"] == "http.response.start":
-            await exchange.start(event["status"], list(event.get("headers", [])))
+            await exchange.start(
+                event["status"],
+                list(event.get("headers", [])),
+                is_close_delimited=scope["extensions"][CLOSE_DELIMITED]["is_set"],
+            )
             return
         await exchange.send(bytes(event.get("body", b"")))
         if not event.get("more_body", False):
--- a/ashpond/call.py
+++ b/ashpond/call.py
@@ -79,11 +79,16 @@
 
 
 class Reply(NamedTuple):
-    """The HTTP response to a call; the body is complete or a stream of chunks."""
+    """The HTTP response to a call; the body is complete or a stream of chunks.
+
+    ``is_close_delimited`` is whether nothing showed that the body is complete. Then
+    only the end of the client's connection may mark its end.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes | AsyncIterator[bytes]
+    is_close_delimited: bool = False
 
 
 Handler = Callable[[Call], Awaitable[Reply]]
--- a/ashpond/clients/engine.py
+++ b/ashpond/clients/engine.py
@@ -16,6 +16,7 @@
     "cancel_stream",
     "follow_feed",
     "merge_events",
+    "read_body",
     "read_event_batches",
     "resume_stream",
     "send_order",
@@ -29,7 +30,11 @@
 import httpx
 import orjson
 
-from ashpond.clients.http import NOT_SENT_ERRORS, read_backoff
+from ashpond.clients.http import (
+    NOT_SENT_ERRORS,
+    ends_with_connection,
+    read_backoff,
+)
 from ashpond.decisions.placement import BLOCK_TOKENS, LoadReport
 from ashpond.outcomes import Answered, MaybeRun, NotRun
 
@@ -192,6 +197,20 @@
     )
 
 
+async def read_body(answer: EngineAnswer) -> bytes:
+    """Return the JSON body of an answer that is not a stream.
+
+    :raises httpx.HTTPError: if it has broken off.
+    """
+    body = await answer.response.aread()
+    if ends_with_connection(answer.response):
+        try:
+            orjson.loads(body)
+        except orjson.JSONDecodeError as error:
+            raise httpx.RemoteProtocolError("the answer broke off") from error
+    return body
+
+
 async def read_event_batches(
     response: httpx.Response,
 ) -> AsyncIterator[list[StreamEvent]]:
--- a/ashpond/clients/http.py
+++ b/ashpond/clients/http.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-__all__ = ["NOT_SENT_ERRORS", "make_client", "read_backoff"]
+__all__ = ["NOT_SENT_ERRORS", "ends_with_connection", "make_client", "read_backoff"]
 
 import ssl
 
 import httpx
 
 from ashpond import __version__
+from ashpond.clients.responseheads import Framing, find_framing
 from ashpond.clients.retryafter import REJECTIONS, parse_retry_after
 
 # After these errors, no byte of the request has reached the server.
@@ -31,6 +32,16 @@
     return backoff
 
 
+def ends_with_connection(response: httpx.Response) -> bool:
+    """Return whether only the end of the connection marks the end of the body.
+
+    Such a body may have broken off anywhere; ``httpx`` reports it as complete.
+    """
+    headers = [(name.lower(), value) for name, value in response.headers.raw]
+    method, status = response.request.method, response.status_code
+    return find_framing(method, status, headers) is Framing.CLOSE
+
+
 def make_client(
     connect_timeout: float, answer_timeout: float, *, keep_alive: bool = True
 ) -> httpx.AsyncClient:
--- a/ashpond/clients/platform.py
+++ b/ashpond/clients/platform.py
@@ -13,12 +13,17 @@
 import httpx
 import orjson
 
-from ashpond.clients.http import NOT_SENT_ERRORS, make_client
+from ashpond.clients.http import (
+    NOT_SENT_ERRORS,
+    ends_with_connection,
+    make_client,
+)
 from ashpond.outcomes import Conflict, Done, StoreOutcome, Unavailable, Unknown
 
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 409
+UNFRAMED = "the answer ended with its connection and may be incomplete"
 
 
 class Row(NamedTuple):
@@ -91,6 +96,8 @@
             return Unavailable(str(error))
         except httpx.HTTPError as error:
             return Unknown(repr(error))
+        if ends_with_connection(response):
+            return Unknown(UNFRAMED)
         if response.status_code == OK:
             return Done(orjson.loads(response.content)["versions"])
         if response.status_code == CONFLICT:
@@ -143,6 +150,8 @@
             return Done(None)
         if response.status_code != OK:
             return Unavailable(f"status {response.status_code}")
+        if ends_with_connection(response):
+            return Unavailable(UNFRAMED)
         return Done(response.content)
 
 
--- a/ashpond/clients/service.py
+++ b/ashpond/clients/service.py
@@ -10,7 +10,11 @@
 import orjson
 
 from ashpond.clients.engine import ATTEMPT_HEADER, NOT_RUN_HEADER, make_idle_timeout
-from ashpond.clients.http import NOT_SENT_ERRORS, read_backoff
+from ashpond.clients.http import (
+    NOT_SENT_ERRORS,
+    ends_with_connection,
+    read_backoff,
+)
 from ashpond.outcomes import Answered, MaybeRun, NotRun
 
 SERVER_ERROR = 500
@@ -50,11 +54,16 @@
 
 
 class PlainAnswer(NamedTuple):
-    """The complete response of a plain service."""
+    """The response of a plain service.
+
+    ``is_close_delimited`` is whether only the end of the connection marked its end, so
+    that it may be incomplete.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
+    is_close_delimited: bool
 
 
 async def send_plain(
@@ -90,7 +99,10 @@
         return MaybeRun("the answer is too large")
     kept = keep_end_to_end(dict(response.headers))
     kept.pop("content-encoding", None)
-    return Answered(PlainAnswer(response.status_code, kept, response.content))
+    answer = PlainAnswer(
+        response.status_code, kept, response.content, ends_with_connection(response)
+    )
+    return Answered(answer)
 
 
 def keep_end_to_end(headers: dict[str, str]) -> dict[str, str]:
--- a/ashpond/filters/dispatch.py
+++ b/ashpond/filters/dispatch.py
@@ -15,6 +15,7 @@
 from ashpond.clients.engine import (
     EngineAnswer,
     EngineRequest,
+    read_body,
     send_request,
 )
 from ashpond.clients.http import make_client
@@ -209,7 +210,9 @@
             return outcome
         answer: PlainAnswer = outcome.response
         self._engines.note_answer(attempt.placement.server, "", (), None)
-        return Reply(answer.status, dict(answer.headers), answer.body)
+        return Reply(
+            answer.status, dict(answer.headers), answer.body, answer.is_close_delimited
+        )
 
     async def _send_model(
         self, call: Call, attempt: _Attempt
@@ -222,7 +225,7 @@
         if call.streamed and answer.status == OK:
             return self._start_relay(call, attempt, answer)
         try:
-            body = await answer.response.aread()
+            body = await read_body(answer)
         except (httpx.HTTPError, httpx.StreamError) as error:
             return MaybeRun(repr(error))
         headers = self._make_headers(call, attempt, answer)
--- a/ashpond/filters/idempotency.py
+++ b/ashpond/filters/idempotency.py
@@ -49,7 +49,9 @@
             release_if_not_run(call, claim)
             return reply
         if isinstance(reply.body, bytes):
-            claims.finish(claim, pack_reply(reply, reply.body))
+            # Duplicates must not get as whole what may have broken off.
+            is_kept = not reply.is_close_delimited
+            claims.finish(claim, pack_reply(reply, reply.body) if is_kept else b"")
             return reply
         return reply._replace(body=record_stream(call, claim, reply, reply.body))
 
@@ -98,7 +100,7 @@
 def make_replay_reply(answer: bytes) -> Reply:
     """Return the stored answer to a duplicate."""
     if not answer:
-        text = "the request has run, but its answer was too large to keep"
+        text = "the request has run, but its answer was not kept"
         refusal = Refusal(CONFLICT, "answer_not_kept", text, RunState.RUN)
         return make_refusal_reply(refusal)
     status, headers, body = msgpack.unpackb(answer)
--- a/tests/test_asgi.py
+++ b/tests/test_asgi.py
@@ -7,7 +7,10 @@
 import pytest
 import trio
 
-from ashpond.asgi import StartupError, make_handler, run_lifespan
+from ashpond.api.callers import build_callers_app
+from ashpond.asgi import CLOSE_DELIMITED, StartupError, make_handler, run_lifespan
+from ashpond.call import Call, Reply
+from tests.builders import make_settings
 from tests.listeners import POST, REQUEST, read_until, run_listener
 
 
@@ -41,6 +44,22 @@
     assert (b"host", b"a") in scope["headers"]
 
 
+async def test_an_application_can_leave_the_end_of_an_answer_unproven():
+    async def app(scope, receive, send):
+        scope["extensions"][CLOSE_DELIMITED]["is_set"] = True
+        await receive()
+        await send({"type": "http.response.start", "status": 200})
+        await send({"type": "http.response.body", "body": b"part"})
+
+    async with run_listener(make_handler(app)) as running:
+        seen = await running.send_and_read(REQUEST)
+    head, _, body = seen.partition(b"\r\n\r\n")
+    assert body == b"part"
+    assert b"connection: close" in head.lower()
+    assert b"content-length" not in head.lower()
+    assert b"transfer-encoding" not in head.lower()
+
+
 async def test_an_application_receives_a_disconnect_when_its_client_leaves():
     disconnected = trio.Event()
 
@@ -130,3 +149,19 @@
     async with run_listener(make_handler(app)) as running:
         for _ in range(40):
             assert (await running.send_and_read(head)).endswith(b"0\r\n\r\n")
+
+
+async def test_a_call_whose_answer_may_have_broken_off_gets_no_length():
+    async def answer_partly(call: Call) -> Reply:
+        return Reply(200, {"X-Own": "1"}, b"part", is_close_delimited=True)
+
+    unused: Any = None
+    app = build_callers_app(
+        make_settings(), unused, answer_partly, unused, trio.Event()
+    )
+    async with run_listener(make_handler(app)) as running:
+        request = REQUEST.replace(b"/x ", b"/services/s/x ")
+        head, _, body = (await running.send_and_read(request)).partition(b"\r\n\r\n")
+    assert body == b"part"
+    assert b"content-length" not in head.lower()
+    assert b"transfer-encoding" not in head.lower()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -12,12 +12,18 @@
 import trio.testing
 
 from ashpond.call import Call
-from ashpond.clients.engine import EngineAnswer, EngineRequest, send_request
+from ashpond.clients.engine import (
+    EngineAnswer,
+    EngineRequest,
+    read_body,
+    send_request,
+)
 from ashpond.clients.http import make_client
+from ashpond.clients.platform import PlatformClient
 from ashpond.clients.service import PlainRequest, send_plain
 from ashpond.filters import resumption
 from ashpond.filters.dispatch import Dispatcher, _Attempt
-from ashpond.outcomes import Answered, MaybeRun, NotRun
+from ashpond.outcomes import Answered, MaybeRun, NotRun, Unavailable, Unknown
 from ashpond.tokens import StreamToken
 from tests.builders import make_call, make_settings
 
@@ -173,6 +179,60 @@
         nursery.cancel_scope.cancel()
 
 
+async def ask_and_close(
+    kind: str, body: bytes, *, has_length: bool = False
+) -> Answered:
+    """Return the answer of a server that closes the connection after ``body``."""
+
+    async def answer_and_close(stream: trio.SocketStream) -> None:
+        await read_request(stream)
+        length = b"Content-Length: %d\r\n" % len(body) if has_length else b""
+        head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n" + length
+        await stream.send_all(head + b"\r\n" + body)
+        await stream.send_eof()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, answer_and_close, 0)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        outcome = await send_to(address, kind)
+        nursery.cancel_scope.cancel()
+    assert isinstance(outcome, Answered)
+    return outcome
+
+
+@pytest.mark.parametrize("has_length", [False, True])
+async def test_a_plain_answer_without_a_length_is_not_taken_for_complete(
+    has_length: bool,
+) -> None:
+    outcome = await ask_and_close("plain", b"part", has_length=has_length)
+    assert outcome.response.is_close_delimited == (not has_length)
+
+
+async def test_a_completion_that_ends_with_its_connection_must_be_whole_json() -> None:
+    whole = await ask_and_close("engine", b'{"id": "c1"}')
+    assert await read_body(whole.response) == b'{"id": "c1"}'
+    torn = await ask_and_close("engine", b'{"id": "c1')
+    with pytest.raises(httpx.HTTPError):
+        await read_body(torn.response)
+
+
+async def test_an_object_that_ends_with_its_connection_is_not_taken_for_whole() -> None:
+    """A configuration file or a burn bucket that broke off would have been used."""
+
+    async def send_part(stream: trio.SocketStream) -> None:
+        await stream.receive_some(1000)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\npart")
+        await stream.send_eof()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, send_part, 0)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        platform = PlatformClient(address, 1.0)
+        assert isinstance(await platform.get_object("k"), Unavailable)
+        assert isinstance(await platform.transact([]), Unknown)
+        nursery.cancel_scope.cancel()
+
+
 class FakeResponse:
     """An engine's response of which only the head has been received."""
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -193,6 +193,24 @@
     assert not cancelled
 
 
+@pytest.mark.parametrize("is_close_delimited", [False, True])
+async def test_an_answer_that_may_have_broken_off_is_not_kept(
+    is_close_delimited: bool,
+) -> None:
+    """Each duplicate would get it as the whole answer."""
+    claims: Any = RecordedClaims()
+
+    async def answer(call: Call) -> Reply:
+        call.progress.run = RunState.RUN
+        return Reply(200, {}, b"part", is_close_delimited)
+
+    claim_once = make_idempotency(claims, Metrics())
+    reply = await claim_once(make_call(idempotency_key="k1"), answer)
+    assert reply.is_close_delimited == is_close_delimited
+    (kept,) = claims.kept
+    assert (kept == b"") == is_close_delimited
+
+
 @pytest.mark.parametrize("reads_to_end", [False, True])
 async def test_an_incomplete_stream_is_not_kept(reads_to_end: bool) -> None:
     claims, cancelled = await read_and_disconnect([1, 2, 3], reads_to_end=reads_to_end)
