Log on what evidence a server is taken for unreachable

An instance's own failure to connect, or a peer's, with the pause and the time since the server last answered here. The hypotheses on instances that reach no server differ by it.

--- a/ashpond/controllers/serverstate.py
+++ b/ashpond/controllers/serverstate.py
@@ -156,7 +156,12 @@
         self.exclude_for(pause, now)
         return pause
 
-    def note_peer_connect_failure(self, seconds: float, now: float) -> None:
-        """Exclude the server if it has not answered here lately."""
-        if now - self.answered_at > RECENT_ANSWER_SECONDS:
+    def note_peer_connect_failure(self, seconds: float, now: float) -> bool:
+        """Exclude the server if it has not answered here lately.
+
+        Return whether it has been excluded.
+        """
+        is_excluded = now - self.answered_at > RECENT_ANSWER_SECONDS
+        if is_excluded:
             self.exclude_for(seconds, now)
+        return is_excluded
--- a/ashpond/controllers/serverupdates.py
+++ b/ashpond/controllers/serverupdates.py
@@ -92,7 +92,7 @@
             return
         if notice.is_unreached:
             if state is not None:
-                state.note_peer_connect_failure(notice.excluded_seconds, now)
+                self._apply_unreached(state, notice.excluded_seconds, now)
             return
         self._get_rollouts().note_progress()
         if state is None:
@@ -104,6 +104,17 @@
             state.readmit()
             self._wake()
 
+    def _apply_unreached(self, state: ServerState, seconds: float, now: float) -> None:
+        """Apply the report of a peer that could not connect to a server."""
+        is_excluded = state.note_peer_connect_failure(seconds, now)
+        self._log.note(
+            "server_unreached",
+            server=state.info.id,
+            evidence="peer",
+            excluded=seconds if is_excluded else 0.0,
+            answered=_describe_age(state.answered_at, now),
+        )
+
     def on_cache_entry(self, entry: CacheEntry) -> None:
         """Apply a peer's cache entry, unless it is of an older start."""
         now = trio.current_time()
@@ -139,5 +150,18 @@
     def announce_unreachable(self, state: ServerState, seconds: float) -> None:
         """Notify the peers that a connection to a server failed."""
         info = state.info
+        now = trio.current_time()
+        self._log.note(
+            "server_unreached",
+            server=info.id,
+            evidence="own",
+            excluded=seconds,
+            answered=_describe_age(state.answered_at, now),
+        )
         notice = ServerNotice(info.id, "", 0, seconds, True, started_ms=info.started_ms)
         self._get_news().announce(notice)
+
+
+def _describe_age(at: float, now: float) -> float | None:
+    """Return how long ago a time was, for a log line; None if it never was."""
+    return None if at == float("-inf") else round(now - at, 3)
