--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -18,7 +18,7 @@
 from tests.row_builders import ROUTE, SERVER
 from tests.servers import make_answer, read_request
 from tests.soak.instances import Instance
-from tests.soak.proxy import reset
+from tests.soak.resets import reset
 from tests.soak.servers import parse_headers
 from tests.test_platform_store import answer_call
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 from enum import StrEnum
 
 import trio
 
+from tests.soak.partitions import PartitionProxy, Partitions
+from tests.soak.resets import reset
+
 PIECE_BYTES = 16_384
 DELAY_SECONDS = 0.4
 
@@ -23,10 +24,14 @@
 
 
 class Proxy:
-    """Proxy that forwards connections to ``target`` and applies ``harm`` to them."""
+    """Proxy that forwards connections to ``target`` and applies ``harm`` to them.
+
+    :param partitions: the instances that are cut off from this target.
+    """
 
-    def __init__(self, target: str):
+    def __init__(self, target: str, partitions: Partitions | None = None):
         self.target = target
+        self._partition = PartitionProxy(partitions) if partitions else None
         self.address = ""
         self._harms: list[tuple[float, Harm]] = [(0.0, Harm.NONE)]
 
@@ -56,17 +61,30 @@
 
     async def _serve(self, client: trio.SocketStream) -> None:
         host, port = self.target.split(":")
+        is_cut = self._partition is not None and not self._partition.admit(client)
         try:
-            if self.harm is Harm.RESET:
+            if self.harm is Harm.RESET or is_cut:
                 reset(client)
                 return
             server = await trio.open_tcp_stream(host, int(port))
         except OSError:
             reset(client)
             return
-        async with client, server, trio.open_nursery() as nursery:
-            nursery.start_soon(self._forward, client, server, True, nursery)
-            nursery.start_soon(self._forward, server, client, False, nursery)
+        try:
+            async with client, server, trio.open_nursery() as nursery:
+                nursery.start_soon(self._forward, client, server, True, nursery)
+                nursery.start_soon(self._forward, server, client, False, nursery)
+        finally:
+            if self._partition is not None:
+                self._partition.remove(client)
+
+    def _is_silent(self, client: trio.SocketStream, *, is_request: bool) -> bool:
+        """Return whether nothing is delivered now in a direction of a connection."""
+        if self._partition is not None and self._partition.is_hanging(client):
+            return True
+        return self.harm is Harm.SILENT or (
+            self.harm is Harm.ONE_WAY and not is_request
+        )
 
     async def _forward(
         self,
@@ -81,9 +99,8 @@
                     break
                 if self.harm is Harm.DELAY:
                     await trio.sleep(DELAY_SECONDS)
-                while self.harm is Harm.SILENT or (
-                    self.harm is Harm.ONE_WAY and not is_request
-                ):
+                client = source if is_request else sink
+                while self._is_silent(client, is_request=is_request):
                     await trio.sleep(0.05)
                 await sink.send_all(piece)
             else:
@@ -94,13 +111,3 @@
         reset(sink)
         reset(source)
         nursery.cancel_scope.cancel()
-
-
-def reset(stream: trio.SocketStream) -> None:
-    """Close a connection so that the peer receives a reset."""
-    try:
-        linger = struct.pack("ii", 1, 0)
-        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    except OSError:
-        pass
-    stream.socket.close()
