Let channels run over any byte stream, and move their pool

A channel no longer depends on a socket, so that a connection that leads through another instance can carry one. The pool of idle connections has a module of its own. No change in behaviour.

--- /dev/null
+++ b/ashpond/clients/channelpools.py
@@ -0,0 +1,108 @@
+"""Idle connections to backend servers, which are kept for reuse."""
+
+from __future__ import annotations
+
+__all__ = ["ChannelPool", "ConnectResult", "check_address"]
+
+from collections.abc import Callable
+from enum import Enum, auto
+
+import trio
+
+from ashpond.clients.channels import Channel, ChannelError
+from ashpond.clients.sockets import open_socket
+from ashpond.clients.transports import SocketTransport
+
+# Connecting within a site takes a few ms; a lost packet is retransmitted after 1 s.
+CONNECT_SECONDS = 0.45
+
+
+class ConnectResult(Enum):
+    """Result of an attempt to connect to a server."""
+
+    CONNECTED = auto()
+    REFUSED = auto()
+    UNKNOWN = auto()
+
+
+async def check_address(address: str) -> ConnectResult:
+    """Connect to an address to check that a server listens there, and disconnect."""
+    pool = ChannelPool()
+    reach = await pool.check("", address)
+    pool.close_idle("")
+    return reach
+
+
+class ChannelPool:
+    """Idle connections by backend server; the most recently used is reused first."""
+
+    def __init__(self, clock: Callable[[], float] = trio.current_time):
+        self._clock = clock
+        self._idle: dict[str, list[Channel]] = {}
+        self.opened = 0
+        # Size of the buffers of each new connection's socket; 0: the kernel's choice.
+        self.buffer_bytes = 0
+
+    async def acquire(self, owner: str, address: str) -> Channel:
+        """Return an idle or a new connection to ``address``.
+
+        :param owner: key of the server. An address may later be assigned to another
+            server, which must not get the connections of the former one.
+        :raises ChannelError: if connecting fails; nothing was sent.
+        """
+        return self.take_idle(owner) or await self.connect(address)
+
+    def take_idle(self, owner: str) -> Channel | None:
+        """Return an idle connection to a server, None if there is none."""
+        idle = self._idle.get(owner, [])
+        while idle:
+            channel = idle.pop()
+            if channel.is_usable(self._clock()):
+                return channel
+            channel.close()
+        return None
+
+    async def connect(self, address: str) -> Channel:
+        """Return a new connection to ``address``.
+
+        :raises ChannelError: if connecting fails; nothing was sent.
+        """
+        try:
+            sock = await open_socket(address, CONNECT_SECONDS, self.buffer_bytes)
+        except (OSError, trio.TooSlowError) as error:
+            is_refused = isinstance(error, ConnectionRefusedError)
+            raise ChannelError(
+                f"no connection: {error!r}", is_sent=False, is_refused=is_refused
+            ) from error
+        self.opened += 1
+        return Channel(SocketTransport(sock), self._clock)
+
+    async def check(self, owner: str, address: str) -> ConnectResult:
+        """Open a connection to check that a server is up, and keep it for reuse."""
+        try:
+            channel = await self.connect(address)
+        except ChannelError as error:
+            return ConnectResult.REFUSED if error.is_refused else ConnectResult.UNKNOWN
+        self.keep(owner, channel)
+        return ConnectResult.CONNECTED
+
+    def keep(self, owner: str, channel: Channel) -> None:
+        """Keep a new connection, which has served no request, for use."""
+        channel.start_idle_time()
+        self._idle.setdefault(owner, []).append(channel)
+
+    def release(self, owner: str, channel: Channel) -> None:
+        """Return a connection to the pool after a complete exchange."""
+        if channel.prepare_reuse():
+            self._idle.setdefault(owner, []).append(channel)
+        else:
+            channel.close()
+
+    def count_idle(self, owner: str) -> int:
+        """Return the number of idle connections to a server."""
+        return len(self._idle.get(owner, ()))
+
+    def close_idle(self, owner: str) -> None:
+        """Close the idle connections to a server that was removed."""
+        for channel in self._idle.pop(owner, []):
+            channel.close()
--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -11,16 +11,11 @@
 __all__ = [
     "Channel",
     "ChannelError",
-    "ChannelPool",
     "OutgoingRequest",
-    "ConnectResult",
     "Response",
-    "check_address",
 ]
 
-import socket
 from collections.abc import Awaitable, Callable
-from enum import Enum, auto
 from typing import NamedTuple
 
 import h11
@@ -32,21 +27,13 @@
     find_header,
     find_idle_limit,
 )
-from ashpond.clients.sockets import (
-    close_socket,
-    has_data,
-    open_socket,
-    receive,
-    send_all,
-)
+from ashpond.clients.transports import Transport
 from ashpond.errors import AshpondError
 from ashpond.gateway.calls import Headers
 
 READ_BYTES = 65_536
 # Requests up to this size fit into a socket's buffer and are sent without another task.
 INLINE_BODY_BYTES = 16_384
-# Connecting within a site takes a few ms; a lost packet is retransmitted after 1 s.
-CONNECT_SECONDS = 0.45
 # Idle connections are closed after this share of the server's keep-alive timeout.
 IDLE_LIMIT_SHARE = 0.7
 DEFAULT_IDLE_SECONDS = 4.0
@@ -58,20 +45,22 @@
 
     :param is_sent: whether any byte of the request may have been sent.
     :param is_refused: whether the server's address refused the connection.
+    :param is_own_fault: whether this instance, and not the server, seems to be
+        disconnected.
     """
 
-    def __init__(self, reason: str, *, is_sent: bool, is_refused: bool = False):
+    def __init__(
+        self,
+        reason: str,
+        *,
+        is_sent: bool,
+        is_refused: bool = False,
+        is_own_fault: bool = False,
+    ):
         super().__init__(reason)
         self.is_sent = is_sent
         self.is_refused = is_refused
-
-
-class ConnectResult(Enum):
-    """Result of an attempt to connect to a server."""
-
-    CONNECTED = auto()
-    REFUSED = auto()
-    UNKNOWN = auto()
+        self.is_own_fault = is_own_fault
 
 
 class OutgoingRequest(NamedTuple):
@@ -129,15 +118,17 @@
 class Channel:
     """One HTTP/1.1 connection to a backend server.
 
-    :param sock: a connected socket in non-blocking mode.
+    :param relay: the name of the instance through which it leads, empty if none.
     """
 
     def __init__(
         self,
-        sock: socket.socket,
+        transport: Transport,
         clock: Callable[[], float] = trio.current_time,
+        relay: str = "",
     ):
-        self._socket = sock
+        self.transport = transport
+        self.relay = relay
         self._clock = clock
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
         self._has_sent_bytes = False
@@ -202,7 +193,7 @@
     async def _send(self, data: bytes) -> None:
         try:
             self._has_sent_bytes = True
-            await send_all(self._socket, data)
+            await self.transport.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
             raise ChannelError(f"sending failed: {error!r}", is_sent=True) from error
 
@@ -272,8 +263,8 @@
             raise ChannelError(f"reading failed: {error!r}", is_sent=True) from error
 
     async def _receive(self, *, shield_ready_data: bool) -> bytes:
-        data, was_ready = await receive(
-            self._socket, READ_BYTES, shield_ready_data=shield_ready_data
+        data, was_ready = await self.transport.receive(
+            READ_BYTES, shield_ready_data=shield_ready_data
         )
         last_read_at, self._read_at = self._read_at, self._clock()
         # The server's idle timeout starts when it has written the end of the
@@ -307,11 +298,11 @@
         if now - self._idle_since > self._idle_seconds:
             return False
         # Readable data is the end of the stream or bytes that belong to no request.
-        return not has_data(self._socket)
+        return not self.transport.has_data()
 
     def close(self) -> None:
         """Close the connection without waiting for pending data."""
-        close_socket(self._socket)
+        self.transport.close()
 
 
 def _matches_request(headers: Headers, request: OutgoingRequest) -> bool:
@@ -319,74 +310,3 @@
     if request.request_id is None or repeated is None:
         return True
     return repeated.decode("latin-1") == request.request_id
-
-
-async def check_address(address: str) -> ConnectResult:
-    """Connect to an address to check that a server listens there, and disconnect."""
-    pool = ChannelPool()
-    reach = await pool.check("", address)
-    pool.close_idle("")
-    return reach
-
-
-class ChannelPool:
-    """Idle connections by backend server; the most recently used is reused first."""
-
-    def __init__(self, clock: Callable[[], float] = trio.current_time):
-        self._clock = clock
-        self._idle: dict[str, list[Channel]] = {}
-        self.opened = 0
-        # Size of the buffers of each new connection's socket; 0: the kernel's choice.
-        self.buffer_bytes = 0
-
-    async def acquire(self, owner: str, address: str) -> Channel:
-        """Return an idle or a new connection to ``address``.
-
-        :param owner: key of the server. An address may later be assigned to another
-            server, which must not get the connections of the former one.
-        :raises ChannelError: if connecting fails; nothing was sent.
-        """
-        idle = self._idle.get(owner, [])
-        while idle:
-            channel = idle.pop()
-            if channel.is_usable(self._clock()):
-                return channel
-            channel.close()
-        return await self._connect(address)
-
-    async def _connect(self, address: str) -> Channel:
-        try:
-            sock = await open_socket(address, CONNECT_SECONDS, self.buffer_bytes)
-        except (OSError, trio.TooSlowError) as error:
-            is_refused = isinstance(error, ConnectionRefusedError)
-            raise ChannelError(
-                f"no connection: {error!r}", is_sent=False, is_refused=is_refused
-            ) from error
-        self.opened += 1
-        return Channel(sock, self._clock)
-
-    async def check(self, owner: str, address: str) -> ConnectResult:
-        """Open a connection to check that a server is up, and keep it for reuse."""
-        try:
-            channel = await self._connect(address)
-        except ChannelError as error:
-            return ConnectResult.REFUSED if error.is_refused else ConnectResult.UNKNOWN
-        channel.start_idle_time()
-        self._idle.setdefault(owner, []).append(channel)
-        return ConnectResult.CONNECTED
-
-    def release(self, owner: str, channel: Channel) -> None:
-        """Return a connection to the pool after a complete exchange."""
-        if channel.prepare_reuse():
-            self._idle.setdefault(owner, []).append(channel)
-        else:
-            channel.close()
-
-    def count_idle(self, owner: str) -> int:
-        """Return the number of idle connections to a server."""
-        return len(self._idle.get(owner, ()))
-
-    def close_idle(self, owner: str) -> None:
-        """Close the idle connections to a server that was removed."""
-        for channel in self._idle.pop(owner, []):
-            channel.close()
--- a/ashpond/controllers/callquarantine.py
+++ b/ashpond/controllers/callquarantine.py
@@ -17,7 +17,7 @@
 from logbook import Logger
 
 from ashpond.bounds import Amount
-from ashpond.clients.channels import ConnectResult, check_address
+from ashpond.clients.channelpools import ConnectResult, check_address
 from ashpond.controllers.crashdetection import CrashDetector, LostRequest, WatchedServer
 from ashpond.decisions.fingerprints import make_fingerprint
 from ashpond.decisions.quarantine import (
--- a/ashpond/controllers/crashdetection.py
+++ b/ashpond/controllers/crashdetection.py
@@ -17,7 +17,7 @@
 
 import trio
 
-from ashpond.clients.channels import ConnectResult
+from ashpond.clients.channelpools import ConnectResult
 
 # The row of a crashed server disappears after three missed heartbeats, 2.4 to 3.6 s
 # after the crash. An attempt that failed longer ago than this is not attributed to the
--- a/ashpond/controllers/serverupdates.py
+++ b/ashpond/controllers/serverupdates.py
@@ -18,7 +18,7 @@
 from ashpond.fleet.updates import ServerNotice
 
 if TYPE_CHECKING:
-    from ashpond.clients.channels import ChannelPool
+    from ashpond.clients.channelpools import ChannelPool
     from ashpond.controllers.serverdirectives import ServerDirectives
     from ashpond.decisions.cacheindex import CacheEntry, CacheIndex
     from ashpond.decisions.prompts import Prompt
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from ashpond.clients.channels import ConnectResult
+from ashpond.clients.channelpools import ConnectResult
 from ashpond.controllers.allowancegrants import grant_unlimited
 from ashpond.controllers.cachestores import CacheStores
 from ashpond.controllers.crashdetection import CrashDetector, WatchedServer
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ashpond.clients.channels import ChannelPool
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.decisions.declared import CacheStore, IngressLimits
 from ashpond.errors import SettingsError
 from ashpond.gateway.admission import admit_call, find_urgency
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -20,7 +20,7 @@
 
 import trio
 
-from ashpond.clients.channels import ChannelPool
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.clients.responseheads import Framing
 from ashpond.controllers.allowancegrants import AllowanceGrant
 from ashpond.controllers.crashdetection import CrashDetector
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from ashpond.clients.channels import ChannelPool
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.controllers.allowances import Allowances
 from ashpond.controllers.budgets import RetryBudgets
 from ashpond.controllers.cachestores import EVENTS_PREFIX, CacheStores
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -8,7 +8,8 @@
 
 import trio
 
-from ashpond.clients.channels import ChannelError, ConnectResult, OutgoingRequest
+from ashpond.clients.channelpools import ConnectResult
+from ashpond.clients.channels import ChannelError, OutgoingRequest
 from ashpond.controllers.allowancegrants import grant_unlimited
 from ashpond.controllers.crashdetection import CrashDetector, CrashEvidence
 from ashpond.controllers.permits import grant_without_limit
--- a/tests/row_builders.py
+++ b/tests/row_builders.py
@@ -7,7 +7,7 @@
 import orjson
 import trio
 
-from ashpond.clients.channels import ChannelPool
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.controllers.feeds import Follower
 from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.controllers.storeview import StoreView, build_feeds
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -10,7 +10,8 @@
 import trio
 import trio.testing
 
-from ashpond.clients.channels import ChannelError, ConnectResult, OutgoingRequest
+from ashpond.clients.channelpools import ConnectResult
+from ashpond.clients.channels import ChannelError, OutgoingRequest
 from ashpond.clients.responseheads import Framing
 from ashpond.controllers.allowancegrants import grant_unlimited
 from ashpond.controllers.crashdetection import CrashDetector, WatchedServer
--- a/tests/test_callquarantine.py
+++ b/tests/test_callquarantine.py
@@ -10,7 +10,7 @@
 import trio.testing
 
 from ashpond.call import Call, Reply
-from ashpond.clients.channels import ConnectResult
+from ashpond.clients.channelpools import ConnectResult
 from ashpond.controllers import callquarantine
 from ashpond.controllers.callquarantine import CRASHES_KEY, CallQuarantine
 from ashpond.controllers.crashdetection import CrashEvidence, WatchedServer
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -11,7 +11,9 @@
 import trio.testing
 
 from ashpond.clients import channels
-from ashpond.clients.channels import Channel, ChannelError, ChannelPool, OutgoingRequest
+from ashpond.clients.channelpools import ChannelPool
+from ashpond.clients.channels import Channel, ChannelError, OutgoingRequest
+from ashpond.clients.transports import SocketTransport
 from tests.servers import make_answer, read_request, run_server
 
 
@@ -144,7 +146,7 @@
         await response.read_all(100)
         pool.release("s1", channel)
         await closed.wait()
-        await trio.lowlevel.wait_readable(channel._socket)
+        await trio.lowlevel.wait_readable(channel.transport.socket)
         assert await fetch(pool, address, make_request()) == b"2"
 
 
@@ -167,7 +169,7 @@
             self.server.sendall(data)
         else:
             self.server.close()
-        select.select([self.channel._socket], [], [])
+        select.select([self.channel.transport.socket], [], [])
 
     def close(self) -> None:
         self.channel.close()
@@ -309,7 +311,7 @@
 def make_idle_channel(idle_seconds: float) -> Channel:
     own, server = socket.socketpair()
     own.setblocking(False)
-    channel = Channel(own)
+    channel = Channel(SocketTransport(own))
     # Keeps the server's end open while the channel is used.
     channel.server = server  # type: ignore[attr-defined]
     channel._read_idle_limit([(b"keep-alive", f"timeout={idle_seconds:.0f}".encode())])
--- a/tests/test_crashdetection.py
+++ b/tests/test_crashdetection.py
@@ -6,7 +6,7 @@
 import trio
 import trio.testing
 
-from ashpond.clients.channels import ChannelPool, ConnectResult
+from ashpond.clients.channelpools import ChannelPool, ConnectResult
 from ashpond.controllers.crashdetection import (
     ATTRIBUTION_SECONDS,
     CHECK_INTERVAL_SECONDS,
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -12,7 +12,7 @@
 from click.testing import CliRunner
 
 from ashpond.cli import main
-from ashpond.clients.channels import ChannelPool
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.decisions.quarantine import ServerCrash
 from ashpond.errors import SettingsError
 from ashpond.gateway.admission import UNCERTAIN_AGE_SHARE
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -5,7 +5,7 @@
 import orjson
 import trio
 
-from ashpond.clients.channels import ChannelPool
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.gateway.orders import (
     CacheEvent,
     EngineReport,
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -11,7 +11,7 @@
 import orjson
 import trio
 
-from ashpond.clients.channels import ChannelPool
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.gateway.store import Condition, HistoryLost, Row, Store
 from ashpond.outcomes import Conflict, Done, Unavailable, Unknown
 from ashpond.standins.tables import MemoryStore
--- a/tests/test_runtimeclock.py
+++ b/tests/test_runtimeclock.py
@@ -15,7 +15,7 @@
 import trio.testing
 
 from ashpond import runtimeclock
-from ashpond.clients.channels import ChannelPool
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.decisions.budget import FleetRetryBudget
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.leases import Lease, make_lease_terms
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from ashpond.clients.channels import ChannelPool
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.controllers import directory
 from ashpond.controllers.directory import (
     BackendServer,
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -224,6 +224,6 @@
             run_gateway(address, memory_mb=memory_mb) as running,
         ):
             channel = await running.gateway.pool.acquire("s", address)
-            sizes.append(channel._socket.getsockopt(SOL_SOCKET, SO_RCVBUF))
+            sizes.append(channel.transport.socket.getsockopt(SOL_SOCKET, SO_RCVBUF))
             channel.close()
     assert sizes[1] == 2 * SOCKET_BUFFER_BYTES < sizes[0]
--- a/tools/costfleet.py
+++ b/tools/costfleet.py
@@ -16,7 +16,8 @@
 import orjson
 import trio
 
-from ashpond.clients.channels import ChannelError, ChannelPool, OutgoingRequest
+from ashpond.clients.channelpools import ChannelPool
+from ashpond.clients.channels import ChannelError, OutgoingRequest
 from ashpond.decisions.fleetlinks import Member
 from ashpond.standins.tables import MemoryStore
 from ashpond_platform.rows import OPERATOR_TABLE, SERVERS_TABLE
