Let a lease holder that reaches no engine make way for another

What callers saw: nothing yet; found by reading. An instance that holds the lease on weights orders and is cut off from the engines renewed the lease for as long as it was cut off, and its notices kept the others from contending, so that engines stayed on old weights.

Change: such an instance neither contends nor renews, so that the lease expires and the next in rank takes it. The search for outdated engines moves to a module of its own.

The new test fails without the check: no version is reached in 10 s.

--- a/ashpond/controllers/orderlease.py
+++ b/ashpond/controllers/orderlease.py
@@ -52,7 +52,8 @@
 class OrderLease:
     """Acquires and renews the lease for one instance.
 
-    Instances contend in an order on which all agree, one rank after the other.
+    Instances contend in an order on which all agree, one rank after the other. One that
+    reaches no engine does not, and lets a lease that it holds expire.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         log: DecisionLog,
         get_members: Callable[[], list[str]],
         invalid_rows: InvalidRows,
+        reaches_engines: Callable[[], bool] = lambda: True,
     ):
         self.lease = lease
         self._store = store
@@ -70,6 +72,7 @@
         self._log = log
         self._get_members = get_members
         self._invalid_rows = invalid_rows
+        self._reaches_engines = reaches_engines
         self._progress_at = float("-inf")
         self._read_at = float("-inf")
         self._has_read = False
@@ -147,6 +150,8 @@
             await self._read_lease(trio.current_time())
 
     def _may_contend(self, now: float, lag: float) -> bool:
+        if not self._reaches_engines():
+            return False
         if self.lease.is_holder:
             return True
         idle_seconds = min(lag, now - self._progress_at)
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -5,7 +5,6 @@
 __all__ = ["RolloutController"]
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 import trio
 
@@ -26,6 +25,7 @@
     OrderRefused,
     WeightsOrder,
 )
+from ashpond.gateway.outdatedweights import WeightsUpdate, find_outdated
 from ashpond.gateway.store import Store, StoreClock
 from ashpond.outcomes import MaybeRun, NotRun
 
@@ -62,12 +62,6 @@
 FAILED_ORDER_PAUSE_SECONDS = 0.4
 
 
-class _Update(NamedTuple):
-    state: ServerState
-    model: str
-    version: int
-
-
 class RolloutController:
     """Keeps engines on the declared weights while this instance holds the lease."""
 
@@ -88,6 +82,7 @@
         measure_update_lag: Callable[[], float] = lambda: 0.0,
         invalid_rows: InvalidRows | None = None,
         has_service: Callable[[str], bool] = lambda service: True,
+        reaches_engines: Callable[[], bool] = lambda: True,
     ):
         self.name = name
         self._table = table
@@ -105,6 +100,7 @@
             log,
             get_members,
             invalid_rows or InvalidRows(log),
+            reaches_engines,
         )
         self._has_service = has_service
         self._updating: set[str] = set()
@@ -133,7 +129,7 @@
         """Order loads until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                updates = self._find_outdated()
+                updates = find_outdated(self._table, self._knowledge, self._has_service)
                 if not updates:
                     self._outdated_since = None
                     await self._await_change()
@@ -160,19 +156,9 @@
             await self._changed.wait()
         self._changed = trio.Event()
 
-    def _find_outdated(self) -> list[_Update]:
-        found = []
-        for state in self._table.by_id.values():
-            # An entry may name an undeclared service; its engine gets no orders.
-            if not state.is_present() or not self._has_service(state.info.service):
-                continue
-            for model in state.info.weights:
-                target = self._knowledge.targets.get(model, 0)
-                if state.weights.get(model, 0) < target:
-                    found.append(_Update(state, model, target))
-        return found
-
-    def _start_orders(self, nursery: trio.Nursery, updates: list[_Update]) -> None:
+    def _start_orders(
+        self, nursery: trio.Nursery, updates: list[WeightsUpdate]
+    ) -> None:
         now = trio.current_time()
         waiting = [
             update
@@ -212,7 +198,7 @@
         ]
         return count_loading_slots(len(engines), len(active))
 
-    async def _update_weights(self, update: _Update) -> None:
+    async def _update_weights(self, update: WeightsUpdate) -> None:
         server_id = update.state.info.id
         started = trio.current_time()
         self._exclude(update)
@@ -254,7 +240,7 @@
         """Return whether an engine has restarted or refuses connections."""
         return state.connect_failures > 0 or not self._table.is_current(state)
 
-    def _exclude(self, update: _Update) -> None:
+    def _exclude(self, update: WeightsUpdate) -> None:
         server_id = update.state.info.id
         now = trio.current_time()
         self._excluded_at[server_id] = now
@@ -262,7 +248,7 @@
         self.note_progress()
         self._send_notice(update, 0, EXCLUSION_SECONDS)
 
-    def _send_notice(self, update: _Update, version: int, seconds: float) -> None:
+    def _send_notice(self, update: WeightsUpdate, version: int, seconds: float) -> None:
         info = update.state.info
         self._announce(
             ServerNotice(
@@ -270,12 +256,14 @@
             )
         )
 
-    def _keep_excluded(self, update: _Update) -> None:
+    def _keep_excluded(self, update: WeightsUpdate) -> None:
         excluded_at = self._excluded_at.get(update.state.info.id, float("-inf"))
         if trio.current_time() - excluded_at > EXCLUSION_SECONDS / 2:
             self._exclude(update)
 
-    async def _await_bound_requests(self, update: _Update, started: float) -> bool:
+    async def _await_bound_requests(
+        self, update: WeightsUpdate, started: float
+    ) -> bool:
         """Wait for requests that cannot be resumed; return whether to cut the others.
 
         Most streams end by themselves during the first part of the wait. Each stream
@@ -300,7 +288,7 @@
         """Return after how long all requests to an engine are known here (seconds)."""
         return max(STREAM_GRACE_SECONDS, UPDATE_LAG_SHARE * self._measure_update_lag())
 
-    async def _fetch_order_count(self, update: _Update) -> None:
+    async def _fetch_order_count(self, update: WeightsUpdate) -> None:
         """Fetch the number of orders that the engine has accepted, if unknown."""
         info = update.state.info
         if info.id in self._order_counts:
@@ -312,7 +300,9 @@
                 update.model, report.weights.get(update.model, 0)
             )
 
-    async def _fetch_report(self, update: _Update) -> EngineReport | NotRun | MaybeRun:
+    async def _fetch_report(
+        self, update: WeightsUpdate
+    ) -> EngineReport | NotRun | MaybeRun:
         """Fetch an engine's report; a report of another start counts as unknown."""
         report = await self._engines.report(update.state.info)
         if not isinstance(report, EngineReport):
@@ -324,7 +314,9 @@
             return MaybeRun("a report of another start")
         return report
 
-    async def _send_order(self, update: _Update, cuts_runs: bool) -> OrderExecution:
+    async def _send_order(
+        self, update: WeightsUpdate, cuts_runs: bool
+    ) -> OrderExecution:
         """Send the order; return whether the engine carries it out."""
         info = update.state.info
         if not self.lease.holds(trio.current_time()):
@@ -371,7 +363,7 @@
             return OrderExecution.MAYBE
         return OrderExecution.NO
 
-    async def _await_weights(self, update: _Update, started: float) -> bool:
+    async def _await_weights(self, update: WeightsUpdate, started: float) -> bool:
         if update.state.weights.get(update.model, 0) >= update.version:
             return True
         await trio.sleep(FIRST_LOAD_CHECK_SECONDS)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import NamedTuple
 
 import trio
@@ -52,6 +53,8 @@
         self.orders: list[SentOrder] = []
         self.orders_to_lose = 0
         self.down: set[str] = set()
+        # The instances whose orders reach no engine.
+        self.cut_off: set[str] = set()
         # An engine that loads this version crashes and is down for ``AWAY_SECONDS``.
         self.crashing_version: int | None = None
         self.crashes = 0
@@ -61,6 +64,8 @@
         return EnginePort(self.order, self.report, self.read_cache_events)
 
     async def order(self, server: BackendServer, order: WeightsOrder) -> OrderOutcome:
+        if order.holder in self.cut_off:
+            return NotRun("refused")
         self.orders.append(SentOrder(trio.current_time(), server.id, order))
         if server.id in self.down:
             return NotRun("refused")
@@ -135,6 +140,7 @@
         self.engines = Engines(servers)
         self.store = MemoryStore()
         self.retries_left = 100.0
+        self.cut_off: set[str] = set()
         self.tables: list[ServerTable] = []
         self.controllers: list[RolloutController] = []
         self.knowledge: list[Knowledge] = []
@@ -158,6 +164,7 @@
                     lambda: None,
                     lambda service: self.retries_left,
                     LEASE_SECONDS,
+                    reaches_engines=partial(self.reaches_engines, name),
                 )
             )
         self.scopes: list[trio.CancelScope] = []
@@ -169,6 +176,14 @@
             if state is not None:
                 state.update_weights(notice.model, notice.version)
 
+    def reaches_engines(self, name: str) -> bool:
+        return name not in self.cut_off
+
+    def cut(self, name: str) -> None:
+        """Cut an instance off from all engines."""
+        self.cut_off.add(name)
+        self.engines.cut_off.add(name)
+
     def require_version(self, version: int) -> None:
         for knowledge in self.knowledge:
             knowledge.adopt_target(WeightTarget(MODEL, version), trio.current_time())
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -53,6 +53,23 @@
     fleet.assert_holders_apart()
 
 
+async def test_a_lease_holder_that_reaches_no_engine_lets_another_take_over(
+    autojump_clock: object,
+) -> None:
+    """Its lease was renewed while it was cut off, and no engine got an order."""
+    fleet = Fleet(4)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.require_version(2)
+        while not fleet.engines.orders:
+            await trio.sleep(0.01)
+        fleet.cut(fleet.engines.orders[0].order.holder)
+        await run_until_current(fleet, 2, 10.0)
+        nursery.cancel_scope.cancel()
+    assert len(fleet.list_holders()) == 2
+    fleet.assert_holders_apart()
+
+
 async def test_a_lease_that_expired_long_ago_is_taken_over_at_once(
     autojump_clock: object,
 ) -> None:
