Reach servers through a peer while cut off from them

What callers saw: two of six instances lost their links to all servers for 12 s, and served 0 of 20 and 0 of 28 requests at the first attempt; the others served 157 of 172 and 164 of 181, as they believed what the two said of the servers.

Cause: an instance believed that what it cannot reach is not there. It had no other way to a server than its own connections, nothing compared its view with that of its peers, and its failures to connect were announced as the servers' and counted as crashes. Ruled out: pauses that outlast the partition (all attempts fail until its end).

Change: a connection that fails or takes over 0.1 s is raced by one through a peer, which carries the bytes; the instance that has the request stays the only one that decides about it, so that runs, retries, deadlines and the end of a body are as before. Two servers without any byte of an answer, and none from any in between, send all requests that way; an answered trial ends it.

--- a/ashpond/clients/channelpools.py
+++ b/ashpond/clients/channelpools.py
@@ -98,6 +98,14 @@
         else:
             channel.close()
 
+    def close_relayed(self, relay: str) -> None:
+        """Close the idle connections that lead through an instance."""
+        for owner, channels in self._idle.items():
+            for channel in channels:
+                if channel.relay == relay:
+                    channel.close()
+            self._idle[owner] = [c for c in channels if c.relay != relay]
+
     def count_idle(self, owner: str) -> int:
         """Return the number of idle connections to a server."""
         return len(self._idle.get(owner, ()))
--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -300,6 +300,10 @@
         # Readable data is the end of the stream or bytes that belong to no request.
         return not self.transport.has_data()
 
+    def is_open(self) -> bool:
+        """Return whether nothing has arrived on a connection that is not in use."""
+        return not self.transport.has_data()
+
     def close(self) -> None:
         """Close the connection without waiting for pending data."""
         self.transport.close()
--- a/ashpond/clients/peer.py
+++ b/ashpond/clients/peer.py
@@ -90,6 +90,16 @@
         """Close the connection."""
         await trio.aclose_forcefully(self._stream)
 
+    def close(self) -> None:
+        """Close the connection at once, without waiting."""
+        assert isinstance(self._stream, trio.SocketStream)
+        self._stream.socket.close()
+
+    def has_data(self) -> bool:
+        """Return whether there are bytes, an error or the end to receive."""
+        assert isinstance(self._stream, trio.SocketStream)
+        return bool(self._buffer) or self._stream.socket.is_readable()
+
     async def authenticate(self, *, is_server: bool) -> None:
         """Authenticate both sides by the shared secret.
 
--- a/ashpond/clients/peermessages.py
+++ b/ashpond/clients/peermessages.py
@@ -22,6 +22,11 @@
     "PlacementAnswer",
     "PlacementQuery",
     "TableChanges",
+    "TunnelAnswer",
+    "TunnelBackoff",
+    "TunnelData",
+    "TunnelEnd",
+    "TunnelRequest",
 ]
 
 from typing import Any, NamedTuple, get_origin, get_type_hints
@@ -195,6 +200,49 @@
     waits: list[Any]
 
 
+class TunnelRequest(NamedTuple):
+    """Ask a peer for a tunnel to a backend server that it reaches.
+
+    ``started_ms`` identifies the server's start, -1 if the sender does not know it.
+    """
+
+    sender: str
+    server_id: str
+    started_ms: int
+
+
+class TunnelAnswer(NamedTuple):
+    """The answer to a :class:`TunnelRequest`; after ``open``, bytes may be sent.
+
+    ``state`` is a :class:`~ashpond.clients.tunnels.TunnelState`, ``tunnels`` the number
+    of tunnels that the peer has open.
+    """
+
+    state: str
+    tunnels: int
+
+
+class TunnelData(NamedTuple):
+    """Bytes of a tunnel, in either direction."""
+
+    data: bytes
+
+
+class TunnelEnd(NamedTuple):
+    """The server has closed or reset its connection.
+
+    The loss of the connection between the instances is not such an end.
+    """
+
+    is_reset: bool
+
+
+class TunnelBackoff(NamedTuple):
+    """The server has asked for no requests for ``seconds``, in an answer."""
+
+    seconds: float
+
+
 PeerMessage = (
     Facts
     | AttemptQuery
@@ -211,6 +259,11 @@
     | AllowanceAnswer
     | PlacementQuery
     | PlacementAnswer
+    | TunnelRequest
+    | TunnelAnswer
+    | TunnelData
+    | TunnelEnd
+    | TunnelBackoff
 )
 KINDS: dict[str, Any] = {
     "facts": Facts,
@@ -228,6 +281,11 @@
     "allowance": AllowanceAnswer,
     "placement_ask": PlacementQuery,
     "placement": PlacementAnswer,
+    "tunnel_ask": TunnelRequest,
+    "tunnel": TunnelAnswer,
+    "tunnel_data": TunnelData,
+    "tunnel_end": TunnelEnd,
+    "tunnel_backoff": TunnelBackoff,
 }
 FIELD_TYPES: dict[Any, dict[str, Any]] = {
     kind: {
--- /dev/null
+++ b/ashpond/controllers/detours.py
@@ -0,0 +1,308 @@
+"""Connections to backend servers, through a peer if this instance is cut off."""
+
+from __future__ import annotations
+
+__all__ = ["Detours"]
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from ashpond.clients.channelpools import ChannelPool, ConnectResult
+from ashpond.clients.channels import Channel, ChannelError
+from ashpond.clients.tunnels import Tunnel
+from ashpond.controllers.relayclient import PEER_ERRORS, RelayClient, Relayed
+from ashpond.decisions.contact import ContactMonitor
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable
+
+    from ashpond.controllers.directory import ServerState, ServerTable
+    from ashpond.gateway.decisionlog import DecisionLog
+
+# A peer is asked when a direct connection takes this long; it mostly takes a few ms.
+HEDGE_SECONDS = 0.1
+# How long a server that only a peer could reach gets no direct connections (seconds).
+DETOUR_SECONDS = 1.0
+# How often connections are tried while this instance is cut off, and how long one has
+# to stay open to count (seconds).
+PROBE_SECONDS = 0.5
+PROBE_HOLD_SECONDS = 0.05
+# What follows the owner of a server's direct connections in that of its tunnels.
+TUNNEL_OWNER = " by relay"
+
+
+class Detours:
+    """The connections for calls to backend servers.
+
+    Has the methods of a :class:`~ashpond.clients.channelpools.ChannelPool` that calls
+    need. Orders to engines and reads of their state never take a detour: they concern
+    the instance that sends them.
+    """
+
+    def __init__(
+        self,
+        pool: ChannelPool,
+        table: ServerTable,
+        relays: RelayClient,
+        log: DecisionLog,
+        rng: random.Random,
+    ):
+        self.contact = ContactMonitor(rng)
+        self._pool = pool
+        self._table = table
+        self._relays = relays
+        self._log = log
+        self._rng = rng
+        self._detoured_until: dict[str, float] = {}
+        # Whether the last connection that failed was refused, and did not hang.
+        self._fails_fast = False
+        self._probes_needed = trio.Event()
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this instance seems to reach no backend server."""
+        return self.contact.is_cut_off
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for operators."""
+        now = trio.current_time()
+        return {
+            "cut_off": self.is_cut_off,
+            "failed_servers": self.contact.list_failed(),
+            "detoured": sorted(
+                _get_server_id(owner)
+                for owner, until in self._detoured_until.items()
+                if now < until
+            ),
+            "relays": self._relays.describe(),
+        }
+
+    async def run(self) -> None:
+        """Probe the servers while this instance is cut off, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                await self._probes_needed.wait()
+                self._probes_needed = trio.Event()
+                while self.is_cut_off:
+                    self.contact.note_probe(is_reachable=await self._probe())
+                    await trio.sleep(PROBE_SECONDS * self._rng.uniform(0.7, 1.3))
+
+    async def _probe(self) -> bool:
+        """Return whether a connection to some server can be opened and stays open."""
+        states = [s for s in self._table.by_id.values() if s.is_present()]
+        if not states:
+            return False
+        state = self._rng.choice(states)
+        try:
+            channel = await self._pool.connect(state.info.address)
+        except ChannelError:
+            return False
+        await trio.sleep(PROBE_HOLD_SECONDS)
+        is_open = channel.is_open()
+        channel.close()
+        return is_open
+
+    async def acquire(
+        self, owner: str, address: str, *, is_repeatable: bool
+    ) -> Channel:
+        """Return an idle or a new connection to a server, if need be through a peer.
+
+        :param is_repeatable: whether the call may run again if this attempt fails.
+        :raises ChannelError: if there is none; nothing was sent.
+        """
+        now = trio.current_time()
+        if self.is_cut_off:
+            if self.contact.begin_trial(now, is_repeatable=is_repeatable):
+                return await self._try_directly(owner, address)
+            return await self._acquire_while_cut_off(owner, address)
+        channel = self._pool.take_idle(owner)
+        if channel is None and now < self._detoured_until.get(owner, 0.0):
+            channel = await self._acquire_tunnel(owner)
+        return channel or await self._connect(owner, address)
+
+    async def _try_directly(self, owner: str, address: str) -> Channel:
+        try:
+            return await self._connect(owner, address)
+        except trio.Cancelled:
+            self.contact.end_trial()
+            raise
+
+    async def _acquire_while_cut_off(self, owner: str, address: str) -> Channel:
+        channel = await self._acquire_tunnel(owner)
+        if channel is not None:
+            return channel
+        if self._relays.has_peers() and not self._fails_fast:
+            # The request would wait in vain, or its outcome would be unknown.
+            reason = "this instance is cut off, and no peer relays"
+            raise ChannelError(reason, is_sent=False, is_own_fault=True)
+        return await self._connect_directly(owner, address)
+
+    async def _acquire_tunnel(self, owner: str) -> Channel | None:
+        idle = self._pool.take_idle(owner + TUNNEL_OWNER)
+        return idle or (await self._open_tunnel(owner)).channel
+
+    async def _open_tunnel(self, owner: str) -> Relayed:
+        state = self._find_state(owner)
+        if state is None:
+            return Relayed(None, is_confirmed=True)
+        return await self._relays.open(state)
+
+    async def _connect(self, owner: str, address: str) -> Channel:
+        """Connect directly, and through a peer if that fails or takes long.
+
+        :raises ChannelError: if neither succeeds.
+        """
+        if not self._relays.has_peers():
+            return await self._connect_directly(owner, address)
+        direct = _DirectConnection()
+        relayed = Relayed(None, is_confirmed=True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(direct.open, lambda: self._pool.connect(address))
+            with trio.move_on_after(HEDGE_SECONDS):
+                await direct.done.wait()
+            if direct.channel is None:
+                relayed = await self._open_tunnel(owner)
+            if relayed.channel is None:
+                await direct.done.wait()
+            nursery.cancel_scope.cancel()
+        if direct.channel is not None:
+            if relayed.channel is not None:
+                relayed.channel.close()
+            return direct.channel
+        if relayed.channel is not None:
+            self._begin_detour(owner, direct.error)
+            return relayed.channel
+        assert direct.error is not None
+        raise self._judge_failure(owner, direct.error, relayed.is_confirmed)
+
+    async def _connect_directly(self, owner: str, address: str) -> Channel:
+        try:
+            return await self._pool.connect(address)
+        except ChannelError as error:
+            raise self._judge_failure(owner, error, is_confirmed=True) from error
+
+    def _judge_failure(
+        self, owner: str, error: ChannelError, is_confirmed: bool
+    ) -> ChannelError:
+        """Return the error of a failed connection, with whose fault it seems to be."""
+        now = trio.current_time()
+        self._fails_fast = error.is_refused
+        self._note_failure(owner, now, now)
+        if not self._relays.has_peers():
+            return error
+        if is_confirmed and not self.is_cut_off:
+            return error
+        return ChannelError(str(error), is_sent=False, is_own_fault=True)
+
+    def _begin_detour(self, owner: str, error: ChannelError | None) -> None:
+        """Record that a peer reaches a server that this instance does not reach."""
+        now = trio.current_time()
+        self._fails_fast = error is not None and error.is_refused
+        if not self._fails_fast:
+            # Packets are lost, so the open connections are probably dead as well.
+            self._pool.close_idle(owner)
+        if now >= self._detoured_until.get(owner, 0.0):
+            self._log.note(
+                "server_detoured",
+                server=_get_server_id(owner),
+                reason="slow" if error is None else str(error),
+            )
+        current = {o: u for o, u in self._detoured_until.items() if u > now}
+        current[owner] = now + DETOUR_SECONDS * self._rng.uniform(0.7, 1.3)
+        self._detoured_until = current
+        self._note_failure(owner, now, now)
+
+    def _find_state(self, owner: str) -> ServerState | None:
+        state = self._table.by_id.get(_get_server_id(owner))
+        return state if state is not None and state.owner == owner else None
+
+    def note_answered(self, channel: Channel, backoff: float | None) -> None:
+        """Record that the head of an answer has arrived.
+
+        :param backoff: the time for which the server wants no requests (seconds).
+        """
+        if not channel.relay:
+            if self.contact.note_answer(trio.current_time()):
+                self._log.note("servers_regained")
+            return
+        self._relays.note_answered(channel.relay)
+        if backoff is not None and self._nursery is not None:
+            self._nursery.start_soon(self._pass_on_backoff, channel, backoff)
+
+    async def _pass_on_backoff(self, channel: Channel, seconds: float) -> None:
+        """Tell the relay: the server counts the request as that instance's."""
+        assert isinstance(channel.transport, Tunnel)
+        try:
+            await channel.transport.send_backoff(seconds)
+        except PEER_ERRORS as error:
+            reason = repr(error)
+            self._log.note("relay_unreached", peer=channel.relay, reason=reason)
+
+    def note_unanswered(self, owner: str, channel: Channel, sent_at: float) -> None:
+        """Record that an answer did not come, or broke off.
+
+        :param sent_at: since when nothing has come from the server.
+        """
+        if not channel.relay:
+            self._note_failure(owner, sent_at, trio.current_time())
+        elif self._relays.note_unanswered(channel.relay):
+            self._pool.close_relayed(channel.relay)
+
+    def note_unused(self, channel: Channel) -> None:
+        """Record that a connection has shown nothing, as its attempt has ended."""
+        if not channel.relay:
+            self.contact.end_trial()
+
+    def _note_failure(self, owner: str, sent_at: float, now: float) -> None:
+        count = sum(state.is_present() for state in self._table.by_id.values())
+        server_id = _get_server_id(owner)
+        if self.contact.note_failure(server_id, sent_at, now, count):
+            self._log.note("servers_cut_off", servers=self.contact.list_failed())
+            self._probes_needed.set()
+
+    async def check(self, owner: str, address: str) -> ConnectResult:
+        """Check whether a server is up; it is not gone while a peer reaches it."""
+        result = await self._pool.check(owner, address)
+        if result is not ConnectResult.REFUSED or not self._relays.has_peers():
+            return result
+        relayed = await self._open_tunnel(owner)
+        if relayed.channel is not None:
+            self._pool.keep(owner + TUNNEL_OWNER, relayed.channel)
+            return ConnectResult.CONNECTED
+        is_gone = relayed.is_confirmed and not self.is_cut_off
+        return ConnectResult.REFUSED if is_gone else ConnectResult.UNKNOWN
+
+    def release(self, owner: str, channel: Channel) -> None:
+        """Return a connection after a complete exchange."""
+        self._pool.release(owner + TUNNEL_OWNER if channel.relay else owner, channel)
+
+    def close_idle(self, owner: str) -> None:
+        """Close the idle connections to a server, direct ones and tunnels."""
+        self._pool.close_idle(owner)
+        self._pool.close_idle(owner + TUNNEL_OWNER)
+
+
+class _DirectConnection:
+    """A direct connection that is being opened."""
+
+    def __init__(self) -> None:
+        self.channel: Channel | None = None
+        self.error: ChannelError | None = None
+        self.done = trio.Event()
+
+    async def open(self, connect: Callable[[], Awaitable[Channel]]) -> None:
+        """Connect, and record the connection or the error."""
+        try:
+            self.channel = await connect()
+        except ChannelError as error:
+            self.error = error
+        self.done.set()
+
+
+def _get_server_id(owner: str) -> str:
+    """Return the id of the server that an owner key begins with."""
+    return owner.partition(" ")[0]
--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 __all__ = [
+    "CUT_OFF_PAUSE_SECONDS",
     "FULL_PAUSE_SECONDS",
     "LOADING_PAUSE_SECONDS",
     "BackendServer",
@@ -16,6 +17,7 @@
 
 from ashpond.controllers.backendservers import BackendServer, StartOrder, compare_starts
 from ashpond.controllers.serverstate import (
+    CUT_OFF_PAUSE_SECONDS,
     FULL_PAUSE_SECONDS,
     LOADING_PAUSE_SECONDS,
     ServerState,
--- a/ashpond/controllers/serverstate.py
+++ b/ashpond/controllers/serverstate.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-__all__ = ["FULL_PAUSE_SECONDS", "LOADING_PAUSE_SECONDS", "ServerState"]
+__all__ = [
+    "CUT_OFF_PAUSE_SECONDS",
+    "FULL_PAUSE_SECONDS",
+    "LOADING_PAUSE_SECONDS",
+    "ServerState",
+]
 
 import itertools
 from collections.abc import Callable
@@ -16,6 +21,9 @@
 FULL_PAUSE_SECONDS = 0.15
 # The exclusion after a refusal while weights load, which takes about 0.8 s (seconds).
 LOADING_PAUSE_SECONDS = 0.4
+# The exclusion of a server that this instance does not reach, while it is cut off
+# itself: a relay may be found, or the partition end, at any time (seconds).
+CUT_OFF_PAUSE_SECONDS = 0.2
 # The pause after a failure to connect (seconds); it doubles with each further failure.
 CONNECT_PAUSE_SECONDS = 0.5
 MAX_DOUBLINGS = 3
--- a/ashpond/controllers/serverupdates.py
+++ b/ashpond/controllers/serverupdates.py
@@ -18,7 +18,7 @@
 from ashpond.fleet.updates import ServerNotice
 
 if TYPE_CHECKING:
-    from ashpond.clients.channelpools import ChannelPool
+    from ashpond.controllers.detours import Detours
     from ashpond.controllers.serverdirectives import ServerDirectives
     from ashpond.decisions.cacheindex import CacheEntry, CacheIndex
     from ashpond.decisions.prompts import Prompt
@@ -39,7 +39,7 @@
         self,
         table: ServerTable,
         cache_index: CacheIndex,
-        pool: ChannelPool,
+        pool: Detours,
         crash_detector: CrashDetector,
         log: DecisionLog,
         directives: ServerDirectives,
--- /dev/null
+++ b/ashpond/decisions/contact.py
@@ -0,0 +1,117 @@
+"""Decide whether an instance is cut off from the backend servers.
+
+A server that crashes fails alone, and others answer meanwhile. An instance that gets
+no answer from several servers in a row, from none at all, is more probably cut off
+itself; its peers then still reach the servers. Requests go through peers until a direct
+attempt is answered again.
+"""
+
+from __future__ import annotations
+
+__all__ = ["ContactMonitor"]
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+# Servers that must have failed without an answer from any in between.
+MIN_FAILED_SERVERS = 2
+# A failure longer ago than this does not count any more (seconds).
+EVIDENCE_SECONDS = 3.0
+# From one attempt to go straight to a server again until the next (seconds); doubles
+# with each that fails.
+TRIAL_SECONDS = 0.5
+MAX_TRIAL_SECONDS = 2.0
+# Requests that may not be repeated are tried only if no other request came for so long.
+UNREPEATABLE_SECONDS = 2.0
+# An instance that is cut off again within this time takes longer to return (seconds).
+FLAP_SECONDS = 5.0
+
+
+class ContactMonitor:
+    """The evidence on whether this instance reaches the backend servers.
+
+    All times are on one clock, in seconds.
+
+    :param rng: spreads the attempts of instances that are cut off together.
+    """
+
+    def __init__(self, rng: random.Random):
+        self.is_cut_off = False
+        self._rng = rng
+        self._failed: dict[str, float] = {}
+        self._answered_at = float("-inf")
+        self._regained_at = float("-inf")
+        self._trial_seconds = TRIAL_SECONDS
+        self._trial_at = float("inf")
+        self._is_trying = False
+        self._is_reachable = False
+
+    def list_failed(self) -> list[str]:
+        """Return the servers whose failures are the present evidence."""
+        return sorted(self._failed)
+
+    def note_answer(self, now: float) -> bool:
+        """Record an answer that came straight from a server.
+
+        Return whether the instance was cut off until now.
+        """
+        self._answered_at = now
+        self._failed.clear()
+        self._is_trying = False
+        if not self.is_cut_off:
+            return False
+        self.is_cut_off = False
+        self._regained_at = now
+        return True
+
+    def note_failure(
+        self, server_id: str, sent_at: float, now: float, known_servers: int
+    ) -> bool:
+        """Record a direct request that ended without any byte of an answer.
+
+        :param known_servers: the number of servers that this instance knows.
+        :return: whether the instance is cut off from now on.
+        """
+        self._is_trying = False
+        if self.is_cut_off:
+            self._plan_trial(now, self._trial_seconds * 2)
+            return False
+        if sent_at <= self._answered_at:
+            # Another server has answered since.
+            return False
+        self._failed[server_id] = now
+        oldest = now - EVIDENCE_SECONDS
+        self._failed = {s: at for s, at in self._failed.items() if at >= oldest}
+        if len(self._failed) < min(MIN_FAILED_SERVERS, max(1, known_servers)):
+            return False
+        self.is_cut_off = True
+        is_flapping = now - self._regained_at < FLAP_SECONDS
+        self._plan_trial(now, self._trial_seconds * 2 if is_flapping else TRIAL_SECONDS)
+        return True
+
+    def note_probe(self, *, is_reachable: bool) -> None:
+        """Record whether a connection to a server could be opened and stayed open."""
+        self._is_reachable = is_reachable
+
+    def begin_trial(self, now: float, *, is_repeatable: bool) -> bool:
+        """Return whether a request should go straight to its server as a trial.
+
+        Only one does at a time. A connection that can be opened is no proof, as only
+        an answer shows that the server has received the request.
+        """
+        wait = 0.0 if is_repeatable else UNREPEATABLE_SECONDS
+        if self._is_trying or not self._is_reachable or now < self._trial_at + wait:
+            return False
+        self._is_trying = True
+        return True
+
+    def end_trial(self) -> None:
+        """Record that a trial has ended without evidence, as its caller has left."""
+        self._is_trying = False
+
+    def _plan_trial(self, now: float, seconds: float) -> None:
+        self._is_reachable = False
+        self._trial_seconds = min(MAX_TRIAL_SECONDS, seconds)
+        self._trial_at = now + self._trial_seconds * self._rng.uniform(0.7, 1.3)
--- /dev/null
+++ b/ashpond/decisions/relays.py
@@ -0,0 +1,59 @@
+"""Choose the peer through which an instance reaches servers that it cannot reach."""
+
+from __future__ import annotations
+
+__all__ = ["RelayRecord", "rank_relays"]
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable, Mapping
+
+    from ashpond.decisions.fleetlinks import Member
+
+# A peer that has relayed within this time is preferred over an untried one (seconds).
+GOOD_SECONDS = 10.0
+# The preferences below add up to one score; the peer with the lowest is asked first.
+OTHER_DOMAIN_SCORE = 1.0
+UNTRIED_SCORE = 1.0
+RANDOM_SCORE = 0.5
+# As many open tunnels weigh as much as another failure domain.
+TUNNELS_PER_SCORE = 8.0
+
+
+class RelayRecord:
+    """What is known of one peer as a relay.
+
+    ``avoid_until`` and ``good_at`` are times; ``tunnels`` is the number of tunnels that
+    it last reported. ``unanswered`` counts the requests in a row without an answer.
+    """
+
+    def __init__(self) -> None:
+        self.avoid_until = float("-inf")
+        self.good_at = float("-inf")
+        self.tunnels = 0
+        self.unanswered = 0
+
+
+def rank_relays(
+    members: Iterable[Member],
+    own: Member,
+    records: Mapping[str, RelayRecord],
+    now: float,
+    rng: random.Random,
+) -> list[Member]:
+    """Return the peers to ask, the best first, without those to avoid now."""
+    unknown = RelayRecord()
+    scored = []
+    for member in members:
+        record = records.get(member.name, unknown)
+        if member.name == own.name or now < record.avoid_until:
+            continue
+        score = record.tunnels / TUNNELS_PER_SCORE + rng.random() * RANDOM_SCORE
+        if member.failure_domain != own.failure_domain:
+            score += OTHER_DOMAIN_SCORE
+        if now - record.good_at > GOOD_SECONDS:
+            score += UNTRIED_SCORE
+        scored.append((score, member.name, member))
+    return [member for _, _, member in sorted(scored, key=lambda entry: entry[:2])]
--- a/ashpond/emulator/connections.py
+++ b/ashpond/emulator/connections.py
@@ -19,6 +19,7 @@
 from ashpond.clients.responseheads import Framing
 from ashpond.controllers.directory import BackendServer
 from ashpond.emulator.engines import EmulatedEngine, Run
+from ashpond.gateway.callprogress import CallConnections
 from ashpond.gateway.calls import AnswerHeaders, Codec, Envelope, Headers, Instructions
 from ashpond.gateway.orders import (
     EnginePort,
@@ -128,6 +129,7 @@
 
     engine: EmulatedEngine
     pool: EmulatedPool
+    relay: str = ""
 
     async def exchange(self, request: OutgoingRequest) -> EmulatedResponse:
         """Send a request; return its answer once the first event is there.
@@ -171,7 +173,7 @@
         """Do nothing: cancelling the read of an answer cancels its run."""
 
 
-class EmulatedPool:
+class EmulatedPool(CallConnections):
     """A pool of connections to engines.
 
     :param delay: the network delay between instances and engines, one way (seconds).
@@ -187,7 +189,9 @@
         self.delay = delay
         self.by_address = {make_address(name): e for name, e in engines.items()}
 
-    async def acquire(self, owner: str, address: str) -> EmulatedChannel:
+    async def acquire(  # type: ignore[override]
+        self, owner: str, address: str, *, is_repeatable: bool = False
+    ) -> EmulatedChannel:
         """Return a connection to the engine at an address.
 
         :raises ChannelError: if the engine is down.
@@ -198,7 +202,9 @@
             raise ChannelError("refused", is_sent=False)
         return EmulatedChannel(engine, self)
 
-    def release(self, owner: str, channel: EmulatedChannel) -> None:
+    def release(  # type: ignore[override]
+        self, owner: str, channel: EmulatedChannel
+    ) -> None:
         """Do nothing: connections are not reused."""
 
     def close_idle(self, owner: str) -> None:
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -141,7 +141,7 @@
     )
     context = DispatchContext(
         reservations,
-        environment.pool,  # type: ignore[arg-type]
+        environment.pool,
         build_codec(environment.pool.records),
         b"id",
         knowledge,
--- a/ashpond/fleet/updates.py
+++ b/ashpond/fleet/updates.py
@@ -34,6 +34,7 @@
     PlacementQuery,
     TableChanges,
 )
+from ashpond.clients.peermessages import TunnelRequest
 from ashpond.controllers.feeds import TableUpdate
 from ashpond.decisions.budget import AttemptCounts
 from ashpond.decisions.cacheindex import CacheEntry
@@ -104,6 +105,14 @@
     raise FrameError("this instance places no requests of others")
 
 
+async def end_tunnel(first: TunnelRequest, stream: PeerStream) -> None:
+    """End the connection of a peer that takes this instance for a relay.
+
+    :raises FrameError: always.
+    """
+    raise FrameError("this instance relays nothing")
+
+
 class UpdateHandlers(NamedTuple):
     """Callbacks for received updates, and for the values that this instance sends.
 
@@ -114,6 +123,7 @@
     ``serve_allowances`` answers a peer that asks this instance for allowances, until
     its connection ends. ``serve_placements`` does so for a peer that asks for servers.
     ``list_versions`` returns the versions of tables for a peer that has just connected.
+    ``serve_tunnel`` relays a peer's connection to a backend server until it ends.
     """
 
     on_notice: Callable[[ServerNotice], None]
@@ -129,9 +139,10 @@
         end_placements
     )
     list_versions: Callable[[], list[TableUpdate]] = list
+    serve_tunnel: Callable[[TunnelRequest, PeerStream], Awaitable[None]] = end_tunnel
 
     async def serve(
-        self, first: AllowanceQuery | PlacementQuery, stream: PeerStream
+        self, first: AllowanceQuery | PlacementQuery | TunnelRequest, stream: PeerStream
     ) -> None:
         """Serve a peer whose first message is a query, until its connection ends.
 
@@ -139,6 +150,8 @@
         """
         if isinstance(first, PlacementQuery):
             await self.serve_placements(first, stream)
+        elif isinstance(first, TunnelRequest):
+            await self.serve_tunnel(first, stream)
         else:
             await self.serve_allowances(first, stream)
 
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -49,8 +49,13 @@
             settings_file, platform, pool, log, lambda: self.ingress.apply_limits()
         )
         settings = settings_file.current
+        self._left_at = float("-inf")
         self.connection_log = ConnectionLog(
-            log, self.metrics, lambda: self.ingress.open_calls, self.leave_event.is_set
+            log,
+            self.metrics,
+            lambda: self.ingress.open_calls,
+            self.leave_event.is_set,
+            self.loop_watch,
         )
         self.ingress = Ingress(
             IngressAddresses(
@@ -88,6 +93,7 @@
             nursery.start_soon(self.reservations.run)
             nursery.start_soon(self.coordinator.run)
             nursery.start_soon(self.crash_detector.run)
+            nursery.start_soon(self.detours.run)
             watch = SuspensionWatch(self.log, self.metrics.observe_suspension)
             nursery.start_soon(watch.run)
             nursery.start_soon(self.quarantine.run)
@@ -101,10 +107,9 @@
                 self.platform.engines,
                 self.log,
             )
-            await self.ingress.run(
-                self._wait_to_close,
-                self.settings.bounds.grace_s - LEAVE_SECONDS - GRACE_MARGIN_SECONDS,
-            )
+            grace = self.settings.bounds.grace_s - GRACE_MARGIN_SECONDS
+            await self.ingress.run(self._wait_to_close, grace - LEAVE_SECONDS)
+            await self.relay_server.drain(self._left_at + grace)
             self.log.note("stopped", open_calls=self.ingress.open_calls)
             nursery.cancel_scope.cancel()
         self.log.flush()
@@ -165,6 +170,8 @@
     def leave(self) -> None:
         """Begin the shutdown: stop taking connections, finish open calls, then stop."""
         self.log.note("stopping", open_calls=self.ingress.open_calls)
+        self._left_at = trio.current_time()
+        self.relay_server.is_leaving = True
         self.ingress.is_leaving = True
         self.reservations.leave()
         self.coordinator.close_all()
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -9,9 +9,9 @@
 import trio
 
 from ashpond.clients.channels import Channel, ChannelError, Response
-from ashpond.clients.responseheads import Framing
 from ashpond.controllers.crashdetection import CrashEvidence
 from ashpond.controllers.directory import (
+    CUT_OFF_PAUSE_SECONDS,
     FULL_PAUSE_SECONDS,
     LOADING_PAUSE_SECONDS,
     ServerState,
@@ -32,7 +32,7 @@
 from ashpond.gateway.calls import AnswerHeaders
 from ashpond.gateway.reservations import Reservation
 from ashpond.gateway.serverrequests import build_server_request, describe_sent
-from ashpond.gateway.streamends import StreamEnd
+from ashpond.gateway.streamrelay import forward_stream
 
 OK = 200
 MISDIRECTED = 421
@@ -54,6 +54,8 @@
         self.call = call
         self._reservation = reservation
         self._sent_at = trio.current_time()
+        # Whether the attempt has shown if its connection reaches the server.
+        self._has_shown_contact = False
 
     async def run(self) -> AttemptOutcome:
         """Send the call, return the outcome and release the reservation."""
@@ -91,21 +93,34 @@
         try:
             with trio.move_on_after(self._choose_answer_timeout()) as timeout:
                 channel = await self.context.pool.acquire(
-                    state.owner, state.info.address
+                    state.owner,
+                    state.info.address,
+                    is_repeatable=self.call.is_repeatable,
                 )
                 obstacle = self._find_obstacle(state)
                 if obstacle is not None:
                     return AttemptNotRun(obstacle)
+                if channel.relay:
+                    server_id = state.info.id
+                    self.call.note("relayed", server=server_id, by=channel.relay)
                 outcome = await self._exchange(channel, timeout)
                 is_complete = not isinstance(outcome, AttemptFailed)
+                if not is_complete:
+                    self._note_unanswered(channel, trio.current_time())
                 return outcome
+            if channel is not None:
+                self._note_unanswered(channel, self._sent_at)
             return self._handle_failure(NO_ANSWER, is_sent=channel is not None)
         except ChannelError as error:
+            if channel is not None:
+                self._note_unanswered(channel, trio.current_time())
             if error.is_refused:
                 self.context.crash_detector.note_crash(
                     state.watched, CrashEvidence.REFUSED
                 )
-            return self._handle_failure(str(error), is_sent=error.is_sent)
+            return self._handle_failure(
+                str(error), is_sent=error.is_sent, is_own_fault=error.is_own_fault
+            )
         except NoMemoryError as error:
             # The server has answered; this does not count against it.
             self.call.splitter.drop_remainder()
@@ -114,11 +129,19 @@
         finally:
             if not is_complete:
                 memory.drop_credit(credit)
+            if channel is not None and not self._has_shown_contact:
+                self.context.pool.note_unused(channel)
             if channel is not None and is_complete:
                 self.context.pool.release(state.owner, channel)
             elif channel is not None:
                 channel.close()
 
+    def _note_unanswered(self, channel: Channel, sent_at: float) -> None:
+        """Record that nothing has come from the server since ``sent_at``."""
+        self._has_shown_contact = True
+        owner = self._reservation.state.owner
+        self.context.pool.note_unanswered(owner, channel, sent_at)
+
     def _find_obstacle(self, state: ServerState) -> str | None:
         """Return why the request must no longer be sent to its server, if at all.
 
@@ -151,6 +174,8 @@
         request = build_server_request(self.call, self._reservation, self.context)
         response = await channel.exchange(request)
         answer_headers = self.context.codec.read_answer_headers(response.headers)
+        self._has_shown_contact = True
+        self.context.pool.note_answered(channel, answer_headers.backoff)
         self.context.directives.apply_answer(
             state, response.status, answer_headers, self._sent_at
         )
@@ -212,10 +237,14 @@
         return max(MIN_ANSWER_TIMEOUT_SECONDS, timeout)
 
     def _handle_failure(
-        self, reason: str, *, is_sent: bool
+        self, reason: str, *, is_sent: bool, is_own_fault: bool = False
     ) -> AttemptNotRun | AttemptFailed:
         state = self._reservation.state
         self._log_failure(reason, is_sent=is_sent)
+        if is_own_fault:
+            # The server is probably well, so its peers are not told otherwise.
+            state.exclude_for(CUT_OFF_PAUSE_SECONDS, trio.current_time())
+            return AttemptNotRun(reason)
         if not is_sent:
             pause = state.note_connect_failure(trio.current_time())
             self.context.announce_unreachable(state, pause)
@@ -294,45 +323,15 @@
     async def _relay_stream(
         self, response: Response, reserve: Callable[[int], Awaitable[None]] | None
     ) -> AttemptOutcome:
-        """Forward a stream as it arrives; resumable streams in complete events.
+        """Forward a stream, and complete the client's answer if it is complete.
 
         :param reserve: waits for memory for a piece, as its client may read slowly.
         """
         state = self._reservation.state
-        is_first = True
-        incomplete: list[bytes] = []
-        end = StreamEnd(response.framing, response.headers)
-        is_close_delimited = response.framing is Framing.CLOSE
         try:
-            while piece := await response.read():
-                if is_first:
-                    self._note_prompt_read()
-                    is_first = False
-                if reserve is not None:
-                    await reserve(len(piece))
-                data = piece
-                end.feed(piece)
-                if self.call.route.is_resumable:
-                    incomplete.append(piece)
-                    data = b""
-                    # Only a line end can complete an event, and the splitter searches
-                    # all that it holds with each piece. 300 answers of 400 KB without
-                    # one delayed other requests by 1 s.
-                    if b"\n" in piece or b"\r" in piece:
-                        data = self.call.splitter.feed(b"".join(incomplete))
-                        incomplete.clear()
-                if data:
-                    await self.call.start_reply(
-                        response.status,
-                        response.headers,
-                        is_close_delimited=is_close_delimited,
-                    )
-                    await self.call.reply.send(data)
-            failure = end.find_failure(
-                is_doubt_shown=self.call.is_close_delimited or not self.call.is_started
+            rest = await forward_stream(
+                self.call, response, reserve, self._note_prompt_read
             )
-            if failure is not None:
-                raise ChannelError(failure, is_sent=True)
         except ChannelError as error:
             self.call.splitter.drop_remainder()
             now = trio.current_time()
@@ -350,12 +349,6 @@
             return AttemptFailed(str(error))
         state.note_answer(trio.current_time(), failed=False)
         self.context.quarantine.note_answered(self.call.fingerprint)
-        await self.call.start_reply(
-            response.status, response.headers, is_close_delimited=is_close_delimited
-        )
-        rest = self.call.splitter.feed(b"".join(incomplete))
-        incomplete.clear()
-        rest += self.call.splitter.take_remainder()
         if rest:
             await self.call.reply.send(rest)
         self.call.is_finished = True
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -7,6 +7,7 @@
     "AttemptFailed",
     "AttemptNotRun",
     "AttemptOutcome",
+    "CallConnections",
     "CallProgress",
     "Delivered",
     "DispatchContext",
@@ -20,7 +21,7 @@
 
 import trio
 
-from ashpond.clients.channelpools import ChannelPool
+from ashpond.clients.channels import Channel
 from ashpond.clients.responseheads import Framing
 from ashpond.controllers.allowancegrants import AllowanceGrant
 from ashpond.controllers.crashdetection import CrashDetector
@@ -89,11 +90,41 @@
         """Return when the first server may take a request again."""
 
 
+class CallConnections(Protocol):
+    """The connections for calls; the methods that only record do nothing here."""
+
+    async def acquire(
+        self, owner: str, address: str, *, is_repeatable: bool
+    ) -> Channel:
+        """Return an idle or a new connection to a server.
+
+        :raises ChannelError: if there is none; nothing was sent.
+        """
+
+    def release(self, owner: str, channel: Channel) -> None:
+        """Return a connection after a complete exchange."""
+
+    def close_idle(self, owner: str) -> None:
+        """Close the idle connections to a server."""
+
+    def note_answered(self, channel: Channel, backoff: float | None) -> None:
+        """Record that the head of an answer has arrived."""
+        return
+
+    def note_unanswered(self, owner: str, channel: Channel, sent_at: float) -> None:
+        """Record that nothing has come from the server since ``sent_at``."""
+        return
+
+    def note_unused(self, channel: Channel) -> None:
+        """Record that a connection has shown nothing, as its attempt has ended."""
+        return
+
+
 class DispatchContext(NamedTuple):
     """The services and settings that the dispatcher uses."""
 
     reservations: Reservations
-    pool: ChannelPool
+    pool: CallConnections
     codec: Codec
     id_header: bytes
     knowledge: Knowledge
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -14,11 +14,13 @@
 from ashpond.controllers.budgets import RetryBudgets
 from ashpond.controllers.cachestores import EVENTS_PREFIX, CacheStores
 from ashpond.controllers.crashdetection import CrashDetector
+from ashpond.controllers.detours import Detours
 from ashpond.controllers.feeds import Feed, Follower, TableUpdate
 from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.controllers.memory import MemoryController
 from ashpond.controllers.permits import Permits
 from ashpond.controllers.quarantine import Quarantine
+from ashpond.controllers.relayclient import RelayClient
 from ashpond.controllers.serverdirectives import ServerDirectives
 from ashpond.controllers.serverupdates import ServerUpdates
 from ashpond.controllers.storeview import StoreView, build_feeds
@@ -31,6 +33,7 @@
 from ashpond.decisions.quarantine import CrashRecords
 from ashpond.fleet.exchange import PeerExchange
 from ashpond.fleet.members import MEMBERS_TABLE, Members
+from ashpond.fleet.relaying import RelayServer
 from ashpond.fleet.updates import UpdateHandlers
 from ashpond.gateway.callprogress import DispatchContext, compute_fingerprint
 from ashpond.gateway.decisionlog import DecisionLog
@@ -41,10 +44,16 @@
 from ashpond.gateway.rollouts import RolloutController
 from ashpond.gateway.serverchoice import ServerChooser
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
+from ashpond.loopdelay import LoopWatch
 
 MS = 1000.0
 # Share of the bound after which old weights get no requests, as these may wait there.
 REQUIRED_SHARE = 0.85
+# An instance opens no tunnels for peers for so long after a stall of its event loop of
+# this length (seconds), or while more than this share of its memory is held.
+BUSY_SECONDS = 1.0
+BUSY_DELAY_SECONDS = 0.1
+BUSY_SHARE = 0.8
 
 
 class GatewayParts:
@@ -74,7 +83,7 @@
         pool.buffer_bytes = self.memory.socket_buffer_bytes
         self.invalid_rows = InvalidRows(log, self.metrics.count_invalid_row)
         self.crash_detector = CrashDetector(
-            lambda server: pool.check(server.owner, server.address),
+            lambda server: self.detours.check(server.owner, server.address),
             log.note,
             lambda lost: self.quarantine.note_lost(lost),
             lambda server: self.server_updates.on_connection_refused(server),
@@ -115,6 +124,22 @@
             lambda: self.members.count(),
         )
         self.leave_event = trio.Event()
+        self.loop_watch = LoopWatch()
+        self.detours = Detours(
+            pool,
+            self.table,
+            RelayClient(lambda: self.members, log, self.rng, self.metrics.count_tunnel),
+            log,
+            self.rng,
+        )
+        self.relay_server = RelayServer(
+            self.table,
+            log,
+            lambda: self.detours.is_cut_off,
+            self.is_busy,
+            self.metrics.count_relayed,
+            lambda: pool.buffer_bytes,
+        )
         self.chooser = ServerChooser(
             self.table,
             self.cache_index,
@@ -153,7 +178,7 @@
         self.server_updates = ServerUpdates(
             self.table,
             self.cache_index,
-            pool,
+            self.detours,
             self.crash_detector,
             log,
             self.directives,
@@ -217,6 +242,7 @@
                 self.allowances.serve,
                 self.coordinator.serve,
                 self._list_versions,
+                self.relay_server.serve,
             ),
             settings.bounds.retry_window_s,
             settings.mesh_limit,
@@ -248,11 +274,12 @@
             lambda: self.peers.get_max_lag(),
             self.invalid_rows,
             self._has_service,
+            lambda: not self.detours.is_cut_off,
         )
         self.dispatcher = Dispatcher(
             DispatchContext(
                 self.reservations,
-                pool,
+                self.detours,
                 platform.codec,
                 platform.id_header,
                 self.knowledge,
@@ -282,6 +309,21 @@
         bound = self.settings.bounds.revocation_ms / MS
         return build_feeds(self.platform, self.store_view, self.members, bound)
 
+    def is_busy(self) -> bool:
+        """Return whether the calls of this instance leave no room for those of peers.
+
+        That is so while its event loop is late, or most of its memory is held.
+        """
+        delay = self.loop_watch.last
+        is_late = (
+            delay is not None
+            and delay.seconds >= BUSY_DELAY_SECONDS
+            and trio.current_time() - delay.ended_at < BUSY_SECONDS
+        )
+        budget = self.memory.budget
+        is_full = self.memory.is_limited and budget.used > budget.limit * BUSY_SHARE
+        return is_late or is_full
+
     def _on_servers(self) -> None:
         self.slot_queue.assign()
         self.coordinator.assign()
--- a/ashpond/gateway/connectionlog.py
+++ b/ashpond/gateway/connectionlog.py
@@ -27,6 +27,7 @@
 
     :param count_calls: returns the number of open calls.
     :param is_leaving: returns whether the instance is shutting down.
+    :param watch: measures the delays of the event loop.
     """
 
     def __init__(
@@ -35,8 +36,10 @@
         metrics: GatewayMetrics,
         count_calls: Callable[[], int],
         is_leaving: Callable[[], bool],
+        watch: LoopWatch,
     ):
-        self.watch = LoopWatch(self._note_delay)
+        self.watch = watch
+        watch.note = self._note_delay
         self._log = log
         self._metrics = metrics
         self._count_calls = count_calls
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -93,6 +93,16 @@
             "Actions that keep the instance within its memory limit, by kind",
             registry=self.registry,
         )
+        self.tunnels = Counter(
+            "ashpond_gateway_tunnels",
+            "Tunnels to servers that this instance asked its peers for, by outcome",
+            registry=self.registry,
+        )
+        self.relayed = Counter(
+            "ashpond_gateway_relayed",
+            "Tunnels to servers that peers asked this instance for, by outcome",
+            registry=self.registry,
+        )
         self._teams_with_series: set[str] = set()
         self.suspensions = Histogram(
             "ashpond_gateway_suspended_seconds",
@@ -115,6 +125,14 @@
         """Count one closed connection."""
         self.closed_connections.inc({"cause": str(cause)})
 
+    def count_tunnel(self, outcome: str) -> None:
+        """Count one tunnel that a peer was asked for."""
+        self.tunnels.inc({"outcome": str(outcome)})
+
+    def count_relayed(self, outcome: str) -> None:
+        """Count one tunnel that a peer asked this instance for, or its loss."""
+        self.relayed.inc({"outcome": str(outcome)})
+
     def count_invalid_row(self, table: str) -> None:
         """Count one version of a row that could not be decoded."""
         self.invalid_rows.inc({"table": table})
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -43,6 +43,8 @@
             "held_here": lease.holds(now),
             "fence": lease.fence,
         },
+        "contact": gateway.detours.describe(),
+        "tunnels_for_peers": gateway.relay_server.tunnels,
         "cache_stores_up": gateway.cache_stores.count_up(),
         "waiting": gateway.reservations.waiting,
         "placements": gateway.reservations.describe(),
--- /dev/null
+++ b/ashpond/gateway/streamrelay.py
@@ -0,0 +1,71 @@
+"""Forward a backend server's stream to the client as it arrives."""
+
+from __future__ import annotations
+
+__all__ = ["forward_stream"]
+
+from typing import TYPE_CHECKING
+
+from ashpond.clients.channels import ChannelError
+from ashpond.clients.responseheads import Framing
+from ashpond.gateway.streamends import StreamEnd
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from ashpond.clients.channels import Response
+    from ashpond.gateway.callprogress import CallProgress
+
+
+async def forward_stream(
+    call: CallProgress,
+    response: Response,
+    reserve: Callable[[int], Awaitable[None]] | None,
+    note_first_piece: Callable[[], None],
+) -> bytes:
+    """Forward a stream up to its last complete event; return what comes after that.
+
+    Resumable streams are forwarded in complete events, others as they arrive.
+
+    :param reserve: waits for memory for a piece, as its client may read slowly.
+    :raises ChannelError: if the stream breaks off.
+    """
+    incomplete: list[bytes] = []
+    end = StreamEnd(response.framing, response.headers)
+    is_first = True
+    while piece := await response.read():
+        if is_first:
+            note_first_piece()
+            is_first = False
+        if reserve is not None:
+            await reserve(len(piece))
+        end.feed(piece)
+        data = piece
+        if call.route.is_resumable:
+            incomplete.append(piece)
+            data = b""
+            # Only a line end can complete an event, and the splitter searches all that
+            # it holds with each piece. 300 answers of 400 KB without one delayed other
+            # requests by 1 s.
+            if b"\n" in piece or b"\r" in piece:
+                data = call.splitter.feed(b"".join(incomplete))
+                incomplete.clear()
+        if data:
+            await start_reply(call, response)
+            await call.reply.send(data)
+    is_doubt_shown = call.is_close_delimited or not call.is_started
+    failure = end.find_failure(is_doubt_shown=is_doubt_shown)
+    if failure is not None:
+        raise ChannelError(failure, is_sent=True)
+    await start_reply(call, response)
+    rest = call.splitter.feed(b"".join(incomplete))
+    return rest + call.splitter.take_remainder()
+
+
+async def start_reply(call: CallProgress, response: Response) -> None:
+    """Start the client's answer, whose end shows no more than the server's does."""
+    await call.start_reply(
+        response.status,
+        response.headers,
+        is_close_delimited=response.framing is Framing.CLOSE,
+    )
--- a/ashpond/loopdelay.py
+++ b/ashpond/loopdelay.py
@@ -34,11 +34,11 @@
 
     def __init__(
         self,
-        note: Callable[[LoopDelay], None],
+        note: Callable[[LoopDelay], None] = lambda delay: None,
         clock: Callable[[], float] = trio.current_time,
     ):
         self.last: LoopDelay | None = None
-        self._note = note
+        self.note = note
         self._clock = clock
         self._step_began_at: float | None = None
         self._wait_ends_at: float | None = None
@@ -71,4 +71,4 @@
     def _record_stall(self, now: float, seconds: float) -> None:
         if seconds >= MIN_STALL_SECONDS:
             self.last = LoopDelay(now, seconds)
-            self._note(self.last)
+            self.note(self.last)
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -20,7 +20,7 @@
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.quarantine import ServerCrash
 from ashpond.gateway.admission import admit_call
-from ashpond.gateway.callprogress import DispatchContext
+from ashpond.gateway.callprogress import CallConnections, DispatchContext
 from ashpond.gateway.calls import IncomingCall
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
@@ -70,13 +70,15 @@
         self.crashed = trio.Event()
 
 
-class FleetPool:
+class FleetPool(CallConnections):
     """The connection pool of one instance to the servers of a fleet."""
 
     def __init__(self, fleet: Fleet):
         self._fleet = fleet
 
-    async def acquire(self, owner: str, address: str) -> FleetChannel:
+    async def acquire(  # type: ignore[override]
+        self, owner: str, address: str, *, is_repeatable: bool = False
+    ) -> FleetChannel:
         await trio.sleep(0.001)
         server = self._fleet.servers.get(owner.partition(" ")[0])
         if server is None:
@@ -96,6 +98,8 @@
 
 
 class FleetChannel:
+    relay = ""
+
     def __init__(self, fleet: Fleet, server: FleetServer):
         self._fleet = fleet
         self._server = server
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -24,7 +24,11 @@
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.loads import Load
 from ashpond.gateway.admission import admit_call
-from ashpond.gateway.callprogress import DispatchContext, Reservations
+from ashpond.gateway.callprogress import (
+    CallConnections,
+    DispatchContext,
+    Reservations,
+)
 from ashpond.gateway.calls import Headers
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
@@ -78,7 +82,7 @@
         return b"".join(pieces)
 
 
-class ScriptedPool:
+class ScriptedPool(CallConnections):
     """Channels that answer by a script, whichever server is called."""
 
     def __init__(self, script: list[Answer | ChannelError]):
@@ -86,7 +90,9 @@
         self.requests: list[tuple[str, OutgoingRequest]] = []
         self.closed = 0
 
-    async def acquire(self, owner: str, address: str) -> ScriptedChannel:
+    async def acquire(  # type: ignore[override]
+        self, owner: str, address: str, *, is_repeatable: bool = False
+    ) -> ScriptedChannel:
         if self.script and self.script[0] is UNREACHABLE:
             self.script.pop(0)
             raise UNREACHABLE
@@ -101,6 +107,8 @@
 
 
 class ScriptedChannel:
+    relay = ""
+
     def __init__(self, pool: ScriptedPool, owner: str):
         self._pool = pool
         self._owner = owner
--- a/tests/test_connectionlog.py
+++ b/tests/test_connectionlog.py
@@ -11,7 +11,7 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.ingress import CutBy, CutCall
 from ashpond.gateway.metrics import GatewayMetrics
-from ashpond.loopdelay import LoopDelay
+from ashpond.loopdelay import LoopDelay, LoopWatch
 
 
 def make_log() -> tuple[ConnectionLog, GatewayMetrics, list[dict[str, Any]]]:
@@ -19,7 +19,8 @@
     log = DecisionLog("i0")
     log.note = lambda event, **fields: lines.append({"event": event, **fields})  # type: ignore[method-assign]
     metrics = GatewayMetrics()
-    return ConnectionLog(log, metrics, lambda: 3, lambda: True), metrics, lines
+    watch = LoopWatch()
+    return ConnectionLog(log, metrics, lambda: 3, lambda: True, watch), metrics, lines
 
 
 def make_closed(by: CloseReason, *, has_call: bool = False) -> ClosedConnection:
