--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -125,11 +125,13 @@
         return channel or await self._connect(owner, address)
 
     async def _try_directly(self, owner: str, address: str) -> Channel:
+        channel: Channel | None = None
         try:
-            return await self._connect(owner, address)
-        except trio.Cancelled:
-            self.contact.end_trial()
-            raise
+            channel = await self._connect(owner, address)
+            return channel
+        finally:
+            if channel is None:
+                self.contact.end_trial()
 
     async def _acquire_while_cut_off(self, owner: str, address: str) -> Channel:
         channel = await self._acquire_tunnel(owner)
@@ -227,6 +229,7 @@
         """
         if not channel.relay:
             if self.contact.note_answer(trio.current_time()):
+                self._detoured_until.clear()
                 self._log.note("servers_regained")
             return
         self._relays.note_answered(channel.relay)
@@ -252,15 +255,18 @@
         elif self._relays.note_unanswered(channel.relay):
             self._pool.close_relayed(channel.relay)
 
+    def note_unreached(self, state: ServerState) -> None:
+        """Record that this instance could not connect to a server for a peer."""
+        now = trio.current_time()
+        self._note_failure(state.owner, now, now)
+
     def note_unused(self, channel: Channel) -> None:
         """Record that a connection has shown nothing, as its attempt has ended."""
         if not channel.relay:
             self.contact.end_trial()
 
     def _note_failure(self, owner: str, sent_at: float, now: float) -> None:
-        count = sum(state.is_present() for state in self._table.by_id.values())
-        server_id = _get_server_id(owner)
-        if self.contact.note_failure(server_id, sent_at, now, count):
+        if self.contact.note_failure(_get_server_id(owner), sent_at, now):
             self._log.note("servers_cut_off", servers=self.contact.list_failed())
             self._probes_needed.set()
 
--- a/ashpond/controllers/relayclient.py
+++ b/ashpond/controllers/relayclient.py
@@ -4,19 +4,24 @@
 
 __all__ = ["PEER_ERRORS", "RelayClient", "Relayed"]
 
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from ashpond.clients.channels import Channel
 from ashpond.clients.peermessages import TunnelRequest
-from ashpond.clients.tunnels import Tunnel, TunnelState, open_tunnel
+from ashpond.clients.tunnels import (
+    Tunnel,
+    TunnelRefusal,
+    TunnelState,
+    open_tunnel,
+)
 from ashpond.decisions.relays import RelayRecord, rank_relays
 from ashpond.errors import FrameError
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
 
     from ashpond.controllers.directory import ServerState
     from ashpond.decisions.fleetlinks import Member
@@ -36,6 +41,11 @@
 PEER_ERRORS = (OSError, FrameError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
+OpenTunnel = Callable[
+    [str, str, TunnelRequest, Callable[[], None]], Awaitable[Tunnel | TunnelRefusal]
+]
+
+
 class Relayed(NamedTuple):
     """The result of asking peers for a tunnel.
 
@@ -52,6 +62,7 @@
 
     :param get_members: returns the instances of the fleet.
     :param count: counts tunnels asked for, by outcome.
+    :param open_tunnel: opens a tunnel as :func:`~ashpond.clients.tunnels.open_tunnel`.
     """
 
     def __init__(
@@ -60,11 +71,13 @@
         log: DecisionLog,
         rng: random.Random,
         count: Callable[[str], None],
+        open_tunnel: OpenTunnel = open_tunnel,
     ):
         self._get_members = get_members
         self._log = log
         self._rng = rng
         self._count = count
+        self._open_tunnel = open_tunnel
         self._records: dict[str, RelayRecord] = {}
 
     @property
@@ -116,7 +129,7 @@
         avoid_seconds = AVOID_SECONDS
         with trio.move_on_after(TUNNEL_SECONDS):
             try:
-                answer = await open_tunnel(
+                answer = await self._open_tunnel(
                     member.address,
                     self._members.secret,
                     request,
--- a/ashpond/decisions/contact.py
+++ b/ashpond/decisions/contact.py
@@ -66,13 +66,12 @@
         self._regained_at = now
         return True
 
-    def note_failure(
-        self, server_id: str, sent_at: float, now: float, known_servers: int
-    ) -> bool:
+    def note_failure(self, server_id: str, sent_at: float, now: float) -> bool:
         """Record a direct request that ended without any byte of an answer.
 
-        :param known_servers: the number of servers that this instance knows.
-        :return: whether the instance is cut off from now on.
+        Return whether the instance is cut off from now on.
+
+        :param sent_at: since when nothing has come from the server.
         """
         self._is_trying = False
         if self.is_cut_off:
@@ -84,7 +83,7 @@
         self._failed[server_id] = now
         oldest = now - EVIDENCE_SECONDS
         self._failed = {s: at for s, at in self._failed.items() if at >= oldest}
-        if len(self._failed) < min(MIN_FAILED_SERVERS, max(1, known_servers)):
+        if len(self._failed) < MIN_FAILED_SERVERS:
             return False
         self.is_cut_off = True
         is_flapping = now - self._regained_at < FLAP_SECONDS
--- a/ashpond/decisions/relays.py
+++ b/ashpond/decisions/relays.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["RelayRecord", "rank_relays"]
+__all__ = ["RelayRecord", "find_tunnel_limit", "rank_relays"]
 
 from typing import TYPE_CHECKING
 
@@ -18,8 +18,12 @@
 OTHER_DOMAIN_SCORE = 1.0
 UNTRIED_SCORE = 1.0
 RANDOM_SCORE = 0.5
-# As many open tunnels weigh as much as another failure domain.
+# As many open tunnels weigh as much as another failure domain, on the fastest links.
 TUNNELS_PER_SCORE = 8.0
+# A relay carries each byte of a tunnel twice, and its own callers' besides.
+TUNNELS_PER_MBIT = 2.0
+# Tunnels of all peers together; each holds two sockets and at most two pieces.
+MAX_TUNNELS = 200
 
 
 class RelayRecord:
@@ -36,6 +40,16 @@
         self.unanswered = 0
 
 
+def find_tunnel_limit(link_mbps: float) -> int:
+    """Return how many tunnels an instance may have open for its peers.
+
+    :param link_mbps: the rate of its network link, 0 if unknown.
+    """
+    if not link_mbps:
+        return MAX_TUNNELS
+    return max(1, min(MAX_TUNNELS, int(link_mbps * TUNNELS_PER_MBIT)))
+
+
 def rank_relays(
     members: Iterable[Member],
     own: Member,
@@ -50,7 +64,9 @@
         record = records.get(member.name, unknown)
         if member.name == own.name or now < record.avoid_until:
             continue
-        score = record.tunnels / TUNNELS_PER_SCORE + rng.random() * RANDOM_SCORE
+        limit = find_tunnel_limit(member.link_mbps)
+        score = record.tunnels / TUNNELS_PER_SCORE * MAX_TUNNELS / limit
+        score += rng.random() * RANDOM_SCORE
         if member.failure_domain != own.failure_domain:
             score += OTHER_DOMAIN_SCORE
         if now - record.good_at > GOOD_SECONDS:
--- a/ashpond/fleet/relaying.py
+++ b/ashpond/fleet/relaying.py
@@ -27,8 +27,6 @@
     from ashpond.controllers.directory import ServerState, ServerTable
     from ashpond.gateway.decisionlog import DecisionLog
 
-# Tunnels of all peers together; each holds two sockets and at most two pieces.
-MAX_TUNNELS = 200
 # Shorter than the time that a peer waits, so that it gets an answer (seconds).
 CONNECT_SECONDS = 0.25
 # An answered request has ended if the server sends nothing for so long; clients give up
@@ -63,7 +61,9 @@
 
     :param is_cut_off: returns whether this instance reaches no servers itself.
     :param is_busy: returns whether its own callers leave no room for more.
+    :param on_unreached: is called with a server that it could not connect to.
     :param count: counts tunnels by outcome.
+    :param limit: the most tunnels that may be open.
     """
 
     def __init__(
@@ -72,14 +72,18 @@
         log: DecisionLog,
         is_cut_off: Callable[[], bool],
         is_busy: Callable[[], bool],
+        on_unreached: Callable[[ServerState], None],
         count: Callable[[str], None],
+        limit: int,
         get_buffer_bytes: Callable[[], int] = lambda: 0,
     ):
         self._table = table
         self._log = log
         self._is_cut_off = is_cut_off
         self._is_busy = is_busy
+        self._on_unreached = on_unreached
         self._count = count
+        self._limit = limit
         self._get_buffer_bytes = get_buffer_bytes
         self._open: set[_Traffic] = set()
         self.is_leaving = False
@@ -126,7 +130,7 @@
         now = trio.current_time()
         if self._is_cut_off():
             return TunnelState.CUT_OFF
-        if self.is_leaving or self.tunnels >= MAX_TUNNELS or self._is_busy():
+        if self.is_leaving or self.tunnels >= self._limit or self._is_busy():
             return TunnelState.BUSY
         if state is None or not state.is_present() or state.is_backing_off(now):
             return TunnelState.UNUSABLE
@@ -141,10 +145,10 @@
         buffer_bytes = self._get_buffer_bytes()
         try:
             sock = await open_socket(state.info.address, CONNECT_SECONDS, buffer_bytes)
-        except ConnectionRefusedError:
-            return None, TunnelState.REFUSED
-        except (OSError, trio.TooSlowError):
-            return None, TunnelState.UNREACHED
+        except (OSError, trio.TooSlowError) as error:
+            self._on_unreached(state)
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return None, TunnelState.REFUSED if is_refused else TunnelState.UNREACHED
         return sock, None
 
     async def _relay(
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -31,6 +31,7 @@
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.quarantine import CrashRecords
+from ashpond.decisions.relays import find_tunnel_limit
 from ashpond.fleet.exchange import PeerExchange
 from ashpond.fleet.members import MEMBERS_TABLE, Members
 from ashpond.fleet.relaying import RelayServer
@@ -137,7 +138,9 @@
             log,
             lambda: self.detours.is_cut_off,
             self.is_busy,
+            self.detours.note_unreached,
             self.metrics.count_relayed,
+            find_tunnel_limit(settings.link_mbps),
             lambda: pool.buffer_bytes,
         )
         self.chooser = ServerChooser(
