Send servers that bear few rejections no more than they can take

What callers saw: servers that fall over after some rejections in a second fell together in a burst, and again each time that they were back.

Cause: each instance counts on a queue at the servers, and learns late what the others send. After a fall, all load went to the rest, and then to the first server that was back.

Change: the servers' word for it (Server-Brittle) is read and passed on. While it holds, the coordinator of the service places all its requests, in slots only, in a fleet of any size; without one, each instance uses only those slots that are its own. A start that has just appeared gets its slots by degrees.

--- a/ashpond/clients/peermessages.py
+++ b/ashpond/clients/peermessages.py
@@ -85,7 +85,8 @@
     unread tokens, held tokens, requests that no other server can resume]. ``notices``
     are lists of [server id, model, version, seconds without new requests, whether it
     could not be reached, start, rate limit as nil or [requests per second or nil, age
-    in seconds], whether it is leaving]; ``cache_entries`` are lists of [server id,
+    in seconds], whether it is leaving, rejections per second that its service's servers
+    bear, which may be missing]; ``cache_entries`` are lists of [server id,
     salt, prompt part, start]. ``attempts`` maps services to [first attempts, retries]
     within the window of the retry budget. ``sender`` identifies one incarnation of an
     instance.
--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -22,6 +22,7 @@
     LOADING_PAUSE_SECONDS,
     ServerState,
 )
+from ashpond.decisions.brittleness import BrittleServices
 from ashpond.decisions.loads import NO_LOAD, PEER_LOAD_SECONDS, Load
 
 # The number of leaving starts that are remembered after their rows have disappeared.
@@ -45,6 +46,7 @@
             lambda previous, state: None
         )
         self.on_load_change: Callable[[], None] = lambda: None
+        self.brittle = BrittleServices()
         self._peer_loads: dict[str, tuple[float, dict[str, Load]]] = {}
         # The starts that announced that they leave, the oldest first.
         self._leaving: dict[tuple[str, int | None], None] = {}
--- a/ashpond/controllers/serverdirectives.py
+++ b/ashpond/controllers/serverdirectives.py
@@ -81,6 +81,32 @@
             self._note_leaving(state, "answer")
         if status in REJECTIONS:
             self._apply_backoff(state, marks)
+        self._apply_max_rejections(state, marks)
+
+    def _apply_max_rejections(self, state: ServerState, marks: AnswerHeaders) -> None:
+        """Record that the servers of a service bear few rejections."""
+        if marks.is_max_rejections_invalid:
+            self._note(state, "server_brittle_invalid")
+        limit = marks.max_rejections
+        if limit is None:
+            return
+        now = trio.current_time()
+        service = state.info.service
+        is_new = self._table.brittle.find_limit(service, now) != limit
+        if is_new:
+            self._note(state, "server_brittle", max_rejections=limit, source="answer")
+        if self._table.brittle.note_answer(service, limit, now):
+            info = state.info
+            self._send_notice(
+                ServerNotice(
+                    info.id,
+                    "",
+                    0,
+                    0.0,
+                    started_ms=info.started_ms,
+                    max_rejections=limit,
+                )
+            )
 
     def apply_notice(self, state: ServerState, notice: ServerNotice) -> None:
         """Apply the directives in a peer's notice."""
@@ -88,6 +114,12 @@
             self._note_leaving(state, "peer")
         if notice.limit is not None:
             self._apply_limit_notice(state, notice.limit)
+        if notice.max_rejections is not None:
+            now = trio.current_time()
+            service, limit = state.info.service, notice.max_rejections
+            if self._table.brittle.find_limit(service, now) != limit:
+                self._note(state, "server_brittle", max_rejections=limit, source="peer")
+            self._table.brittle.note_peer(service, limit, now)
 
     def _apply_limit_notice(self, state: ServerState, limit: LimitNotice) -> None:
         now = trio.current_time()
--- a/ashpond/controllers/serverstate.py
+++ b/ashpond/controllers/serverstate.py
@@ -55,6 +55,7 @@
         self.info = info
         self.owner = f"{info.id} {next(_numbers)}"
         self.weights = dict(info.weights)
+        self.known_since = now
         self._load = Load()
         self._note_load = note_load
         self.cold_until = now + info.cold_seconds
--- a/ashpond/controllers/serverupdates.py
+++ b/ashpond/controllers/serverupdates.py
@@ -86,7 +86,8 @@
         if order is StartOrder.OLDER:
             return
         state = self._table.by_id.get(notice.server_id)
-        if notice.limit is not None or notice.is_leaving:
+        has_directive = notice.limit is not None or notice.max_rejections is not None
+        if has_directive or notice.is_leaving:
             if state is not None:
                 self._directives.apply_notice(state, notice)
             return
--- a/ashpond/coordination/client.py
+++ b/ashpond/coordination/client.py
@@ -126,11 +126,17 @@
         for link in self._links.values():
             link.leave()
 
-    def is_coordinated(self) -> bool:
-        """Return whether coordinators choose servers in a fleet of this size."""
-        minimum = self._get_minimum()
+    def is_coordinated(self, service: str) -> bool:
+        """Return whether coordinators choose the servers of a service.
+
+        They do in a fleet of the declared size, and for servers that bear few
+        rejections, as only a coordinator knows what all instances send them.
+        """
+        minimum, count = self._get_minimum(), self._members.count()
+        now = trio.current_time()
+        is_brittle = self.table.brittle.find_limit(service, now) is not None
         return (
-            0 < minimum <= self._members.count()
+            (0 < minimum <= count or (is_brittle and count > 1))
             and self._nursery is not None
             # Peers cannot be reached before the instances share a secret.
             and bool(self._members.secret)
@@ -150,7 +156,7 @@
 
         :param until: how long to wait without a coordinator.
         """
-        if terms is None or not self.is_coordinated():
+        if terms is None or not self.is_coordinated(demand.service):
             return await self.queue.reserve(demand, urgency, until, terms)
         started_at = trio.current_time()
         reason = FallbackReason.UNUSABLE
@@ -354,7 +360,8 @@
         """Return the coordinator of each shard in use, and the fallbacks."""
         now = trio.current_time()
         return {
-            "active": self.is_coordinated(),
+            "active": 0 < self._get_minimum() <= self._members.count(),
+            "brittle_services": self.table.brittle.describe(now),
             "shards": [link.describe(now) for link in self._links.values()],
             "fallbacks": {str(reason): n for reason, n in self.fallbacks.items()},
         }
--- a/ashpond/coordination/shardchoice.py
+++ b/ashpond/coordination/shardchoice.py
@@ -18,6 +18,7 @@
 from ashpond.decisions.selection import FEW_SERVERS, Candidate, Demand, rank_homes
 from ashpond.gateway.promptsources import PromptSources
 from ashpond.gateway.serverchoice import Reservation, ServerChooser
+from ashpond.gateway.serversources import ServerRoom
 
 # Of many engines, so many with the shortest waits are scored: of those for prompts of
 # the same size, and of the others. Scoring all 90 of a shard takes 2 ms.
@@ -70,6 +71,14 @@
             return None
         return super().choose(demand, now, failure_domain)
 
+    def _find_room(self, state: ServerState, now: float) -> ServerRoom:
+        """Return the room of a server; a coordinator knows what all instances use."""
+        info = state.info
+        load = self.servers.sum_load(info.id, now)
+        is_brittle = self._shard_servers.is_brittle(now)
+        slots = self._shard_servers.count_slots(state, now)
+        return ServerRoom(slots, load, may_queue=not is_brittle)
+
     def _sample_servers(
         self,
         states: Mapping[str, ServerState],
--- a/ashpond/coordination/shardservers.py
+++ b/ashpond/coordination/shardservers.py
@@ -8,6 +8,7 @@
 
 from ashpond.controllers.directory import ServerState, ServerTable
 from ashpond.coordination.queueing import Speeds
+from ashpond.decisions.brittleness import limit_slots
 from ashpond.decisions.loads import NO_LOAD, Load
 from ashpond.decisions.partreading import ReadingOrder
 from ashpond.decisions.placementledger import PlacementLedger
@@ -148,18 +149,29 @@
             self._by_size[is_short] = select_by_prompt_size(prompt, names)
         return self._by_size[is_short]
 
+    def is_brittle(self, now: float) -> bool:
+        """Return whether the servers bear few rejections, and must not queue any."""
+        return self._table.brittle.find_limit(self._service, now) is not None
+
+    def count_slots(self, state: ServerState, now: float) -> int:
+        """Return the slots of a server that may be used at present."""
+        if not self.is_brittle(now):
+            return state.info.slots
+        return limit_slots(state.info.slots, now - state.known_since)
+
     def may_have_room(self, demand: Demand, memory_tokens: int, now: float) -> bool:
         """Return whether any server has a slot, and memory, for a request.
 
         :param memory_tokens: the memory of an engine, 0 if unknown.
         """
         claim = make_load(demand, 0).held_tokens
-        share = QUEUE_SHARE if demand.prompt is None else 1.0
+        may_queue = demand.prompt is None and not self.is_brittle(now)
+        share = QUEUE_SHARE if may_queue else 1.0
         for state in self.list_own(now):
             load = self.sum_start_load(state.info.start_id)
             if not load.requests:
                 return True
-            if load.requests >= state.info.slots * share:
+            if load.requests >= self.count_slots(state, now) * share:
                 continue
             held_tokens = load.held_tokens + claim
             if not memory_tokens or held_tokens <= memory_tokens * MEMORY_SHARE:
@@ -186,7 +198,7 @@
         for server_id, state in states.items():
             info = state.info
             load = self.sum_start_load(info.start_id)
-            if load.requests >= info.slots:
+            if load.requests >= self.count_slots(state, now):
                 continue
             tokens = load.unread_tokens - cached_tokens.get(server_id, 0)
             rate = self.get_read_rate(info.service, info.start_id, now)
--- a/ashpond/decisions/servercosts.py
+++ b/ashpond/decisions/servercosts.py
@@ -109,7 +109,8 @@
     ``home_rank`` is its rank as home of the prompt, see :func:`find_home_ranks`.
     ``memory_tokens`` is 0 for a plain server. ``matches_prompt_size`` is false for a
     server that is reserved for prompts of another length. ``stale_cost`` is the cost of
-    weights that are not the newest (seconds).
+    weights that are not the newest (seconds). ``may_queue`` is false if the server must
+    get no more requests than it has slots.
 
     The other fields are those of a server whose speed is known: ``read_rate`` in prompt
     tokens a second, ``work_seconds`` the time that a plain server works on a request,
@@ -134,6 +135,7 @@
     read_rate: float = PREFILL_TOKENS_PER_SECOND
     work_seconds: float = SLOT_COST_SECONDS
     reading_seconds: float = 0.0
+    may_queue: bool = True
 
 
 def count_shared_tokens(prompt: Prompt) -> int:
@@ -173,7 +175,8 @@
     """
     load, usable = candidate.load, 1.0 - demand.reserved_share
     if demand.prompt is None:
-        limit = candidate.slots * QUEUE_SHARE
+        share = QUEUE_SHARE if candidate.may_queue else 1.0
+        limit = candidate.slots * share
         if not demand.objective:
             return load.requests >= limit * usable
         queued = demand.objective * QUEUE_OBJECTIVE_SHARE / candidate.work_seconds
--- a/ashpond/fleet/updates.py
+++ b/ashpond/fleet/updates.py
@@ -19,7 +19,7 @@
 ]
 
 from collections.abc import Awaitable, Callable, Container
-from typing import Annotated, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
@@ -70,8 +70,9 @@
     ``excluded_seconds`` is how long the server should get no new requests; 0 readmits
     it. ``is_unreached`` means that the sender could not connect, which says nothing
     about weights orders. ``started_ms`` identifies the server's start that the notice
-    refers to, None if the sender does not know it. The other fields have no meaning
-    in a notice with a ``limit`` or with ``is_leaving``.
+    refers to, None if the sender does not know it. ``max_rejections`` is the number of
+    rejections a second above which servers of the service fall over. The other fields
+    have no meaning in a notice with a ``limit``, ``is_leaving`` or ``max_rejections``.
     """
 
     server_id: str
@@ -82,6 +83,7 @@
     started_ms: Count | None = None
     limit: LimitNotice | None = None
     is_leaving: bool = False
+    max_rejections: Amount | None = None
 
 
 class Digest(NamedTuple):
@@ -174,7 +176,7 @@
         digest.scope,
         digest.group,
         {server_id: list(load) for server_id, load in digest.load.loads.items()},
-        [list(notice) for notice in digest.notices],
+        [_encode_notice(notice) for notice in digest.notices],
         [list(cache_entry) for cache_entry in digest.cache_entries],
         {service: list(counts) for service, counts in digest.load.attempts.items()},
     )
@@ -193,7 +195,7 @@
                 convert_table(update.loads, Load),
                 convert_table(update.attempts, AttemptCounts),
             ),
-            convert_list(update.notices, ServerNotice),
+            _decode_notices(update.notices),
             convert_list(update.cache_entries, CacheEntry),
         )
     except ValueError as error:
@@ -202,7 +204,22 @@
 
 def encode_notices(sender: str, scope: Scope, notices: list[ServerNotice]) -> Notices:
     """Return a message with notices alone."""
-    return Notices(sender, scope, [list(notice) for notice in notices])
+    return Notices(sender, scope, [_encode_notice(notice) for notice in notices])
+
+
+def _encode_notice(notice: ServerNotice) -> list[object]:
+    """Return a notice as a list; without its last field, earlier versions read it."""
+    values: list[object] = list(notice)
+    return values[:-1] if notice.max_rejections is None else values
+
+
+def _decode_notices(values: list[Any]) -> list[ServerNotice]:
+    last = len(ServerNotice._fields) - 1
+    complete = [
+        [*value, None] if isinstance(value, list) and len(value) == last else value
+        for value in values
+    ]
+    return convert_list(complete, ServerNotice)
 
 
 def decode_notices(message: Notices) -> tuple[Scope, list[ServerNotice]]:
@@ -211,7 +228,7 @@
     :raises FrameError: if a value in it is not valid.
     """
     try:
-        notices = convert_list(message.notices, ServerNotice)
+        notices = _decode_notices(message.notices)
         return Scope(message.scope), notices
     except ValueError as error:
         raise FrameError(f"invalid notices: {error!r}") from error
--- a/ashpond/gateway/calls.py
+++ b/ashpond/gateway/calls.py
@@ -63,8 +63,9 @@
     ``rate_limit`` is in requests per second, for all instances together; None if the
     answer has none. ``is_leaving`` means that the server is about to leave. ``backoff``
     is how long this instance must send it no request (seconds). ``is_limit_invalid``,
-    ``is_leaving_invalid`` and ``is_backoff_invalid`` mean that a header has no valid
-    value.
+    ``is_leaving_invalid``, ``is_backoff_invalid`` and ``is_max_rejections_invalid``
+    mean that a header has no valid value. ``max_rejections`` is the number of
+    rejections a second above which the server falls over, None if it names none.
     """
 
     request_id: str | None
@@ -77,6 +78,8 @@
     is_leaving_invalid: bool = False
     backoff: float | None = None
     is_backoff_invalid: bool = False
+    max_rejections: float | None = None
+    is_max_rejections_invalid: bool = False
 
 
 class Codec(NamedTuple):
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -28,6 +28,7 @@
 from ashpond.coordination.coordinator import Coordinator
 from ashpond.coordination.grants import CoordinatorReports
 from ashpond.coordination.shardchoice import ChoiceSources
+from ashpond.decisions.brittleness import count_own_slots
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.quarantine import CrashRecords
@@ -125,6 +126,8 @@
             lambda: self.members.count(),
         )
         self.leave_event = trio.Event()
+        # How many slots of a server are this instance's, by its id and their number.
+        self._own_slots: dict[tuple[str, int], int] = {}
         self.loop_watch = LoopWatch()
         self.detours = Detours(
             pool,
@@ -153,6 +156,8 @@
             self._find_required_version,
             self.rng,
             lambda: bool(self.peers.links.group),
+            brittle=self.table.brittle,
+            count_own_slots=self._count_own_slots,
         )
         self.slot_queue = ReservationQueue(self.table, self.chooser)
         self.coordinator = Coordinator(
@@ -332,7 +337,16 @@
         self.coordinator.assign()
         self.rollouts.note_change()
 
+    def _count_own_slots(self, server_id: str, slots: int) -> int:
+        key = server_id, slots
+        if key not in self._own_slots:
+            names = sorted(self.members.by_name)
+            own_name = self.settings.name
+            self._own_slots[key] = count_own_slots(server_id, slots, own_name, names)
+        return self._own_slots[key]
+
     def _on_members(self) -> None:
+        self._own_slots.clear()
         self.peers.adjust_links()
         self.reservations.note_members()
 
--- a/ashpond/gateway/serverchoice.py
+++ b/ashpond/gateway/serverchoice.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-__all__ = ["LoadSource", "Reservation", "ServerChooser", "SpeedSource"]
+__all__ = ["Reservation", "ServerChooser"]
 
 import random
 from collections.abc import Callable, Collection, Mapping, Sequence
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from ashpond.controllers.cachestores import CacheStores
 from ashpond.controllers.directory import ServerState
+from ashpond.decisions.brittleness import BrittleServices, limit_slots
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.declared import Declaration
 from ashpond.decisions.loads import Load
@@ -31,6 +32,7 @@
     select_by_prompt_size,
 )
 from ashpond.gateway.promptsources import PromptSources, find_sources
+from ashpond.gateway.serversources import LoadSource, ServerRoom, SpeedSource
 
 # How many of the best candidates are logged; each takes some 80 bytes of a line.
 LOGGED_CANDIDATES = 6
@@ -59,45 +61,15 @@
     origin: PlacementOrigin | None = None
 
 
-class LoadSource(Protocol):
-    """The servers to choose among, and the load of each.
-
-    :class:`~ashpond.controllers.directory.ServerTable` is the one of an instance that
-    chooses for its own requests only.
-    """
-
-    def list_service(self, service: str) -> list[ServerState]:
-        """Return all known servers of a service, sorted by id."""
-
-    def list_usable(self, service: str, now: float) -> list[ServerState]:
-        """Return the servers of a service that may get new requests now."""
-
-    def sum_load(self, server_id: str, now: float) -> Load:
-        """Return the load of a server by the requests of all instances."""
-
-
-class SpeedSource(Protocol):
-    """The speed of each server, and what engines read for their unfinished requests."""
-
-    def get_read_rate(self, service: str, start_id: str, now: float) -> float:
-        """Return how many prompt tokens an engine reads a second."""
-
-    def get_work_seconds(self, service: str, start_id: str, now: float) -> float:
-        """Return how long a plain server works on a request."""
-
-    def estimate_reading(
-        self, service: str, start_id: str, window: float, now: float
-    ) -> float:
-        """Return how long an engine will read, and has read in a window (seconds)."""
-
-
 class ServerChooser:
     """Chooses servers; keeps no state of the requests that it chose them for.
 
     ``find_target_version`` returns the version of a model that servers should have,
     ``find_required_version`` the one without which they get no requests.
     ``has_delayed_updates`` returns whether peers' loads arrive late. Without
-    ``speeds``, all servers count as equally fast.
+    ``speeds``, all servers count as equally fast. ``brittle`` are the services whose
+    servers bear few rejections; ``count_own_slots`` returns how many slots of such a
+    server only this instance may use.
     """
 
     def __init__(
@@ -112,6 +84,8 @@
         rng: random.Random,
         has_delayed_updates: Callable[[], bool] = lambda: False,
         speeds: SpeedSource | None = None,
+        brittle: BrittleServices | None = None,
+        count_own_slots: Callable[[str, int], int] = lambda server_id, slots: slots,
     ):
         self.servers = servers
         self.cache_index = cache_index
@@ -123,6 +97,8 @@
         self._rng = rng
         self._has_delayed_updates = has_delayed_updates
         self._speeds = speeds
+        self.brittle = brittle
+        self._count_own_slots = count_own_slots
 
     def choose(
         self, demand: Demand, now: float, failure_domain: str | None = None
@@ -307,13 +283,16 @@
             if engine is not None and demand.model and not state.weights:
                 # It has loaded no weights, or has not reported them.
                 continue
+            room = self._find_room(state, now)
+            if not room.slots:
+                continue
             source = sources.choose(state.info)
             candidates.append(
                 Candidate(
                     id=server_id,
                     is_local=state.info.failure_domain == failure_domain,
-                    load=self.servers.sum_load(server_id, now),
-                    slots=state.info.slots,
+                    load=room.load,
+                    slots=room.slots,
                     memory_tokens=engine.cache_tokens if engine else 0,
                     has_newest=state.weights.get(demand.model or "", 0) >= target,
                     home_rank=ranks.get(server_id, len(ranks)),
@@ -324,6 +303,7 @@
                     fetches_from_store=bool(source and source.is_store),
                     matches_prompt_size=server_id in matching_ids,
                     stale_cost=stale_cost,
+                    may_queue=room.may_queue,
                 )
             )
         if self._speeds is None:
@@ -335,6 +315,19 @@
             for candidate in candidates
         ]
 
+    def _find_room(self, state: ServerState, now: float) -> ServerRoom:
+        """Return what this instance may use of a server.
+
+        Without a coordinator, instances learn late what the others send: each uses only
+        its own slots of a server that bears few rejections.
+        """
+        info = state.info
+        if self.brittle is None or self.brittle.find_limit(info.service, now) is None:
+            return ServerRoom(info.slots, self.servers.sum_load(info.id, now))
+        slots = limit_slots(info.slots, now - state.known_since)
+        own_slots = self._count_own_slots(info.id, slots)
+        return ServerRoom(own_slots, state.load, may_queue=False)
+
     @staticmethod
     def _add_speed(
         candidate: Candidate,
--- a/tests/test_brittle_servers.py
+++ b/tests/test_brittle_servers.py
@@ -2,15 +2,35 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections import deque
 from pathlib import Path
 
 import orjson
+import pytest
 import trio
-
+from hypothesis import given, strategies as st
+
+from ashpond.decisions.brittleness import (
+    KEPT_SECONDS,
+    NOTICE_SECONDS,
+    RAMP_SECONDS,
+    BrittleServices,
+    count_own_slots,
+    limit_slots,
+)
+from ashpond.decisions.selection import choose_server
+from ashpond.fleet.updates import (
+    ServerNotice,
+    decode_notices,
+    encode_notices,
+)
+from ashpond.fleet.view import Scope
+from ashpond_platform.headers import CODEC
 from ashpond_platform.rows import SERVERS_TABLE
 from tests.crashingservers import World
+from tests.gateway_builders import make_candidate, make_demand
 from tests.ports import find_free_port
 from tests.row_builders import SERVER
 from tests.servers import make_answer, read_request
@@ -149,3 +169,70 @@
     assert world.measure_served() >= 0.95
     refused = [result for result in world.results if result.status == 503]
     assert all(float(result.retry_after or 0) > 0 for result in refused)
+
+
+def test_a_service_is_brittle_until_some_time_after_the_last_such_answer() -> None:
+    services = BrittleServices()
+    assert services.find_limit("s1", 0.0) is None
+    assert services.note_answer("s1", 3.0, 1.0)
+    assert services.find_limit("s1", 1.0 + KEPT_SECONDS - 0.1) == 3.0
+    assert services.find_limit("s2", 1.0) is None
+    assert services.find_limit("s1", 1.0 + KEPT_SECONDS) is None
+
+
+def test_one_instance_at_a_time_notifies_the_others() -> None:
+    services = BrittleServices()
+    services.note_peer("s1", 3.0, 0.0)
+    assert services.find_limit("s1", 1.0) == 3.0
+    assert not services.note_answer("s1", 3.0, NOTICE_SECONDS - 0.1)
+    assert services.note_answer("s1", 3.0, NOTICE_SECONDS)
+
+
+def test_a_server_that_is_back_gets_its_load_by_degrees() -> None:
+    counts = [limit_slots(8, RAMP_SECONDS * n / 4) for n in range(6)]
+    assert counts == [1, 2, 4, 6, 8, 8]
+
+
+@given(st.integers(1, 40), st.integers(1, 64))
+def test_each_slot_belongs_to_one_instance(instances: int, slots: int) -> None:
+    names = [f"i{n}" for n in range(instances)]
+    assert sum(count_own_slots("s1", slots, name, names) for name in names) == slots
+    assert count_own_slots("s1", slots, "i0", []) == slots
+
+
+def test_a_server_that_bears_few_rejections_gets_no_queue() -> None:
+    demand = make_demand(service="plain")
+    full = make_candidate(slots=4, memory_tokens=0)
+    full = full._replace(load=full.load._replace(requests=4))
+    assert choose_server([full], demand, random.Random(1)) is not None
+    full = full._replace(may_queue=False)
+    assert choose_server([full], demand, random.Random(1)) is None
+
+
+@pytest.mark.parametrize(
+    ("values", "limit", "is_invalid"),
+    [
+        ((), None, False),
+        ((b"3",), 3.0, False),
+        ((b"5", b"2"), 2.0, False),
+        ((b"-1",), None, True),
+        ((b"many",), None, True),
+    ],
+)
+def test_the_rejections_that_a_server_bears_are_read(
+    values: tuple[bytes, ...], limit: float | None, is_invalid: bool
+) -> None:
+    headers = [(b"Server-Brittle", value) for value in values]
+    marks = CODEC.read_answer_headers(headers)
+    assert (marks.max_rejections, marks.is_max_rejections_invalid) == (
+        limit,
+        is_invalid,
+    )
+
+
+def test_a_notice_without_such_a_limit_is_one_of_earlier_versions() -> None:
+    plain = ServerNotice("s1", "m", 2, 0.5)
+    brittle = ServerNotice("s1", "", 0, 0.0, max_rejections=3.0)
+    message = encode_notices("i1#1", Scope.OWN, [plain, brittle])
+    assert [len(notice) for notice in message.notices] == [8, 9]
+    assert decode_notices(message) == (Scope.OWN, [plain, brittle])
