Keep connections to servers that are silent for a second

What callers saw: requests whose server fell silent for a second and went on failed, 2 s after the last byte, as their connection had ended.

Cause: TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count. With 1.5 s and probes from 1 s of silence on, at each second, one lost probe ends the connection at the second timer. Shown on loopback, with a socket filter that drops what arrives: a silence of 1.2 s before an answer ended it at 2.05 s; one of 0.8 s did not; a request whose own packet was lost survived 1.6 s.

Peers and the store, where fresh knowledge counts, keep 1.5 s.

--- a/ashpond/clients/channelpools.py
+++ b/ashpond/clients/channelpools.py
@@ -10,6 +10,7 @@
 import trio
 
 from ashpond.clients.channels import Channel, ChannelError
+from ashpond.clients.liveness import UNACKNOWLEDGED_MS
 from ashpond.clients.sockets import open_socket
 from ashpond.clients.transports import SocketTransport
 
@@ -62,13 +63,18 @@
             channel.close()
         return None
 
-    async def connect(self, address: str) -> Channel:
+    async def connect(
+        self, address: str, unacknowledged_ms: int = UNACKNOWLEDGED_MS
+    ) -> Channel:
         """Return a new connection to ``address``.
 
+        :param unacknowledged_ms: how long the server may acknowledge nothing.
         :raises ChannelError: if connecting fails; nothing was sent.
         """
         try:
-            sock = await open_socket(address, CONNECT_SECONDS, self.buffer_bytes)
+            sock = await open_socket(
+                address, CONNECT_SECONDS, self.buffer_bytes, unacknowledged_ms
+            )
         except (OSError, trio.TooSlowError) as error:
             is_refused = isinstance(error, ConnectionRefusedError)
             raise ChannelError(
--- a/ashpond/clients/sockets.py
+++ b/ashpond/clients/sockets.py
@@ -16,7 +16,7 @@
 import trio
 
 from ashpond.addresses import parse_address
-from ashpond.clients.liveness import enable_dead_peer_detection
+from ashpond.clients.liveness import UNACKNOWLEDGED_MS, enable_dead_peer_detection
 from ashpond.socketbuffers import bound_buffers
 
 # Bytes that the kernel accepts beyond those it can send at once, as trio's streams set
@@ -31,12 +31,16 @@
 
 
 async def open_socket(
-    address: str, timeout: float, buffer_bytes: int = 0
+    address: str,
+    timeout: float,
+    buffer_bytes: int = 0,
+    unacknowledged_ms: int = UNACKNOWLEDGED_MS,
 ) -> socket.socket:
     """Return a non-blocking socket that is connected to an address.
 
     :param timeout: how long connecting may take (seconds).
     :param buffer_bytes: size of its buffers, 0 if the kernel may choose it.
+    :param unacknowledged_ms: how long the peer may acknowledge nothing.
     :raises OSError: if the address cannot be reached.
     :raises trio.TooSlowError: if connecting takes longer.
     """
@@ -46,7 +50,7 @@
         bound_buffers(sock, buffer_bytes)
         for level, option, value in OPTIONS:
             sock.setsockopt(level, option, value)
-        enable_dead_peer_detection(sock)
+        enable_dead_peer_detection(sock, unacknowledged_ms)
         await _connect(sock, _split_address(address), timeout)
     except BaseException:
         sock.close()
--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -10,6 +10,7 @@
 
 from ashpond.clients.channelpools import ChannelPool, ConnectResult
 from ashpond.clients.channels import Channel, ChannelError
+from ashpond.clients.liveness import PATIENT_UNACKNOWLEDGED_MS
 from ashpond.clients.tunnels import Tunnel
 from ashpond.controllers.relayclient import PEER_ERRORS, RelayClient, Relayed
 from ashpond.decisions.contact import ContactMonitor
@@ -163,7 +164,7 @@
         direct = _DirectConnection()
         relayed = Relayed(None, is_confirmed=True)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(direct.open, lambda: self._pool.connect(address))
+            nursery.start_soon(direct.open, lambda: self._connect_once(address))
             with trio.move_on_after(HEDGE_SECONDS):
                 await direct.done.wait()
             if direct.channel is None:
@@ -183,10 +184,13 @@
 
     async def _connect_directly(self, owner: str, address: str) -> Channel:
         try:
-            return await self._pool.connect(address)
+            return await self._connect_once(address)
         except ChannelError as error:
             raise self._judge_failure(owner, error, is_confirmed=True) from error
 
+    async def _connect_once(self, address: str) -> Channel:
+        return await self._pool.connect(address, PATIENT_UNACKNOWLEDGED_MS)
+
     def _judge_failure(
         self, owner: str, error: ChannelError, is_confirmed: bool
     ) -> ChannelError:
--- a/ashpond/fleet/relaying.py
+++ b/ashpond/fleet/relaying.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from ashpond.clients.liveness import PATIENT_UNACKNOWLEDGED_MS
 from ashpond.clients.peermessages import (
     TunnelAnswer,
     TunnelBackoff,
@@ -144,7 +145,12 @@
     ) -> tuple[socket.socket | None, TunnelState | None]:
         buffer_bytes = self._get_buffer_bytes()
         try:
-            sock = await open_socket(state.info.address, CONNECT_SECONDS, buffer_bytes)
+            sock = await open_socket(
+                state.info.address,
+                CONNECT_SECONDS,
+                buffer_bytes,
+                PATIENT_UNACKNOWLEDGED_MS,
+            )
         except (OSError, trio.TooSlowError) as error:
             self._on_unreached(state)
             is_refused = isinstance(error, ConnectionRefusedError)
--- a/tests/relays.py
+++ b/tests/relays.py
@@ -46,11 +46,11 @@
         self.delay = 0.45 if is_hanging else 0.0
         self.error = ChannelError("cut", is_sent=False, is_refused=not is_hanging)
 
-    async def connect(self, address: str) -> Channel:
+    async def connect(self, address: str, unacknowledged_ms: int = 1500) -> Channel:
         if self.error is not None:
             await trio.sleep(self.delay)
             raise self.error
-        return await super().connect(address)
+        return await super().connect(address, unacknowledged_ms)
 
 
 class Relay:
