Let the soak cut instances off from all servers

Instances lose all servers one after the other (reset, hang, open ones that live on), up to two thirds at once, beside all other faults. A request of an instance that is cut off may be lost; all other promises are checked as before.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -79,6 +79,10 @@
     instance = world.find_instance(outcome.connection.instance)
     if outcome.is_whole or not runs or instance is None:
         return False
+    if world.partitions.was_cut(
+        instance.name, outcome.sent_at - UNHARMED_BEFORE_SECONDS, outcome.ended_at
+    ):
+        return False
     return not (
         _was_harmed(world, outcome, runs[-1])
         or _may_instance_fail(outcome, instance)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 import trio
 
 from tests.soak.instances import Instance
+from tests.soak.partitions import Cut
 from tests.soak.proxy import Harm, Proxy
 
 if TYPE_CHECKING:
@@ -34,6 +35,10 @@
 LONG_LIMITS_MS = (2700, 3000)
 # Timeouts of the routes; a whole answer takes a tenth of the shortest.
 ROUTE_TIMEOUTS_MS = (2000, 4000)
+# How long a partition lasts, or the time after it, and how many are healed before the
+# next begins.
+PARTITION_SECONDS = (0.5, 4.0)
+HEALED_SHARE = 0.6
 STEPS = (2, 5)
 PAUSES = (4, 12)
 
@@ -132,6 +137,26 @@
             self._world.rewrite_entries()
 
 
+class PartitionPlayer:
+    """Partitions of some or most instances from all servers, one after the other."""
+
+    def __init__(self, world: World, rng: random.Random):
+        self._world = world
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Cut instances off until cancelled."""
+        names = [instance.name for instance in self._world.instances]
+        while True:
+            count = self._rng.randint(1, max(1, len(names) * 2 // 3))
+            kind = self._rng.choice(list(Cut))
+            self._world.partitions.cut(self._rng.sample(names, count), kind)
+            await trio.sleep(self._rng.uniform(*PARTITION_SECONDS))
+            if self._rng.random() < HEALED_SHARE:
+                self._world.partitions.cut([], kind)
+                await trio.sleep(self._rng.uniform(*PARTITION_SECONDS))
+
+
 class Series:
     """Series of the same fault in quick succession; several may run concurrently."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from tests.soak.checks import find_lost
 from tests.soak.clients import ConnectionUse, Ending, Outcome
 from tests.soak.instances import Instance, SentSignal
+from tests.soak.partitions import Partitions
 from tests.soak.proxy import Harm, Proxy
 from tests.soak.servers import Ledger, Run
 from tests.soak.world import Play, World
@@ -35,6 +36,9 @@
 # Servers announce limits, request backoffs and leave.
 DIRECTIVE_SEEDS = (9500, 9501)
 DIRECTIVES = Play(instances=5, servers=4, keepers=20, statements=2)
+# Instances are cut off from all servers.
+PARTITION_SEEDS = (9600, 9601)
+PARTITIONS = Play(instances=5, servers=4, keepers=20, partitions=1)
 KEEP_ALIVE = Play(instances=6, keepers=150, series=5)
 
 
@@ -70,6 +74,15 @@
     assert world.ledger.issued_directives
 
 
+@pytest.mark.parametrize("seed", PARTITION_SEEDS)
+async def test_guarantees_hold_for_instances_that_reach_no_server(
+    seed: int, tmp_path: Path
+) -> None:
+    world = World(seed, tmp_path, PARTITIONS)
+    assert await world.run(KEEP_ALIVE_SECONDS) == []
+    assert len(world.partitions.changes) > 1
+
+
 # One request sent at 10 s and ended without an answer at 10.2 s.
 LOST = Outcome(
     "r1",
@@ -99,6 +112,7 @@
         faults_started_at=0.0,
         outcomes=[outcome],
         ledger=ledger,
+        partitions=Partitions(dict),
         server_proxies={"s0": proxy},
         find_instance={"i0": instance}.get,
     )
