End a stream that stops between two events with a last chunk

What callers saw: an instance was killed while it forwarded a stream that had no framing, as its server's had none.

Cause: the doubt about the server's end was passed on as a doubt about every end, the instance's own included. A stream of events does prove its end: one that ends inside an event has broken off, one that ends between two is whole. So its client's answer has chunks again, and no last one after a break or a kill. Answers whose content shows no end, plain ones and other content on stream routes, stay without a length.

--- a/ashpond/fleet/relaying.py
+++ b/ashpond/fleet/relaying.py
@@ -97,7 +97,7 @@
     async def serve(self, first: TunnelRequest, stream: PeerStream) -> None:
         """Serve one tunnel until either side ends it."""
         state = self._table.by_id.get(first.server_id)
-        refusal = self._find_refusal(state, first.started_ms)
+        refusal = self.find_refusal(state, first.started_ms)
         sock: socket.socket | None = None
         if refusal is None and state is not None:
             sock, refusal = await self._connect(state)
@@ -125,9 +125,10 @@
                 awaits_server=traffic.awaits_server,
             )
 
-    def _find_refusal(
+    def find_refusal(
         self, state: ServerState | None, started_ms: int
     ) -> TunnelState | None:
+        """Return why no tunnel to a server is opened now, None if one may be."""
         now = trio.current_time()
         if self._is_cut_off():
             return TunnelState.CUT_OFF
--- a/ashpond/gateway/streamends.py
+++ b/ashpond/gateway/streamends.py
@@ -32,12 +32,17 @@
         if self._boundary is not None:
             self._boundary.feed(piece)
 
+    @property
+    def is_unproven(self) -> bool:
+        """Whether only the end of the connection will mark the end of the body.
+
+        Events mark their own end, so that a stream of them is whole between two.
+        """
+        return self._framing is Framing.CLOSE and self._boundary is None
+
     def find_failure(self, *, is_doubt_shown: bool) -> str | None:
         """Return why the stream counts as broken off at its end, None if it does not.
 
-        The end of the connection proves nothing. Between two events it is accepted only
-        if the client, too, sees no more than that.
-
         :param is_doubt_shown: whether the client's answer ends with its connection.
         """
         if self._boundary is not None and not self._boundary.is_between_events():
@@ -47,8 +52,8 @@
         has_events = self._boundary is None or self._boundary.has_events
         if self._is_empty or not has_events:
             return "the connection ended before the first event"
-        if not is_doubt_shown:
-            return "the connection ended, which does not show that the stream is whole"
+        if self.is_unproven and not is_doubt_shown:
+            return "the connection ended, which does not show that the answer is whole"
         return None
 
 
--- a/ashpond/gateway/streamrelay.py
+++ b/ashpond/gateway/streamrelay.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from ashpond.clients.channels import ChannelError
-from ashpond.clients.responseheads import Framing
 from ashpond.gateway.streamends import StreamEnd
 
 if TYPE_CHECKING:
@@ -51,21 +50,19 @@
                 data = call.splitter.feed(b"".join(incomplete))
                 incomplete.clear()
         if data:
-            await start_reply(call, response)
+            await start_reply(call, response, end)
             await call.reply.send(data)
     is_doubt_shown = call.is_close_delimited or not call.is_started
     failure = end.find_failure(is_doubt_shown=is_doubt_shown)
     if failure is not None:
         raise ChannelError(failure, is_sent=True)
-    await start_reply(call, response)
+    await start_reply(call, response, end)
     rest = call.splitter.feed(b"".join(incomplete))
     return rest + call.splitter.take_remainder()
 
 
-async def start_reply(call: CallProgress, response: Response) -> None:
+async def start_reply(call: CallProgress, response: Response, end: StreamEnd) -> None:
     """Start the client's answer, whose end shows no more than the server's does."""
     await call.start_reply(
-        response.status,
-        response.headers,
-        is_close_delimited=response.framing is Framing.CLOSE,
+        response.status, response.headers, is_close_delimited=end.is_unproven
     )
