Find relays in large fleets whose failure domains are cut off

Two causes: a tunnel for each server was kept while idle, and took the room of relays; and peers of the own failure domain, which are cut off as well, were asked again and again before one that had relayed.

--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -30,6 +30,8 @@
 # to stay open to count (seconds).
 PROBE_SECONDS = 0.5
 PROBE_HOLD_SECONDS = 0.05
+# The most tunnels that an instance keeps while no request uses them.
+MAX_IDLE_TUNNELS = 6
 # What follows the owner of a server's direct connections in that of its tunnels.
 TUNNEL_OWNER = " by relay"
 
@@ -57,6 +59,8 @@
         self._log = log
         self._rng = rng
         self._detoured_until: dict[str, float] = {}
+        # The owners of idle tunnels, in the order of their last use.
+        self._idle_tunnels: list[str] = []
         # Whether the last connection that failed was refused, and did not hang.
         self._fails_fast = False
         self._probes_needed = trio.Event()
@@ -145,7 +149,10 @@
         return await self._connect_directly(owner, address)
 
     async def _acquire_tunnel(self, owner: str) -> Channel | None:
-        idle = self._pool.take_idle(owner + TUNNEL_OWNER)
+        key = owner + TUNNEL_OWNER
+        idle = self._pool.take_idle(key)
+        if key in self._idle_tunnels:
+            self._idle_tunnels.remove(key)
         return idle or (await self._open_tunnel(owner)).channel
 
     async def _open_tunnel(self, owner: str) -> Relayed:
@@ -287,8 +294,18 @@
         return ConnectResult.REFUSED if is_gone else ConnectResult.UNKNOWN
 
     def release(self, owner: str, channel: Channel) -> None:
-        """Return a connection after a complete exchange."""
-        self._pool.release(owner + TUNNEL_OWNER if channel.relay else owner, channel)
+        """Return a connection after a complete exchange.
+
+        Few tunnels are kept, as each takes the room of a relay also while it is idle.
+        """
+        if not channel.relay:
+            self._pool.release(owner, channel)
+            return
+        key = owner + TUNNEL_OWNER
+        self._pool.release(key, channel)
+        self._idle_tunnels.append(key)
+        if len(self._idle_tunnels) > MAX_IDLE_TUNNELS:
+            self._pool.close_idle(self._idle_tunnels.pop(0))
 
     def close_idle(self, owner: str) -> None:
         """Close the idle connections to a server, direct ones and tunnels."""
--- a/ashpond/decisions/relays.py
+++ b/ashpond/decisions/relays.py
@@ -4,6 +4,7 @@
 
 __all__ = ["RelayRecord", "find_tunnel_limit", "rank_relays"]
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -16,8 +17,11 @@
 GOOD_SECONDS = 10.0
 # The preferences below add up to one score; the peer with the lowest is asked first.
 OTHER_DOMAIN_SCORE = 1.0
-UNTRIED_SCORE = 1.0
+UNTRIED_SCORE = 3.0
 RANDOM_SCORE = 0.5
+# Failure domains lose their links as a whole. An untried peer counts as this much worse
+# if all others of its failure domain are avoided, and less by the share that is.
+AVOIDED_DOMAIN_SCORE = 4.0
 # As many open tunnels weigh as much as another failure domain, on the fastest links.
 TUNNELS_PER_SCORE = 8.0
 # A relay carries each byte of a tunnel twice, and its own callers' besides.
@@ -59,10 +63,17 @@
 ) -> list[Member]:
     """Return the peers to ask, the best first, without those to avoid now."""
     unknown = RelayRecord()
+    peers = [member for member in members if member.name != own.name]
+    sizes = Counter(member.failure_domain for member in peers)
+    avoided = Counter(
+        member.failure_domain
+        for member in peers
+        if now < records.get(member.name, unknown).avoid_until
+    )
     scored = []
-    for member in members:
+    for member in peers:
         record = records.get(member.name, unknown)
-        if member.name == own.name or now < record.avoid_until:
+        if now < record.avoid_until:
             continue
         limit = find_tunnel_limit(member.link_mbps)
         score = record.tunnels / TUNNELS_PER_SCORE * MAX_TUNNELS / limit
@@ -70,6 +81,8 @@
         if member.failure_domain != own.failure_domain:
             score += OTHER_DOMAIN_SCORE
         if now - record.good_at > GOOD_SECONDS:
+            domain = member.failure_domain
             score += UNTRIED_SCORE
+            score += AVOIDED_DOMAIN_SCORE * avoided[domain] / sizes[domain]
         scored.append((score, member.name, member))
     return [member for _, _, member in sorted(scored, key=lambda entry: entry[:2])]
