Keep the controller's own search for outdated engines

The search had moved to a module of its own, and a test that counts how often instances without the lease search found no method to count: it failed in every run since. The method is back and calls the module.

--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -242,7 +242,7 @@
         state = self._reservation.state
         self._log_failure(reason, is_sent=is_sent)
         if is_own_fault:
-            # The server is probably well, so its peers are not told otherwise.
+            # The server is probably well, so the peers get no notice of it.
             state.exclude_for(CUT_OFF_PAUSE_SECONDS, trio.current_time())
             return AttemptNotRun(reason)
         if not is_sent:
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -129,7 +129,7 @@
         """Order loads until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                updates = find_outdated(self._table, self._knowledge, self._has_service)
+                updates = self._find_outdated()
                 if not updates:
                     self._outdated_since = None
                     await self._await_change()
@@ -156,6 +156,9 @@
             await self._changed.wait()
         self._changed = trio.Event()
 
+    def _find_outdated(self) -> list[WeightsUpdate]:
+        return find_outdated(self._table, self._knowledge, self._has_service)
+
     def _start_orders(
         self, nursery: trio.Nursery, updates: list[WeightsUpdate]
     ) -> None:
