Look at each piece of a stream only as far as its end depends on it

Cause: the search for a torn end ran two patterns over each piece, 1.1 ms for one of 64 KB without a line end. The traffic of 300 such streams was some seconds of processor time.

34 tests of streams and their ends pass.

--- a/ashpond/decisions/eventstream.py
+++ b/ashpond/decisions/eventstream.py
@@ -13,6 +13,7 @@
 # A blank line: a line end that follows another one. A lone CR may end a line too.
 BLANK_LINES = (b"\n\n", b"\n\r", b"\r\r")
 ID_FIELD = b"id:"
+COMMENT = b":"
 # A line that is neither empty nor a comment.
 FIELD_AT_START = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
 FIELD_AFTER_LINE = re.compile(rb"[\r\n][^:\r\n]")
@@ -28,6 +29,12 @@
     return end + 1 if is_crlf else end
 
 
+def _has_field(data: bytes, *, begins_line: bool) -> bool:
+    """Return whether a line begins in the data that is neither empty nor a comment."""
+    field = FIELD_AT_START if begins_line else FIELD_AFTER_LINE
+    return field.search(data) is not None
+
+
 class EventBoundary:
     """Follows a stream to know whether it ends between two events.
 
@@ -42,30 +49,36 @@
 
     def feed(self, data: bytes) -> None:
         """Record the next bytes of the stream."""
+        if self._last == CR and data[:1] == LF:
+            # The second half of a line end.
+            self._uses_crlf = True
+            self._last = LF
+            data = data[1:]
         if not data:
             return
-        if data.endswith(b"\n\n") and self.has_events:
+        if LF in data or CR in data:
+            self._feed_lines(data)
+        elif self._last in LINE_ENDS and data[:1] != COMMENT:
+            self._is_inside = True
+        self.has_events = self.has_events or self._is_inside
+        self._last = data[-1:]
+
+    def _feed_lines(self, data: bytes) -> None:
+        """Record bytes that end at least one line."""
+        if self.has_events and data.endswith(b"\n\n"):
             # Most pieces are complete events; nothing before their end matters.
-            self._last = LF
             self._is_inside = False
             return
-        self._uses_crlf = self._uses_crlf or CRLF in self._last + data
-        if self._last == CR and data[:1] == LF:
-            self._last = LF
-            self.feed(data[1:])
-            return
-        text = self._last + data
-        end = find_events_end(text)
-        begins_line = end > 0 or self._last in LINE_ENDS
-        rest = text[end:] if end else data
-        field = FIELD_AT_START if begins_line else FIELD_AFTER_LINE
-        has_field = field.search(rest) is not None
-        self._is_inside = has_field or (self._is_inside and not end)
-        self.has_events = self.has_events or has_field or self._is_inside
-        if end and not self.has_events:
-            start = FIELD_AT_START if self._last in LINE_ENDS else FIELD_AFTER_LINE
-            self.has_events = start.search(data) is not None
-        self._last = data[-1:]
+        self._uses_crlf = self._uses_crlf or CRLF in data
+        begins_line = self._last in LINE_ENDS
+        if not self.has_events:
+            self.has_events = _has_field(data, begins_line=begins_line)
+        # A blank line may have begun with the last byte of the previous piece.
+        end = find_events_end(self._last + data) - len(self._last)
+        if end > 0:
+            self._is_inside = _has_field(data[end:], begins_line=True)
+        elif not self._is_inside:
+            self._is_inside = _has_field(data, begins_line=begins_line)
 
     def is_between_events(self) -> bool:
         """Return whether the stream may end here, with no event or line begun.
