--- a/ashpond/decisions/eventstream.py
+++ b/ashpond/decisions/eventstream.py
@@ -11,7 +11,8 @@
 CRLF = b"\r\n"
 LINE_ENDS = (LF, CR)
 # A blank line: a line end that follows another one. A lone CR may end a line too.
-BLANK_LINES = (b"\n\n", b"\n\r", b"\r\r")
+BLANK_LINE = b"\n\n"
+CR_BLANK_LINES = (b"\n\r", b"\r\r")
 ID_FIELD = b"id:"
 COMMENT = b":"
 # A line that is neither empty nor a comment.
@@ -21,7 +22,10 @@
 
 def find_events_end(data: bytes) -> int:
     """Return the offset behind the last blank line, 0 if there is none."""
-    at = max(data.rfind(blank) for blank in BLANK_LINES)
+    at = data.rfind(BLANK_LINE)
+    if CR in data:
+        # Most streams have none, and searching for what is not there takes longest.
+        at = max(at, *(data.rfind(blank) for blank in CR_BLANK_LINES))
     if at < 0:
         return 0
     end = at + 2
@@ -69,7 +73,8 @@
             # Most pieces are complete events; nothing before their end matters.
             self._is_inside = False
             return
-        self._uses_crlf = self._uses_crlf or CRLF in data
+        if CR in data:
+            self._uses_crlf = self._uses_crlf or CRLF in data
         begins_line = self._last in LINE_ENDS
         if not self.has_events:
             self.has_events = _has_field(data, begins_line=begins_line)
