Add failing tests of streams that change their software version

Clients saw streams whose events were written by two versions of a service's software, which do not fit together. Four real servers, six instances, 30 streams a second; a third of the streams is reset by its server after three events, a third is left by its client then and taken up at another instance.

--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -81,6 +81,10 @@
         self.instance_by_request: dict[str, int] = {}
         self.instances: list[Instance] = []
 
+    def make_configuration(self) -> dict[str, object]:
+        """Return the configuration that the instances start with."""
+        return make_configuration(limit=self._limit)
+
     async def run(self, play: Callable[[], object]) -> None:
         """Start everything, run ``play`` and kill the processes."""
         async with trio.open_nursery() as nursery, httpx.AsyncClient() as client:
@@ -102,7 +106,7 @@
         self.memory.put(
             OPERATOR_TABLE,
             "config",
-            orjson.dumps(make_configuration(limit=self._limit)),
+            orjson.dumps(self.make_configuration()),
         )
         for number in range(self._counts[1]):
             nursery.start_soon(self._run_server, f"s{number}")
--- /dev/null
+++ b/tests/test_software_versions.py
@@ -0,0 +1,98 @@
+"""Streams that are continued while servers of several software versions serve."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+import trio
+
+from tests.versionworld import Outcome, VersionWorld, summarize
+
+PER_SECOND = 30.0
+SECONDS = 12.0
+# Streams that may hold events of two versions, and the share of resumed streams that
+# go on, of the share of new streams that begin.
+MAX_MIXED = 2
+LEAST_SHARE = 0.5
+MIN_RESUMED = 12
+ALTERNATING = ("v1", "v1.1", "v1", "v1.1")
+
+
+def check(outcome: Outcome) -> None:
+    print(outcome)
+    assert outcome.mixed <= MAX_MIXED
+    assert outcome.out_of_order == 0
+    assert outcome.resumed >= MIN_RESUMED
+    assert outcome.went_on_share >= LEAST_SHARE * outcome.begun_share
+
+
+async def test_resumed_streams_stay_at_the_software_version_that_began_them(
+    tmp_path: Path,
+) -> None:
+    world = VersionWorld(tmp_path, 6, ALTERNATING)
+    await world.run(lambda: world.send_streams(PER_SECOND, SECONDS))
+    outcome = summarize(world.streams)
+    check(outcome)
+    assert outcome.went_on_share >= 0.95
+    assert outcome.begun_share >= 0.95
+
+
+async def test_streams_stay_at_their_software_version_while_instances_are_killed(
+    tmp_path: Path,
+) -> None:
+    world = VersionWorld(tmp_path, 6, ALTERNATING)
+
+    async def kill_instances() -> None:
+        while True:
+            for instance in world.instances:
+                await trio.sleep(1.0)
+                await instance.restart(signal.SIGKILL, 0.2)
+
+    async def play() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(kill_instances)
+            await world.send_streams(PER_SECOND, SECONDS)
+            nursery.cancel_scope.cancel()
+
+    await world.run(play)
+    check(summarize(world.streams))
+
+
+async def test_streams_stay_at_their_software_version_after_all_instances_are_killed(
+    tmp_path: Path,
+) -> None:
+    world = VersionWorld(tmp_path, 6, ALTERNATING)
+
+    async def kill_all() -> None:
+        while True:
+            await trio.sleep(4.0)
+            async with trio.open_nursery() as nursery:
+                for instance in world.instances:
+                    nursery.start_soon(instance.restart, signal.SIGKILL, 0.2)
+
+    async def play() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(kill_all)
+            await world.send_streams(PER_SECOND, SECONDS)
+            nursery.cancel_scope.cancel()
+
+    await world.run(play)
+    check(summarize(world.streams))
+
+
+async def test_streams_stay_at_their_software_version_during_a_rolling_update(
+    tmp_path: Path,
+) -> None:
+    world = VersionWorld(tmp_path, 6, ("v1",) * 4)
+
+    async def play() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(world.replace_versions, "v1.1", 2.0)
+            await world.send_streams(PER_SECOND, SECONDS)
+            nursery.cancel_scope.cancel()
+
+    await world.run(play)
+    outcome = summarize(world.streams)
+    check(outcome)
+    assert outcome.begun_share >= 0.95
