Continue streams of the callers' API at the same software version only

Engines now name the version of their software in reports and answers (empty counts as a version of its own); engines of another one are left out, and an answer of another one is closed unread.

--- a/ashpond/cli.py
+++ b/ashpond/cli.py
@@ -340,6 +340,7 @@
 @click.option("--report-lag", default=0.2, show_default=True, help="Seconds.")
 @click.option("--ignores-fencing", is_flag=True, help="Take any order.")
 @click.option("--platform", default="", metavar="IP:PORT", help="Weight store.")
+@click.option("--software", default="", help="Version of the engine's software.")
 def standin_engine(
     address: str,
     weights: str,
@@ -350,6 +351,7 @@
     report_lag: float,
     ignores_fencing: bool,
     platform: str,
+    software: str,
 ) -> None:
     """Run a stand-in for a model engine."""
     from ashpond.standins.engine import build_engine
@@ -365,6 +367,7 @@
         report_lag=report_lag,
         checks_fencing=not ignores_fencing,
         platform=platform,
+        software=software,
     )
     trio.run(run_standin, lambda nursery: build_engine(options, nursery), address)
 
--- a/ashpond/clients/engine.py
+++ b/ashpond/clients/engine.py
@@ -68,7 +68,8 @@
 class EngineAnswer(NamedTuple):
     """An engine's response whose head has arrived; the body has not been read.
 
-    ``cached_blocks`` is ``None`` if the engine did not report it.
+    ``cached_blocks`` is ``None`` if the engine did not report it. ``software`` is the
+    version of the engine's software, empty if it names none.
     """
 
     address: str
@@ -78,6 +79,7 @@
     weights: str
     cached_blocks: int | None
     response: httpx.Response
+    software: str = ""
 
 
 class StreamEvent(NamedTuple):
@@ -194,6 +196,7 @@
         weights=headers.get("X-Weights-Version", ""),
         cached_blocks=int(cached) // BLOCK_TOKENS if cached else None,
         response=response,
+        software=headers.get("X-Software-Version", ""),
     )
 
 
@@ -286,6 +289,7 @@
         observed_at=0.0,
         fence=report["fence"],
         loading=report["loading"],
+        software=report.get("software", ""),
     )
 
 
--- a/ashpond/decisions/placement.py
+++ b/ashpond/decisions/placement.py
@@ -41,7 +41,8 @@
     """An engine's report of its own load.
 
     ``observed_at`` is the estimated time of the report on the runtime's clock;
-    ``prefill_rate`` is in tokens per second.
+    ``prefill_rate`` is in tokens per second. ``software`` is the version of the
+    engine's software, empty if it names none; versions have no order.
     """
 
     incarnation: str
@@ -56,6 +57,7 @@
     observed_at: float
     fence: int = 0
     loading: str = ""
+    software: str = ""
 
 
 class Candidate(NamedTuple):
--- a/ashpond/filters/dispatch.py
+++ b/ashpond/filters/dispatch.py
@@ -23,6 +23,7 @@
 from ashpond.decisions.placement import BLOCK_TOKENS
 from ashpond.decisions.quarantine import QuarantineState
 from ashpond.decisions.retries import GiveUp, RetryBudget, decide_retry
+from ashpond.filters.placement import list_other_software
 from ashpond.filters.relay import StreamSource, close_response, relay_stream
 from ashpond.filters.resumption import make_cancel, resume_on_same_engine
 from ashpond.outcomes import Answered, MaybeRun, NotRun, Refusal, RunState
@@ -333,15 +334,18 @@
                 is not QuarantineState.FREE
             ):
                 return None
-            return await self._continue_elsewhere(call, attempt, plan.after)
+            return await self._continue_elsewhere(call, attempt, current, plan.after)
 
         return StreamSource(reopen, make_cancel(self._client, call))
 
     async def _continue_elsewhere(
-        self, call: Call, attempt: _Attempt, after: int
+        self, call: Call, attempt: _Attempt, current: EngineAnswer, after: int
     ) -> EngineAnswer | None:
-        placement = self._choose_placement(call, {attempt.placement.server})
-        if placement is None or placement.server == attempt.placement.server:
+        skipped = {attempt.placement.server}
+        if after:
+            skipped |= list_other_software(self._engines, current.software)
+        placement = self._choose_placement(call, skipped)
+        if placement is None or placement.server in skipped:
             return None
         if placement.weights != attempt.placement.weights:
             # Other weights would continue with a different text.
@@ -351,7 +355,8 @@
         if not isinstance(outcome, Answered):
             return None
         answer: EngineAnswer = outcome.response
-        if answer.status == OK:
+        # An engine may have restarted with other software since its last report.
+        if answer.status == OK and (not after or answer.software == current.software):
             return answer
         await answer.response.aclose()
         return None
--- a/ashpond/filters/placement.py
+++ b/ashpond/filters/placement.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-__all__ = ["Placement", "PlacementPolicy", "make_placement"]
+__all__ = [
+    "Placement",
+    "PlacementPolicy",
+    "list_other_software",
+    "make_placement",
+]
 
 import itertools
 import random
@@ -164,3 +169,15 @@
     if state.report is not None and state.report.weights:
         return state.report.weights
     return call.service.weights
+
+
+def list_other_software(engines: EnginesController, software: str) -> set[str]:
+    """Return the servers that last reported another version of their software.
+
+    They cannot continue a stream that an engine of this version has begun.
+    """
+    return {
+        name
+        for name, state in engines.servers.items()
+        if state.report is not None and state.report.software != software
+    }
--- a/ashpond/standins/engine.py
+++ b/ashpond/standins/engine.py
@@ -160,6 +160,7 @@
             "X-Engine-Incarnation": model.incarnation,
             "X-Stream-Id": name,
             "X-Weights-Version": model.weights,
+            "X-Software-Version": options.software,
             "X-Cached-Tokens": str(stream.cached_tokens),
         }
 
--- a/ashpond/standins/model.py
+++ b/ashpond/standins/model.py
@@ -26,7 +26,8 @@
     one token. ``report_lag`` and ``event_lag`` are the ages in seconds at which load
     reports and cache events become visible. Orders with an old fencing token are
     refused if ``checks_fencing`` is set. ``platform`` is the address from which
-    weights are loaded; if it is empty, nothing is downloaded.
+    weights are loaded; if it is empty, nothing is downloaded. ``software`` is the
+    version of the engine's software.
     """
 
     model: str = "m1"
@@ -39,6 +40,7 @@
     event_lag: float = 0.2
     checks_fencing: bool = True
     platform: str = ""
+    software: str = ""
 
 
 class EngineFaults:
@@ -219,6 +221,7 @@
             "model": self.options.model,
             "weights": self.weights,
             "loading": self.loading,
+            "software": self.options.software,
             "role": self.role,
             "fence": self.fence,
             "draining": self.faults.draining,
