--- a/ashpond/controllers/streamorigins.py
+++ b/ashpond/controllers/streamorigins.py
@@ -314,7 +314,7 @@
 
 def make_lone_origins(history: VersionHistory, log: DecisionLog) -> StreamOrigins:
     """Return the origins of the only instance, which knows all servers."""
-    history.begin(trio.current_time(), is_first_start=True)
+    history.begin(0.0, is_first_start=True)
 
     def get_members() -> Members:
         raise AssertionError("an instance without peers has no members")
