Learn from requests that wait that an instance is cut off

Their attempts have no timeout: the client's deadline ended each before it counted as evidence, so the instance never took a detour.

Requests in flight on direct connections are now watched: one of which nothing has come after 1.2 of its objective, and 1.2 s at least, is evidence while it still waits. One task sleeps until the oldest unanswered one is due.

--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -12,7 +12,9 @@
 from ashpond.clients.channels import Channel, ChannelError
 from ashpond.clients.liveness import PATIENT_UNACKNOWLEDGED_MS
 from ashpond.clients.tunnels import Tunnel
+from ashpond.controllers.directconnection import DirectConnection
 from ashpond.controllers.relayclient import PEER_ERRORS, RelayClient, Relayed
+from ashpond.controllers.silencewatch import SilenceWatch
 from ashpond.decisions.contact import ContactMonitor
 
 if TYPE_CHECKING:
@@ -32,6 +34,8 @@
 PROBE_HOLD_SECONDS = 0.05
 # The most tunnels that an instance keeps while no request uses them.
 MAX_IDLE_TUNNELS = 6
+# Without any byte for so long, an answer is late, not broken off (seconds).
+LATE_SECONDS = 0.05
 # What follows the owner of a server's direct connections in that of its tunnels.
 TUNNEL_OWNER = " by relay"
 
@@ -53,6 +57,7 @@
         rng: random.Random,
     ):
         self.contact = ContactMonitor(rng)
+        self.watch = SilenceWatch(self._note_silence)
         self._pool = pool
         self._table = table
         self._relays = relays
@@ -89,6 +94,7 @@
         """Probe the servers while this instance is cut off, until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self.watch.run)
             while True:
                 await self._probes_needed.wait()
                 self._probes_needed = trio.Event()
@@ -168,7 +174,7 @@
         """
         if not self._relays.has_peers():
             return await self._connect_directly(owner, address)
-        direct = _DirectConnection()
+        direct = DirectConnection()
         relayed = Relayed(None, is_confirmed=True)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(direct.open, lambda: self._connect_once(address))
@@ -239,6 +245,7 @@
         :param backoff: the time for which the server wants no requests (seconds).
         """
         if not channel.relay:
+            self.watch.remove(channel)
             if self.contact.note_answer(trio.current_time()):
                 self._detoured_until.clear()
                 self._log.note("servers_regained")
@@ -262,7 +269,11 @@
         :param sent_at: since when nothing has come from the server.
         """
         if not channel.relay:
-            self._note_failure(owner, sent_at, trio.current_time())
+            is_known = self.watch.remove(channel)
+            now = trio.current_time()
+            is_late = now - sent_at >= LATE_SECONDS
+            if not (is_known and is_late):
+                self._note_failure(owner, sent_at, now)
         elif self._relays.note_unanswered(channel.relay):
             self._pool.close_relayed(channel.relay)
 
@@ -274,8 +285,20 @@
     def note_unused(self, channel: Channel) -> None:
         """Record that a connection has shown nothing, as its attempt has ended."""
         if not channel.relay:
+            self.watch.remove(channel)
             self.contact.end_trial()
 
+    def note_sent(self, owner: str, channel: Channel, silent_seconds: float) -> None:
+        """Record that a request has been sent.
+
+        :param silent_seconds: after what time without an answer it counts as silent.
+        """
+        if not channel.relay and self._relays.has_peers():
+            self.watch.add(channel, owner, trio.current_time(), silent_seconds)
+
+    def _note_silence(self, owner: str, sent_at: float) -> None:
+        self._note_failure(owner, sent_at, trio.current_time())
+
     def _note_failure(self, owner: str, sent_at: float, now: float) -> None:
         if self.contact.note_failure(_get_server_id(owner), sent_at, now):
             self._log.note("servers_cut_off", servers=self.contact.list_failed())
@@ -313,23 +336,6 @@
         self._pool.close_idle(owner + TUNNEL_OWNER)
 
 
-class _DirectConnection:
-    """A direct connection that is being opened."""
-
-    def __init__(self) -> None:
-        self.channel: Channel | None = None
-        self.error: ChannelError | None = None
-        self.done = trio.Event()
-
-    async def open(self, connect: Callable[[], Awaitable[Channel]]) -> None:
-        """Connect, and record the connection or the error."""
-        try:
-            self.channel = await connect()
-        except ChannelError as error:
-            self.error = error
-        self.done.set()
-
-
 def _get_server_id(owner: str) -> str:
     """Return the id of the server that an owner key begins with."""
     return owner.partition(" ")[0]
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -20,6 +20,10 @@
 from ashpond.decisions.declared import RouteKind
 from ashpond.decisions.placementterms import PlacementEvent
 from ashpond.decisions.ratelimits import PERMIT_SECONDS
+from ashpond.gateway.answertimeouts import (
+    choose_answer_timeout,
+    choose_silent_seconds,
+)
 from ashpond.gateway.callprogress import (
     Answer,
     AttemptFailed,
@@ -37,9 +41,6 @@
 OK = 200
 MISDIRECTED = 421
 SERVER_ERROR = 500
-# An idempotent request is retried after this multiple of its objective, if unanswered.
-ANSWER_TIMEOUT_OBJECTIVES = 1.2
-MIN_ANSWER_TIMEOUT_SECONDS = 0.1
 MAX_ANSWER_BYTES = 16 << 20
 NO_ANSWER = "silent"
 
@@ -93,7 +94,7 @@
         # That of an earlier answer, which may yet be forwarded.
         credit = memory.credit
         try:
-            with trio.move_on_after(self._choose_answer_timeout()) as timeout:
+            with trio.move_on_after(choose_answer_timeout(self.call)) as timeout:
                 channel = await self.context.pool.acquire(
                     state.owner,
                     state.info.address,
@@ -176,6 +177,8 @@
         self._sent_at = trio.current_time()
         # From here on the request counts as run, even if the deadline cancels it.
         self.call.runs += 1
+        silent_seconds = choose_silent_seconds(self.call)
+        self.context.pool.note_sent(state.owner, channel, silent_seconds)
         request = build_server_request(self.call, self._reservation, self.context)
         response = await channel.exchange(request)
         answer_headers = self.context.codec.read_answer_headers(response.headers)
@@ -232,15 +235,6 @@
         timeout.deadline = deadline + trio.current_time() - began
         return None
 
-    def _choose_answer_timeout(self) -> float:
-        if (
-            not self.call.route.is_idempotent
-            or self.call.runs + 1 >= self.call.route.max_attempts
-        ):
-            return float("inf")
-        timeout = self.call.route.objective * ANSWER_TIMEOUT_OBJECTIVES
-        return max(MIN_ANSWER_TIMEOUT_SECONDS, timeout)
-
     def _handle_failure(
         self, reason: str, *, is_sent: bool, is_own_fault: bool = False
     ) -> AttemptNotRun | AttemptFailed:
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -109,6 +109,10 @@
     def close_idle(self, owner: str) -> None:
         """Close the idle connections to a server."""
 
+    def note_sent(self, owner: str, channel: Channel, silent_seconds: float) -> None:
+        """Record that a request has been sent."""
+        return
+
     def note_answered(self, channel: Channel, backoff: float | None) -> None:
         """Record that the head of an answer has arrived."""
         return
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -38,6 +38,7 @@
 from ashpond.fleet.members import MEMBERS_TABLE, Members
 from ashpond.fleet.relaying import RelayServer
 from ashpond.fleet.updates import UpdateHandlers
+from ashpond.gateway.busyness import is_instance_busy
 from ashpond.gateway.callprogress import DispatchContext, compute_fingerprint
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
@@ -52,11 +53,6 @@
 MS = 1000.0
 # Share of the bound after which old weights get no requests, as these may wait there.
 REQUIRED_SHARE = 0.85
-# An instance opens no tunnels for peers for so long after a stall of its event loop of
-# this length (seconds), or while more than this share of its memory is held.
-BUSY_SECONDS = 1.0
-BUSY_DELAY_SECONDS = 0.1
-BUSY_SHARE = 0.8
 
 
 class GatewayParts:
@@ -330,19 +326,8 @@
         return build_feeds(self.platform, self.store_view, self.members, bound)
 
     def is_busy(self) -> bool:
-        """Return whether the calls of this instance leave no room for those of peers.
-
-        That is so while its event loop is late, or most of its memory is held.
-        """
-        delay = self.loop_watch.last
-        is_late = (
-            delay is not None
-            and delay.seconds >= BUSY_DELAY_SECONDS
-            and trio.current_time() - delay.ended_at < BUSY_SECONDS
-        )
-        budget = self.memory.budget
-        is_full = self.memory.is_limited and budget.used > budget.limit * BUSY_SHARE
-        return is_late or is_full
+        """Return whether its own calls leave no room for those of peers."""
+        return is_instance_busy(self.loop_watch, self.memory, trio.current_time())
 
     def _on_servers(self) -> None:
         self.slot_queue.assign()
--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -198,7 +198,9 @@
         )
         await stream.send_all(answer)
 
-    async def ask(self, number: int, body: bytes, key: str = "k1") -> ClientResult:
+    async def ask(
+        self, number: int, body: bytes, key: str = "k1", path: str = "/x/1"
+    ) -> ClientResult:
         """Send a request to an instance on a connection of its own."""
         self._requests += 1
         sent_at = time.monotonic()
@@ -213,7 +215,7 @@
         status, retry_after = 0, None
         try:
             answer = await self._client.post(
-                f"http://{self.instances[number].address}/x/1",
+                f"http://{self.instances[number].address}{path}",
                 content=body,
                 headers=headers,
                 timeout=6,
@@ -223,9 +225,11 @@
             status = 0
         return ClientResult(sent_at, body, status, retry_after)
 
-    async def ask_and_record(self, number: int, body: bytes) -> None:
+    async def ask_and_record(
+        self, number: int, body: bytes, path: str = "/x/1"
+    ) -> None:
         """Send a request, and record its result."""
-        self.results.append(await self.ask(number, body))
+        self.results.append(await self.ask(number, body, path=path))
 
 
 def make_configuration(
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -333,3 +333,43 @@
                 await sender.acquire()
             assert caught.value.is_refused
             assert not caught.value.is_own_fault
+
+
+async def test_requests_that_wait_show_a_partition_before_they_end() -> None:
+    """Requests that may not be repeated wait until their deadline."""
+    async with (
+        run_server(answer_all) as address,
+        run_relays({"s1": address, "s2": address}) as (sender, relays),
+    ):
+        sender.pool.error = None
+        channels = []
+        for name in ("s1", "s2"):
+            channel = await sender.acquire(name, is_repeatable=False)
+            sender.detours.note_sent(sender.table.by_id[name].owner, channel, 0.2)
+            channels.append(channel)
+        assert not sender.detours.is_cut_off
+        await trio.sleep(0.4)
+        assert sender.detours.is_cut_off
+        relayed = await sender.acquire("s1", is_repeatable=False)
+        assert relayed.relay == relays[0].member.name
+        for channel in [*channels, relayed]:
+            channel.close()
+
+
+async def test_answered_and_ended_requests_show_no_partition() -> None:
+    async with (
+        run_server(answer_all) as address,
+        run_relays({"s1": address, "s2": address}) as (sender, _),
+    ):
+        sender.pool.error = None
+        for name in ("s1", "s2", "s1", "s2"):
+            channel = await sender.acquire(name)
+            sender.detours.note_sent(sender.table.by_id[name].owner, channel, 0.1)
+            if name == "s1":
+                sender.detours.note_answered(channel, None)
+            else:
+                sender.detours.note_unused(channel)
+            channel.close()
+        assert sender.detours.watch.measure_longest_wait(trio.current_time()) == 0
+        await trio.sleep(0.3)
+        assert not sender.detours.is_cut_off
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -35,12 +35,24 @@
 class PartitionWorld(World):
     """Servers behind proxies that cut off some of the instances."""
 
-    def __init__(self, folder: Path, instances: int, servers: int):
+    def __init__(
+        self, folder: Path, instances: int, servers: int, unrepeatable: int = 0
+    ):
         super().__init__(folder, instances, servers, lambda body: False)
+        # The first instances, which get no other requests.
+        self.unrepeatable = unrepeatable
         self.partitions = Partitions(self._list_pids)
         self.cut_at = float("inf")
         self.healed_at = float("inf")
 
+    def make_configuration(self) -> dict[str, object]:
+        """Return a configuration with a route whose requests may not be repeated."""
+        configuration = super().make_configuration()
+        [route] = configuration["routes"]  # type: ignore[misc]
+        once = {**route, "name": "once", "prefix": "/n/", "kind": "non_idempotent"}
+        configuration["routes"] = [route, once]
+        return configuration
+
     def _list_pids(self) -> dict[str, int]:
         return {
             instance.name: instance.process.pid
@@ -77,7 +89,8 @@
                 await trio.sleep(max(0.0, at - time.monotonic()))
                 target = number % len(self.instances)
                 body = f"to {target}".encode()
-                nursery.start_soon(self.ask_and_record, target, body)
+                path = "/n/1" if target < self.unrepeatable else "/x/1"
+                nursery.start_soon(self.ask_and_record, target, body, path)
 
     def select(self, cut_instances: int, *, is_cut: bool) -> list[ClientResult]:
         """Return the results at instances that had to serve in the partition."""
@@ -113,3 +126,16 @@
     assert share >= LEAST_SHARE * other_share or is_excused
     later = [r for r in world.results if r.sent_at >= world.healed_at + RETURN_SECONDS]
     assert measure_served(later) >= 0.98
+
+
+async def test_an_instance_with_unrepeatable_requests_only_notices_a_partition(
+    tmp_path: Path,
+) -> None:
+    world = PartitionWorld(tmp_path, 6, 4, unrepeatable=1)
+    await world.run(lambda: world.play(2, Cut.HANG))
+    there = [r for r in world.select(2, is_cut=True) if int(r.body.split()[1]) == 0]
+    others = world.select(2, is_cut=False)
+    share, other_share = measure_served(there), measure_served(others)
+    print(f"unrepeatable {share:.3f} of {len(there)}, others {other_share:.3f}")
+    assert other_share >= 0.98
+    assert share >= LEAST_SHARE * other_share
