Ask peers before late answers count as a partition

A server, a machine or this process that is slow looks the same from one instance as a partition in which connections hang.

If none has been answered within 0.3 s and one waits as long, servers are slow, and the evidence is dropped; a failed connection still needs no peer. A single instance's loop delay was weighed: it says nothing of slow servers.

--- a/ashpond/clients/peermessages.py
+++ b/ashpond/clients/peermessages.py
@@ -11,6 +11,8 @@
     "CacheRequest",
     "ConfigAnswer",
     "ConfigRequest",
+    "ContactAnswer",
+    "ContactQuery",
     "CrashReport",
     "FIELD_TYPES",
     "Facts",
@@ -227,6 +229,19 @@
     findings: list[Any]
 
 
+class ContactQuery(NamedTuple):
+    """Ask a peer whether backend servers answer it."""
+
+    sender: str
+
+
+class ContactAnswer(NamedTuple):
+    """The fields of a :class:`~ashpond.decisions.contact.PeerContact`."""
+
+    answered_ago: float
+    waiting: float
+
+
 class TunnelRequest(NamedTuple):
     """Ask a peer for a tunnel to a backend server that it reaches.
 
@@ -288,6 +303,8 @@
     | PlacementAnswer
     | StreamQuery
     | StreamAnswer
+    | ContactQuery
+    | ContactAnswer
     | TunnelRequest
     | TunnelAnswer
     | TunnelData
@@ -312,6 +329,8 @@
     "placement": PlacementAnswer,
     "streams_ask": StreamQuery,
     "streams": StreamAnswer,
+    "contact_ask": ContactQuery,
+    "contact": ContactAnswer,
     "tunnel_ask": TunnelRequest,
     "tunnel": TunnelAnswer,
     "tunnel_data": TunnelData,
--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -15,7 +15,11 @@
 from ashpond.controllers.directconnection import DirectConnection
 from ashpond.controllers.relayclient import PEER_ERRORS, RelayClient, Relayed
 from ashpond.controllers.silencewatch import SilenceWatch
-from ashpond.decisions.contact import ContactMonitor
+from ashpond.decisions.contact import (
+    ContactMonitor,
+    PeerContact,
+    do_peers_reach_servers,
+)
 
 if TYPE_CHECKING:
     import random
@@ -46,6 +50,9 @@
     Has the methods of a :class:`~ashpond.clients.channelpools.ChannelPool` that calls
     need. Orders to engines and reads of their state never take a detour: they concern
     the instance that sends them.
+
+    :param ask_peers: returns the contacts of some peers, asked while answers are late;
+        without it, late answers are evidence like any other failure.
     """
 
     def __init__(
@@ -55,9 +62,12 @@
         relays: RelayClient,
         log: DecisionLog,
         rng: random.Random,
+        ask_peers: Callable[[], Awaitable[list[PeerContact]]] | None = None,
     ):
         self.contact = ContactMonitor(rng)
         self.watch = SilenceWatch(self._note_silence)
+        self._ask_peers = ask_peers
+        self._is_asking = False
         self._pool = pool
         self._table = table
         self._relays = relays
@@ -273,7 +283,7 @@
             now = trio.current_time()
             is_late = now - sent_at >= LATE_SECONDS
             if not (is_known and is_late):
-                self._note_failure(owner, sent_at, now)
+                self._note_failure(owner, sent_at, now, is_late=is_late)
         elif self._relays.note_unanswered(channel.relay):
             self._pool.close_relayed(channel.relay)
 
@@ -296,13 +306,45 @@
         if not channel.relay and self._relays.has_peers():
             self.watch.add(channel, owner, trio.current_time(), silent_seconds)
 
-    def _note_silence(self, owner: str, sent_at: float) -> None:
-        self._note_failure(owner, sent_at, trio.current_time())
+    def describe_contact(self) -> PeerContact:
+        """Return what peers are told of this instance's contact to the servers."""
+        now = trio.current_time()
+        return self.contact.describe(now, self.watch.measure_longest_wait(now))
 
-    def _note_failure(self, owner: str, sent_at: float, now: float) -> None:
-        if self.contact.note_failure(_get_server_id(owner), sent_at, now):
-            self._log.note("servers_cut_off", servers=self.contact.list_failed())
-            self._probes_needed.set()
+    def _note_silence(self, owner: str, sent_at: float) -> None:
+        self._note_failure(owner, sent_at, trio.current_time(), is_late=True)
+
+    def _note_failure(
+        self, owner: str, sent_at: float, now: float, *, is_late: bool = False
+    ) -> None:
+        is_doubtful = is_late and self._ask_peers is not None
+        server_id = _get_server_id(owner)
+        if self.contact.note_failure(server_id, sent_at, now, is_late=is_doubtful):
+            self._begin_cut_off()
+        elif self.contact.is_doubtful and not self._is_asking and self._nursery:
+            self._is_asking = True
+            self._nursery.start_soon(self._resolve_doubt)
+
+    async def _resolve_doubt(self) -> None:
+        """Ask peers whether servers answer them while answers are late here."""
+        assert self._ask_peers is not None
+        try:
+            contacts = await self._ask_peers()
+        finally:
+            self._is_asking = False
+        do_reach = do_peers_reach_servers(contacts)
+        self._log.note(
+            "answers_late",
+            servers=self.contact.list_failed(),
+            peers=[[round(value, 3) for value in contact] for contact in contacts],
+            do_peers_reach=do_reach,
+        )
+        if self.contact.resolve_doubt(trio.current_time(), do_peers_reach=do_reach):
+            self._begin_cut_off()
+
+    def _begin_cut_off(self) -> None:
+        self._log.note("servers_cut_off", servers=self.contact.list_failed())
+        self._probes_needed.set()
 
     async def check(self, owner: str, address: str) -> ConnectResult:
         """Check whether a server is up; it is not gone while a peer reaches it."""
--- a/ashpond/decisions/contact.py
+++ b/ashpond/decisions/contact.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
-__all__ = ["ContactMonitor"]
+__all__ = ["ContactMonitor", "PeerContact", "do_peers_reach_servers"]
 
-from typing import TYPE_CHECKING
+import math
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
 
 # Servers that must have failed without an answer from any in between.
 MIN_FAILED_SERVERS = 2
@@ -25,10 +27,39 @@
 MAX_TRIAL_SECONDS = 2.0
 # Requests that may not be repeated are tried only if no other request came for so long.
 UNREPEATABLE_SECONDS = 2.0
+# Servers answer a peer if one did within this time, and leave it waiting if they have
+# not answered a request for longer (seconds).
+RECENT_SECONDS = 0.3
 # An instance that is cut off again within this time takes longer to return (seconds).
 FLAP_SECONDS = 5.0
 
 
+class PeerContact(NamedTuple):
+    """An instance's contact to the backend servers (seconds).
+
+    ``answered_ago`` is the time since a server last answered it straight, ``waiting``
+    how long its oldest unanswered request has waited. An instance that is cut off
+    names neither.
+    """
+
+    answered_ago: float
+    waiting: float = 0.0
+
+
+NO_CONTACT = PeerContact(math.inf)
+
+
+def do_peers_reach_servers(contacts: Sequence[PeerContact]) -> bool:
+    """Return whether late answers here mean that this instance is cut off.
+
+    If peers wait as well, servers or machines are slow: a detour would not help.
+    Peers without requests say nothing, and the evidence of this instance stands.
+    """
+    if any(contact.answered_ago <= RECENT_SECONDS for contact in contacts):
+        return True
+    return not any(contact.waiting > RECENT_SECONDS for contact in contacts)
+
+
 class ContactMonitor:
     """The evidence on whether this instance reaches the backend servers.
 
@@ -39,8 +70,11 @@
 
     def __init__(self, rng: random.Random):
         self.is_cut_off = False
+        # Whether there is enough evidence, but only of answers that are late.
+        self.is_doubtful = False
         self._rng = rng
         self._failed: dict[str, float] = {}
+        self._late: set[str] = set()
         self._answered_at = float("-inf")
         self._regained_at = float("-inf")
         self._trial_seconds = TRIAL_SECONDS
@@ -58,7 +92,7 @@
         Return whether the instance was cut off until now.
         """
         self._answered_at = now
-        self._failed.clear()
+        self._forget_failures()
         self._is_trying = False
         if not self.is_cut_off:
             return False
@@ -66,12 +100,15 @@
         self._regained_at = now
         return True
 
-    def note_failure(self, server_id: str, sent_at: float, now: float) -> bool:
-        """Record a direct request that ended without any byte of an answer.
+    def note_failure(
+        self, server_id: str, sent_at: float, now: float, *, is_late: bool = False
+    ) -> bool:
+        """Record a direct request without any byte of an answer.
 
         Return whether the instance is cut off from now on.
 
         :param sent_at: since when nothing has come from the server.
+        :param is_late: whether the connection is open, and the answer only late.
         """
         self._is_trying = False
         if self.is_cut_off:
@@ -81,14 +118,52 @@
             # Another server has answered since.
             return False
         self._failed[server_id] = now
+        if is_late:
+            self._late.add(server_id)
+        else:
+            self._late.discard(server_id)
         oldest = now - EVIDENCE_SECONDS
         self._failed = {s: at for s, at in self._failed.items() if at >= oldest}
         if len(self._failed) < MIN_FAILED_SERVERS:
             return False
+        if self._failed.keys() <= self._late:
+            self.is_doubtful = True
+            return False
+        self._cut_off(now)
+        return True
+
+    def resolve_doubt(self, now: float, *, do_peers_reach: bool) -> bool:
+        """Record what peers say on late answers; return whether it is cut off now.
+
+        :param do_peers_reach: as of :func:`do_peers_reach_servers`.
+        """
+        if not self.is_doubtful:
+            return False
+        if not do_peers_reach:
+            self._forget_failures()
+            return False
+        self._cut_off(now)
+        return True
+
+    def describe(self, now: float, waiting: float) -> PeerContact:
+        """Return what peers are told.
+
+        :param waiting: how long the oldest unanswered request has waited (seconds).
+        """
+        if self.is_cut_off:
+            return NO_CONTACT
+        return PeerContact(now - self._answered_at, waiting)
+
+    def _forget_failures(self) -> None:
+        self._failed.clear()
+        self._late.clear()
+        self.is_doubtful = False
+
+    def _cut_off(self, now: float) -> None:
+        self.is_doubtful = False
         self.is_cut_off = True
         is_flapping = now - self._regained_at < FLAP_SECONDS
         self._plan_trial(now, self._trial_seconds * 2 if is_flapping else TRIAL_SECONDS)
-        return True
 
     def note_probe(self, *, is_reachable: bool) -> None:
         """Record whether a connection to a server could be opened and stayed open."""
--- a/ashpond/fleet/links.py
+++ b/ashpond/fleet/links.py
@@ -36,7 +36,7 @@
     PlacementQuery,
     TableChanges,
 )
-from ashpond.clients.peermessages import StreamQuery, TunnelRequest
+from ashpond.clients.peermessages import ContactQuery, StreamQuery, TunnelRequest
 from ashpond.controllers.feeds import TableUpdate
 from ashpond.decisions.cacheindex import CacheEntry
 from ashpond.decisions.fleetlinks import Links, Member
@@ -68,7 +68,12 @@
 UpdateMessage = PeerUpdate | Notices | CrashReport | TableChanges
 # The messages that a connection may begin with.
 FirstMessage = (
-    UpdateMessage | AllowanceQuery | PlacementQuery | StreamQuery | TunnelRequest
+    UpdateMessage
+    | AllowanceQuery
+    | PlacementQuery
+    | StreamQuery
+    | ContactQuery
+    | TunnelRequest
 )
 # Exceptions that end a connection between instances.
 PEER_ERRORS = (
--- a/ashpond/fleet/updates.py
+++ b/ashpond/fleet/updates.py
@@ -34,7 +34,7 @@
     PlacementQuery,
     TableChanges,
 )
-from ashpond.clients.peermessages import StreamQuery, TunnelRequest
+from ashpond.clients.peermessages import ContactQuery, StreamQuery, TunnelRequest
 from ashpond.controllers.feeds import TableUpdate
 from ashpond.decisions.budget import AttemptCounts
 from ashpond.decisions.cacheindex import CacheEntry
@@ -123,6 +123,14 @@
     raise FrameError("this instance keeps no origins of streams")
 
 
+async def end_contact(first: ContactQuery, stream: PeerStream) -> None:
+    """End the connection of a peer that asks for contacts to backend servers.
+
+    :raises FrameError: always.
+    """
+    raise FrameError("this instance sends no requests to servers")
+
+
 class UpdateHandlers(NamedTuple):
     """Callbacks for received updates, and for the values that this instance sends.
 
@@ -135,6 +143,7 @@
     ``list_versions`` returns the versions of tables for a peer that has just connected.
     ``serve_tunnel`` relays a peer's connection to a backend server until it ends.
     ``serve_streams`` keeps the origins of a peer's streams and answers what it asks.
+    ``serve_contact`` tells a peer whether backend servers answer this instance.
     """
 
     on_notice: Callable[[ServerNotice], None]
@@ -152,10 +161,15 @@
     list_versions: Callable[[], list[TableUpdate]] = list
     serve_tunnel: Callable[[TunnelRequest, PeerStream], Awaitable[None]] = end_tunnel
     serve_streams: Callable[[StreamQuery, PeerStream], Awaitable[None]] = end_streams
+    serve_contact: Callable[[ContactQuery, PeerStream], Awaitable[None]] = end_contact
 
     async def serve(
         self,
-        first: AllowanceQuery | PlacementQuery | StreamQuery | TunnelRequest,
+        first: AllowanceQuery
+        | PlacementQuery
+        | StreamQuery
+        | ContactQuery
+        | TunnelRequest,
         stream: PeerStream,
     ) -> None:
         """Serve a peer whose first message is a query, until its connection ends.
@@ -168,6 +182,8 @@
             await self.serve_tunnel(first, stream)
         elif isinstance(first, StreamQuery):
             await self.serve_streams(first, stream)
+        elif isinstance(first, ContactQuery):
+            await self.serve_contact(first, stream)
         else:
             await self.serve_allowances(first, stream)
 
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -18,6 +18,7 @@
 from ashpond.controllers.feeds import Feed, Follower, TableUpdate
 from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.controllers.memory import MemoryController
+from ashpond.controllers.peercontact import PeerContacts
 from ashpond.controllers.permits import Permits
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.relayclient import RelayClient
@@ -141,6 +142,10 @@
             RelayClient(lambda: self.members, log, self.rng, self.metrics.count_tunnel),
             log,
             self.rng,
+            lambda: self.peer_contacts.ask(),
+        )
+        self.peer_contacts = PeerContacts(
+            lambda: self.members, self.detours.describe_contact, self.rng
         )
         self.relay_server = RelayServer(
             self.table,
@@ -258,6 +263,7 @@
                 self._list_versions,
                 self.relay_server.serve,
                 self.origins.serve,
+                self.peer_contacts.serve,
             ),
             settings.bounds.retry_window_s,
             settings.mesh_limit,
--- a/tests/relays.py
+++ b/tests/relays.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -17,6 +18,7 @@
 from ashpond.clients.tunnels import MAX_FRAME_BYTES
 from ashpond.controllers.detours import Detours
 from ashpond.controllers.relayclient import RelayClient
+from ashpond.decisions.contact import PeerContact
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.relays import MAX_TUNNELS
 from ashpond.fleet.links import PEER_ERRORS
@@ -123,7 +125,13 @@
         rng = random.Random(1)
         self.outcomes: list[str] = []
         client = RelayClient(lambda: members, log, rng, self.outcomes.append)
-        self.detours = Detours(self.pool, self.table, client, log, rng)
+        # What peers say of their contact, as of a peer without requests.
+        self.peer_contacts = [PeerContact(math.inf)]
+        self.detours = Detours(self.pool, self.table, client, log, rng, self._ask_peers)
+
+    async def _ask_peers(self) -> list[PeerContact]:
+        await trio.lowlevel.checkpoint()
+        return self.peer_contacts
 
     async def acquire(
         self, server: str = "s1", *, is_repeatable: bool = True
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import math
 import random
 
+import pytest
 from hypothesis import given, strategies as st
 
-from ashpond.decisions.contact import MAX_TRIAL_SECONDS, ContactMonitor
+from ashpond.decisions.contact import (
+    MAX_TRIAL_SECONDS,
+    ContactMonitor,
+    PeerContact,
+    do_peers_reach_servers,
+)
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.relays import (
     MAX_TUNNELS,
@@ -165,3 +172,60 @@
     assert [member.name for member in ranked] == ["i2", "i1"]
     assert find_tunnel_limit(5.0) < find_tunnel_limit(50.0) < find_tunnel_limit(0.0)
     assert find_tunnel_limit(1000.0) == MAX_TUNNELS
+
+
+def test_late_answers_raise_a_doubt_that_peers_resolve() -> None:
+    monitor = make_monitor()
+    for n in range(2):
+        assert not monitor.note_failure(f"s{n}", 1.0, 2.0, is_late=True)
+    assert monitor.is_doubtful
+    assert not monitor.is_cut_off
+    assert not monitor.resolve_doubt(2.1, do_peers_reach=False)
+    assert not monitor.is_doubtful
+    # The evidence begins anew.
+    assert not monitor.note_failure("s0", 2.2, 3.0, is_late=True)
+    assert not monitor.is_doubtful
+    monitor.note_failure("s1", 2.2, 3.0, is_late=True)
+    assert monitor.resolve_doubt(3.1, do_peers_reach=True)
+    assert monitor.is_cut_off
+
+
+def test_an_answer_ends_the_doubt() -> None:
+    monitor = make_monitor()
+    for n in range(2):
+        monitor.note_failure(f"s{n}", 1.0, 2.0, is_late=True)
+    monitor.note_answer(2.05)
+    assert not monitor.resolve_doubt(2.1, do_peers_reach=True)
+    assert not monitor.is_cut_off
+
+
+def test_a_broken_connection_beside_a_late_answer_needs_no_peer() -> None:
+    monitor = make_monitor()
+    monitor.note_failure("s0", 1.0, 2.0, is_late=True)
+    assert monitor.note_failure("s1", 2.0, 2.0)
+
+
+@pytest.mark.parametrize(
+    ("contacts", "expected"),
+    [
+        ([], True),
+        ([PeerContact(0.2, 1.0), PeerContact(5.0, 1.0)], True),
+        ([PeerContact(0.5, 0.5)], False),
+        ([PeerContact(math.inf, 0.0)], True),
+        ([PeerContact(math.inf, 0.0), PeerContact(1.0, 0.9)], False),
+        ([PeerContact(1.0, 0.1)], True),
+    ],
+)
+def test_peers_that_wait_too_show_that_servers_are_slow(
+    contacts: list[PeerContact], expected: bool
+) -> None:
+    assert do_peers_reach_servers(contacts) is expected
+
+
+def test_an_instance_that_is_cut_off_is_no_evidence_for_others() -> None:
+    monitor = make_monitor()
+    monitor.note_answer(1.0)
+    assert monitor.describe(1.5, 0.25) == PeerContact(0.5, 0.25)
+    for n in range(2):
+        monitor.note_failure(f"s{n}", 2.0, 2.0)
+    assert monitor.describe(2.5, 0.4) == PeerContact(math.inf, 0.0)
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 import trio
 
 from ashpond.clients.channelpools import ConnectResult
 from ashpond.clients.channels import ChannelError
 from ashpond.controllers import detours
+from ashpond.decisions.contact import PeerContact
 from tests.peer_fleet import wait_for
 from tests.ports import find_free_port
-from tests.relays import Relay, make_request, run_relays
+from tests.relays import Relay, Sender, make_request, run_relays
 from tests.servers import make_answer, read_request, run_server
 from tests.soak.resets import reset
 
@@ -335,6 +338,70 @@
             assert not caught.value.is_own_fault
 
 
+async def be_silent_to(sender: Sender, *servers: str) -> None:
+    """Let each server leave a request without an answer for a second."""
+    for name in servers:
+        channel = await sender.acquire(name)
+        owner = sender.table.by_id[name].owner
+        sender.detours.note_unanswered(owner, channel, trio.current_time() - 1.0)
+        channel.close()
+    await trio.sleep(0.05)
+
+
+async def test_late_answers_of_peers_too_are_no_partition() -> None:
+    """On an overloaded machine, instances refused as no peer relayed for them."""
+
+    def cut_off(relays: list[Relay]) -> None:
+        for relay in relays:
+            relay.is_cut_off = True
+
+    async with run_server(answer_all) as address:
+        servers = {"s1": address, "s2": address}
+        async with run_relays(servers, 2, cut_off) as (sender, _):
+            sender.pool.error = None
+            sender.peer_contacts = [PeerContact(1.2, 0.9), PeerContact(math.inf)]
+            await be_silent_to(sender, "s1", "s2", "s1", "s2")
+            assert not sender.detours.is_cut_off
+            assert await sender.fetch() == b"5"
+
+
+@pytest.mark.parametrize(
+    "contacts",
+    [[], [PeerContact(0.1, 2.0)], [PeerContact(math.inf)], [PeerContact(0.1)] * 2],
+)
+async def test_late_answers_are_a_partition_unless_peers_wait_too(
+    contacts: list[PeerContact],
+) -> None:
+    async with (
+        run_server(answer_all) as address,
+        run_relays({"s1": address, "s2": address}) as (sender, _),
+    ):
+        sender.pool.error = None
+        sender.peer_contacts = contacts
+        await be_silent_to(sender, "s1", "s2")
+        assert sender.detours.is_cut_off
+
+
+async def test_an_answer_while_peers_are_asked_ends_the_doubt() -> None:
+    async with (
+        run_server(answer_all) as address,
+        run_relays({"s1": address, "s2": address}) as (sender, _),
+    ):
+        sender.pool.error = None
+        may_answer = trio.Event()
+
+        async def ask_slowly() -> list[PeerContact]:
+            await may_answer.wait()
+            return [PeerContact(0.0)]
+
+        sender.detours._ask_peers = ask_slowly
+        await be_silent_to(sender, "s1", "s2")
+        await sender.fetch()
+        may_answer.set()
+        await trio.sleep(0.05)
+        assert not sender.detours.is_cut_off
+
+
 async def test_requests_that_wait_show_a_partition_before_they_end() -> None:
     """Requests that may not be repeated wait until their deadline."""
     async with (
@@ -373,3 +440,4 @@
         assert sender.detours.watch.measure_longest_wait(trio.current_time()) == 0
         await trio.sleep(0.3)
         assert not sender.detours.is_cut_off
+        assert "answers_late" not in sender.events
