Run the tests in as many processes as there are cores

What measures times, and the largest fleet of processes, runs by itself afterwards (marker 'alone', 15 tests). The same tests with the same bounds.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 	$(BIN)/mypy -p ashpond_platform
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n auto --dist worksteal -m "not alone"
+	$(BIN)/python -m pytest -m alone
 
 explore: setup
 	ASHPOND_TESTS=explore $(BIN)/python -m pytest -k "not catches" \
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -109,7 +109,12 @@
 
 @pytest.mark.parametrize(
     ("instances", "cut", "kind"),
-    [(6, 2, Cut.RESET), (6, 2, Cut.REFUSE_NEW), (6, 2, Cut.HANG), (12, 8, Cut.RESET)],
+    [
+        (6, 2, Cut.RESET),
+        (6, 2, Cut.REFUSE_NEW),
+        (6, 2, Cut.HANG),
+        pytest.param(12, 8, Cut.RESET, marks=pytest.mark.alone),
+    ],
 )
 async def test_instances_that_reach_no_server_still_serve(
     instances: int, cut: int, kind: Cut, tmp_path: Path
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -30,6 +30,8 @@
     run_gateway,
 )
 
+pytestmark = pytest.mark.alone
+
 LIMIT_MB = 88
 BUDGET = compute_byte_budget(LIMIT_MB)
 BIG = b"x" * 400_000
