Let the soak change software versions and take up streams

Servers of three software versions come and go in one service while clients break off or are broken off and take their streams up at other instances; all instances are killed at once at times, beside all other faults. Checked: no more than two streams with events of two versions, none out of order, and of those taken up at instances in touch at least half the share of new ones.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -54,6 +54,7 @@
 @click.option("--statements", type=int, default=0, help="Servers say what they want.")
 @click.option("--partitions", type=int, default=0, help="Players that cut instances.")
 @click.option("--unframed", type=float, default=0.0, help="Share of such answers.")
+@click.option("--versions", type=int, default=0, help="Clients that resume streams.")
 @click.option("--worlds", type=int, default=1, help="Seeds played at once.")
 def main(
     seed: int,
@@ -67,6 +68,7 @@
     statements: int,
     partitions: int,
     unframed: float,
+    versions: int,
     worlds: int,
 ) -> None:
     """Play COUNT seeds from SEED on, each for SECONDS; exit 1 if one failed."""
@@ -79,6 +81,7 @@
         statements,
         partitions,
         unframed,
+        versions,
     )
     failed = 0
     seeds = range(seed, seed + count)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -15,6 +15,7 @@
 from tests.soak.faults import ROUTE_TIMEOUTS_MS
 from tests.soak.instances import GRACE_SECONDS, REVOCATION_SECONDS, Instance
 from tests.soak.servers import EVENTS, Run, make_body, make_event
+from tests.soak.versions import find_version_violations
 
 if TYPE_CHECKING:
     from tests.soak.world import World
@@ -34,6 +35,7 @@
     broken = [f for outcome in world.outcomes for f in _check_one(world, outcome)]
     broken += find_lost(world)
     broken += find_directive_violations(world)
+    broken += find_version_violations(world)
     if settled < LEAST_SERVED:
         broken.append(f"only {settled:.2f} served after the faults")
     return broken
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -93,9 +93,11 @@
         await instance.restart(signal.SIGTERM, seconds / 2)
 
     async def _take_store_down(self, seconds: float) -> None:
+        began_at = trio.current_time()
         self._world.memory.is_down = True
         await trio.sleep(seconds)
         self._world.memory.is_down = False
+        self._world.store_outages.append((began_at, trio.current_time()))
 
     async def _remove_key(self, seconds: float) -> None:
         self._world.remove_key(self._rng)
@@ -119,11 +121,13 @@
         while True:
             copy = memory.take_copy()
             await trio.sleep(self._rng.uniform(*COPY_AGE_SECONDS))
+            began_at = trio.current_time()
             memory.is_down = True
             await trio.sleep(self._rng.uniform(*FAULT_SECONDS))
             known = memory.version
             memory.restore_from(copy)
             memory.is_down = False
+            self._world.store_outages.append((began_at, trio.current_time()))
             if self._rng.random() < UNNOTICED_SHARE:
                 # Removes a key and passes the version that instances know before any
                 # of them sends a query, so that the version does not show the
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -11,6 +11,7 @@
 
 from tests.directives import NO_DIRECTIVE, Directive
 from tests.servers import read_request
+from tests.soak import versions
 from tests.soak.resets import reset
 
 if TYPE_CHECKING:
@@ -84,8 +85,10 @@
         server_id: str,
         ledger: Ledger,
         choose_ending: Callable[[], AnswerEnding] = lambda: AnswerEnding.FRAMED,
+        version: str = "v1",
     ):
         self.server_id = server_id
+        self.version = version
         self.ledger = ledger
         self._choose_ending = choose_ending
         # Sent in every answer at present.
@@ -129,6 +132,9 @@
         self.ledger.runs[request_id].append(run)
         head = f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\n"
         head += directive.format_headers()
+        if target == versions.PATH:
+            await versions.send_versioned(stream, head, headers, self.version)
+            return
         ending = self._choose_ending()
         if ending in (AnswerEnding.TORN, AnswerEnding.RESET):
             self.ledger.torn.add(request_id)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -34,6 +34,7 @@
 from tests.soak.partitions import Cut, Partitions
 from tests.soak.proxy import Harm, Proxy
 from tests.soak.servers import AnswerEnding, Ledger, Server
+from tests.soak.versions import ResumingClient, StreamUse, VersionPlayer
 from tests.test_platform_store import answer_call
 
 # Restarted instances need a second or two, and longer on a busy machine.
@@ -51,7 +52,8 @@
     ``statements`` are the numbers of concurrent players of fault series and of server
     directives, and ``returns`` restores the store from older copies. ``partitions``
     players cut instances off from all servers; ``unframed`` is the share of answers
-    that have neither length nor chunks, a half of which break off.
+    that have neither length nor chunks, a half of which break off. ``versions`` clients
+    take up streams while servers of several software versions come and go.
     """
 
     instances: int | None = None
@@ -62,6 +64,7 @@
     statements: int = 0
     partitions: int = 0
     unframed: float = 0.0
+    versions: int = 0
 
 
 class World:
@@ -75,6 +78,8 @@
         self.memory = MemoryStore()
         self.ledger = Ledger()
         self.outcomes: list[Outcome] = []
+        self.stream_uses: list[StreamUse] = []
+        self.store_outages: list[tuple[float, float]] = []
         self.removed_keys: dict[str, float] = {}
         self.gone_servers: dict[str, float] = {}
         self.partitions = Partitions(self._list_pids)
@@ -140,6 +145,11 @@
                 nursery.start_soon(PartitionPlayer(self, self._fork_rng()).run)
             for _ in range(self.play.statements):
                 nursery.start_soon(DirectivePlayer(self, self._fork_rng()).run)
+            if self.play.versions:
+                nursery.start_soon(VersionPlayer(self, self._fork_rng()).run)
+            for number in range(self.play.versions):
+                client = ResumingClient(self, self._fork_rng(), number)
+                nursery.start_soon(client.run)
             for _ in range(self.play.keepers):
                 nursery.start_soon(KeepAliveClient(self, self._fork_rng()).run)
 
@@ -202,18 +212,31 @@
         endings = [AnswerEnding.UNFRAMED, AnswerEnding.TORN, AnswerEnding.RESET]
         return self._endings_rng.choices(endings, [2, 1, 1])[0]
 
-    async def add_server(self) -> None:
+    def list_entries(self) -> list[str]:
+        """Return the ids of the servers that have an entry."""
+        return sorted(self._entries)
+
+    def count_serving(self, version: str) -> int:
+        """Return how many servers of a software version have an entry and no harm."""
+        return sum(
+            self.servers[name].version == version
+            and self.server_proxies[name].harm is Harm.NONE
+            for name in self._entries
+        )
+
+    async def add_server(self, version: str = "v1") -> None:
         """Add a server behind a proxy and write its entry to the store."""
         nursery = self._nursery
         assert nursery is not None
         server_id = f"s{len(self.servers)}"
-        server = Server(server_id, self.ledger, self._choose_ending)
+        server = Server(server_id, self.ledger, self._choose_ending, version)
         self.servers[server_id] = server
         address = await self._listen(nursery, server.serve)
         proxy = Proxy(address, self.partitions)
         await nursery.start(proxy.run)
         self.server_proxies[server_id] = proxy
         entry = {**SERVER, "address": proxy.address, "models": [], "service": "s1"}
+        entry["version"] = version
         self._entries[server_id] = orjson.dumps(entry)
         self.memory.put(SERVERS_TABLE, server_id, self._entries[server_id])
 
@@ -225,6 +248,7 @@
             "/n/": ("non_idempotent", False),
             "/i/": ("idempotent", False),
             "/s/": ("stream", True),
+            "/v/": ("stream", True),
         }
         routes = [
             {**base, "name": p, "prefix": p, "kind": kind, "resumable": resumable}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,9 @@
 #      started again.
 SEEDS = (1, 200)
 SECONDS = 5.0
+# Seeds with clients that resume streams while software versions come and go, and all
+# instances are killed at times.
+VERSION_SEEDS = (5100, 5101)
 # Seeds with keep-alive clients and series of faults, each with the failure it shows:
 # 6004, 6005: the idle timeout closed a connection in the event loop iteration that
 #       read its next request; the request was forwarded and never answered.
@@ -175,3 +178,12 @@
 )
 def test_excused_request_is_not_reported_as_lost(outcome, signals, harms) -> None:
     assert find_lost(make_world(outcome, signals, harms)) == []
+
+
+@pytest.mark.parametrize("seed", VERSION_SEEDS)
+async def test_streams_stay_at_one_software_version_under_faults(
+    seed: int, tmp_path: Path
+) -> None:
+    world = World(seed, tmp_path, Play(versions=20, keepers=20, series=2))
+    assert await world.run(10.0) == []
+    assert sum(bool(use.stream.list_resumptions()) for use in world.stream_uses) >= 12
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -7,7 +7,8 @@
 
 import trio
 
-from tests.versionworld import Outcome, VersionWorld, summarize
+from tests.streamclients import Outcome, summarize
+from tests.versionworld import VersionWorld
 
 PER_SECOND = 30.0
 SECONDS = 12.0
