Explain a stream over all tries of its client

explain lists the requests that began a stream and took it up, in order of time, for the id of any of them; the first try's id is in the new lines stream_origin and stream_origin_unknown.

--- a/ashpond/gateway/explanations.py
+++ b/ashpond/gateway/explanations.py
@@ -55,18 +55,26 @@
 def explain_request(lines: Iterable[Line], request_id: str) -> list[str]:
     """Return the history of one request in order, with its cause as the last line.
 
-    If servers have crashed under the request, these crashes come before the cause,
-    including those that other instances logged or that happened under other ids.
+    If clients took up a stream again, the history is that of all its tries. If servers
+    have crashed under the request, these crashes come before the cause, including those
+    that other instances logged or that happened under other ids.
     """
+    lines = list(lines)
+    tries = _find_tries(lines, request_id)
     own_lines = []
     quarantine_lines = []
     for line in lines:
-        if line.get("id") == request_id:
+        if line.get("id") in tries:
             own_lines.append(line)
         if line["event"] in QUARANTINE_EVENTS or _is_crash(line) or _is_refusal(line):
             quarantine_lines.append(line)
     own_lines.sort(key=_get_time)
-    history = [_describe(line) for line in own_lines]
+    history = []
+    for number, line in enumerate(own_lines):
+        is_first = number == 0 or own_lines[number - 1]["id"] != line["id"]
+        if is_first and len(tries) > 1:
+            history.append(f"=> request {line['id']}:")
+        history.append(_describe(line))
     if own_lines:
         history += _describe_placements(own_lines)
         history += _describe_crashes(quarantine_lines, _find_fingerprint(own_lines))
@@ -74,6 +82,13 @@
     return history
 
 
+def _find_tries(lines: Iterable[Line], request_id: str) -> set[str]:
+    """Return the ids of the requests that began and took up the same stream."""
+    first_ids = {line["id"]: line["first_id"] for line in lines if line.get("first_id")}
+    first_id = first_ids.get(request_id, request_id)
+    return {request_id, first_id} | {n for n, f in first_ids.items() if f == first_id}
+
+
 def _get_time(line: Line) -> float:
     return line.get("t", 0)
 
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -146,3 +146,34 @@
     assert "servers=['a', 'b'] told_by=['i3', 'own']" in history
     assert "refused since: 1" in history
     assert "request_suspected" not in history
+
+
+def test_a_stream_is_followed_over_its_tries() -> None:
+    """A client names the request that brought the first event, at any instance."""
+    broken = {
+        "t": 4.0,
+        "instance": "i0",
+        "event": "broken_off",
+        "id": "id-1",
+        "after": 2.0,
+        "reason": "reset",
+    }
+    taken_up = [
+        {
+            "t": 5.0 + n,
+            "instance": f"i{n}",
+            "event": event,
+            "id": f"id-{n}",
+            "first_id": "id-1",
+            "after": 0.01,
+            "known_by": "keeper",
+        }
+        for n, event in ((2, "stream_origin"), (3, "stream_origin_unknown"))
+    ]
+    other = {**FAILED, "id": "id-4", "first_id": "id-5"}
+    lines = [*taken_up, make_sent("a"), broken, other]
+    for request_id in ("id-1", "id-2", "id-3"):
+        history = explain_request(lines, request_id)
+        headings = [line for line in history if line.startswith("=> request")]
+        assert headings == [f"=> request id-{n}:" for n in (1, 2, 3)]
+        assert not any("send_failed" in line for line in history)
