--- a/ashpond/clients/peermessages.py
+++ b/ashpond/clients/peermessages.py
@@ -208,11 +208,10 @@
 class StreamQuery(NamedTuple):
     """Tell an instance where streams began, and ask it for the origins of others.
 
-    ``sender`` is an incarnation. ``begun`` are lists of the fields of
+    ``begun`` are lists of the fields of
     :class:`~ashpond.clients.streamorigins.BegunStreams`, ``asked`` of ``AskedStream``.
     """
 
-    sender: str
     begun: list[Any]
     asked: list[Any]
 
--- a/ashpond/clients/streamorigins.py
+++ b/ashpond/clients/streamorigins.py
@@ -79,11 +79,11 @@
 
 
 def encode_stream_query(
-    sender: str, begun: Sequence[BegunStreams], asked: Sequence[AskedStream]
+    begun: Sequence[BegunStreams], asked: Sequence[AskedStream]
 ) -> StreamQuery:
     """Return the message that tells a keeper of streams, and asks for others."""
     return StreamQuery(
-        sender, [list(streams) for streams in begun], [list(ask) for ask in asked]
+        [list(streams) for streams in begun], [list(ask) for ask in asked]
     )
 
 
--- a/ashpond/controllers/originlink.py
+++ b/ashpond/controllers/originlink.py
@@ -54,7 +54,6 @@
     def __init__(
         self,
         member: Member,
-        incarnation: str,
         log: DecisionLog,
         connect: Callable[[Member], Awaitable[PeerStream]],
         list_begun: Callable[[Member], list[BegunStreams]],
@@ -62,7 +61,6 @@
         self.member = member
         self.scope = trio.CancelScope()
         self.is_closed = False
-        self._incarnation = incarnation
         self._log = log
         self._connect = connect
         self._list_begun = list_begun
@@ -160,7 +158,7 @@
                 question.is_sent = True
             if begun or unsent:
                 asked = [question.ask for question in unsent]
-                query = encode_stream_query(self._incarnation, begun, asked)
+                query = encode_stream_query(begun, asked)
                 with trio.fail_after(SEND_SECONDS):
                     await stream.send(query)
                 if self._begun or any(not q.is_sent for q in self._questions.values()):
--- a/ashpond/controllers/streamorigins.py
+++ b/ashpond/controllers/streamorigins.py
@@ -4,7 +4,6 @@
 
 __all__ = ["StreamOrigins", "make_lone_origins"]
 
-import secrets
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TYPE_CHECKING, NamedTuple
@@ -31,6 +30,7 @@
     UnknownReason,
     choose_keepers,
     decide_origin,
+    list_keepers,
     make_stream_key,
 )
 from ashpond.errors import FrameError
@@ -43,7 +43,6 @@
     from ashpond.gateway.decisionlog import DecisionLog
 
 MAX_FRAME_BYTES = 1 << 20
-INCARNATION_BYTES = 4
 # An origin is kept this much longer than its client waits (seconds).
 MARGIN_SECONDS = 2.0
 # The most own streams whose keepers are told of them again after a reconnection.
@@ -95,17 +94,20 @@
         self._count = count
         self._own: dict[bytes, _OwnStream] = {}
         self._links: dict[str, OriginLink] = {}
-        self._incarnation = ""
+        # Those of the present members, None until they are needed.
+        self._keepers: dict[str, Member] | None = None
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
         """Run the links to keepers, which are opened when they are needed."""
-        token = secrets.token_hex(INCARNATION_BYTES)
-        self._incarnation = f"{self._get_members().own.name}#{token}"
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             await trio.sleep_forever()
 
+    def note_members(self) -> None:
+        """Choose the keepers again, as the members have changed."""
+        self._keepers = None
+
     def note_begun(
         self,
         team: str,
@@ -203,7 +205,9 @@
         if self._nursery is None or not self._get_members().secret:
             return []
         members = self._get_members()
-        return choose_keepers(key, members.by_name, members.own.name, count)
+        if self._keepers is None:
+            self._keepers = list_keepers(members.by_name)
+        return choose_keepers(key, self._keepers, members.own.name, count)
 
     def _tell(self, key: bytes, stream: _OwnStream) -> None:
         for member in self._choose_keepers(key, TOLD_KEEPERS):
@@ -253,9 +257,7 @@
             return link
         if link is not None:
             link.scope.cancel()
-        link = OriginLink(
-            member, self._incarnation, self._log, self._connect, self._list_begun
-        )
+        link = OriginLink(member, self._log, self._connect, self._list_begun)
         self._links[member.name] = link
         assert self._nursery is not None
         self._nursery.start_soon(link.run)
--- a/ashpond/decisions/streamorigins.py
+++ b/ashpond/decisions/streamorigins.py
@@ -19,6 +19,7 @@
     "UnknownReason",
     "choose_keepers",
     "decide_origin",
+    "list_keepers",
     "make_stream_key",
 ]
 
@@ -42,7 +43,7 @@
 # by one place each.
 ASKED_KEEPERS = 5
 # In large fleets, only this many instances keep origins, which bounds the connections.
-MAX_KEEPERS = 32
+MAX_KEEPERS = 64
 KEEPERS_SEED = 51
 # The most origins that are kept of one team, and of all teams together.
 MAX_TEAM_RECORDS = 20_000
@@ -170,20 +171,27 @@
     return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
 
 
+def list_keepers(members: Mapping[str, Member]) -> dict[str, Member]:
+    """Return the instances that keep origins, by name: all but in large fleets."""
+    names = sorted(members)
+    if len(names) > MAX_KEEPERS:
+        names = rank_by_rendezvous(KEEPERS_SEED, names)[:MAX_KEEPERS]
+    return {name: members[name] for name in names}
+
+
 def choose_keepers(
-    key: bytes, members: Mapping[str, Member], own_name: str, count: int
+    key: bytes, keepers: Mapping[str, Member], own_name: str, count: int
 ) -> list[Member]:
     """Return the instances that keep a key's origin, the first choice first.
 
     They are the same at all instances that know the same members, but for the instance
     itself, and of as many failure domains as possible.
+
+    :param keepers: as of :func:`list_keepers`.
     """
-    names = sorted(members)
-    if len(names) > MAX_KEEPERS:
-        names = rank_by_rendezvous(KEEPERS_SEED, names)[:MAX_KEEPERS]
-    ranked = rank_by_rendezvous(xxhash.xxh3_64_intdigest(key), names)
+    ranked = rank_by_rendezvous(xxhash.xxh3_64_intdigest(key), list(keepers))
     # All instances order the whole list, so that they agree on the first ones.
-    ordered = spread_domains([members[name] for name in ranked])
+    ordered = spread_domains([keepers[name] for name in ranked])
     return [member for member in ordered if member.name != own_name][:count]
 
 
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -352,6 +352,7 @@
         self._own_slots.clear()
         self.peers.adjust_links()
         self.reservations.note_members()
+        self.origins.note_members()
 
     def _find_required_version(self, model: str, now: float) -> int:
         bound = self.settings.bounds.weights_ms / MS * REQUIRED_SHARE
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -39,6 +39,7 @@
     UnknownReason,
     choose_keepers,
     decide_origin,
+    list_keepers,
     make_stream_key,
 )
 from ashpond.errors import FrameError
@@ -269,8 +270,12 @@
     members = make_members(numbers)
     teller = f"i{data.draw(st.sampled_from(sorted(numbers)))}"
     asker = f"i{data.draw(st.sampled_from(sorted(numbers)))}"
-    told = {m.name for m in choose_keepers(key, members, teller, TOLD_KEEPERS)}
-    asked = {m.name for m in choose_keepers(key, members, asker, ASKED_KEEPERS)}
+    told = {
+        m.name for m in choose_keepers(key, list_keepers(members), teller, TOLD_KEEPERS)
+    }
+    asked = {
+        m.name for m in choose_keepers(key, list_keepers(members), asker, ASKED_KEEPERS)
+    }
     assert teller not in told
     assert told <= asked | {asker}
     assert len(told) == min(TOLD_KEEPERS, len(members) - 1)
@@ -280,8 +285,10 @@
 def test_a_joining_instance_moves_few_keepers(
     numbers: set[int], key: bytes, joiner: int
 ) -> None:
-    told = choose_keepers(key, make_members(numbers), "i99999", TOLD_KEEPERS)
-    joined = make_members(numbers | {joiner})
+    told = choose_keepers(
+        key, list_keepers(make_members(numbers)), "i99999", TOLD_KEEPERS
+    )
+    joined = list_keepers(make_members(numbers | {joiner}))
     asked = choose_keepers(key, joined, "i99999", ASKED_KEEPERS)
     assert {m.name for m in told} & {m.name for m in asked}
 
@@ -428,7 +435,7 @@
 def test_messages_arrive_as_they_were_sent() -> None:
     begun = [BegunStreams("t", SERVICE, "v1", 3.5, KEY + KEY)]
     asked = [AskedStream(1, KEY, [SERVICE])]
-    query = encode_stream_query("i#1", begun, asked)
+    query = encode_stream_query(begun, asked)
     parsed = parse_message([KIND_NAMES[type(query)], list(query)])
     assert decode_stream_query(parsed) == (begun, asked)  # type: ignore[arg-type]
     assert begun[0].list_keys() == [KEY, KEY]
@@ -446,6 +453,6 @@
     [[["t", "s", "v", -1.0, KEY]], [["t", "s", "v", 1.0, b"short"]], [["t"]], [1]],
 )
 def test_invalid_streams_of_a_peer_are_rejected(begun: list[object]) -> None:
-    query = encode_stream_query("i#1", [], [])._replace(begun=begun)
+    query = encode_stream_query([], [])._replace(begun=begun)
     with pytest.raises(FrameError):
         decode_stream_query(query)
