Know after a restart of all instances that a service had one version

After all instances were killed at once, a stream of a service with one software version was refused for 30 s if no instance had a record of it: nobody could tell whether other versions had served before. The readers of the store now write the versions of a service into a row when they change (one write a change, after a random part of a second), and an instance that is not of the first start reads the rows once. A row counts 30 s after it was begun by an instance that could not know the past itself. New tests: restart of all, a version that has just left, rows that differ, cannot be read or come late.

--- a/ashpond/controllers/directory.py
+++ b/ashpond/controllers/directory.py
@@ -37,8 +37,8 @@
 
     ``on_new_start`` is called with the states of a server's previous and new start, so
     that other components drop what they keep for the previous one. ``on_load_change``
-    is called when :meth:`list_own_loads` may have changed, ``on_new_version`` with a
-    service that has got a server of another software version.
+    is called when :meth:`list_own_loads` may have changed, ``on_versions`` with a
+    service whose servers have got, or lost, a software version.
     """
 
     def __init__(self) -> None:
@@ -48,7 +48,7 @@
             lambda previous, state: None
         )
         self.on_load_change: Callable[[], None] = lambda: None
-        self.on_new_version: Callable[[str], None] = lambda service: None
+        self.on_versions: Callable[[str], None] = lambda service: None
         self.versions = VersionHistory()
         self.brittle = BrittleServices()
         self._peer_loads: dict[str, tuple[float, dict[str, Load]]] = {}
@@ -145,10 +145,12 @@
         present = self.versions.list_present(server.service)
         self.versions.add(server.service, server.software_version)
         if server.software_version not in present:
-            self.on_new_version(server.service)
+            self.on_versions(server.service)
 
     def _remove_version(self, server: BackendServer, now: float) -> None:
         self.versions.remove(server.service, server.software_version, now)
+        if server.software_version not in self.versions.list_present(server.service):
+            self.on_versions(server.service)
 
     def list_other_versions(self, service: str, version: str) -> frozenset[str]:
         """Return the ids of a service's servers of other software versions."""
--- a/ashpond/decisions/softwareversions.py
+++ b/ashpond/decisions/softwareversions.py
@@ -78,6 +78,12 @@
         """Return the number of known servers of a service by version."""
         return dict(self._servers.get(service, {}))
 
+    def list_left(self, service: str, now: float) -> list[tuple[str, float]]:
+        """Return the versions that have left, and how long ago (seconds)."""
+        recent = self._list_recent(service, now)
+        left = self._left_at.get(service, {})
+        return [(version, now - left[version]) for version in recent & left.keys()]
+
     def claim(self, service: str, now: float) -> VersionClaim:
         """Return at which versions a stream may have begun that has not ended."""
         recent = sorted(self._list_recent(service, now))
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -95,6 +95,7 @@
             nursery.start_soon(self.crash_detector.run)
             nursery.start_soon(self.detours.run)
             nursery.start_soon(self.origins.run)
+            nursery.start_soon(self.version_rows.run)
             watch = SuspensionWatch(self.log, self.metrics.observe_suspension)
             nursery.start_soon(watch.run)
             nursery.start_soon(self.quarantine.run)
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -26,11 +26,11 @@
 from ashpond.controllers.serverupdates import ServerUpdates
 from ashpond.controllers.storeview import StoreView, build_feeds
 from ashpond.controllers.streamorigins import StreamOrigins
+from ashpond.controllers.versionrows import VersionRows
 from ashpond.coordination.client import CoordinatedReservations
 from ashpond.coordination.coordinator import Coordinator
 from ashpond.coordination.grants import CoordinatorReports
 from ashpond.coordination.shardchoice import ChoiceSources
-from ashpond.decisions.brittleness import count_own_slots
 from ashpond.decisions.cacheindex import CacheIndex
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.quarantine import CrashRecords
@@ -44,6 +44,7 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.metrics import GatewayMetrics
+from ashpond.gateway.ownslots import OwnSlots
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.reservations import ReservationQueue
 from ashpond.gateway.rollouts import RolloutController
@@ -122,7 +123,16 @@
             log,
             self.metrics.count_taken_up,
         )
-        self.table.on_new_version = self.origins.note_versions_changed
+        self.version_rows = VersionRows(
+            platform.store,
+            self.table.versions,
+            log,
+            self.invalid_rows,
+            self.rng,
+            lambda: self.peers.is_reader,
+            was_first_start=settings.first_start,
+        )
+        self.table.on_versions = self._on_versions
         self.cache_index = CacheIndex()
         self.cache_stores = CacheStores(
             lambda: self.peers.is_reader, lambda update: self.peers.publish(update)
@@ -133,8 +143,7 @@
             lambda: self.members.count(),
         )
         self.leave_event = trio.Event()
-        # How many slots of a server are this instance's, by its id and their number.
-        self._own_slots: dict[tuple[str, int], int] = {}
+        self.own_slots = OwnSlots(settings.name, lambda: list(self.members.by_name))
         self.loop_watch = LoopWatch()
         self.detours = Detours(
             pool,
@@ -168,7 +177,7 @@
             self.rng,
             lambda: bool(self.peers.links.group),
             brittle=self.table.brittle,
-            count_own_slots=self._count_own_slots,
+            count_own_slots=self.own_slots.count,
         )
         self.slot_queue = ReservationQueue(self.table, self.chooser)
         self.coordinator = Coordinator(
@@ -335,21 +344,17 @@
         """Return whether its own calls leave no room for those of peers."""
         return is_instance_busy(self.loop_watch, self.memory, trio.current_time())
 
+    def _on_versions(self, service: str) -> None:
+        self.origins.note_versions_changed(service)
+        self.version_rows.note_change(service)
+
     def _on_servers(self) -> None:
         self.slot_queue.assign()
         self.coordinator.assign()
         self.rollouts.note_change()
 
-    def _count_own_slots(self, server_id: str, slots: int) -> int:
-        key = server_id, slots
-        if key not in self._own_slots:
-            names = sorted(self.members.by_name)
-            own_name = self.settings.name
-            self._own_slots[key] = count_own_slots(server_id, slots, own_name, names)
-        return self._own_slots[key]
-
     def _on_members(self) -> None:
-        self._own_slots.clear()
+        self.own_slots.note_members()
         self.peers.adjust_links()
         self.reservations.note_members()
         self.origins.note_members()
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -44,7 +44,7 @@
             self.outcomes.append,
             lambda peer: fleet.connect(member, peer),
         )
-        self.table.on_new_version = self.origins.note_versions_changed
+        self.table.on_versions = self.origins.note_versions_changed
 
     def see_versions(self, *versions: str, is_long_known: bool = False) -> None:
         """Know one server of each software version."""
--- /dev/null
+++ b/tests/test_version_rows.py
@@ -0,0 +1,179 @@
+"""The software versions of services are known after all instances have ended."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import orjson
+import pytest
+import trio
+
+from ashpond.controllers.directory import ServerTable
+from ashpond.controllers.invalidrows import InvalidRows
+from ashpond.controllers.versionrows import VERSIONS_TABLE, VersionRows
+from ashpond.decisions.softwareversions import LONGEST_STREAM_SECONDS
+from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.standins.tables import MemoryStore
+from tests.gateway_builders import make_server
+
+SERVICE = "reader"
+
+
+class Instance:
+    """The servers that one instance knows, and its writer of the rows."""
+
+    def __init__(self, store: MemoryStore, *, first_start: bool = False):
+        self.table = ServerTable()
+        log = DecisionLog("i")
+        self.is_writer = True
+        self.rows = VersionRows(
+            store.build_port(),
+            self.table.versions,
+            log,
+            InvalidRows(log, lambda table: None),
+            random.Random(1),
+            lambda: self.is_writer,
+            was_first_start=first_start,
+        )
+        self.table.on_versions = self.rows.note_change
+        self.scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        with self.scope:
+            await self.rows.run()
+
+    def see(self, *versions: str) -> None:
+        """Know one server of each software version, and no other."""
+        now = trio.current_time()
+        if not self.table.is_known:
+            self.table.versions.begin(now)
+        servers = [make_server(f"e-{v}", software_version=v) for v in versions]
+        self.table.replace_all(servers, now, may_reappear=False)
+
+    @property
+    def claim(self) -> tuple[list[str], bool]:
+        return self.table.versions.claim(SERVICE, trio.current_time())
+
+
+def read_versions(store: MemoryStore) -> dict[str, Any]:
+    row = store.rows[VERSIONS_TABLE, SERVICE]
+    return orjson.loads(row.value or b"")["versions"]
+
+
+async def start(nursery: trio.Nursery, store: MemoryStore, *versions: str) -> Instance:
+    instance = Instance(store)
+    instance.see(*versions)
+    nursery.start_soon(instance.run)
+    await trio.sleep(3.0)
+    return instance
+
+
+async def test_the_only_version_is_known_after_the_restart_of_all(
+    autojump_clock: object,
+) -> None:
+    store = MemoryStore()
+    async with trio.open_nursery() as nursery:
+        first = [await start(nursery, store, "v1") for _ in range(3)]
+        # The first one may have missed a version, and the others know no more.
+        assert [instance.claim for instance in first] == [(["v1"], False)] * 3
+        assert read_versions(store) == {"v1": None}
+        await trio.sleep(LONGEST_STREAM_SECONDS)
+        writes = store.version
+        for instance in first:
+            instance.scope.cancel()
+        again = await start(nursery, store, "v1")
+        assert again.claim == (["v1"], True)
+        assert store.version == writes
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_version_that_has_just_left_is_known_after_the_restart_of_all(
+    autojump_clock: object,
+) -> None:
+    store = MemoryStore()
+    async with trio.open_nursery() as nursery:
+        first = await start(nursery, store, "v1", "v1.1")
+        first.see("v1")
+        await trio.sleep(3.0)
+        first.scope.cancel()
+        assert list(read_versions(store)) == ["v1", "v1.1"]
+        assert (await start(nursery, store, "v1")).claim == (["v1"], False)
+        await trio.sleep(LONGEST_STREAM_SECONDS)
+        assert (await start(nursery, store, "v1")).claim == (["v1"], True)
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_row_of_the_first_start_is_a_proof_at_once(
+    autojump_clock: object,
+) -> None:
+    store = MemoryStore()
+    async with trio.open_nursery() as nursery:
+        first = Instance(store, first_start=True)
+        first.table.versions.begin(0.0, is_first_start=True)
+        first.table.is_known = True
+        first.see("v1")
+        nursery.start_soon(first.run)
+        await trio.sleep(3.0)
+        first.scope.cancel()
+        assert (await start(nursery, store, "v1")).claim == (["v1"], True)
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_row_that_differs_from_what_is_seen_proves_nothing(
+    autojump_clock: object,
+) -> None:
+    store = MemoryStore()
+    async with trio.open_nursery() as nursery:
+        first = await start(nursery, store, "v1")
+        first.scope.cancel()
+        other = await start(nursery, store, "v2")
+        assert not other.claim[1]
+        # The version without servers counts as one that has left by now.
+        versions = read_versions(store)
+        assert versions["v2"] is None
+        assert versions["v1"] is not None
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "value", [b"{", b'{"versions": {"v1": "x"}, "complete_since": 0}', b"[]", None]
+)
+async def test_an_unreadable_row_proves_nothing_and_is_replaced(
+    value: bytes | None, autojump_clock: object
+) -> None:
+    store = MemoryStore()
+    if value is not None:
+        store.put(VERSIONS_TABLE, SERVICE, value)
+    async with trio.open_nursery() as nursery:
+        instance = await start(nursery, store, "v1")
+        assert not instance.claim[1]
+        assert read_versions(store) == {"v1": None}
+        nursery.cancel_scope.cancel()
+
+
+async def test_changes_are_written_once_the_store_is_back(
+    autojump_clock: object,
+) -> None:
+    store = MemoryStore()
+    async with trio.open_nursery() as nursery:
+        first = await start(nursery, store, "v1")
+        store.is_down = True
+        first.see("v1", "v2")
+        await trio.sleep(4.0)
+        store.is_down = False
+        await trio.sleep(3.0)
+        assert read_versions(store) == {"v1": None, "v2": None}
+        nursery.cancel_scope.cancel()
+
+
+async def test_only_writers_write(autojump_clock: object) -> None:
+    store = MemoryStore()
+    async with trio.open_nursery() as nursery:
+        member = Instance(store)
+        member.is_writer = False
+        member.see("v1")
+        nursery.start_soon(member.run)
+        await trio.sleep(3.0)
+        assert not store.rows
+        nursery.cancel_scope.cancel()
