--- a/tests/streamclients.py
+++ b/tests/streamclients.py
@@ -142,7 +142,7 @@
     }
     lines = "".join(f"{name}: {text}\r\n" for name, text in head.items())
     request = f"POST {target.path} HTTP/1.1\r\n{lines}\r\n".encode() + body
-    with trio.move_on_after(left):
+    with trio.move_on_after(max(0.0, left)):
         try:
             stream = await trio.open_tcp_stream(address.host, address.port)
             async with stream:
