--- a/tools/costfleet.py
+++ b/tools/costfleet.py
@@ -192,6 +192,7 @@
             f'peers_address = "{ports[2]}"\nmetrics_address = "{ports[3]}"\n'
             f'store_address = "{self._store}"\n'
             f"mesh_limit = {self.options.mesh_limit}\n"
+            "first_start = true\n"
         )
         command = [sys.executable]
         if is_profiled and self.options.profiles is not None:
