--- a/ashpond/clients/peermessages.py
+++ b/ashpond/clients/peermessages.py
@@ -206,7 +206,7 @@
 
 
 class StreamQuery(NamedTuple):
-    """Tell an instance where streams began, and ask it for the origins of others.
+    """Report where streams began, and query the origins of others.
 
     ``begun`` are lists of the fields of
     :class:`~ashpond.clients.streamorigins.BegunStreams`, ``asked`` of ``AskedStream``.
--- a/ashpond/clients/streamorigins.py
+++ b/ashpond/clients/streamorigins.py
@@ -81,7 +81,7 @@
 def encode_stream_query(
     begun: Sequence[BegunStreams], asked: Sequence[AskedStream]
 ) -> StreamQuery:
-    """Return the message that tells a keeper of streams, and asks for others."""
+    """Return the message that reports streams to a keeper, and queries others."""
     return StreamQuery(
         [list(streams) for streams in begun], [list(ask) for ask in asked]
     )
@@ -90,7 +90,7 @@
 def decode_stream_query(
     message: StreamQuery,
 ) -> tuple[list[BegunStreams], list[AskedStream]]:
-    """Return the streams that a message tells of, and those that it asks for.
+    """Return the streams that a message reports, and those that it queries.
 
     :raises FrameError: if a field is not valid.
     """
--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -307,7 +307,7 @@
             self.watch.add(channel, owner, trio.current_time(), silent_seconds)
 
     def describe_contact(self) -> PeerContact:
-        """Return what peers are told of this instance's contact to the servers."""
+        """Return what this instance reports to peers of its contact to the servers."""
         now = trio.current_time()
         return self.contact.describe(now, self.watch.measure_longest_wait(now))
 
--- a/ashpond/controllers/originlink.py
+++ b/ashpond/controllers/originlink.py
@@ -43,9 +43,9 @@
 
 
 class OriginLink:
-    """Tells one keeper where streams began, and asks it where others did.
+    """Reports to one keeper where streams began, and queries where others did.
 
-    A keeper that is connected to anew is told of all streams that it should know.
+    Each new connection begins with all streams that the keeper should know.
 
     :param connect: opens a connection to the keeper.
     :param list_begun: returns all streams that the keeper should know of.
@@ -72,7 +72,7 @@
         self._wake = trio.Event()
         self._connection_scope = trio.CancelScope()
 
-    def tell(self, begun: BegunStreams) -> None:
+    def send_begun(self, begun: BegunStreams) -> None:
         """Send the origin of streams to the keeper."""
         if self._is_connected:
             self._begun.append(begun)
--- a/ashpond/controllers/streamorigins.py
+++ b/ashpond/controllers/streamorigins.py
@@ -20,8 +20,8 @@
 )
 from ashpond.controllers.originlink import OriginLink
 from ashpond.decisions.streamorigins import (
-    ASKED_KEEPERS,
-    TOLD_KEEPERS,
+    QUERY_KEEPERS,
+    RECORD_KEEPERS,
     FoundOrigin,
     KnownBy,
     OriginRecords,
@@ -45,7 +45,7 @@
 MAX_FRAME_BYTES = 1 << 20
 # An origin is kept this much longer than its client waits (seconds).
 MARGIN_SECONDS = 2.0
-# The most own streams whose keepers are told of them again after a reconnection.
+# The most own streams that keepers get again after a reconnection.
 MAX_OWN_STREAMS = 20_000
 # The longest time for which an origin is kept, whatever a client or peer says.
 MAX_KEPT_SECONDS = 300.0
@@ -61,7 +61,7 @@
     team: str
     origin: StreamOrigin
     until: float
-    is_told: bool
+    is_replicated: bool
 
 
 class StreamOrigins:
@@ -127,19 +127,19 @@
         key = make_stream_key(team, stream_id)
         until = now + min(seconds + MARGIN_SECONDS, MAX_KEPT_SECONDS)
         self.records.add(key, team, origin, now, until)
-        is_told = has_other_services or not self._is_only(origin, now)
-        stream = _OwnStream(team, origin, until, is_told)
+        is_replicated = has_other_services or not self._is_only(origin, now)
+        stream = _OwnStream(team, origin, until, is_replicated)
         if len(self._own) < MAX_OWN_STREAMS:
             self._own[key] = stream
-        if is_told:
-            self._tell(key, stream)
+        if is_replicated:
+            self._replicate(key, stream)
 
     def note_versions_changed(self, service: str) -> None:
-        """Tell keepers of the streams that began while a service had one version."""
+        """Replicate the streams that began while a service had one version."""
         for key, stream in list(self._own.items()):
-            if stream.origin.service == service and not stream.is_told:
-                self._own[key] = stream._replace(is_told=True)
-                self._tell(key, stream)
+            if stream.origin.service == service and not stream.is_replicated:
+                self._own[key] = stream._replace(is_replicated=True)
+                self._replicate(key, stream)
 
     def expire(self) -> None:
         """Forget the streams that have ended."""
@@ -173,7 +173,7 @@
             if known.origin is None:
                 return UnknownReason.AMBIGUOUS
             return FoundOrigin(known.origin, KnownBy.INSTANCE, known.age)
-        keepers = self._choose_keepers(key, ASKED_KEEPERS)
+        keepers = self._choose_keepers(key, QUERY_KEEPERS)
         findings = await self._ask_all(keepers, key, services)
         service = services[0] if len(services) == 1 else None
         views = [self._build_view(service)]
@@ -197,7 +197,7 @@
         return self._get_servers_age() <= FRESH_SECONDS
 
     def _is_only(self, origin: StreamOrigin, now: float) -> bool:
-        """Return whether any instance can tell the origin without a record."""
+        """Return whether any instance knows the origin without a record."""
         claim = self._history.claim(origin.service, now)
         return claim == ([origin.version], True) and self._is_fresh()
 
@@ -209,9 +209,9 @@
             self._keepers = list_keepers(members.by_name)
         return choose_keepers(key, self._keepers, members.own.name, count)
 
-    def _tell(self, key: bytes, stream: _OwnStream) -> None:
-        for member in self._choose_keepers(key, TOLD_KEEPERS):
-            self._get_link(member).tell(self._build_begun(key, stream))
+    def _replicate(self, key: bytes, stream: _OwnStream) -> None:
+        for member in self._choose_keepers(key, RECORD_KEEPERS):
+            self._get_link(member).send_begun(self._build_begun(key, stream))
 
     @staticmethod
     def _build_begun(key: bytes, stream: _OwnStream) -> BegunStreams:
@@ -224,9 +224,9 @@
         return [
             self._build_begun(key, stream)
             for key, stream in self._own.items()
-            if stream.is_told
+            if stream.is_replicated
             and stream.until > now
-            and member in self._choose_keepers(key, TOLD_KEEPERS)
+            and member in self._choose_keepers(key, RECORD_KEEPERS)
         ]
 
     async def _ask_all(
--- a/ashpond/decisions/contact.py
+++ b/ashpond/decisions/contact.py
@@ -146,7 +146,7 @@
         return True
 
     def describe(self, now: float, waiting: float) -> PeerContact:
-        """Return what peers are told.
+        """Return the contact that is reported to peers.
 
         :param waiting: how long the oldest unanswered request has waited (seconds).
         """
--- a/ashpond/decisions/streamorigins.py
+++ b/ashpond/decisions/streamorigins.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 __all__ = [
-    "ASKED_KEEPERS",
+    "QUERY_KEEPERS",
     "KEY_BYTES",
     "FoundOrigin",
     "KnownBy",
@@ -15,7 +15,7 @@
     "OriginRecords",
     "OriginView",
     "StreamOrigin",
-    "TOLD_KEEPERS",
+    "RECORD_KEEPERS",
     "UnknownReason",
     "choose_keepers",
     "decide_origin",
@@ -38,10 +38,10 @@
 KEY_BYTES = 8
 # How many peers keep an origin, besides the instance that knows it. With three, the
 # loss of any two instances and of any failure domain leaves one.
-TOLD_KEEPERS = 3
+RECORD_KEEPERS = 3
 # How many are asked. Instances that start or leave move the preferred keepers of a key,
 # by one place each.
-ASKED_KEEPERS = 5
+QUERY_KEEPERS = 5
 # In large fleets, only this many instances keep origins, which bounds the connections.
 MAX_KEEPERS = 64
 KEEPERS_SEED = 51
--- a/ashpond/fleet/updates.py
+++ b/ashpond/fleet/updates.py
@@ -143,7 +143,7 @@
     ``list_versions`` returns the versions of tables for a peer that has just connected.
     ``serve_tunnel`` relays a peer's connection to a backend server until it ends.
     ``serve_streams`` keeps the origins of a peer's streams and answers what it asks.
-    ``serve_contact`` tells a peer whether backend servers answer this instance.
+    ``serve_contact`` reports to a peer whether backend servers answer here.
     """
 
     on_notice: Callable[[ServerNotice], None]
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -182,7 +182,7 @@
     assert not monitor.is_cut_off
     assert not monitor.resolve_doubt(2.1, do_peers_reach=False)
     assert not monitor.is_doubtful
-    # The evidence begins anew.
+    # The evidence starts from zero again.
     assert not monitor.note_failure("s0", 2.2, 3.0, is_late=True)
     assert not monitor.is_doubtful
     monitor.note_failure("s1", 2.2, 3.0, is_late=True)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -87,9 +87,13 @@
 ) -> None:
     world = VersionWorld(tmp_path, 6, ("v1",) * 4)
 
+    async def roll_forth_and_back() -> None:
+        for version in ("v1.1", "v1"):
+            await world.replace_versions(version, 1.5)
+
     async def play() -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(world.replace_versions, "v1.1", 2.0)
+            nursery.start_soon(roll_forth_and_back)
             await world.send_streams(PER_SECOND, SECONDS)
             nursery.cancel_scope.cancel()
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -28,8 +28,8 @@
     VersionHistory,
 )
 from ashpond.decisions.streamorigins import (
-    ASKED_KEEPERS,
-    TOLD_KEEPERS,
+    QUERY_KEEPERS,
+    RECORD_KEEPERS,
     FoundOrigin,
     KnownBy,
     KnownOrigin,
@@ -89,7 +89,7 @@
             assert await fleet[n % 2 + 2].find(f"s{n}") == "v1"
 
 
-async def test_keepers_that_start_again_are_told_once_more(
+async def test_keepers_that_start_again_get_all_streams(
     autojump_clock: object,
 ) -> None:
     async with open_fleet() as fleet:
@@ -123,7 +123,7 @@
     async with open_fleet() as fleet:
         fleet[0].begin("a", "v1")
         await fleet.settle()
-        keepers = choose_keepers(KEY, fleet.members, "i0", ASKED_KEEPERS)
+        keepers = choose_keepers(KEY, fleet.members, "i0", QUERY_KEEPERS)
         fleet.by_name[keepers[0].name].is_frozen = True
         before = trio.current_time()
         asker = next(n for n in range(6) if f"i{n}" not in ("i0", keepers[0].name))
@@ -214,12 +214,12 @@
         fleet[0].begin("a", "v1")
         fleet[1].begin("a", "v1.1")
         await fleet.settle()
-        told = {
+        holders = {
             keeper.name
             for name in ("i0", "i1")
-            for keeper in choose_keepers(KEY, fleet.members, name, TOLD_KEEPERS)
+            for keeper in choose_keepers(KEY, fleet.members, name, RECORD_KEEPERS)
         }
-        for name in fleet.members.keys() - told - {"i0", "i1"}:
+        for name in fleet.members.keys() - holders - {"i0", "i1"}:
             assert await fleet.by_name[name].find("a") is None
         fleet[0].begin("b", "v1")
         await fleet.settle()
@@ -264,33 +264,34 @@
 
 
 @given(members_strategy, st.binary(min_size=8, max_size=8), st.data())
-def test_whoever_is_told_of_a_stream_is_asked(
+def test_whoever_is_replicated_of_a_stream_is_asked(
     numbers: set[int], key: bytes, data: st.DataObject
 ) -> None:
     members = make_members(numbers)
-    teller = f"i{data.draw(st.sampled_from(sorted(numbers)))}"
+    origin = f"i{data.draw(st.sampled_from(sorted(numbers)))}"
     asker = f"i{data.draw(st.sampled_from(sorted(numbers)))}"
-    told = {
-        m.name for m in choose_keepers(key, list_keepers(members), teller, TOLD_KEEPERS)
+    holders = {
+        m.name
+        for m in choose_keepers(key, list_keepers(members), origin, RECORD_KEEPERS)
     }
     asked = {
-        m.name for m in choose_keepers(key, list_keepers(members), asker, ASKED_KEEPERS)
+        m.name for m in choose_keepers(key, list_keepers(members), asker, QUERY_KEEPERS)
     }
-    assert teller not in told
-    assert told <= asked | {asker}
-    assert len(told) == min(TOLD_KEEPERS, len(members) - 1)
+    assert origin not in holders
+    assert holders <= asked | {asker}
+    assert len(holders) == min(RECORD_KEEPERS, len(members) - 1)
 
 
 @given(members_strategy, st.binary(min_size=8, max_size=8), st.integers(61, 99))
 def test_a_joining_instance_moves_few_keepers(
     numbers: set[int], key: bytes, joiner: int
 ) -> None:
-    told = choose_keepers(
-        key, list_keepers(make_members(numbers)), "i99999", TOLD_KEEPERS
+    holders = choose_keepers(
+        key, list_keepers(make_members(numbers)), "i99999", RECORD_KEEPERS
     )
     joined = list_keepers(make_members(numbers | {joiner}))
-    asked = choose_keepers(key, joined, "i99999", ASKED_KEEPERS)
-    assert {m.name for m in told} & {m.name for m in asked}
+    asked = choose_keepers(key, joined, "i99999", QUERY_KEEPERS)
+    assert {m.name for m in holders} & {m.name for m in asked}
 
 
 @pytest.mark.parametrize(
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -75,6 +75,7 @@
 
     async def _run_server(self, name: str) -> None:
         async with trio.open_nursery() as nursery:
+            self._servers = nursery
             version = self._versions[int(name.removeprefix("s"))]
             self.start_server(nursery, version)
             await trio.sleep_forever()
@@ -107,15 +108,12 @@
 
     async def replace_versions(self, version: str, seconds: float) -> None:
         """Replace each server by one of another software version, one after another."""
-        async with trio.open_nursery() as nursery:
-            for server_id, old in list(self.serving.items()):
-                if old == version:
-                    continue
-                self.start_server(nursery, version)
-                await trio.sleep(seconds / 2)
-                await self.stop_server(server_id)
-                await trio.sleep(seconds / 2)
-            await trio.sleep_forever()
+        assert self._servers is not None
+        for server_id in list(self.serving):
+            self.start_server(self._servers, version)
+            await trio.sleep(seconds / 2)
+            await self.stop_server(server_id)
+            await trio.sleep(seconds / 2)
 
     async def _answer(
         self,
