Read an engine's state before late answers count as a partition

An instance with few requests may wait for the first events of two streams for more than a second, behind other prompts at two engines, while servers answer its peers all the time: it took itself for cut off and went through peers, which costs twice the work where there is least room. A read of an engine's state waits in no queue: if the late engine answers it, nothing is cut off. The new test fails without the read.

--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -12,18 +12,14 @@
 from ashpond.clients.channels import Channel, ChannelError
 from ashpond.clients.liveness import PATIENT_UNACKNOWLEDGED_MS
 from ashpond.clients.tunnels import Tunnel
+from ashpond.controllers.contactdoubts import DoubtResolver
 from ashpond.controllers.directconnection import DirectConnection
 from ashpond.controllers.relayclient import PEER_ERRORS, RelayClient, Relayed
 from ashpond.controllers.silencewatch import SilenceWatch
-from ashpond.decisions.contact import (
-    ContactMonitor,
-    PeerContact,
-    do_peers_reach_servers,
-)
+from ashpond.decisions.contact import ContactMonitor, PeerContact
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Awaitable, Callable
 
     from ashpond.controllers.directory import ServerState, ServerTable
     from ashpond.gateway.decisionlog import DecisionLog
@@ -51,8 +47,8 @@
     need. Orders to engines and reads of their state never take a detour: they concern
     the instance that sends them.
 
-    :param ask_peers: returns the contacts of some peers, asked while answers are late;
-        without it, late answers are evidence like any other failure.
+    :param doubts: decides whether late answers show a partition; without it they are
+        evidence like any other failure.
     """
 
     def __init__(
@@ -62,12 +58,13 @@
         relays: RelayClient,
         log: DecisionLog,
         rng: random.Random,
-        ask_peers: Callable[[], Awaitable[list[PeerContact]]] | None = None,
+        doubts: DoubtResolver | None = None,
     ):
         self.contact = ContactMonitor(rng)
         self.watch = SilenceWatch(self._note_silence)
-        self._ask_peers = ask_peers
-        self._is_asking = False
+        self._doubts = doubts
+        if doubts is not None:
+            doubts.contact = self.contact
         self._pool = pool
         self._table = table
         self._relays = relays
@@ -317,29 +314,16 @@
     def _note_failure(
         self, owner: str, sent_at: float, now: float, *, is_late: bool = False
     ) -> None:
-        is_doubtful = is_late and self._ask_peers is not None
+        is_doubtful = is_late and self._doubts is not None
         server_id = _get_server_id(owner)
         if self.contact.note_failure(server_id, sent_at, now, is_late=is_doubtful):
             self._begin_cut_off()
-        elif self.contact.is_doubtful and not self._is_asking and self._nursery:
-            self._is_asking = True
+        elif self.contact.is_doubtful and self._nursery is not None:
             self._nursery.start_soon(self._resolve_doubt)
 
     async def _resolve_doubt(self) -> None:
-        """Ask peers whether servers answer them while answers are late here."""
-        assert self._ask_peers is not None
-        try:
-            contacts = await self._ask_peers()
-        finally:
-            self._is_asking = False
-        do_reach = do_peers_reach_servers(contacts)
-        self._log.note(
-            "answers_late",
-            servers=self.contact.list_failed(),
-            peers=[[round(value, 3) for value in contact] for contact in contacts],
-            do_peers_reach=do_reach,
-        )
-        if self.contact.resolve_doubt(trio.current_time(), do_peers_reach=do_reach):
+        assert self._doubts is not None
+        if await self._doubts.resolve():
             self._begin_cut_off()
 
     def _begin_cut_off(self) -> None:
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -13,6 +13,7 @@
 from ashpond.controllers.allowances import Allowances
 from ashpond.controllers.budgets import RetryBudgets
 from ashpond.controllers.cachestores import EVENTS_PREFIX, CacheStores
+from ashpond.controllers.contactdoubts import DoubtResolver
 from ashpond.controllers.crashdetection import CrashDetector
 from ashpond.controllers.detours import Detours
 from ashpond.controllers.feeds import Feed, Follower, TableUpdate
@@ -151,7 +152,13 @@
             RelayClient(lambda: self.members, log, self.rng, self.metrics.count_tunnel),
             log,
             self.rng,
-            lambda: self.peer_contacts.ask(),
+            DoubtResolver(
+                self.table,
+                log,
+                self.rng,
+                platform.engines.report,
+                lambda: self.peer_contacts.ask(),
+            ),
         )
         self.peer_contacts = PeerContacts(
             lambda: self.members, self.detours.describe_contact, self.rng
--- a/tests/relays.py
+++ b/tests/relays.py
@@ -16,7 +16,9 @@
 from ashpond.clients.peer import PeerStream
 from ashpond.clients.peermessages import TunnelRequest
 from ashpond.clients.tunnels import MAX_FRAME_BYTES
+from ashpond.controllers.contactdoubts import DoubtResolver
 from ashpond.controllers.detours import Detours
+from ashpond.controllers.directory import BackendServer
 from ashpond.controllers.relayclient import RelayClient
 from ashpond.decisions.contact import PeerContact
 from ashpond.decisions.fleetlinks import Member
@@ -24,6 +26,7 @@
 from ashpond.fleet.links import PEER_ERRORS
 from ashpond.fleet.relaying import RelayServer
 from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.outcomes import MaybeRun
 from tests.gateway_builders import make_server, make_table
 from tests.ports import find_free_port
 
@@ -127,7 +130,14 @@
         client = RelayClient(lambda: members, log, rng, self.outcomes.append)
         # What peers say of their contact, as of a peer without requests.
         self.peer_contacts = [PeerContact(math.inf)]
-        self.detours = Detours(self.pool, self.table, client, log, rng, self._ask_peers)
+        doubts = DoubtResolver(self.table, log, rng, self._read_report, self._ask_peers)
+        self.detours = Detours(self.pool, self.table, client, log, rng, doubts)
+        # Whether engines answer a read of their state.
+        self.is_engine_up = False
+
+    async def _read_report(self, server: BackendServer) -> str | MaybeRun:
+        await trio.lowlevel.checkpoint()
+        return "report" if self.is_engine_up else MaybeRun("no answer")
 
     async def _ask_peers(self) -> list[PeerContact]:
         await trio.lowlevel.checkpoint()
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -382,6 +382,24 @@
         assert sender.detours.is_cut_off
 
 
+async def test_streams_that_wait_behind_others_at_engines_are_no_partition() -> None:
+    """Their first event takes seconds, while peers get answers all the time."""
+    async with (
+        run_server(answer_all) as address,
+        run_relays({"s1": address, "s2": address}) as (sender, _),
+    ):
+        sender.pool.error = None
+        sender.peer_contacts = [PeerContact(0.0)]
+        sender.is_engine_up = True
+        await be_silent_to(sender, "s1", "s2", "s1", "s2")
+        assert not sender.detours.is_cut_off
+        assert "answers_late" in sender.events
+        sender.is_engine_up = False
+        await trio.sleep(1.1)
+        await be_silent_to(sender, "s1", "s2")
+        assert sender.detours.is_cut_off
+
+
 async def test_an_answer_while_peers_are_asked_ends_the_doubt() -> None:
     async with (
         run_server(answer_all) as address,
@@ -394,7 +412,8 @@
             await may_answer.wait()
             return [PeerContact(0.0)]
 
-        sender.detours._ask_peers = ask_slowly
+        assert sender.detours._doubts is not None
+        sender.detours._doubts._ask_peers = ask_slowly
         await be_silent_to(sender, "s1", "s2")
         await sender.fetch()
         may_answer.set()
