Do not take the end of the first start for a change of settings

The platform may write the settings again with first_start unset once a fleet has started. A change of settings resets the retry budgets, so that a service could have got more retries than its window allows. The new test failed before.

--- a/ashpond/gateway/settings.py
+++ b/ashpond/gateway/settings.py
@@ -139,6 +139,8 @@
         :raises SettingsError: if the file is invalid; the settings stay as they were.
         """
         loaded = load_gateway_settings(self.path)
+        # It concerns the start of this process; a change resets nothing.
+        loaded = loaded._replace(first_start=self.current.first_start)
         has_changed = loaded != self.current
         self.current = loaded
         return has_changed
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -356,6 +356,24 @@
     assert settings.current.bounds.revocation_ms == 4000
 
 
+def test_the_end_of_the_first_start_is_no_change_of_settings(
+    tmp_path: object,
+) -> None:
+    """A change of settings resets the retry budgets."""
+    path = f"{tmp_path}/node.toml"
+    write_settings(path, "5000")
+    with open(path, encoding="utf-8") as file:
+        text = file.read()
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(f"first_start = true\n{text}")
+    settings = SettingsFile(path)
+    assert settings.current.first_start
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(text)
+    assert not settings.reload()
+    assert settings.current.first_start
+
+
 @pytest.mark.parametrize("bound_ms", [2000, 3000, 5000, 30_000])
 async def test_long_poll_ends_before_the_configuration_counts_as_outdated(
     bound_ms: float,
