Add a failing test of streams that are open when all instances are killed

Clients whose streams are open when all instances are killed at once come back and are refused, as nobody knows any more at which software version their streams began.

Resumed tries are judged by how long their stream had been open, so clients note when the first event arrived and when a try ended.

--- a/tests/streamclients.py
+++ b/tests/streamclients.py
@@ -34,10 +34,13 @@
 class Try(NamedTuple):
     """What one try of a client brought; status 0 without a head of an answer.
 
-    ``serving`` is the number of servers of the stream's version at its beginning.
+    ``first_event_at`` and ``ended_at`` are on the same clock as ``at``. ``serving`` is
+    the number of servers of the stream's version at its beginning.
     """
 
     at: float
+    first_event_at: float | None
+    ended_at: float
     request_id: str
     instance: int
     status: int
@@ -60,6 +63,17 @@
     def versions(self) -> set[str]:
         return {event.version for event in self.events}
 
+    @property
+    def begun_for(self) -> float:
+        """For how long the stream had been open when its first events ended (seconds).
+
+        It is 0 if no try brought any.
+        """
+        for one in self.tries:
+            if one.first_event_at is not None:
+                return one.ended_at - one.first_event_at
+        return 0.0
+
     @property
     def is_in_order(self) -> bool:
         numbers = [event.number for event in self.events]
@@ -155,6 +169,8 @@
             pass
     return Try(
         at,
+        reader.first_event_at,
+        time.monotonic(),
         headers["X-Request-Id"],
         target.instance,
         reader.status,
@@ -174,6 +190,7 @@
         self.is_ended = False
         self.is_whole = False
         self.events: list[Event] = []
+        self.first_event_at: float | None = None
         self._data = b""
         self._connection = h11.Connection(h11.CLIENT)
         self._connection.send(
@@ -202,6 +219,8 @@
         if self.status != 200:
             return
         *complete, self._data = (self._data + data).split(b"\n\n")
+        if complete and self.first_event_at is None:
+            self.first_event_at = time.monotonic()
         for text in complete:
             number, version = text.decode().split("\n")
             self.events.append(
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -17,6 +17,10 @@
 MAX_MIXED = 2
 LEAST_SHARE = 0.5
 MIN_RESUMED = 12
+# A stream that has been open for this long is known after a restart of all instances.
+RECORDED_SECONDS = 0.5
+# What counts as going on as often as new streams begin.
+SAME_SHARE = 0.95
 ALTERNATING = ("v1", "v1.1", "v1", "v1.1")
 
 
@@ -60,26 +64,49 @@
     check(summarize(world.streams))
 
 
+async def kill_all(world: VersionWorld, every: float) -> None:
+    """Kill all instances at once, again and again; each starts again 0.2 s later."""
+    while True:
+        await trio.sleep(every)
+        async with trio.open_nursery() as nursery:
+            for instance in world.instances:
+                nursery.start_soon(instance.restart, signal.SIGKILL, 0.2)
+
+
 async def test_streams_stay_at_their_software_version_after_all_instances_are_killed(
     tmp_path: Path,
 ) -> None:
     world = VersionWorld(tmp_path, 6, ALTERNATING)
 
-    async def kill_all() -> None:
-        while True:
-            await trio.sleep(4.0)
-            async with trio.open_nursery() as nursery:
-                for instance in world.instances:
-                    nursery.start_soon(instance.restart, signal.SIGKILL, 0.2)
+    async def play() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(kill_all, world, 4.0)
+            await world.send_streams(PER_SECOND, SECONDS)
+            nursery.cancel_scope.cancel()
+
+    await world.run(play)
+    check(summarize(world.streams))
+
+
+async def test_streams_go_on_as_often_as_new_ones_begin_after_all_are_killed(
+    tmp_path: Path,
+) -> None:
+    world = VersionWorld(tmp_path, 6, ALTERNATING, event_seconds=0.2)
 
     async def play() -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(kill_all)
+            nursery.start_soon(kill_all, world, 5.0)
             await world.send_streams(PER_SECOND, SECONDS)
             nursery.cancel_scope.cancel()
 
     await world.run(play)
     check(summarize(world.streams))
+    known = [s for s in world.streams if s.begun_for >= RECORDED_SECONDS]
+    outcome = summarize(known)
+    print(outcome)
+    assert outcome.resumed >= MIN_RESUMED
+    begun_share = summarize(world.streams).begun_share
+    assert outcome.went_on_share >= SAME_SHARE * begun_share
 
 
 async def test_streams_stay_at_their_software_version_during_a_rolling_update(
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -41,7 +41,9 @@
         versions: Sequence[str],
         seed: int = 1,
         coordinated_from: int = 0,
+        event_seconds: float = EVENT_SECONDS,
     ):
+        self._event_seconds = event_seconds
         super().__init__(
             folder,
             instances,
@@ -136,7 +138,7 @@
         await stream.send_all(head.encode())
         first = int(headers.get("last-event-id") or 0) + 1
         for number in range(first, EVENTS + 1):
-            await trio.sleep(EVENT_SECONDS)
+            await trio.sleep(self._event_seconds)
             if body == RESET and first == 1 and number > BREAK_AFTER:
                 reset(stream)
                 raise trio.ClosedResourceError
