Record the origins of open streams in the store while versions mix

After all instances were killed at once, clients of open streams of services with several software versions were refused: who knew where the streams had begun was gone. A third of the instances, at most 32, are now recorders. While a service has several versions, the instance that forwards a stream's first event also sends its origin to the recorder of its id by rendezvous. Recorders write what has come in rows of their own, at most 20 writes a second together, without conditions. An instance that finds no origin at its peers reads the rows, at most twice a second. What is in no row is refused as before.

A row is written again until it has 256 streams or is 4 s old, or until a write has no answer, as that write may be carried out after a later one. It is removed when its streams have ended; rows of instances that are gone are searched for each minute. While a service has one version, nothing is written.

Ruled out: a version computed from the id narrows each choice of a server, and a write before the first event delays that by a call to the store.

--- /dev/null
+++ b/ashpond/controllers/softwareversions.py
@@ -0,0 +1,102 @@
+"""Keep streams at one software version: origins, their rows, and those of versions."""
+
+from __future__ import annotations
+
+__all__ = ["SoftwareVersions"]
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import trio
+
+from ashpond.controllers.originkeepers import OriginKeepers
+from ashpond.controllers.originrows import OriginRows
+from ashpond.controllers.streamorigins import StreamOrigins
+from ashpond.controllers.versionrows import VersionRows
+
+if TYPE_CHECKING:
+    import random
+
+    from ashpond.controllers.invalidrows import InvalidRows
+    from ashpond.controllers.storeview import StoreView
+    from ashpond.fleet.members import Members
+    from ashpond.gateway.decisionlog import DecisionLog
+    from ashpond.gateway.store import Store
+
+
+class SoftwareVersions:
+    """What an instance knows of the software versions of servers and open streams.
+
+    :param is_reader: returns whether this instance reads the store for others.
+    :param count: counts streams that were taken up, by how their origin was known.
+    :param was_first_start: whether no instance has served before.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: Store,
+        store_view: StoreView,
+        get_members: Callable[[], Members],
+        is_reader: Callable[[], bool],
+        log: DecisionLog,
+        count: Callable[[str], None],
+        invalid_rows: InvalidRows,
+        rng: random.Random,
+        *,
+        was_first_start: bool,
+    ):
+        history = store_view.table.versions
+        self._keepers = OriginKeepers(get_members)
+        self._origin_rows = OriginRows(
+            name,
+            store,
+            store_view.clock,
+            log,
+            invalid_rows,
+            rng,
+            self._keepers.count_recorders,
+        )
+        self.origins = StreamOrigins(
+            history,
+            get_members,
+            store_view.measure_servers_age,
+            log,
+            count,
+            keepers=self._keepers,
+            rows=self._origin_rows,
+        )
+        self._version_rows = VersionRows(
+            store,
+            history,
+            log,
+            invalid_rows,
+            rng,
+            is_reader,
+            was_first_start=was_first_start,
+        )
+        store_view.table.on_versions = self._on_versions
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.origins.run)
+            nursery.start_soon(self._origin_rows.run)
+            nursery.start_soon(self._version_rows.run)
+
+    def note_members(self) -> None:
+        """Choose the keepers again, as the members have changed."""
+        self._keepers.note_members()
+
+    def expire(self) -> None:
+        """Forget the streams that have ended."""
+        self.origins.expire()
+        self._origin_rows.expire()
+
+    def describe(self) -> dict[str, object]:
+        """Return what is known of open streams, for operators."""
+        return self.origins.describe() | self._origin_rows.describe()
+
+    def _on_versions(self, service: str) -> None:
+        self.origins.note_versions_changed(service)
+        self._version_rows.note_change(service)
--- a/ashpond/controllers/streamorigins.py
+++ b/ashpond/controllers/streamorigins.py
@@ -18,25 +18,23 @@
     decode_stream_query,
     encode_stream_answer,
 )
+from ashpond.controllers.originkeepers import OriginKeepers
 from ashpond.controllers.originlink import OriginLink
 from ashpond.decisions.streamorigins import (
-    QUERY_KEEPERS,
-    RECORD_KEEPERS,
     FoundOrigin,
     KnownBy,
     OriginRecords,
     OriginView,
     StreamOrigin,
     UnknownReason,
-    choose_keepers,
     decide_origin,
-    list_keepers,
     make_stream_key,
 )
 from ashpond.errors import FrameError
 
 if TYPE_CHECKING:
     from ashpond.clients.peer import PeerStream
+    from ashpond.controllers.originrows import OriginRows
     from ashpond.decisions.fleetlinks import Member
     from ashpond.decisions.softwareversions import VersionHistory
     from ashpond.fleet.members import Members
@@ -73,6 +71,8 @@
     :param get_servers_age: returns how old the knowledge of the servers is (seconds).
     :param count: counts streams that were taken up, by how their origin was known.
     :param connect: opens a connection to a peer, by its address if it is None.
+    :param keepers: the instances that keep origins, None without peers.
+    :param rows: the origins in the store, None without one.
     """
 
     def __init__(
@@ -83,6 +83,8 @@
         log: DecisionLog,
         count: Callable[[str], None],
         connect: Callable[[Member], Awaitable[PeerStream]] | None = None,
+        keepers: OriginKeepers | None = None,
+        rows: OriginRows | None = None,
     ):
         self._connect = connect or self._connect_by_address
         self.records = OriginRecords()
@@ -94,8 +96,8 @@
         self._count = count
         self._own: dict[bytes, _OwnStream] = {}
         self._links: dict[str, OriginLink] = {}
-        # Those of the present members, None until they are needed.
-        self._keepers: dict[str, Member] | None = None
+        self._keepers = keepers
+        self._rows = rows
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -104,10 +106,6 @@
             self._nursery = nursery
             await trio.sleep_forever()
 
-    def note_members(self) -> None:
-        """Choose the keepers again, as the members have changed."""
-        self._keepers = None
-
     def note_begun(
         self,
         team: str,
@@ -173,7 +171,9 @@
             if known.origin is None:
                 return UnknownReason.AMBIGUOUS
             return FoundOrigin(known.origin, KnownBy.INSTANCE, known.age)
-        keepers = self._choose_keepers(key, QUERY_KEEPERS)
+        keepers: list[Member] = []
+        if self._keepers is not None and self._nursery is not None:
+            keepers = self._keepers.list_asked(key)
         findings = await self._ask_all(keepers, key, services)
         service = services[0] if len(services) == 1 else None
         views = [self._build_view(service)]
@@ -183,10 +183,23 @@
         ]
         have_all_answered = len(findings) == len(keepers)
         found = decide_origin(views, service, have_all_answered=have_all_answered)
+        if found is UnknownReason.NO_RECORD and self._rows is not None:
+            return await self._find_in_store(self._rows, key)
         if isinstance(found, FoundOrigin) and found.by is KnownBy.ONLY_VERSION:
             self._history.prove(*found.origin, trio.current_time())
         return found
 
+    @staticmethod
+    async def _find_in_store(
+        rows: OriginRows, key: bytes
+    ) -> FoundOrigin | UnknownReason:
+        known = await rows.find(key)
+        if known is None:
+            return UnknownReason.NO_RECORD
+        if known.origin is None:
+            return UnknownReason.AMBIGUOUS
+        return FoundOrigin(known.origin, KnownBy.STORE, known.age)
+
     def _build_view(self, service: str | None) -> OriginView:
         """Return what this instance knows of a stream that it has no record of."""
         now = trio.current_time()
@@ -201,17 +214,20 @@
         claim = self._history.claim(origin.service, now)
         return claim == ([origin.version], True) and self._is_fresh()
 
-    def _choose_keepers(self, key: bytes, count: int) -> list[Member]:
-        if self._nursery is None or not self._get_members().secret:
-            return []
-        members = self._get_members()
-        if self._keepers is None:
-            self._keepers = list_keepers(members.by_name)
-        return choose_keepers(key, self._keepers, members.own.name, count)
-
     def _replicate(self, key: bytes, stream: _OwnStream) -> None:
-        for member in self._choose_keepers(key, RECORD_KEEPERS):
+        if self._keepers is None or self._nursery is None:
+            return
+        for member in self._keepers.list_receivers(key):
             self._get_link(member).send_begun(self._build_begun(key, stream))
+        self._write(key, stream.origin, stream.until)
+
+    def _write(self, key: bytes, origin: StreamOrigin, until: float) -> None:
+        """Write an origin to the store if this instance does so for its key."""
+        if self._rows is None or self._keepers is None:
+            return
+        is_needed = not self._is_only(origin, trio.current_time())
+        if is_needed and self._keepers.is_recorder(key):
+            self._rows.add(key, origin, until)
 
     @staticmethod
     def _build_begun(key: bytes, stream: _OwnStream) -> BegunStreams:
@@ -221,12 +237,13 @@
     def _list_begun(self, member: Member) -> list[BegunStreams]:
         """Return the streams that a keeper should know of."""
         now = trio.current_time()
+        assert self._keepers is not None
         return [
             self._build_begun(key, stream)
             for key, stream in self._own.items()
             if stream.is_replicated
             and stream.until > now
-            and member in self._choose_keepers(key, RECORD_KEEPERS)
+            and member in self._keepers.list_receivers(key)
         ]
 
     async def _ask_all(
@@ -289,6 +306,7 @@
             until = now + min(streams.left, MAX_KEPT_SECONDS)
             for key in streams.list_keys():
                 self.records.add(key, streams.team, origin, now, until)
+                self._write(key, origin, until)
         return [
             StreamFinding(
                 ask.number,
--- a/ashpond/decisions/streamorigins.py
+++ b/ashpond/decisions/streamorigins.py
@@ -80,6 +80,7 @@
 
     INSTANCE = "instance"
     KEEPER = "keeper"
+    STORE = "store"
     ONLY_VERSION = "only_version"
 
 
--- a/ashpond/gateway/cleanup.py
+++ b/ashpond/gateway/cleanup.py
@@ -29,7 +29,7 @@
             gateway.cache_index.expire(now)
             gateway.cache_stores.expire(now)
             gateway.quarantine.expire()
-            gateway.origins.expire()
+            gateway.software.expire()
             gateway.members.expire()
             gateway.crash_detector.note_server_counts()
         for expired_state in gateway.table.expire(now):
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -25,9 +25,8 @@
 from ashpond.controllers.relayclient import RelayClient
 from ashpond.controllers.serverdirectives import ServerDirectives
 from ashpond.controllers.serverupdates import ServerUpdates
+from ashpond.controllers.softwareversions import SoftwareVersions
 from ashpond.controllers.storeview import StoreView, build_feeds
-from ashpond.controllers.streamorigins import StreamOrigins
-from ashpond.controllers.versionrows import VersionRows
 from ashpond.coordination.client import CoordinatedReservations
 from ashpond.coordination.coordinator import Coordinator
 from ashpond.coordination.grants import CoordinatorReports
@@ -117,23 +116,19 @@
         )
         self.knowledge = self.store_view.knowledge
         self.table = self.store_view.table
-        self.origins = StreamOrigins(
-            self.table.versions,
+        self.software = SoftwareVersions(
+            settings.name,
+            platform.store,
+            self.store_view,
             lambda: self.members,
-            self.store_view.measure_servers_age,
+            lambda: self.peers.is_reader,
             log,
             self.metrics.count_taken_up,
-        )
-        self.version_rows = VersionRows(
-            platform.store,
-            self.table.versions,
-            log,
             self.invalid_rows,
             self.rng,
-            lambda: self.peers.is_reader,
             was_first_start=settings.first_start,
         )
-        self.table.on_versions = self._on_versions
+        self.origins = self.software.origins
         self.cache_index = CacheIndex()
         self.cache_stores = CacheStores(
             lambda: self.peers.is_reader, lambda update: self.peers.publish(update)
@@ -351,10 +346,6 @@
         """Return whether its own calls leave no room for those of peers."""
         return is_instance_busy(self.loop_watch, self.memory, trio.current_time())
 
-    def _on_versions(self, service: str) -> None:
-        self.origins.note_versions_changed(service)
-        self.version_rows.note_change(service)
-
     def _on_servers(self) -> None:
         self.slot_queue.assign()
         self.coordinator.assign()
@@ -364,7 +355,7 @@
         self.own_slots.note_members()
         self.peers.adjust_links()
         self.reservations.note_members()
-        self.origins.note_members()
+        self.software.note_members()
 
     def _find_required_version(self, model: str, now: float) -> int:
         bound = self.settings.bounds.weights_ms / MS * REQUIRED_SHARE
--- a/ashpond/gateway/status.py
+++ b/ashpond/gateway/status.py
@@ -43,7 +43,7 @@
             "held_here": lease.holds(now),
             "fence": lease.fence,
         },
-        "streams": gateway.origins.describe(),
+        "streams": gateway.software.describe(),
         "software_versions": {
             service: gateway.table.versions.list_present(service)
             for service in sorted({s.info.service for s in gateway.table.list_all()})
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable
 from types import SimpleNamespace
 from typing import Any
@@ -12,6 +13,9 @@
 from ashpond.clients.peer import PeerStream
 from ashpond.clients.peermessages import StreamQuery
 from ashpond.controllers.directory import ServerTable
+from ashpond.controllers.invalidrows import InvalidRows
+from ashpond.controllers.originkeepers import OriginKeepers
+from ashpond.controllers.originrows import OriginRows
 from ashpond.controllers.streamorigins import StreamOrigins
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.softwareversions import LONGEST_STREAM_SECONDS
@@ -19,6 +23,8 @@
 from ashpond.errors import FrameError
 from ashpond.fleet.links import PEER_ERRORS
 from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.store import StoreClock
+from ashpond.standins.tables import MemoryStore
 from tests.gateway_builders import make_server
 
 SERVICE = "reader"
@@ -34,15 +40,29 @@
         self.is_frozen = False
         self.outcomes: list[str] = []
         self.scope = trio.CancelScope()
+        self.ended = trio.Event()
         self.table = ServerTable()
         members = SimpleNamespace(own=member, by_name=fleet.members, secret="s")
+        log = DecisionLog(member.name)
+        self.keepers = OriginKeepers(lambda: members)  # type: ignore[arg-type, return-value]
+        self.rows = OriginRows(
+            member.name,
+            fleet.store.build_port(),
+            StoreClock(),
+            log,
+            InvalidRows(log),
+            fleet.rng,
+            self.keepers.count_recorders,
+        )
         self.origins = StreamOrigins(
             self.table.versions,
             lambda: members,  # type: ignore[arg-type, return-value]
             lambda: self.servers_age,
-            DecisionLog(member.name),
+            log,
             self.outcomes.append,
             lambda peer: fleet.connect(member, peer),
+            self.keepers,
+            self.rows,
         )
         self.table.on_versions = self.origins.note_versions_changed
 
@@ -85,6 +105,8 @@
             for n in range(count)
         }
         self.cut: set[str] = set()
+        self.store = MemoryStore()
+        self.rng = random.Random(1)
         self.connections = 0
         self._nursery = nursery
         self.by_name = {
@@ -101,7 +123,9 @@
 
     async def _run(self, instance: OriginInstance) -> None:
         with instance.scope:
-            await instance.origins.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(instance.origins.run)
+                nursery.start_soon(instance.rows.run)
 
     async def settle(self) -> None:
         """Let everything that is queued be sent."""
@@ -109,7 +133,9 @@
 
     def kill(self, number: int) -> None:
         """End an instance and its connections."""
-        self.by_name.pop(f"i{number}").scope.cancel()
+        instance = self.by_name.pop(f"i{number}")
+        instance.scope.cancel()
+        instance.ended.set()
 
     def restart(self, number: int) -> OriginInstance:
         """Kill an instance and start it again without what it knew."""
@@ -149,6 +175,5 @@
 
     @staticmethod
     async def _end_with(instance: OriginInstance, scope: trio.CancelScope) -> None:
-        while not instance.scope.cancel_called:
-            await trio.sleep(0.01)
+        await instance.ended.wait()
         scope.cancel()
