Count the instances that accrue time only when their number changes

Each answer on an allowance counted all instances, a tenth of a millisecond and more on the instances that coordinate large fleets (172,000 steps in a profile of 8.5 s). The count is kept until an instance joins, leaves or has been there for long enough.

--- a/ashpond/decisions/instancecount.py
+++ b/ashpond/decisions/instancecount.py
@@ -24,10 +24,14 @@
     def __init__(self, now: float):
         self._started_at = now
         self._seen_at: dict[str, float] = {}
+        # How many are counted, until one more is.
+        self._count = 0
+        self._counted_until = float("-inf")
 
     def update(self, names: Iterable[str], now: float) -> None:
         """Replace the set of present instances."""
         self._seen_at = {name: self._seen_at.get(name, now) for name in names}
+        self._counted_until = float("-inf")
 
     def is_counted(self, name: str, now: float) -> bool:
         """Return whether an instance accrues time."""
@@ -39,5 +43,15 @@
 
     def compute_share(self, now: float) -> float:
         """Return the share of the fleet's time that each instance accrues."""
-        count = sum(1 for name in self._seen_at if self.is_counted(name, now))
-        return 1.0 / max(1, count)
+        if now >= self._counted_until:
+            self._count_instances(now)
+        return 1.0 / max(1, self._count)
+
+    def _count_instances(self, now: float) -> None:
+        joining = [
+            seen_at
+            for name, seen_at in self._seen_at.items()
+            if not self.is_counted(name, now)
+        ]
+        self._count = len(self._seen_at) - len(joining)
+        self._counted_until = min(joining, default=float("inf")) + JOINING_SECONDS
