Finish reading the recorded origins after a client has stopped waiting

A read that took longer than 0.5 s was given up, and the next client began another one. At 390 instances that start at once, 3.1 MB each take the store 2.5 s (computed), so all streams would have been refused again and again. A read now goes on, and those that come back use it. A test in virtual time, with a store that answers after 1.2 s, covers it.

--- a/ashpond/controllers/originrows.py
+++ b/ashpond/controllers/originrows.py
@@ -39,7 +39,7 @@
 MAX_WAITING = 4_096
 # The most rows that one write removes.
 MAX_REMOVED_ROWS = 50
-# Clients are refused if the rows are not read within this time (seconds).
+# How long a client waits for the rows (seconds).
 READ_SECONDS = 0.5
 # Rows that were read this lately are not read again (seconds).
 REUSE_SECONDS = 0.5
@@ -85,7 +85,9 @@
         self._added: dict[bytes, float] = {}
         self._wake = trio.Event()
         self._swept_at = 0.0
-        self._read_lock = trio.Lock()
+        self._is_reading = False
+        self._read_wanted = trio.Event()
+        self._read_done = trio.Event()
         self._snapshot: Snapshot | None = None
         self._read_at = float("-inf")
         store.era.on_change(self._on_restored_store)
@@ -112,7 +114,7 @@
         """Forget the streams that have ended, and the rows that were read."""
         now = trio.current_time()
         self._added = {k: until for k, until in self._added.items() if until > now}
-        if now - self._read_at >= REUSE_SECONDS:
+        if now - self._read_at >= REUSE_SECONDS and not self._is_reading:
             self._snapshot = None
 
     def describe(self) -> dict[str, object]:
@@ -120,7 +122,12 @@
         return {"recorded_here": len(self._added), "not_recorded": self._dropped}
 
     async def run(self) -> None:
-        """Write what is added until cancelled."""
+        """Write what is added, and read what is looked for, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_reads)
+            nursery.start_soon(self._run_writes)
+
+    async def _run_writes(self) -> None:
         self._swept_at = trio.current_time()
         while True:
             await self._wake.wait()
@@ -166,13 +173,18 @@
         return False
 
     async def find(self, key: bytes) -> KnownOrigin | None:
-        """Return the origin of a stream in the rows, None if it is not known there."""
-        with trio.move_on_after(READ_SECONDS) as scope:
-            async with self._read_lock:
-                if trio.current_time() - self._read_at >= REUSE_SECONDS:
-                    await self._read()
-        if scope.cancelled_caught:
-            self._log.note("stream_origins_not_read", reason="no answer in time")
+        """Return the origin of a stream in the rows, None if it is not known there.
+
+        A read that takes longer than the client can wait is finished all the same, for
+        those that come later.
+        """
+        if trio.current_time() - self._read_at >= REUSE_SECONDS:
+            if not self._is_reading:
+                self._is_reading = True
+                self._read_done = trio.Event()
+                self._read_wanted.set()
+            with trio.move_on_after(READ_SECONDS):
+                await self._read_done.wait()
         if self._snapshot is None:
             return None
         origins: set[StreamOrigin] = set()
@@ -187,15 +199,23 @@
         age = trio.current_time() - self._read_at
         return KnownOrigin(origins.pop() if len(origins) == 1 else None, age)
 
+    async def _run_reads(self) -> None:
+        while True:
+            await self._read_wanted.wait()
+            self._read_wanted = trio.Event()
+            await self._read()
+            self._is_reading = False
+            self._read_done.set()
+
     async def _read(self) -> None:
-        self._read_at = trio.current_time()
-        self._snapshot = None
         outcome = await self._store.read(ORIGINS_TABLE)
+        self._read_at = trio.current_time()
         if isinstance(outcome, Done):
             snapshot: Snapshot = outcome.value
             self._snapshot = snapshot
             self._clock.date(snapshot)
         else:
+            self._snapshot = None
             self._log.note("stream_origins_not_read", reason=str(outcome))
 
     async def _sweep(self) -> None:
--- a/tests/test_origin_rows.py
+++ b/tests/test_origin_rows.py
@@ -192,6 +192,21 @@
         assert len(fleet.store.calls) - before <= 10
 
 
+async def test_rows_that_come_late_serve_clients_that_come_back(
+    autojump_clock: object,
+) -> None:
+    async with open_fleet() as fleet:
+        fleet[0].begin("a", "v1")
+        await trio.sleep(WRITE_SECONDS)
+        await restart_all(fleet)
+        fleet.store.answer_seconds = 1.2
+        before = trio.current_time()
+        assert await fleet[1].find("a") is None
+        assert trio.current_time() - before <= 1.0
+        await trio.sleep(0.6)
+        assert await fleet[1].find("a") == "v1"
+
+
 async def test_instances_write_no_more_together_than_the_store_bears(
     autojump_clock: object,
 ) -> None:
