Split reading from recording origins, and bound what one call writes

After a long absence of the store, a recorder could have had more rows to write than a call takes. It now writes at most 50 rows and removes at most 50 in one call, keeps streams waiting beyond that, and forgets segments whose streams have ended; rows that are left are found by the search that every recorder makes once a minute. A test lets the store lose all answers for two minutes. Segments end only after a write of unknown outcome, as the store says when a write had no effect.

The reader (`recordedorigins.py`) is a module of its own.

--- a/ashpond/controllers/softwareversions.py
+++ b/ashpond/controllers/softwareversions.py
@@ -10,7 +10,8 @@
 import trio
 
 from ashpond.controllers.originkeepers import OriginKeepers
-from ashpond.controllers.originrows import OriginRows
+from ashpond.controllers.originrows import OriginRecorder
+from ashpond.controllers.recordedorigins import RecordedOrigins
 from ashpond.controllers.streamorigins import StreamOrigins
 from ashpond.controllers.versionrows import VersionRows
 
@@ -48,7 +49,8 @@
     ):
         history = store_view.table.versions
         self._keepers = OriginKeepers(get_members)
-        self._origin_rows = OriginRows(
+        self._recorded = RecordedOrigins(store, log, invalid_rows)
+        self._recorder = OriginRecorder(
             name,
             store,
             store_view.clock,
@@ -64,7 +66,8 @@
             log,
             count,
             keepers=self._keepers,
-            rows=self._origin_rows,
+            recorder=self._recorder,
+            recorded=self._recorded,
         )
         self._version_rows = VersionRows(
             store,
@@ -81,7 +84,8 @@
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.origins.run)
-            nursery.start_soon(self._origin_rows.run)
+            nursery.start_soon(self._recorder.run)
+            nursery.start_soon(self._recorded.run)
             nursery.start_soon(self._version_rows.run)
 
     def note_members(self) -> None:
@@ -91,11 +95,12 @@
     def expire(self) -> None:
         """Forget the streams that have ended."""
         self.origins.expire()
-        self._origin_rows.expire()
+        self._recorder.expire()
+        self._recorded.expire()
 
     def describe(self) -> dict[str, object]:
         """Return what is known of open streams, for operators."""
-        return self.origins.describe() | self._origin_rows.describe()
+        return self.origins.describe() | self._recorder.describe()
 
     def _on_versions(self, service: str) -> None:
         self.origins.note_versions_changed(service)
--- a/ashpond/controllers/streamorigins.py
+++ b/ashpond/controllers/streamorigins.py
@@ -34,7 +34,8 @@
 
 if TYPE_CHECKING:
     from ashpond.clients.peer import PeerStream
-    from ashpond.controllers.originrows import OriginRows
+    from ashpond.controllers.originrows import OriginRecorder
+    from ashpond.controllers.recordedorigins import RecordedOrigins
     from ashpond.decisions.fleetlinks import Member
     from ashpond.decisions.softwareversions import VersionHistory
     from ashpond.fleet.members import Members
@@ -72,7 +73,8 @@
     :param count: counts streams that were taken up, by how their origin was known.
     :param connect: opens a connection to a peer, by its address if it is None.
     :param keepers: the instances that keep origins, None without peers.
-    :param rows: the origins in the store, None without one.
+    :param recorder: writes origins to the store, None without one.
+    :param recorded: the origins in the store, None without one.
     """
 
     def __init__(
@@ -84,7 +86,8 @@
         count: Callable[[str], None],
         connect: Callable[[Member], Awaitable[PeerStream]] | None = None,
         keepers: OriginKeepers | None = None,
-        rows: OriginRows | None = None,
+        recorder: OriginRecorder | None = None,
+        recorded: RecordedOrigins | None = None,
     ):
         self._connect = connect or self._connect_by_address
         self.records = OriginRecords()
@@ -97,7 +100,8 @@
         self._own: dict[bytes, _OwnStream] = {}
         self._links: dict[str, OriginLink] = {}
         self._keepers = keepers
-        self._rows = rows
+        self._recorder = recorder
+        self._recorded = recorded
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -183,17 +187,17 @@
         ]
         have_all_answered = len(findings) == len(keepers)
         found = decide_origin(views, service, have_all_answered=have_all_answered)
-        if found is UnknownReason.NO_RECORD and self._rows is not None:
-            return await self._find_in_store(self._rows, key)
+        if found is UnknownReason.NO_RECORD and self._recorded is not None:
+            return await self._find_in_store(self._recorded, key)
         if isinstance(found, FoundOrigin) and found.by is KnownBy.ONLY_VERSION:
             self._history.prove(*found.origin, trio.current_time())
         return found
 
     @staticmethod
     async def _find_in_store(
-        rows: OriginRows, key: bytes
+        recorded: RecordedOrigins, key: bytes
     ) -> FoundOrigin | UnknownReason:
-        known = await rows.find(key)
+        known = await recorded.find(key)
         if known is None:
             return UnknownReason.NO_RECORD
         if known.origin is None:
@@ -219,15 +223,15 @@
             return
         for member in self._keepers.list_receivers(key):
             self._get_link(member).send_begun(self._build_begun(key, stream))
-        self._write(key, stream.origin, stream.until)
+        self._record(key, stream.origin, stream.until)
 
-    def _write(self, key: bytes, origin: StreamOrigin, until: float) -> None:
+    def _record(self, key: bytes, origin: StreamOrigin, until: float) -> None:
         """Write an origin to the store if this instance does so for its key."""
-        if self._rows is None or self._keepers is None:
+        if self._recorder is None or self._keepers is None:
             return
         is_needed = not self._is_only(origin, trio.current_time())
         if is_needed and self._keepers.is_recorder(key):
-            self._rows.add(key, origin, until)
+            self._recorder.add(key, origin, until)
 
     @staticmethod
     def _build_begun(key: bytes, stream: _OwnStream) -> BegunStreams:
@@ -306,7 +310,7 @@
             until = now + min(streams.left, MAX_KEPT_SECONDS)
             for key in streams.list_keys():
                 self.records.add(key, streams.team, origin, now, until)
-                self._write(key, origin, until)
+                self._record(key, origin, until)
         return [
             StreamFinding(
                 ask.number,
--- a/ashpond/decisions/originsegments.py
+++ b/ashpond/decisions/originsegments.py
@@ -107,17 +107,13 @@
             self._segments.append(OriginSegment(name, now))
         self._segments[-1].add(key, origin, until)
 
-    def has_name(self, name: str) -> bool:
-        """Return whether a row is one of these segments."""
-        return name.startswith(f"{self._prefix}.")
-
-    def list_unwritten(self) -> list[OriginSegment]:
+    def list_unwritten(self, now: float) -> list[OriginSegment]:
         """Return the segments whose rows have to be written."""
-        return [segment for segment in self._segments if not segment.is_written]
+        return [s for s in self._segments if not s.is_written and s.until > now]
 
     def list_expired(self, now: float) -> list[OriginSegment]:
-        """Return the written segments whose streams have all ended."""
-        return [s for s in self._segments if s.is_written and s.until <= now]
+        """Return the segments whose streams have all ended."""
+        return [s for s in self._segments if s.until <= now]
 
     def note_lost(self) -> None:
         """Write all segments again, as the store has lost some."""
@@ -125,7 +121,7 @@
             segment.is_written = False
 
     def remove(self, segments: Sequence[OriginSegment]) -> None:
-        """Forget segments whose rows have been removed."""
+        """Forget segments whose streams have ended."""
         self._segments = [s for s in self._segments if s not in segments]
 
 
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -15,7 +15,8 @@
 from ashpond.controllers.directory import ServerTable
 from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.controllers.originkeepers import OriginKeepers
-from ashpond.controllers.originrows import OriginRows
+from ashpond.controllers.originrows import OriginRecorder
+from ashpond.controllers.recordedorigins import RecordedOrigins
 from ashpond.controllers.streamorigins import StreamOrigins
 from ashpond.decisions.fleetlinks import Member
 from ashpond.decisions.softwareversions import LONGEST_STREAM_SECONDS
@@ -45,9 +46,11 @@
         members = SimpleNamespace(own=member, by_name=fleet.members, secret="s")
         log = DecisionLog(member.name)
         self.keepers = OriginKeepers(lambda: members)  # type: ignore[arg-type, return-value]
-        self.rows = OriginRows(
+        store = fleet.store.build_port()
+        self.recorded = RecordedOrigins(store, log, InvalidRows(log))
+        self.recorder = OriginRecorder(
             member.name,
-            fleet.store.build_port(),
+            store,
             StoreClock(),
             log,
             InvalidRows(log),
@@ -62,7 +65,8 @@
             self.outcomes.append,
             lambda peer: fleet.connect(member, peer),
             self.keepers,
-            self.rows,
+            self.recorder,
+            self.recorded,
         )
         self.table.on_versions = self.origins.note_versions_changed
 
@@ -125,7 +129,8 @@
         with instance.scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(instance.origins.run)
-                nursery.start_soon(instance.rows.run)
+                nursery.start_soon(instance.recorder.run)
+                nursery.start_soon(instance.recorded.run)
 
     async def settle(self) -> None:
         """Let everything that is queued be sent."""
--- a/tests/test_origin_rows.py
+++ b/tests/test_origin_rows.py
@@ -124,6 +124,31 @@
         assert await fleet[1].find("a") == "v1"
 
 
+async def test_a_long_absence_of_the_store_ends_with_calls_that_it_takes(
+    autojump_clock: object,
+) -> None:
+    sizes = []
+    async with open_fleet(1) as fleet:
+        write = fleet.store.write
+
+        async def write_and_count(conditions, puts):
+            sizes.append(len(puts))
+            return await write(conditions, puts)
+
+        fleet.store.write = write_and_count
+        fleet.store.lose_answers = True
+        for n in range(600):
+            fleet[0].begin(f"s{n}", "v1", seconds=60.0)
+            await trio.sleep(0.2)
+        fleet.store.lose_answers = False
+        fleet.store.rows.clear()
+        await trio.sleep(5.0)
+        assert max(sizes) <= 100
+        await restart_all(fleet)
+        found = [await fleet[0].find(f"s{n}") for n in range(540, 600)]
+        assert found == ["v1"] * 60
+
+
 async def test_streams_are_written_again_to_a_store_that_has_lost_them(
     autojump_clock: object,
 ) -> None:
@@ -257,7 +282,7 @@
         segments.add(key, origin, now, now + seconds)
         if now + seconds > at:
             expected.setdefault(key, set()).add(origin)
-    rows = [segment.encode() for segment in segments.list_unwritten()]
+    rows = [segment.encode() for segment in segments.list_unwritten(0.0)]
     assert len(rows) <= len(streams) / MAX_SEGMENT_STREAMS + now / 4 + 1
     for key, origins in expected.items():
         assert set().union(*(find_in_row(row, key, at) for row in rows)) >= origins
