--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,11 +5,13 @@
 import signal
 from pathlib import Path
 
+import pytest
 import trio
 
 from tests.streamclients import Outcome, summarize
 from tests.versionworld import VersionWorld
 
+pytestmark = pytest.mark.alone
 PER_SECOND = 30.0
 SECONDS = 12.0
 # Streams that may hold events of two versions, and the share of resumed streams that
