Take no peers that are cut off for evidence of a partition

With two thirds of the instances cut off, sound ones refused requests on a busy machine: in a run of the test of 8 of 12 beside other work, the four sound instances took themselves for cut off six times after late answers. Four times all three peers that they had asked were cut off themselves; such a peer was not told from one without requests, which says nothing, and the evidence of the asking instance stood. Where all asked peers are cut off, none could relay either.

An instance without requests now reports a long time since the last answer, one that is cut off none at all, and peers that are all cut off are no reason for a detour.

--- a/ashpond/decisions/contact.py
+++ b/ashpond/decisions/contact.py
@@ -30,6 +30,8 @@
 # Servers answer a peer if one did within this time, and leave it waiting if they have
 # not answered a request for longer (seconds).
 RECENT_SECONDS = 0.3
+# What an instance reports that no server has answered for so long, or ever (seconds).
+LONGEST_SECONDS = 3600.0
 # An instance that is cut off again within this time takes longer to return (seconds).
 FLAP_SECONDS = 5.0
 
@@ -52,11 +54,14 @@
 def do_peers_reach_servers(contacts: Sequence[PeerContact]) -> bool:
     """Return whether late answers here mean that this instance is cut off.
 
-    If peers wait as well, servers or machines are slow: a detour would not help.
-    Peers without requests say nothing, and the evidence of this instance stands.
+    If peers wait as well, servers or machines are slow, and if all are cut off, none
+    can relay: a detour would not help. Peers without requests say nothing, and the
+    evidence of this instance stands.
     """
     if any(contact.answered_ago <= RECENT_SECONDS for contact in contacts):
         return True
+    if contacts and all(contact == NO_CONTACT for contact in contacts):
+        return False
     return not any(contact.waiting > RECENT_SECONDS for contact in contacts)
 
 
@@ -152,7 +157,7 @@
         """
         if self.is_cut_off:
             return NO_CONTACT
-        return PeerContact(now - self._answered_at, waiting)
+        return PeerContact(min(now - self._answered_at, LONGEST_SECONDS), waiting)
 
     def _forget_failures(self) -> None:
         self._failed.clear()
