Log the prompt parts of the requests that are sent

The logs of requests that crashed servers named the whole request only, so they could not tell whether the requests had anything in common. `sent` now names keyed digests of all prompt parts but the last, per cache namespace.

--- a/ashpond/decisions/fingerprints.py
+++ b/ashpond/decisions/fingerprints.py
@@ -1,10 +1,18 @@
-"""Identify requests by a keyed digest of their content."""
+"""Identify requests and the parts of their prompts by keyed digests."""
 
 from __future__ import annotations
 
-__all__ = ["FINGERPRINT_BYTES", "make_fingerprint"]
+__all__ = [
+    "FINGERPRINT_BYTES",
+    "PART_PREFIX",
+    "Fingerprints",
+    "is_part",
+    "make_fingerprint",
+    "make_part_fingerprint",
+]
 
 import hashlib
+from typing import NamedTuple
 
 # With 96 bits, the probability that two of a million requests collide is about 1 in
 # 10^16.
@@ -12,6 +20,23 @@
 # The length of each field precedes it, so that different fields never hash alike.
 LENGTH_BYTES = 8
 MAX_KEY_BYTES = 64
+# Distinguishes the fingerprints of prompt parts from those of whole requests.
+PART_PREFIX = "p"
+
+
+class Fingerprints(NamedTuple):
+    """What may make a request crash its server: itself, or a part of its prompt.
+
+    ``parts`` are all parts but the last, which belongs to the request alone.
+    """
+
+    request: str
+    parts: tuple[str, ...] = ()
+
+    @property
+    def all(self) -> tuple[str, ...]:
+        """The fingerprints of the request and of its parts."""
+        return (self.request, *self.parts)
 
 
 def make_fingerprint(
@@ -26,10 +51,27 @@
     :param secret: the secret that all instances share.
     :param team: None if the request needs no key; this differs from every team's name.
     """
+    caller = b"" if team is None else b"team " + team.encode()
+    return _digest(secret, caller, host.lower().encode(), method.encode(), target, body)
+
+
+def make_part_fingerprint(secret: str, namespace: str, part_id: str) -> str:
+    """Return the keyed digest of a prompt part.
+
+    :param namespace: the cache namespace, in which an id stands for the same text.
+    """
+    return PART_PREFIX + _digest(secret, namespace.encode(), part_id.encode())
+
+
+def is_part(fingerprint: str) -> bool:
+    """Return whether a fingerprint is that of a prompt part."""
+    return fingerprint.startswith(PART_PREFIX)
+
+
+def _digest(secret: str, *fields: bytes) -> str:
     key = secret.encode()[:MAX_KEY_BYTES]
     digest = hashlib.blake2b(key=key, digest_size=FINGERPRINT_BYTES)
-    caller = b"" if team is None else b"team " + team.encode()
-    for field in (caller, host.lower().encode(), method.encode(), target, body):
+    for field in fields:
         digest.update(len(field).to_bytes(LENGTH_BYTES, "big"))
         digest.update(field)
     return digest.hexdigest()
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -12,7 +12,7 @@
     "Delivered",
     "DispatchContext",
     "Reservations",
-    "compute_fingerprint",
+    "compute_fingerprints",
 ]
 
 import random
@@ -32,7 +32,11 @@
 from ashpond.controllers.streamorigins import StreamOrigins
 from ashpond.decisions.declared import Route, Team, pick_service
 from ashpond.decisions.eventstream import EventSplitter
-from ashpond.decisions.fingerprints import make_fingerprint
+from ashpond.decisions.fingerprints import (
+    Fingerprints,
+    make_fingerprint,
+    make_part_fingerprint,
+)
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.placementterms import (
     PlacementEvent,
@@ -137,7 +141,7 @@
     log: DecisionLog
     get_budget: Callable[[str], ServiceBudget]
     note_cached: Callable[[ServerState, str, Prompt], None]
-    compute_fingerprint: Callable[[IncomingCall, Team | None], str | None]
+    compute_fingerprints: Callable[[IncomingCall, AcceptedCall], Fingerprints | None]
     crash_detector: CrashDetector
     directives: ServerDirectives
     quarantine: Quarantine
@@ -150,15 +154,21 @@
     origins: StreamOrigins
 
 
-def compute_fingerprint(
-    secret: str, call: IncomingCall, team: Team | None
-) -> str | None:
-    """Return a request's fingerprint; None until instances share a secret."""
+def compute_fingerprints(
+    secret: str, call: IncomingCall, accepted: AcceptedCall
+) -> Fingerprints | None:
+    """Return a request's fingerprints; None until instances share a secret."""
     if not secret:
         return None
-    name = team.name if team else None
-    return make_fingerprint(
-        secret, name, call.host, call.method, call.target, call.body
+    name = accepted.team.name if accepted.team else None
+    prompt = call.envelope.prompt
+    shared_parts = prompt.parts[:-1] if prompt else ()
+    return Fingerprints(
+        make_fingerprint(secret, name, call.host, call.method, call.target, call.body),
+        tuple(
+            make_part_fingerprint(secret, accepted.cache_namespace, part.id)
+            for part in shared_parts
+        ),
     )
 
 
@@ -199,7 +209,8 @@
 class CallProgress:
     """One call and the state of its attempts.
 
-    ``fingerprint`` identifies the request; it is None until instances share a secret.
+    ``fingerprints`` identify the request and the parts of its prompt; they are None
+    until instances share a secret.
     ``runs`` counts the attempts that may have run. ``splitter`` knows the last event
     that the client has received. ``origin`` is where its stream began, None before the
     first event.
@@ -215,7 +226,7 @@
         self.request = call
         self.accepted = accepted
         self.reply = reply
-        self.fingerprint = context.compute_fingerprint(call, accepted.team)
+        self.fingerprints = context.compute_fingerprints(call, accepted)
         self.attempts = 0
         self.runs = 0
         self.is_started = False
@@ -235,6 +246,11 @@
         self._origins = context.origins
         self._log = context.log
 
+    @property
+    def fingerprint(self) -> str | None:
+        """The fingerprint of the whole request."""
+        return self.fingerprints.request if self.fingerprints else None
+
     @property
     def route(self) -> Route:
         """The route of the call."""
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -40,7 +40,7 @@
 from ashpond.fleet.relaying import RelayServer
 from ashpond.fleet.updates import UpdateHandlers
 from ashpond.gateway.busyness import is_instance_busy
-from ashpond.gateway.callprogress import DispatchContext, compute_fingerprint
+from ashpond.gateway.callprogress import DispatchContext, compute_fingerprints
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.metrics import GatewayMetrics
@@ -321,7 +321,9 @@
                 log,
                 self.retry_budgets.get,
                 self.server_updates.note_cached_prompt,
-                lambda call, team: compute_fingerprint(self.members.secret, call, team),
+                lambda call, accepted: compute_fingerprints(
+                    self.members.secret, call, accepted
+                ),
                 self.crash_detector,
                 self.directives,
                 self.quarantine,
--- a/ashpond/gateway/serverrequests.py
+++ b/ashpond/gateway/serverrequests.py
@@ -55,6 +55,7 @@
     declaration = knowledge.declaration
     return {
         "fingerprint": progress.fingerprint,
+        "parts": progress.fingerprints.parts if progress.fingerprints else (),
         "server": reservation.state.info.id,
         "software": reservation.state.info.software_version,
         "resume_after": progress.splitter.last_id,
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -17,7 +17,11 @@
 from ashpond.controllers.quarantine import Quarantine
 from ashpond.controllers.serverdirectives import ServerDirectives
 from ashpond.controllers.streamorigins import make_lone_origins
-from ashpond.decisions.fingerprints import make_fingerprint
+from ashpond.decisions.fingerprints import (
+    Fingerprints,
+    make_fingerprint,
+    make_part_fingerprint,
+)
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.quarantine import ServerCrash
 from ashpond.gateway.admission import admit_call
@@ -157,7 +161,7 @@
                 log,
                 lambda service: budget,
                 lambda server, salt, prompt: None,
-                lambda call, team: compute_fingerprint(call),
+                lambda call, accepted: compute_fingerprints(call),
                 self.crash_detector,
                 ServerDirectives(
                     self.table,
@@ -187,6 +191,15 @@
     return make_fingerprint("s", "desk", call.host, call.method, b"/x", call.body)
 
 
+def compute_fingerprints(call: IncomingCall) -> Fingerprints:
+    """Return the fingerprints of a request and of the shared parts of its prompt."""
+    parts = call.envelope.prompt.parts[:-1] if call.envelope.prompt else ()
+    return Fingerprints(
+        compute_fingerprint(call),
+        tuple(make_part_fingerprint("s", "", part.id) for part in parts),
+    )
+
+
 class Fleet:
     """Servers, and instances that receive each other's reports after ``lag`` seconds.
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -22,6 +22,7 @@
 from ashpond.controllers.serverdirectives import ServerDirectives
 from ashpond.controllers.streamorigins import make_lone_origins
 from ashpond.decisions.declared import Declaration, Route, RouteKind
+from ashpond.decisions.fingerprints import Fingerprints
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.loads import Load
 from ashpond.gateway.admission import admit_call
@@ -208,7 +209,7 @@
         log,
         lambda service: budget,
         lambda server, salt, prompt: None,
-        lambda call, team: FINGERPRINT if quarantine else None,
+        lambda call, accepted: Fingerprints(FINGERPRINT) if quarantine else None,
         CrashDetector(check_nothing, log.note, lambda lost: None),
         ServerDirectives(
             table, log, lambda kind: None, lambda notice: None, random.Random(1)
