Give unused fresh rights back, and let a new fleet have its slack

An emulated instance is built before the event loop runs, and the budget asked its clock. And four instances of a new fleet refused 8 to 10 of 720 requests that two servers had rejected: fresh rights that peers were granted and did not use were lost, and nobody had a part of the slack.

Fresh rights come back like those of the window. A fleet that starts for the first time has its slack 2 s after the start, in place of 5: its members know each other by then.

--- a/ashpond/controllers/budgets.py
+++ b/ashpond/controllers/budgets.py
@@ -42,7 +42,7 @@
 MIN_PAUSE_SECONDS = 0.02
 MAX_PAUSE_SECONDS = 1.0
 # Instances of a new fleet have found each other by then (seconds).
-FIRST_START_SECONDS = 5.0
+FIRST_START_SECONDS = 2.0
 
 
 class ServiceBudget:
@@ -51,6 +51,7 @@
     :param get_bounds: returns the bounds in force.
     :param get_entitlement: returns what this instance may claim now.
     :param ask: asks peers for rights soon; returns whether any could be asked.
+    :param started_at: when this instance started.
     """
 
     def __init__(
@@ -58,11 +59,10 @@
         get_bounds: Callable[[], GatewayBounds],
         get_entitlement: Callable[[], Entitlement],
         ask: Callable[[], bool],
+        started_at: float,
     ):
         bounds = get_bounds()
-        self.rights = RetryRights(
-            bounds.retry_share, bounds.retry_window_s, trio.current_time()
-        )
+        self.rights = RetryRights(bounds.retry_share, bounds.retry_window_s, started_at)
         self.estimate = BudgetEstimate()
         self._get_bounds = get_bounds
         self._get_entitlement = get_entitlement
@@ -158,7 +158,7 @@
         self._get_bounds = get_bounds
         self._get_members = get_members
         self._window = get_bounds().retry_window_s
-        now = trio.current_time()
+        self._started_at = now = trio.current_time()
         # From when on this instance has a part of the slack, and from when on what it
         # knows covers a whole window.
         self._has_part_from = now
@@ -178,7 +178,10 @@
         budget = self.by_service.get(service)
         if budget is None:
             budget = self.by_service[service] = ServiceBudget(
-                self._get_bounds, self.find_entitlement, self._ask_soon
+                self._get_bounds,
+                self.find_entitlement,
+                self._ask_soon,
+                self._started_at,
             )
         return budget
 
@@ -299,4 +302,4 @@
     """Return the budget of an instance that has no peers."""
     bounds = GatewayBounds(retry_share=share, retry_slack=slack, retry_window_s=window)
     entitlement = Entitlement(slack, is_complete=True)
-    return ServiceBudget(lambda: bounds, lambda: entitlement, lambda: False)
+    return ServiceBudget(lambda: bounds, lambda: entitlement, lambda: False, math.inf)
--- a/ashpond/decisions/retryrights.py
+++ b/ashpond/decisions/retryrights.py
@@ -50,11 +50,13 @@
 class Grant(NamedTuple):
     """Rights granted to a peer.
 
-    ``id`` is the peer's incarnation and the number of its query.
+    ``amount`` are rights of the window, ``fresh`` are fresh rights. ``id`` is the peer's
+    incarnation and the number of its query.
     """
 
     at: float
     amount: int
+    fresh: int
     id: GrantId
 
 
@@ -101,10 +103,10 @@
 
     :param share: the allowed retries as a share of the first attempts.
     :param window: the length of the window (seconds).
-    :param now: when this instance started.
+    :param started_at: when this instance started.
     """
 
-    def __init__(self, share: float, window: float, now: float):
+    def __init__(self, share: float, window: float, started_at: float):
         self.share = share
         self.window = window
         self._first: deque[float] = deque()
@@ -114,7 +116,7 @@
         self._granted: deque[Grant] = deque()
         self._received: list[_Received] = []
         self._fresh = 0.0
-        self._fresh_at = now
+        self._fresh_at = started_at
         # First attempts that have earned no fresh rights yet.
         self._unearned = 0
 
@@ -179,17 +181,20 @@
         reserve = _count_since(self._sent, now - RESERVE_SECONDS)
         spare = self._count_window_rights(lasting, entitlement) - reserve
         of_window = max(0, min(wanted - fresh, spare))
-        if of_window:
-            self._granted.append(Grant(now, of_window, grant_id))
+        if fresh or of_window:
+            self._granted.append(Grant(now, of_window, fresh, grant_id))
         return fresh + of_window
 
     def take_back(self, grant_id: GrantId, count: int) -> None:
         """Take back rights of a grant that the peer has not used."""
         for index, grant in enumerate(self._granted):
             if grant.id == grant_id:
-                left = grant.amount - min(count, grant.amount)
+                of_window = min(count, grant.amount)
+                self._fresh += min(count - of_window, grant.fresh)
                 # A second return of the same grant finds nothing.
-                self._granted[index] = grant._replace(amount=left, id=("", 0))
+                self._granted[index] = Grant(
+                    grant.at, grant.amount - of_window, 0, ("", 0)
+                )
                 return
 
     def receive(
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -17,6 +17,7 @@
 # Equal to the values of production deployments.
 REVOCATION_SECONDS = 5.0
 GRACE_SECONDS = 4.0
+FIRST_START = "first_start = true"
 
 
 class SentSignal(NamedTuple):
@@ -53,6 +54,7 @@
         lines = [f'{key} = "{value}"' for key, value in values.items()]
         lines.append(f"mesh_limit = {mesh_limit}")
         lines.append(f"coordinated_from = {coordinated_from}")
+        lines.append(FIRST_START)
         lines += ["[bounds]", *(f"{key} = {value}" for key, value in bounds.items())]
         self.path.write_text("\n".join(lines))
         self.address: str = values["callers_address"]
@@ -72,6 +74,9 @@
         if self.process is not None and self.process.poll() is None:
             return
         self.started_at = trio.current_time()
+        if self.process is not None:
+            text = self.path.read_text()
+            self.path.write_text(text.replace(f"{FIRST_START}\n", ""))
         self.process = subprocess.Popen(
             [sys.executable, "platform/serve.py"],
             cwd=ROOT,
