--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import NamedTuple
 
@@ -72,6 +72,9 @@
         self.crashes: list[Arrival] = []
         self.results: list[ClientResult] = []
         self._is_deadly = is_deadly
+        self.deadly_parts: set[str] = set()
+        # Whether the servers have a model, as requests with prompts require.
+        self.has_model = False
         self._folder = folder
         self._counts = (instances, servers)
         self._mesh_limit = mesh_limit
@@ -149,7 +152,9 @@
         port = find_free_port()
         for start in range(100):
             server_id = f"{name}-{start}"
-            entry = {**SERVER, "address": f"127.0.0.1:{port}", "models": []}
+            entry = {**SERVER, "address": f"127.0.0.1:{port}"}
+            if not self.has_model:
+                entry["models"] = []
             self.memory.put(SERVERS_TABLE, server_id, orjson.dumps(entry))
             await self._serve_until_crash(server_id, port)
             await trio.sleep(ENTRY_EXPIRY_SECONDS)
@@ -187,7 +192,8 @@
         _, _, headers = parse_headers(request)
         arrival = Arrival(time.monotonic(), server_id, body)
         self.arrivals.append(arrival)
-        if self._is_deadly(body):
+        parts = list_parts(headers)
+        if self._is_deadly(body) or not self.deadly_parts.isdisjoint(parts):
             await trio.sleep(RUNNING_SECONDS)
             self.crashes.append(arrival._replace(at=time.monotonic()))
             server_nursery.cancel_scope.cancel()
@@ -199,9 +205,17 @@
         await stream.send_all(answer)
 
     async def ask(
-        self, number: int, body: bytes, key: str = "k1", path: str = "/x/1"
+        self,
+        number: int,
+        body: bytes,
+        key: str = "k1",
+        path: str = "/x/1",
+        parts: Sequence[str] = (),
     ) -> ClientResult:
-        """Send a request to an instance on a connection of its own."""
+        """Send a request to an instance on a connection of its own.
+
+        :param parts: the ids of the prompt's parts; none for a request without prompt.
+        """
         self._requests += 1
         sent_at = time.monotonic()
         self.instance_by_request[f"r{self._requests}"] = number
@@ -212,6 +226,10 @@
             "X-Deadline-Ms": "4000",
             "Connection": "close",
         }
+        if parts:
+            headers["X-Model"] = "m1"
+            headers["X-Token-Counts"] = f"{100 * len(parts)},20"
+            headers["X-Prompt-Prefix"] = ",".join(f"{part}:100" for part in parts)
         status, retry_after = 0, None
         try:
             answer = await self._client.post(
@@ -226,10 +244,16 @@
         return ClientResult(sent_at, body, status, retry_after)
 
     async def ask_and_record(
-        self, number: int, body: bytes, path: str = "/x/1"
+        self, number: int, body: bytes, path: str = "/x/1", parts: Sequence[str] = ()
     ) -> None:
         """Send a request, and record its result."""
-        self.results.append(await self.ask(number, body, path=path))
+        self.results.append(await self.ask(number, body, path=path, parts=parts))
+
+
+def list_parts(headers: dict[str, str]) -> list[str]:
+    """Return the ids of the parts of a request's prompt."""
+    entries = headers.get("x-prompt-prefix", "").split(",")
+    return [entry.partition(":")[0] for entry in entries]
 
 
 def make_configuration(
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -35,6 +35,7 @@
     make_address,
     make_call,
     make_declaration,
+    make_prompt,
     make_quarantine,
     make_reservations,
     make_route,
@@ -111,9 +112,11 @@
 
     async def exchange(self, request: OutgoingRequest) -> ScriptedResponse:
         self._fleet.arrivals.append(Arrival(trio.current_time(), request.body))
-        if request.body == DEADLY_BODY:
+        if self._fleet.is_deadly(request.body):
             with trio.move_on_after(RUNNING_SECONDS):
                 await self._server.crashed.wait()
+            if self._server.server_id in self._fleet.servers:
+                self._fleet.crashes.append((trio.current_time(), request.body))
             self._fleet.crash([self._server.server_id])
             raise ChannelError("crashed", is_sent=True)
         with trio.move_on_after(self._fleet.get_run_seconds(request.body)):
@@ -219,9 +222,12 @@
         self.store = MemoryStore()
         self.arrivals: list[Arrival] = []
         self.crashed_at: list[float] = []
+        # The crashes that deadly requests caused, with their bodies.
+        self.crashes: list[tuple[float, bytes]] = []
         self.results: list[ClientResult] = []
         self.servers: dict[str, FleetServer] = {}
         self.partitioned: set[str] = set()
+        self.deadly_parts: set[str] = set()
         self._nursery = nursery
         self._lag = lag
         self._run_seconds = run_seconds or {}
@@ -248,6 +254,11 @@
                 for instance in instances:
                     nursery.start_soon(instance.run)
 
+    def is_deadly(self, body: bytes) -> bool:
+        """Return whether a request crashes its server: by itself, or by a part."""
+        parts = body.decode().partition(":")[0].split(",")
+        return body == DEADLY_BODY or not self.deadly_parts.isdisjoint(parts)
+
     def get_run_seconds(self, body: bytes) -> float:
         return self._run_seconds.get(body, 0.1)
 
@@ -309,16 +320,36 @@
             instance.table.update(info, trio.current_time())
 
     async def ask(self, number: int, body: bytes, timeout: float = 4.0) -> None:
-        """Send a request to an instance, and record its result."""
+        """Send a request to an instance, and record its result.
+
+        :param body: with a colon, it begins with the shared parts of the prompt.
+        """
         instance = self.instances[number % len(self.instances)]
         now = trio.current_time()
         instance.knowledge.confirm(now)
-        call = make_call(received_at=now, body=body, timeout=timeout)
+        parts, colon, own = body.decode().partition(":")
+        prompt = make_prompt(*parts.split(","), own) if colon else None
+        call = make_call(received_at=now, body=body, timeout=timeout, prompt=prompt)
         accepted = admit_call(call, instance.knowledge, 5.0, now)
         reply = RecordedReply()
         await instance.dispatcher.dispatch(call, accepted, reply)  # type: ignore[arg-type]
         self.results.append(ClientResult(now, body, reply.status, reply.is_complete))
 
+    async def ask_with_parts(self, parts: str, gap: float) -> None:
+        """Send requests of which no two are alike to instances drawn at random.
+
+        :param parts: the shared parts; ``*`` stands for one of a hundred sessions.
+        """
+        rng = random.Random(parts)
+        number = 0
+        while True:
+            number += 1
+            session = f"session{rng.randrange(100)}"
+            body = f"{parts.replace('*', session)}:{number}".encode()
+            instance = rng.randrange(len(self.instances))
+            self._nursery.start_soon(self.ask, instance, body)
+            await trio.sleep(gap)
+
     async def ask_repeatedly(
         self, body: bytes, gap: float, timeout: float = 4.0
     ) -> None:
