Report requests lost at a server that refuses, though no peer is sure

The cause: a check said "unknown" where the server refuses here and every peer that was asked is, or believes to be, cut off. It now says so, and the requests lost there are reported, as they are where the crash is sure; nothing is concluded on the server, and the rate of crashes does not count it. An instance that really was cut off reports each request once, and an answer clears it.

Both tests failed before: the check said unknown, and nothing was lost.

--- a/ashpond/clients/channelpools.py
+++ b/ashpond/clients/channelpools.py
@@ -23,6 +23,8 @@
 
     CONNECTED = auto()
     REFUSED = auto()
+    # Refused here, and no peer was sure whether the server is up.
+    REFUSED_HERE = auto()
     UNKNOWN = auto()
 
 
--- a/ashpond/controllers/crashdetection.py
+++ b/ashpond/controllers/crashdetection.py
@@ -45,6 +45,7 @@
     """What shows that a server has crashed."""
 
     REFUSED = "refused"
+    REFUSED_HERE = "refused_here"
     NEW_START = "new_start"
     OTHER_SERVER = "other_server"
     ENTRY_GONE = "entry_gone"
@@ -179,12 +180,33 @@
         ]
         attempts.crashed_at = now
         attempts.requests.clear()
+        self._log_crash(attempts, evidence, lost)
+
+    def _note_likely_crash(self, attempts: _FailedAttempts) -> None:
+        """Report the lost requests of a server that this instance alone found refusing.
+
+        If all servers crash at once, every instance takes itself for cut off, and none
+        can say for sure. If it was cut off, the requests are answered elsewhere soon.
+        """
+        since = max(trio.current_time() - ATTRIBUTION_SECONDS, attempts.reachable_at)
+        lost = [r for r in attempts.requests.values() if r.failed_at >= since]
+        attempts.requests.clear()
+        self._log_crash(attempts, CrashEvidence.REFUSED_HERE, lost)
+
+    def _log_crash(
+        self,
+        attempts: _FailedAttempts,
+        evidence: CrashEvidence,
+        lost: list[LostRequest],
+    ) -> None:
+        """Log a crash, and call ``on_lost`` for the requests that were lost in it."""
+        server = attempts.server
         self._log_event(
             "server_ended",
             server=server.id,
             born=server.started_ms,
             evidence=evidence,
-            after=round(now - attempts.failed_at, 4),
+            after=round(trio.current_time() - attempts.failed_at, 4),
             in_flight=sorted(request.fingerprint for request in lost),
         )
         for request in lost:
@@ -257,5 +279,7 @@
         if reach is ConnectResult.REFUSED:
             self.note_crash(server, CrashEvidence.REFUSED)
             self._on_refused(server)
+        elif reach is ConnectResult.REFUSED_HERE:
+            self._note_likely_crash(attempts)
         elif reach is ConnectResult.CONNECTED:
             attempts.reachable_at = trio.current_time()
--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -340,7 +340,7 @@
             self._pool.keep(owner + TUNNEL_OWNER, relayed.channel)
             return ConnectResult.CONNECTED
         is_gone = relayed.is_confirmed and not self.is_cut_off
-        return ConnectResult.REFUSED if is_gone else ConnectResult.UNKNOWN
+        return ConnectResult.REFUSED if is_gone else ConnectResult.REFUSED_HERE
 
     def release(self, owner: str, channel: Channel) -> None:
         """Return a connection after a complete exchange.
--- a/tests/test_crashdetection.py
+++ b/tests/test_crashdetection.py
@@ -77,6 +77,26 @@
     assert bench.pool.checks == 1
 
 
+async def test_requests_are_lost_if_a_server_refuses_here_and_no_peer_is_sure(
+    autojump_clock: object, nursery: trio.Nursery
+) -> None:
+    bench = DetectorBench(ConnectResult.REFUSED_HERE)
+    nursery.start_soon(bench.detector.run)
+    state = make_state()
+    bench.detector.note_failed_attempt(state, "f1", trio.current_time())
+    await trio.sleep(0.01)
+    assert bench.list_lost() == ["f1"]
+    assert not bench.refused
+    assert not bench.detector.measure_hazard()
+    # This instance may have been cut off, and the server may crash later.
+    await trio.sleep(2.0)
+    bench.pool.reach = ConnectResult.REFUSED
+    bench.detector.note_failed_attempt(state, "f2", trio.current_time())
+    await trio.sleep(0.01)
+    assert bench.list_lost() == ["f1", "f2"]
+    assert bench.refused == [state]
+
+
 async def test_reachable_server_has_not_crashed(
     autojump_clock: object, nursery: trio.Nursery
 ) -> None:
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -163,6 +163,19 @@
         assert found is not ConnectResult.CONNECTED
 
 
+async def test_crashes_of_all_servers_are_not_taken_for_a_partition_alone() -> None:
+    def cut_off(relays: list[Relay]) -> None:
+        for relay in relays:
+            relay.is_cut_off = True
+
+    gone = f"127.0.0.1:{find_free_port()}"
+    async with run_relays({"s1": gone}, 3, cut_off) as (sender, _):
+        state = sender.table.by_id["s1"]
+        found = await sender.detours.check(state.owner, state.info.address)
+        assert found not in (ConnectResult.UNKNOWN, ConnectResult.CONNECTED)
+        assert found is not ConnectResult.REFUSED
+
+
 async def test_a_server_that_a_peer_reaches_has_not_crashed() -> None:
     async with (
         run_server(answer_all) as address,
