Play prompt parts that crash servers, and changed settings, in the soak

The soak sends requests with a deadly part, whole answers and streams, beside sound ones that share key, route and the other part; servers that such a request reaches refuse connections for up to 1.5 s, and start again. SIGHUP in series comes with changed settings. Each run checks from the servers' arrivals that no window has more repeats than the budget, and that at most three deadly requests come later than 3 s after the fifth crash, by instances that were not disturbed.

--- a/ashpond/controllers/budgets.py
+++ b/ashpond/controllers/budgets.py
@@ -39,7 +39,7 @@
 WAIT_SECONDS = 0.1
 # The pause between two rounds of queries: the least, and the longest after rounds that
 # brought nothing (seconds).
-MIN_PAUSE_SECONDS = 0.02
+MIN_PAUSE_SECONDS = 0.08
 MAX_PAUSE_SECONDS = 1.0
 # Instances of a new fleet have found each other by then (seconds).
 FIRST_START_SECONDS = 2.0
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,7 +26,8 @@
     kept = sum(s.connection.uses > 0 for s in world.outcomes)
     line = (
         f"seed {seed}: {served} of {len(world.outcomes)} served, "
-        f"{kept} on used connections, {len(broken)} broken"
+        f"{kept} on used connections, {len(world.ledger.crashes)} crashes, "
+        f"{len(broken)} broken"
     )
     return (f"{line}, logs: {folder}" if broken else line), broken
 
@@ -55,6 +56,7 @@
 @click.option("--partitions", type=int, default=0, help="Players that cut instances.")
 @click.option("--unframed", type=float, default=0.0, help="Share of such answers.")
 @click.option("--versions", type=int, default=0, help="Clients that resume streams.")
+@click.option("--parts", type=int, default=0, help="Players of deadly prompt parts.")
 @click.option("--worlds", type=int, default=1, help="Seeds played at once.")
 def main(
     seed: int,
@@ -69,6 +71,7 @@
     partitions: int,
     unframed: float,
     versions: int,
+    parts: int,
     worlds: int,
 ) -> None:
     """Play COUNT seeds from SEED on, each for SECONDS; exit 1 if one failed."""
@@ -82,6 +85,7 @@
         partitions,
         unframed,
         versions,
+        parts,
     )
     failed = 0
     seeds = range(seed, seed + count)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import signal
+from bisect import bisect_left, bisect_right
 from typing import TYPE_CHECKING
 
+from ashpond.gateway.settings import GatewayBounds
 from tests.soak.clients import (
     EXTRA_WAIT_SECONDS,
     REQUEST_TIMEOUT_SECONDS,
@@ -14,6 +16,7 @@
 from tests.soak.directives import find_directive_violations
 from tests.soak.faults import ROUTE_TIMEOUTS_MS
 from tests.soak.instances import GRACE_SECONDS, REVOCATION_SECONDS, Instance
+from tests.soak.parts import find_part_violations
 from tests.soak.servers import EVENTS, Run, make_body, make_event
 from tests.soak.versions import find_version_violations
 
@@ -21,6 +24,8 @@
     from tests.soak.world import World
 
 LEAST_SERVED = 0.9
+# The instances run with the default retry budget.
+BOUNDS = GatewayBounds()
 # Harm done before a request may still affect it: delayed data, open circuit breakers.
 UNHARMED_BEFORE_SECONDS = 1.0
 # Part of the grace period that instances reserve for shutting down the process.
@@ -36,11 +41,40 @@
     broken += find_lost(world)
     broken += find_directive_violations(world)
     broken += find_version_violations(world)
+    broken += find_part_violations(world)
+    broken += find_budget_violations(world)
     if settled < LEAST_SERVED:
         broken.append(f"only {settled:.2f} served after the faults")
     return broken
 
 
+def find_budget_violations(world: World) -> list[str]:
+    """Return a line if servers got more repeats in a window than are allowed.
+
+    The requests are counted in the window of the repeats, the one before it or the one
+    half a window before, whichever has most.
+    """
+    first: dict[str, float] = {}
+    repeated = []
+    for arrival in sorted(world.ledger.arrivals):
+        if arrival.request_id in first:
+            repeated.append(arrival.at)
+        first.setdefault(arrival.request_id, arrival.at)
+    begun = sorted(first.values())
+    window = BOUNDS.retry_window_s
+    for index, until in enumerate(repeated):
+        since = until - window
+        count = index + 1 - bisect_left(repeated, since)
+        requests = max(
+            bisect_right(begun, until - shift) - bisect_left(begun, since - shift)
+            for shift in (0, window / 2, window)
+        )
+        allowed = BOUNDS.retry_share * requests + BOUNDS.retry_slack
+        if count > allowed:
+            return [f"{count} repeats in a window, {allowed:.0f} allowed"]
+    return []
+
+
 def find_lost(world: World) -> list[str]:
     """Return a line for each request that reached a server but got no answer."""
     return [
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -74,8 +75,12 @@
     request_id: str,
     key: str,
     connection: ConnectionUse | None = None,
+    parts: Sequence[str] = (),
 ) -> Outcome:
-    """Send one request on a new connection and return its outcome."""
+    """Send one request on a new connection and return its outcome.
+
+    :param parts: the ids of its prompt's parts; none for a request without a prompt.
+    """
     sent_at = trio.current_time()
     answer = Answer()
     with trio.move_on_after(REQUEST_TIMEOUT_SECONDS + EXTRA_WAIT_SECONDS):
@@ -87,7 +92,7 @@
         else:
             async with stream:
                 conn = h11.Connection(h11.CLIENT)
-                answer = await exchange(stream, conn, kind, request_id, key)
+                answer = await exchange(stream, conn, kind, request_id, key, parts)
     return make_outcome(
         request_id, kind, key, sent_at, answer, connection or ConnectionUse()
     )
@@ -114,12 +119,13 @@
     kind: str,
     request_id: str,
     key: str,
+    parts: Sequence[str] = (),
 ) -> Answer:
     """Send one request on a connection; return what arrives before the timeout."""
     status, body, is_proven = 0, b"", True
     with trio.move_on_after(REQUEST_TIMEOUT_SECONDS + EXTRA_WAIT_SECONDS):
         try:
-            await stream.send_all(_make_request(conn, kind, request_id, key))
+            await stream.send_all(_make_request(conn, kind, request_id, key, parts))
             while True:
                 event = conn.next_event()
                 if event is h11.NEED_DATA:
@@ -141,7 +147,9 @@
     return Answer(status, body)
 
 
-def _make_request(conn: h11.Connection, kind: str, request_id: str, key: str) -> bytes:
+def _make_request(
+    conn: h11.Connection, kind: str, request_id: str, key: str, parts: Sequence[str]
+) -> bytes:
     method, prefix = KINDS[kind]
     body = b"" if method == "GET" else b"x" * 300
     headers = [
@@ -151,6 +159,12 @@
         ("Authorization", f"Token {key}"),
         ("Content-Length", str(len(body))),
     ]
+    if parts:
+        headers += [
+            ("X-Model", "m1"),
+            ("X-Token-Counts", f"{100 * len(parts)},20"),
+            ("X-Prompt-Prefix", ",".join(f"{part}:100" for part in parts)),
+        ]
     data = conn.send(h11.Request(method=method, target=prefix + "1", headers=headers))
     data = (data or b"") + (conn.send(h11.Data(data=body)) or b"" if body else b"")
     return data + (conn.send(h11.EndOfMessage()) or b"")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -228,6 +228,7 @@
         for _ in range(self._rng.randint(*STEPS)):
             for instance in self._world.instances:
                 if instance.is_up:
+                    instance.change_settings()
                     instance.send(signal.SIGHUP)
             await trio.sleep(self._rng.uniform(*BETWEEN_STEPS_SECONDS))
 
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -63,6 +63,7 @@
         self.answered_at = 0.0
         self.is_restarting = False
         self.signals: list[SentSignal] = []
+        self._changes = 0
 
     @property
     def is_up(self) -> bool:
@@ -85,6 +86,14 @@
             stderr=self.log,
         )
 
+    def change_settings(self) -> None:
+        """Write another value of a setting that no check depends on."""
+        self._changes += 1
+        text = self.path.read_text()
+        kept = [x for x in text.splitlines() if not x.startswith("quarantine_s")]
+        kept.append(f"quarantine_s = {600 + self._changes}")
+        self.path.write_text("\n".join(kept))
+
     def send(self, number: int) -> None:
         """Send a signal if the process is running."""
         if self.process is not None and self.process.poll() is None:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -33,6 +33,8 @@
         self.target = target
         self._partition = PartitionProxy(partitions) if partitions else None
         self.address = ""
+        self._listening = trio.CancelScope()
+        self._refuses_until = 0.0
         self._harms: list[tuple[float, Harm]] = [(0.0, Harm.NONE)]
 
     @property
@@ -55,9 +57,23 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Listen until cancelled."""
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        port = listeners[0].socket.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
         task_status.started()
-        await trio.serve_listeners(self._serve, listeners)
+        while True:
+            with self._listening:
+                await trio.serve_listeners(self._serve, listeners)
+            await trio.sleep_until(self._refuses_until)
+            self._listening = trio.CancelScope()
+            listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+
+    async def refuse(self, seconds: float) -> None:
+        """End all connections, and refuse new ones for some seconds."""
+        self.harm = Harm.RESET
+        self._refuses_until = trio.current_time() + seconds
+        self._listening.cancel()
+        await trio.sleep_until(self._refuses_until)
+        self.harm = Harm.NONE
 
     async def _serve(self, client: trio.SocketStream) -> None:
         host, port = self.target.split(":")
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -67,6 +67,10 @@
         self.limit_periods: list[LimitPeriod] = []
         # The requests whose answers a server broke off.
         self.torn: set[str] = set()
+        # The requests with a part that crashes servers, with their instances, and when
+        # servers have crashed.
+        self.deadly: dict[str, str] = {}
+        self.crashes: list[float] = []
 
 
 def parse_headers(request: bytes) -> tuple[str, str, dict[str, str]]:
@@ -86,7 +90,9 @@
         ledger: Ledger,
         choose_ending: Callable[[], AnswerEnding] = lambda: AnswerEnding.FRAMED,
         version: str = "v1",
+        crash: Callable[[], None] = lambda: None,
     ):
+        self._crash = crash
         self.server_id = server_id
         self.version = version
         self.ledger = ledger
@@ -130,6 +136,10 @@
         leaked = "authorization" in headers
         run = Run(trio.current_time(), self.server_id, method, leaked)
         self.ledger.runs[request_id].append(run)
+        if request_id in self.ledger.deadly:
+            await trio.sleep(PLAIN_SECONDS)
+            self._crash()
+            await trio.sleep_forever()
         head = f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\n"
         head += directive.format_headers()
         if target == versions.PATH:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -32,6 +32,7 @@
 from tests.soak.instances import Instance
 from tests.soak.keepalive import KeepAliveClient
 from tests.soak.partitions import Cut, Partitions
+from tests.soak.parts import MODEL, PartPlayer, crash_server
 from tests.soak.proxy import Harm, Proxy
 from tests.soak.servers import AnswerEnding, Ledger, Server
 from tests.soak.versions import ResumingClient, StreamUse, VersionPlayer
@@ -55,7 +56,8 @@
     directives, and ``returns`` restores the store from older copies. ``partitions``
     players cut instances off from all servers; ``unframed`` is the share of answers
     that have neither length nor chunks, a half of which break off. ``versions`` clients
-    take up streams while servers of several software versions come and go.
+    take up streams while servers of several software versions come and go. ``parts``
+    players send requests with a prompt part that crashes servers.
     """
 
     instances: int | None = None
@@ -67,6 +69,7 @@
     partitions: int = 0
     unframed: float = 0.0
     versions: int = 0
+    parts: int = 0
 
 
 class World:
@@ -89,6 +92,7 @@
         self.store_proxies: list[Proxy] = []
         self.server_proxies: dict[str, Proxy] = {}
         self._entries: dict[str, bytes] = {}
+        self.crashed: set[str] = set()
         self.instances: list[Instance] = []
         self.servers: dict[str, Server] = {}
         self._nursery: trio.Nursery | None = None
@@ -178,6 +182,8 @@
                 nursery.start_soon(DirectivePlayer(self, self._fork_rng()).run)
             if self.play.versions:
                 nursery.start_soon(VersionPlayer(self, self._fork_rng()).run)
+            for _ in range(self.play.parts):
+                nursery.start_soon(PartPlayer(self, self._fork_rng()).run)
             for number in range(self.play.versions):
                 client = ResumingClient(self, self._fork_rng(), number)
                 nursery.start_soon(client.run)
@@ -260,13 +266,23 @@
         nursery = self._nursery
         assert nursery is not None
         server_id = f"s{len(self.servers)}"
-        server = Server(server_id, self.ledger, self._choose_ending, version)
+        server = Server(
+            server_id,
+            self.ledger,
+            self._choose_ending,
+            version,
+            lambda: nursery.start_soon(
+                crash_server, self, server_id, self._endings_rng
+            ),
+        )
         self.servers[server_id] = server
         address = await self._listen(nursery, server.serve)
         proxy = Proxy(address, self.partitions)
         await nursery.start(proxy.run)
         self.server_proxies[server_id] = proxy
-        entry = {**SERVER, "address": proxy.address, "models": [], "service": "s1"}
+        entry = {**SERVER, "address": proxy.address, "service": "s1"}
+        if not self.play.parts:
+            entry["models"] = []
         entry["version"] = version
         self._entries[server_id] = orjson.dumps(entry)
         self.memory.put(SERVERS_TABLE, server_id, self._entries[server_id])
@@ -286,15 +302,28 @@
             for p, (kind, resumable) in kinds.items()
         ]
         keys = [key for key in self.keys if key not in self.removed_keys]
+        service: dict[str, Any] = {"name": "s1"}
+        if self.play.parts:
+            models = [{"name": MODEL}]
+            service["engine"] = {
+                "slots": 64,
+                "kv_capacity_tokens": 100_000,
+                "models": models,
+            }
         table = {
             "version": self._version,
             "routes": routes,
-            "services": [{"name": "s1"}],
+            "services": [service],
             "tenants": [{"name": "t", "api_keys": keys}],
             "limits": self._limits,
         }
         self.memory.put(OPERATOR_TABLE, "config", orjson.dumps(table))
 
+    def find_entry(self, server_id: str) -> dict[str, Any] | None:
+        """Return the entry of a server, None if it has left."""
+        entry = self._entries.get(server_id)
+        return None if entry is None else orjson.loads(entry)
+
     def rewrite_entries(self) -> None:
         """Write all configuration and server entries again; the store may lack them."""
         self._write_configuration()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -48,6 +48,9 @@
 PARTITIONS = Play(
     instances=5, servers=4, keepers=20, series=2, partitions=1, unframed=0.2
 )
+# A prompt part crashes servers, while settings change and instances are killed.
+PART_SEEDS = (5400, 5401)
+PARTS = Play(instances=5, servers=6, keepers=20, series=2, parts=1)
 KEEP_ALIVE = Play(instances=6, keepers=150, series=5)
 
 
@@ -92,6 +95,17 @@
     assert world.ledger.torn
 
 
+@pytest.mark.parametrize("seed", PART_SEEDS)
+async def test_a_part_that_crashes_servers_stops_reaching_them_under_faults(
+    seed: int, tmp_path: Path
+) -> None:
+    world = World(seed, tmp_path, PARTS)
+    assert (
+        await world.run(KEEP_ALIVE_SECONDS, lambda: len(world.ledger.crashes) > 2) == []
+    )
+    assert world.ledger.crashes
+
+
 # One request sent at 10 s and ended without an answer at 10.2 s.
 LOST = Outcome(
     "r1",
