Let repeatable requests go straight while no peer relays

Every instance took itself for cut off, and then refused requests to plain servers of other services, which were up: "this instance is cut off, and no peer relays" (in the collected logs 77 failed sends, 21 of them to four servers of other services).

The cause: a conclusion from some servers held for all, and there was no way but a relay once it was drawn. A repeatable request now makes a connection of its own if no peer relays, and waits 0.1 s for it at most. An unrepeatable one is refused as before: a connection that hangs would leave its outcome unknown. The test failed before with the reason above.

--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -26,6 +26,9 @@
 
 # A peer is asked when a direct connection takes this long; it mostly takes a few ms.
 HEDGE_SECONDS = 0.1
+# How long a repeatable request of an instance that is cut off waits for a direct
+# connection if no peer relays (seconds).
+STRAIGHT_SECONDS = 0.1
 # How long a server that only a peer could reach gets no direct connections (seconds).
 DETOUR_SECONDS = 1.0
 # How often connections are tried while this instance is cut off, and how long one has
@@ -136,7 +139,9 @@
         if self.is_cut_off:
             if self.contact.begin_trial(now, is_repeatable=is_repeatable):
                 return await self._try_directly(owner, address)
-            return await self._acquire_while_cut_off(owner, address)
+            return await self._acquire_while_cut_off(
+                owner, address, is_repeatable=is_repeatable
+            )
         channel = self._pool.take_idle(owner)
         if channel is None and now < self._detoured_until.get(owner, 0.0):
             channel = await self._acquire_tunnel(owner)
@@ -151,15 +156,21 @@
             if channel is None:
                 self.contact.end_trial()
 
-    async def _acquire_while_cut_off(self, owner: str, address: str) -> Channel:
+    async def _acquire_while_cut_off(
+        self, owner: str, address: str, *, is_repeatable: bool
+    ) -> Channel:
         channel = await self._acquire_tunnel(owner)
         if channel is not None:
             return channel
-        if self._relays.has_peers() and not self._fails_fast:
-            # The request would wait in vain, or its outcome would be unknown.
-            reason = "this instance is cut off, and no peer relays"
-            raise ChannelError(reason, is_sent=False, is_own_fault=True)
-        return await self._connect_directly(owner, address)
+        if self._fails_fast or not self._relays.has_peers():
+            return await self._connect_directly(owner, address)
+        if is_repeatable:
+            # If all servers of one service have crashed, those of others answer.
+            with trio.move_on_after(STRAIGHT_SECONDS):
+                return await self._connect_directly(owner, address)
+        # The request would wait in vain, or its outcome would be unknown.
+        reason = "this instance is cut off, and no peer relays"
+        raise ChannelError(reason, is_sent=False, is_own_fault=True)
 
     async def _acquire_tunnel(self, owner: str) -> Channel | None:
         key = owner + TUNNEL_OWNER
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -142,6 +142,31 @@
             assert all(not relay.server.tunnels for relay in relays)
 
 
+async def test_repeatable_requests_go_straight_while_no_peer_relays() -> None:
+    """Streams were broken off, and servers of other services not used."""
+
+    def cut_off(relays: list[Relay]) -> None:
+        for relay in relays:
+            relay.is_cut_off = True
+
+    async with run_server(answer_all) as address:
+        servers = {"s1": address, "s2": address}
+        async with run_relays(servers, 2, cut_off) as (sender, _):
+            sender.pool.cut(is_hanging=True)
+            for name in ("s1", "s2", "s1"):
+                with pytest.raises(ChannelError):
+                    await sender.acquire(name)
+            assert sender.detours.is_cut_off
+            with trio.fail_after(0.4), pytest.raises(ChannelError) as caught:
+                await sender.acquire("s2")
+            assert caught.value.is_own_fault
+            sender.pool.error = None
+            channel = await sender.acquire("s2")
+            assert not channel.relay
+            with pytest.raises(ChannelError):
+                await sender.acquire("s1", is_repeatable=False)
+
+
 async def test_a_relay_does_not_ask_another_one() -> None:
     """Both instances are cut off, and the second does not know it yet."""
     gone = f"127.0.0.1:{find_free_port()}"
