Reset the connections of servers that crash in the soak

Traced: the server of the soak ended the connections of a crash regularly, and an answer that only the end of its connection ends, between two events, then looks whole to anybody. A process that is gone with requests in flight resets them, as the stand-in of the other tests does; now the soak's does too.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -35,6 +35,7 @@
         self.address = ""
         self._listening = trio.CancelScope()
         self._refuses_until = 0.0
+        self._clients: set[trio.SocketStream] = set()
         self._harms: list[tuple[float, Harm]] = [(0.0, Harm.NONE)]
 
     @property
@@ -68,8 +69,10 @@
             listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
 
     async def refuse(self, seconds: float) -> None:
-        """End all connections, and refuse new ones for some seconds."""
+        """Reset all connections, and refuse new ones for some seconds."""
         self.harm = Harm.RESET
+        for client in list(self._clients):
+            reset(client)
         self._refuses_until = trio.current_time() + seconds
         self._listening.cancel()
         await trio.sleep_until(self._refuses_until)
@@ -86,11 +89,13 @@
         except OSError:
             reset(client)
             return
+        self._clients.add(client)
         try:
             async with client, server, trio.open_nursery() as nursery:
                 nursery.start_soon(self._forward, client, server, True, nursery)
                 nursery.start_soon(self._forward, server, client, False, nursery)
         finally:
+            self._clients.discard(client)
             if self._partition is not None:
                 self._partition.remove(client)
 
