--- a/ashpond/controllers/quarantine.py
+++ b/ashpond/controllers/quarantine.py
@@ -13,6 +13,7 @@
 import trio
 
 from ashpond.controllers.quarantinerows import QuarantineRows
+from ashpond.controllers.reportlimits import ReportLimit
 from ashpond.decisions.fingerprints import PART_PREFIX, Fingerprints, is_part
 from ashpond.decisions.placement import rank_by_rendezvous
 from ashpond.decisions.quarantine import (
@@ -42,7 +43,6 @@
 # A part is lost with other requests each time, so its crashes are reported at once
 # unless an answer has begun on it here, and at most 60 single ones are a second (4 KB).
 MAX_SINGLE_PART_REPORTS = 60
-SINGLE_REPORTS_SECONDS = 1.0
 
 
 class AttemptDecision(Enum):
@@ -57,23 +57,6 @@
     QUARANTINED = auto()
 
 
-class _ReportLimit:
-    """Limits the reports of single crashes in each ``SINGLE_REPORTS_SECONDS``."""
-
-    def __init__(self, most: int):
-        self._most = most
-        self._count = 0
-        self._since = float("-inf")
-
-    def take(self, now: float) -> bool:
-        """Count a report; return whether it is within the limit."""
-        if now - self._since >= SINGLE_REPORTS_SECONDS:
-            self._since = now
-            self._count = 0
-        self._count += 1
-        return self._count <= self._most
-
-
 class Quarantine:
     """The known crashes by request, and the attempts that they allow.
 
@@ -113,8 +96,8 @@
         self._reporters: dict[str, set[str]] = {}
         self._states: dict[str, QuarantineState] = {}
         self._refused: Counter[str] = Counter()
-        self._single_requests = _ReportLimit(MAX_SINGLE_REPORTS)
-        self._single_parts = _ReportLimit(MAX_SINGLE_PART_REPORTS)
+        self._single_requests = ReportLimit(MAX_SINGLE_REPORTS)
+        self._single_parts = ReportLimit(MAX_SINGLE_PART_REPORTS)
         store.era.on_change(self._persist_again)
 
     async def run(self) -> None:
--- a/ashpond/decisions/retryrights.py
+++ b/ashpond/decisions/retryrights.py
@@ -8,8 +8,8 @@
 
 Most rights are those of a whole window, which may all be used at once. An instance that
 has just started does not know what its previous incarnation used of them, and has none
-until a window has passed. The others are earned anew all the time and do not last, so
-that they can be used by any incarnation.
+until a window has passed. The others are earned continuously and expire soon, so that
+any incarnation can use those that it has earned.
 """
 
 from __future__ import annotations
@@ -29,8 +29,8 @@
 from typing import NamedTuple
 
 # The shares of the budget whose rights are those of a whole window, and of that whose
-# rights are earned anew. Some of the budget is left: a request may wait for a server
-# between the decision to retry it and its arrival there.
+# rights are earned continuously. Some of the budget is left: a request may wait for a
+# server between the decision to retry it and its arrival there.
 WINDOW_SHARE = 0.6
 FRESH_SHARE = 0.2
 # How long the latter last (seconds).
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -18,13 +18,13 @@
 )
 from ashpond.controllers.memory import NoMemoryError
 from ashpond.decisions.declared import RouteKind
-from ashpond.decisions.placementterms import PlacementEvent
 from ashpond.decisions.ratelimits import PERMIT_SECONDS
 from ashpond.gateway.answertimeouts import (
     choose_answer_timeout,
     choose_silent_seconds,
 )
 from ashpond.gateway.callprogress import (
+    SERVER_ERROR,
     Answer,
     AttemptFailed,
     AttemptNotRun,
@@ -32,6 +32,7 @@
     CallProgress,
     Delivered,
     DispatchContext,
+    classify_end,
 )
 from ashpond.gateway.calls import AnswerHeaders
 from ashpond.gateway.reservations import Reservation
@@ -40,7 +41,6 @@
 
 OK = 200
 MISDIRECTED = 421
-SERVER_ERROR = 500
 MAX_ANSWER_BYTES = 16 << 20
 NO_ANSWER = "silent"
 
@@ -82,7 +82,7 @@
             finally:
                 memory.release_at_server(server_id, size)
         finally:
-            event = _classify_end(outcome, is_sent=self.call.runs > runs)
+            event = classify_end(outcome, is_sent=self.call.runs > runs)
             self.context.reservations.release(self._reservation, event)
 
     async def _run(self, state: ServerState) -> AttemptOutcome:
@@ -391,15 +391,3 @@
         salt = self._reservation.salt
         if prompt is not None and salt is not None:
             self.context.note_cached(self._reservation.state, salt, prompt)
-
-
-def _classify_end(outcome: AttemptOutcome | None, *, is_sent: bool) -> PlacementEvent:
-    """Return what an attempt means for its placement; None is a cancelled attempt."""
-    if isinstance(outcome, AttemptNotRun):
-        is_rejected = outcome.is_rejected
-        return PlacementEvent.REJECTED if is_rejected else PlacementEvent.UNUSED
-    if isinstance(outcome, Delivered):
-        return PlacementEvent.ANSWERED
-    if isinstance(outcome, Answer) and outcome.status < SERVER_ERROR:
-        return PlacementEvent.ANSWERED
-    return PlacementEvent.FAILED if outcome or is_sent else PlacementEvent.UNUSED
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -12,6 +12,8 @@
     "Delivered",
     "DispatchContext",
     "Reservations",
+    "SERVER_ERROR",
+    "classify_end",
     "compute_fingerprints",
 ]
 
@@ -172,6 +174,10 @@
     )
 
 
+# The lowest status of a server's failure.
+SERVER_ERROR = 500
+
+
 class AttemptNotRun(NamedTuple):
     """The attempt had no effect.
 
@@ -206,6 +212,18 @@
 AttemptOutcome = AttemptNotRun | AttemptFailed | Answer | Delivered
 
 
+def classify_end(outcome: AttemptOutcome | None, *, is_sent: bool) -> PlacementEvent:
+    """Return what an attempt means for its placement; None is a cancelled attempt."""
+    if isinstance(outcome, AttemptNotRun):
+        is_rejected = outcome.is_rejected
+        return PlacementEvent.REJECTED if is_rejected else PlacementEvent.UNUSED
+    if isinstance(outcome, Delivered):
+        return PlacementEvent.ANSWERED
+    if isinstance(outcome, Answer) and outcome.status < SERVER_ERROR:
+        return PlacementEvent.ANSWERED
+    return PlacementEvent.FAILED if outcome or is_sent else PlacementEvent.UNUSED
+
+
 class CallProgress:
     """One call and the state of its attempts.
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -16,11 +16,11 @@
 from ashpond.controllers.directory import ServerState, ServerTable
 from ashpond.controllers.quarantine import (
     MAX_SINGLE_REPORTS,
-    SINGLE_REPORTS_SECONDS,
     AttemptDecision,
     Quarantine,
 )
 from ashpond.controllers.quarantinerows import QUARANTINE_TABLE, decode_row, encode_row
+from ashpond.controllers.reportlimits import INTERVAL_SECONDS
 from ashpond.decisions.crashassessment import CLOCK_ERROR_SECONDS, CONTESTED_CRASHES
 from ashpond.decisions.fingerprints import Fingerprints
 from ashpond.decisions.knowledge import Knowledge
@@ -300,7 +300,7 @@
     for number in range(MAX_SINGLE_REPORTS * 10):
         recorder.quarantine.note_lost(make_lost("a", f"{number:024x}"))
     assert len(recorder.take_server_ids()) == MAX_SINGLE_REPORTS
-    await trio.sleep(SINGLE_REPORTS_SECONDS)
+    await trio.sleep(INTERVAL_SECONDS)
     recorder.quarantine.note_lost(make_lost("b", "e" * 24))
     assert recorder.take_server_ids() == ["b"]
 
