--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -44,7 +44,7 @@
 
 
 class Paths(Protocol):
-    """Tells when messages between two instances arrive."""
+    """Decide when messages between two instances arrive."""
 
     async def wait_for_path(self, sender: str, receiver: str) -> None:
         """Wait until messages from one instance reach another."""
