Replace a review case: an old write makes a draining server ready again

A write of an entry that the store performs late replaces the newer one, as the entry's seq is not compared. The case of the earlier time of day needed two disruptions for the same rule.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A server that started again with an earlier time of day cannot be drained."""
+"""An old write of a draining server is performed late and makes it ready again."""
 
 from __future__ import annotations
 
@@ -21,15 +21,13 @@
 from standins.platform import Instance  # noqa: E402
 
 DRAIN_SECONDS = 2.0
-CONTACT_SECONDS = 3.0
-# The time of day of the server's host is ahead by so much and is then set right, the
-# server crashes so long after its start, and is down for so long (seconds).
-CLOCK_AHEAD_SECONDS = 2.4
-UP_SECONDS = 0.7
-DOWN_SECONDS = 0.7
-# From the second start to the drain, and how long the server serves on (seconds).
-SERVE_SECONDS = 6.0
-LINGER_SECONDS = 3.0
+# When the unanswered write is performed, and when the server reports that it leaves,
+# both after that write was sent (seconds). The store has then been without impairment
+# for longer than contact_ms.
+LATE_SECONDS = 4.9
+DRAIN_AFTER_SECONDS = 3.3
+# How long the server serves on after its report (seconds).
+LINGER_SECONDS = 2.6
 WATCH_SECONDS = 2.0
 REQUEST_SECONDS = 0.02
 WORK_SECONDS = 0.09
@@ -56,7 +54,7 @@
     }
 
 
-class EarlierStart(Case):
+class LateEntry(Case):
     """One run of the case."""
 
     requests = 0
@@ -89,7 +87,7 @@
         await self.store.open()
         for number in (1, 2, 3):
             self.add_server(f"app-{number}", "app", work_seconds=WORK_SECONDS)
-        for server in self.servers[:2]:
+        for server in self.servers:
             await server.open()
         self.store.put("op", "config", make_configuration())
         if not await self.start_fleet(2):
@@ -97,17 +95,12 @@
         for instance in self.instances:
             if await self.ask(instance) != 200:
                 return COULD_NOT_RUN
-        await asyncio.sleep(1.0)
         leaver = self.servers[2]
-        await leaver.open(CLOCK_AHEAD_SECONDS if IS_TROUBLED else 0.0)
-        await asyncio.sleep(UP_SECONDS)
-        if IS_TROUBLED:
-            leaver.close()
-            self.record.write("server_crashed", server=leaver.id)
-            await asyncio.sleep(DOWN_SECONDS)
-            await leaver.open()
         sending = asyncio.create_task(self.send_requests())
-        await asyncio.sleep(SERVE_SECONDS)
+        await asyncio.sleep(2.0)
+        if IS_TROUBLED:
+            late = asyncio.create_task(leaver.write_entry_late(LATE_SECONDS))
+        await asyncio.sleep(DRAIN_AFTER_SECONDS)
         leaver.drain()
         drained_at = self.record.now()
         await asyncio.sleep(LINGER_SECONDS)
@@ -115,6 +108,8 @@
         self.store.put("servers", leaver.id, None)
         self.record.write("server_left", server=leaver.id)
         await asyncio.sleep(WATCH_SECONDS)
+        if IS_TROUBLED:
+            await late
         sending.cancel()
         await asyncio.wait([sending])
         return self.judge(leaver.id, drained_at)
@@ -139,4 +134,4 @@
 
 
 if __name__ == "__main__":
-    main(EarlierStart, HERE)
+    main(LateEntry, HERE)
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -77,6 +77,17 @@
 
     def write_entry(self) -> None:
         """Write this server's entry."""
+        self._store.put("servers", self.id, self._make_entry())
+
+    async def write_entry_late(self, seconds: float) -> None:
+        """Write the entry; the store doesn't answer, and performs the write later."""
+        entry = self._make_entry()
+        self._record.write("unanswered_write", server=self.id, entry=entry)
+        await asyncio.sleep(seconds)
+        self._store.put("servers", self.id, entry)
+        self._record.write("late_write", server=self.id, entry=entry)
+
+    def _make_entry(self) -> dict[str, Any]:
         self._beats += 1
         entry: dict[str, Any] = {
             "service": self._service,
@@ -91,7 +102,7 @@
         }
         if self._models is not None:
             entry |= {"stage": "colocated", "models": self._list_models()}
-        self._store.put("servers", self.id, entry)
+        return entry
 
     def _list_models(self) -> list[dict[str, Any]]:
         models = self._models or {}
