--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import NamedTuple
 
 READ_BYTES = 65_536
@@ -26,7 +26,14 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-Handler = Callable[[Request], Awaitable[Response | None]]
+class Stream(NamedTuple):
+    """A response with status 200 whose pieces are sent in chunks."""
+
+    pieces: AsyncIterator[bytes]
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+Handler = Callable[[Request], Awaitable[Response | Stream | None]]
 
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]] | None:
@@ -62,6 +69,21 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + response.body
 
 
+async def send_stream(writer: asyncio.StreamWriter, stream: Stream) -> None:
+    """Send a stream in chunks, until the connection is closed."""
+    lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+    lines += [f"{name}: {value}" for name, value in stream.headers]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
+    async for piece in stream.pieces:
+        if writer.is_closing():
+            raise ConnectionResetError
+        writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+        await writer.drain()
+    if not writer.is_closing():
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
 class Listener:
     """A server on a loopback address that answers with ``handle``.
 
@@ -98,6 +120,9 @@
                 response = await self._handle(request)
                 if response is None:
                     return
+                if isinstance(response, Stream):
+                    await send_stream(writer, response)
+                    continue
                 writer.write(encode_response(response))
                 await writer.drain()
                 if ("Connection", "close") in response.headers:
@@ -147,6 +172,45 @@
             writer.close()
 
 
+class StreamAnswer(NamedTuple):
+    """What arrived of a stream."""
+
+    status: int
+    body: bytes
+    is_complete: bool
+
+
+async def fetch_stream(
+    address: str, target: str, headers: dict[str, str], body: bytes, timeout: float
+) -> StreamAnswer:
+    """Send one request on a new connection, and read its answer in chunks."""
+    host, port = address.split(":")
+    lines = [f"POST {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    data = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+    status, received, writer = 0, b"", None
+    try:
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            head = await read_head(reader)
+            if head is None:
+                return StreamAnswer(0, b"", False)
+            status = int(head[0].split(" ")[1])
+            if "transfer-encoding" not in head[1]:
+                length = int(head[1].get("content-length", "0"))
+                return StreamAnswer(status, await reader.readexactly(length), True)
+            while size := int((await reader.readuntil(b"\r\n")).strip() or b"0", 16):
+                received += (await reader.readexactly(size + 2))[:-2]
+            return StreamAnswer(status, received, True)
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return StreamAnswer(status, received, False)
+    finally:
+        if writer is not None:
+            writer.close()
+
+
 class KeptChannel:
     """A client's connection that is kept for many requests."""
 
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -5,12 +5,16 @@
 import asyncio
 import json
 import time
+from collections.abc import AsyncIterator
 from typing import Any
 
-from standins.http import Listener, Request, Response
+from standins.http import Listener, Request, Response, Stream
 from standins.store import Store
 
 HEARTBEAT_SECONDS = 1.2
+# A stream of the site has 58 tokens and lasts a second or more.
+EVENTS = 58
+EVENT_SECONDS = 0.03
 
 
 class Server:
@@ -29,6 +33,7 @@
         models: dict[str, int] | None = None,
         load_seconds: float = 0.76,
         slots: int = 6,
+        software: str = "1",
     ):
         self.id = server_id
         self.listener = Listener(self._answer)
@@ -39,6 +44,7 @@
         self._models = models
         self._load_seconds = load_seconds
         self._slots = slots
+        self.software = software
         self._orders = 0
         self._beats = 0
         self._is_loading = False
@@ -76,7 +82,9 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     def write_entry(self) -> None:
-        """Write this server's entry."""
+        """Write this server's entry, unless the store is away."""
+        if self._store.is_away:
+            return
         self._store.put("servers", self.id, self._make_entry())
 
     async def write_entry_late(self, seconds: float) -> None:
@@ -93,7 +101,7 @@
             "service": self._service,
             "address": self.listener.address,
             "zone": "zone-a",
-            "version": "1",
+            "version": self.software,
             "slots": self._slots,
             "state": self._state,
             "cold_ms": 0,
@@ -108,7 +116,7 @@
         models = self._models or {}
         return [{"name": n, "version": v, "adapters": []} for n, v in models.items()]
 
-    async def _answer(self, request: Request) -> Response | None:
+    async def _answer(self, request: Request) -> Response | Stream | None:
         expected = request.headers.get("x-expect-instance")
         if expected not in (None, self.id):
             return Response(421, b"", (("X-Instance-Id", self.id),))
@@ -116,8 +124,32 @@
             return self._report()
         if self._models is not None and request.target == "/api/order":
             return self._take_order(json.loads(request.body))
+        if request.target.startswith("/stream/"):
+            return self._stream(request)
         return await self._run(request)
 
+    def _stream(self, request: Request) -> Stream:
+        request_id = request.headers.get("x-request-id", "")
+        after = int(request.headers.get("last-event-id") or 0)
+        self._record.write(
+            "stream_run",
+            id=request_id,
+            server=self.id,
+            software=self.software,
+            after=after,
+        )
+        headers = (
+            ("Content-Type", "text/event-stream"),
+            ("X-Request-Id", request_id),
+            ("X-Engine-Seal", f"seal.{self.id}"),
+        )
+        return Stream(self._make_events(after, self.software), headers)
+
+    async def _make_events(self, after: int, software: str) -> AsyncIterator[bytes]:
+        for number in range(after + 1, EVENTS + 1):
+            await asyncio.sleep(EVENT_SECONDS)
+            yield b"id: %d\ndata: %s\n\n" % (number, software.encode())
+
     def _report(self) -> Response:
         table = {
             "stage": "colocated",
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -41,16 +41,19 @@
         self.rows: dict[tuple[str, str, str], Row] = {}
         self.ver = 0
         self.era = 1
+        self.is_away = True
         self._changed = asyncio.Event()
         self._port = 0
 
     async def open(self) -> None:
         """Listen, on the same port each time."""
         await self.listener.open(self._port)
+        self.is_away = False
         self._port = int(self.listener.address.rpartition(":")[2])
 
     def close(self) -> None:
         """Be away: refuse connections, and close those that are open."""
+        self.is_away = True
         self.listener.close()
 
     def take_copy(self) -> Copy:
