--- a/review/2/case.py
+++ b/review/2/case.py
@@ -115,7 +115,7 @@
         return self.judge(leaver.id, drained_at)
 
     def judge(self, leaver: str, drained_at: float) -> int:
-        """Return 1 if a request reached the server long after it was draining."""
+        """Return BROKEN if a request reached the server long after it was draining."""
         runs = [x for x in self.record.list_events("run") if x["server"] == leaver]
         if not any(line["t"] < drained_at for line in runs):
             return COULD_NOT_RUN
