--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -36,8 +36,31 @@
         self.rows: dict[tuple[str, str], dict] = {}
         self.history: list[dict] = []
         self.version = 0
+        # The number of the drills from which the store has come back, and one more.
+        self.era = 1
+        self.is_away = False
         self.changed = threading.Condition()
 
+    def copy(self) -> tuple[dict, int]:
+        """Return a copy of the rows, and their version."""
+        with self.changed:
+            return dict(self.rows), self.version
+
+    def come_back(self, copy: tuple[dict, int]) -> None:
+        """Come back from an older copy: later writes are gone, versions go back."""
+        with self.changed:
+            self.rows, self.version = dict(copy[0]), copy[1]
+            self.history = [r for r in self.history if r["ver"] <= self.version]
+            self.era += 1
+            self.is_away = False
+            self.changed.notify_all()
+
+    def go_away(self) -> None:
+        """Answer nothing from now on."""
+        with self.changed:
+            self.is_away = True
+            self.changed.notify_all()
+
     def put(self, table: str, key: str, value: object) -> None:
         """Write one row as the operator or a server does; None removes it."""
         data = None if value is None else base64.b64encode(json.dumps(value).encode())
@@ -62,14 +85,21 @@
             rows = [row for row in found if row["key"] >= start]
             return {"rows": rows, "has_more": False} | self._stamp()
 
-    def feed(self, table: str, after: int, wait: float) -> dict:
-        """Return the changes of a table, as soon as there are any."""
+    def feed(self, table: str, after: int, wait: float) -> dict | None:
+        """Return the changes of a table; None if they are no longer known."""
 
         def list_changes() -> list[dict]:
             return [r for r in self.history if r["table"] == table and r["ver"] > after]
 
         with self.changed:
-            self.changed.wait_for(lambda: bool(list_changes()), wait)
+            era = self.era
+            if after > self.version:
+                return None
+            self.changed.wait_for(
+                lambda: self.is_away or self.era != era or bool(list_changes()), wait
+            )
+            if self.era != era:
+                return None
             return {"rows": list_changes()} | self._stamp()
 
     def transact(self, body: dict) -> tuple[int, dict]:
@@ -91,6 +121,15 @@
         return {"ver": self.version, "now_ms": time.monotonic() * 1000}
 
 
+class QuietServer(ThreadingHTTPServer):
+    """A server that prints nothing when a caller has left before its answer."""
+
+    daemon_threads = True
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Print no traceback."""
+
+
 def serve_store(store: Store) -> str:
     """Serve the store on a free port; return its address."""
 
@@ -106,17 +145,25 @@
             elif target.path == "/api/rows-feed":
                 wait = min(30.0, int(query["wait_ms"]) / 1000)
                 after = int(query["after"])
-                self.answer(200, store.feed(query["table"], after, wait))
+                found = store.feed(query["table"], after, wait)
+                self.answer(410 if found is None else 200, found or {})
             else:
                 self.answer(404, {})
 
         def do_POST(self) -> None:  # noqa: N802
             body = self.rfile.read(int(self.headers["Content-Length"]))
+            if store.is_away:
+                self.close_connection = True
+                return
             self.answer(*store.transact(json.loads(body)))
 
         def answer(self, status: int, body: dict) -> None:
+            if store.is_away:
+                self.close_connection = True
+                return
             data = json.dumps(body).encode()
             self.send_response(status)
+            self.send_header("Store-Era", str(store.era))
             self.send_header("Content-Type", "application/json")
             self.send_header("Content-Length", str(len(data)))
             self.end_headers()
@@ -125,8 +172,7 @@
         def log_message(self, *args: object) -> None:
             pass
 
-    server = ThreadingHTTPServer((HOST, 0), Handler)
-    server.daemon_threads = True
+    server = QuietServer((HOST, 0), Handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return f"{HOST}:{server.server_address[1]}"
 
