--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,6 @@
 """Replace the instance that orders weights while the store comes back from a copy.
 
-Exits with 1 if one engine gets orders of two instances within ``lease_ms``.
+Exits with ``BROKEN`` if one engine gets orders of two instances within ``lease_ms``.
 """
 
 from __future__ import annotations
@@ -19,13 +19,16 @@
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
 from platform_standins import (  # noqa: E402
+    BROKEN,
     COULD_NOT_RUN,
+    HELD,
     HOST,
     Folder,
     Instance,
     QuietServer,
     Record,
     Store,
+    end_on_sigterm,
     make_configuration,
     make_server_entry,
     serve_store,
@@ -239,12 +242,13 @@
 
 def main() -> None:
     """Run the case."""
+    end_on_sigterm()
     record = Record(FOLDER / "record.txt")
     with Folder() as folder:
         orders = play(record, folder, has_trouble=os.environ.get("TROUBLE") != "0")
     turn = find_turn(orders)
     record.note("the rule held" if turn is None else f"ONE is broken: {turn}")
-    sys.exit(0 if turn is None else 1)
+    sys.exit(HELD if turn is None else BROKEN)
 
 
 if __name__ == "__main__":
--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -24,7 +24,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "127.0.0.1"
-COULD_NOT_RUN = 2
+# Python exits with 1 after an error, so that a broken rule has a code of its own;
+# run.sh makes 1 of it, and 2 of every other code but 0.
+HELD, COULD_NOT_RUN, BROKEN = 0, 2, 10
 # The longest that the instances may take to become ready (seconds).
 READY_SECONDS = 30.0
 
@@ -177,6 +179,11 @@
     return f"{HOST}:{server.server_address[1]}"
 
 
+def end_on_sigterm() -> None:
+    """Exit on SIGTERM as on an error, so that all processes are ended."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(COULD_NOT_RUN))
+
+
 def find_ports(count: int) -> list[int]:
     """Return free ports."""
     sockets = [socket.socket() for _ in range(count)]
