--- a/review/6/case.py
+++ b/review/6/case.py
@@ -188,8 +188,14 @@
     return None
 
 
-def play(record: Record, folder: Path, *, has_trouble: bool) -> list[Order]:
-    """Play the case; return the orders."""
+def play(
+    record: Record, folder: Path, *, has_trouble: bool, is_replaced: bool
+) -> list[Order]:
+    """Play the case; return the orders.
+
+    :param has_trouble: whether the holder is lost and the store comes back.
+    :param is_replaced: whether only the holder is lost.
+    """
     store = Store()
     orders: list[Order] = []
     store.put("op", "config", make_engine_configuration())
@@ -218,9 +224,10 @@
             sys.exit(COULD_NOT_RUN)
         lost_at = time.monotonic()
         holder = next(i for i in instances if i.name == orders[0].holder)
-        time.sleep(0.05)
-        holder.send(signal.SIGKILL)
-        record.note(f"platform: {holder.name} is lost for good")
+        if has_trouble or is_replaced:
+            time.sleep(0.05)
+            holder.send(signal.SIGKILL)
+            record.note(f"platform: {holder.name} is lost for good")
         if has_trouble:
             store.go_away()
             time.sleep(AWAY_SECONDS)
@@ -245,7 +252,13 @@
     end_on_sigterm()
     record = Record(FOLDER / "record.txt")
     with Folder() as folder:
-        orders = play(record, folder, has_trouble=os.environ.get("TROUBLE") != "0")
+        trouble = os.environ.get("TROUBLE", "1")
+        orders = play(
+            record,
+            folder,
+            has_trouble=trouble not in ("0", "replacement"),
+            is_replaced=trouble == "replacement",
+        )
     turn = find_turn(orders)
     record.note("the rule held" if turn is None else f"ONE is broken: {turn}")
     sys.exit(HELD if turn is None else BROKEN)
