Log and measure how far engines are behind their weights' target

Neither the logs nor the metrics told the hypotheses on replaced weights apart. No logic has changed.

- A request that is sent on older weights says for how long they have been replaced, and whether the sender knows when that was (`weights_lag`, `lag_is_dated` of `sent`).
- The holder of the lease logs once a second how many engines have which older version, since when it has been replaced, how many may load, and why others do not work (`rollout_progress`).
- `ashpond_gateway_weights_lag_seconds` is the lag of the engine furthest behind.

--- a/ashpond/decisions/knowledge.py
+++ b/ashpond/decisions/knowledge.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Knowledge"]
+__all__ = ["Knowledge", "WeightsLag"]
 
 from typing import NamedTuple
 
@@ -17,11 +17,26 @@
 
 
 class _TargetRecord(NamedTuple):
-    """A target version, when it was received, and the earliest time of acceptance."""
+    """A target version, when it was received, and the earliest time of acceptance.
+
+    ``is_dated`` is false for one that was known before the first configuration.
+    """
 
     version: int
     received_at: float
     accepted_after: float
+    is_dated: bool
+
+
+class WeightsLag(NamedTuple):
+    """For how long a version of a model's weights has been replaced.
+
+    ``seconds`` is the longest time that is possible. ``is_dated`` is whether the store
+    was known to lack the newer version at some time before.
+    """
+
+    seconds: float
+    is_dated: bool
 
 
 class Knowledge:
@@ -54,9 +69,10 @@
         # The target did not exist at the last confirmation. Before the first
         # configuration there is no confirmation to rely on.
         accepted_after = max(self.confirmed_at, now - MAX_TARGET_DELAY_SECONDS)
-        if self.declaration is None:
+        is_dated = self.declaration is not None
+        if not is_dated:
             accepted_after = now
-        records.append(_TargetRecord(target.version, now, accepted_after))
+        records.append(_TargetRecord(target.version, now, accepted_after, is_dated))
         del records[:-8]
         return True
 
@@ -76,6 +92,14 @@
                 found = record.version
         return found
 
+    def measure_lag(self, model: str, version: int, now: float) -> WeightsLag | None:
+        """Return for how long a version has been replaced, None if it is the newest."""
+        for record in self._target_records.get(model, ()):
+            if record.version > version:
+                seconds = now - record.accepted_after
+                return WeightsLag(seconds, record.is_dated)
+        return None
+
     def find_possible_version(self, model: str, until: float) -> int:
         """Return the newest version that may have been accepted by ``until``."""
         found = 0
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -324,6 +324,7 @@
             lambda: not self.detours.is_cut_off,
             self.era_record,
         )
+        self.metrics.measure_weights_lag = self.rollouts.measure_lag
         self.dispatcher = Dispatcher(
             DispatchContext(
                 self.reservations,
--- a/ashpond/gateway/deferredmetrics.py
+++ b/ashpond/gateway/deferredmetrics.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Counter", "Histogram", "Registry", "render"]
+__all__ = ["Counter", "Gauge", "Histogram", "Registry", "render"]
 
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
@@ -86,6 +86,25 @@
         self._registry.apply(lambda: self._metric.add(labels, value))
 
 
+class Gauge:
+    """A value that goes up and down, for each combination of labels."""
+
+    def __init__(self, name: str, doc: str, registry: Registry):
+        self._metric: aioprometheus.Gauge
+        self._registry = registry
+
+        def build(library: aioprometheus.Registry) -> None:
+            from aioprometheus import Gauge as LibraryGauge
+
+            self._metric = LibraryGauge(name, doc, registry=library)
+
+        registry.register(build)
+
+    def set(self, labels: Labels, value: float) -> None:
+        """Replace the value."""
+        self._registry.apply(lambda: self._metric.set(labels, value))
+
+
 class Histogram:
     """A histogram for each combination of labels; ``buckets`` are the upper bounds."""
 
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -4,7 +4,15 @@
 
 __all__ = ["GatewayMetrics"]
 
-from ashpond.gateway.deferredmetrics import Counter, Histogram, Registry, render
+from collections.abc import Callable
+
+from ashpond.gateway.deferredmetrics import (
+    Counter,
+    Gauge,
+    Histogram,
+    Registry,
+    render,
+)
 
 LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
 SUSPENSION_BUCKETS = [0.1, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0]
@@ -16,7 +24,10 @@
 
 
 class GatewayMetrics:
-    """All metrics of one instance."""
+    """All metrics of one instance.
+
+    ``measure_weights_lag`` is called for each page; it returns seconds.
+    """
 
     def __init__(self) -> None:
         self.registry = Registry()
@@ -108,6 +119,12 @@
             "Tunnels to servers that peers asked this instance for, by outcome",
             registry=self.registry,
         )
+        self.weights_lag = Gauge(
+            "ashpond_gateway_weights_lag_seconds",
+            "For how long the weights of the engine furthest behind have been replaced",
+            registry=self.registry,
+        )
+        self.measure_weights_lag: Callable[[], float] = lambda: 0.0
         self._teams_with_series: set[str] = set()
         self.suspensions = Histogram(
             "ashpond_gateway_suspended_seconds",
@@ -212,4 +229,5 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        self.weights_lag.set({}, self.measure_weights_lag())
         return render(self.registry)
--- a/ashpond/gateway/outdatedweights.py
+++ b/ashpond/gateway/outdatedweights.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-__all__ = ["WeightsUpdate", "find_outdated"]
+__all__ = ["WeightsUpdate", "describe_outdated", "find_outdated", "measure_lags"]
 
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
+import trio
+
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ashpond.controllers.directory import ServerState, ServerTable
-    from ashpond.decisions.knowledge import Knowledge
+    from ashpond.decisions.knowledge import Knowledge, WeightsLag
 
 
 class WeightsUpdate(NamedTuple):
@@ -38,3 +41,30 @@
             if state.weights.get(model, 0) < target:
                 found.append(WeightsUpdate(state, model, target))
     return found
+
+
+def measure_lags(
+    updates: Iterable[WeightsUpdate], knowledge: Knowledge
+) -> dict[str, WeightsLag]:
+    """Return for how long the weights of engines have been replaced, by server id."""
+    now = trio.current_time()
+    lags = {}
+    for update in updates:
+        version = update.state.weights.get(update.model, 0)
+        lag = knowledge.measure_lag(update.model, version, now)
+        if lag is not None:
+            lags[update.state.info.id] = lag
+    return lags
+
+
+def describe_outdated(
+    updates: Iterable[WeightsUpdate], knowledge: Knowledge
+) -> list[list[object]]:
+    """Return the outdated versions for a log line: version, engines, lag (seconds)."""
+    now = trio.current_time()
+    counts = Counter((u.model, u.state.weights.get(u.model, 0)) for u in updates)
+    described: list[list[object]] = []
+    for (model, version), count in sorted(counts.items()):
+        lag = knowledge.measure_lag(model, version, now)
+        described.append([version, count, round(lag.seconds, 2) if lag else None])
+    return described
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -26,8 +26,14 @@
     OrderRefused,
     WeightsOrder,
 )
-from ashpond.gateway.outdatedweights import WeightsUpdate, find_outdated
+from ashpond.gateway.outdatedweights import (
+    WeightsUpdate,
+    describe_outdated,
+    find_outdated,
+    measure_lags,
+)
 from ashpond.gateway.store import Store, StoreClock
+from ashpond.gateway.workingengines import count_working
 from ashpond.outcomes import MaybeRun, NotRun
 
 # Loads wait until enough engines are usable, but at most this long (seconds).
@@ -39,6 +45,8 @@
 # While no engine is outdated, changes wake the controller. Other events, such as an
 # engine that is reachable again, are noticed within this (seconds).
 IDLE_CHECK_SECONDS = 0.5
+# While engines are outdated, the lease's holder logs their state this often (seconds).
+PROGRESS_LOG_SECONDS = 1.0
 NOTICE_DELAY_SECONDS = 0.03  # Peers stop sending to the server before the order.
 # How long the order waits for bound requests, which no other server can resume
 # (seconds); most take 0.3 s. Resumable streams take up to 5 s and are cut.
@@ -112,6 +120,7 @@
         self._paused_until: dict[str, float] = {}
         self._excluded_at: dict[str, float] = {}
         self._outdated_since: float | None = None
+        self._progress_logged_at = float("-inf")
         self._changed = trio.Event()
 
     def reset_server(self, server_id: str) -> None:
@@ -176,6 +185,7 @@
             )
             and now >= update.state.backoff_until
         ]
+        self._log_progress(updates, len(waiting), now)
         waiting.sort(key=lambda update: self._table.sum_load(update.state.info.id, now))
         slots_left = self._count_loading_slots(now) - len(self._updating)
         if not self._updating and self._measure_lag(now) > SLOT_WAIT_SECONDS:
@@ -187,22 +197,35 @@
             self._updating.add(update.state.info.id)
             nursery.start_soon(self._update_weights, update)
 
+    def measure_lag(self) -> float:
+        """Return for how long the oldest weights have been replaced (seconds)."""
+        lags = measure_lags(self._find_outdated(), self._knowledge)
+        return max((lag.seconds for lag in lags.values()), default=0.0)
+
+    def _log_progress(
+        self, updates: list[WeightsUpdate], waiting: int, now: float
+    ) -> None:
+        if now - self._progress_logged_at < PROGRESS_LOG_SECONDS:
+            return
+        self._progress_logged_at = now
+        found = count_working(self._table, self._updating, now)
+        self._log.note(
+            "rollout_progress",
+            outdated=describe_outdated(updates, self._knowledge),
+            updating=len(self._updating),
+            waiting=waiting,
+            slots=count_loading_slots(found.engines, found.working),
+            **found._asdict(),
+        )
+
     def _measure_lag(self, now: float) -> float:
         """Return for how long some engine has been outdated (seconds)."""
         return 0.0 if self._outdated_since is None else now - self._outdated_since
 
     def _count_loading_slots(self, now: float) -> int:
         """Return how many engines may load at once, given how many are usable."""
-        engines = [s for s in self._table.by_id.values() if s.info.weights]
-        active = [
-            state
-            for state in engines
-            if state.is_present()
-            and not state.connect_failures
-            and not state.is_limited
-            and (state.is_usable(now) or state.info.id in self._updating)
-        ]
-        return count_loading_slots(len(engines), len(active))
+        found = count_working(self._table, self._updating, now)
+        return count_loading_slots(found.engines, found.working)
 
     async def _update_weights(self, update: WeightsUpdate) -> None:
         server_id = update.state.info.id
--- a/ashpond/gateway/serverrequests.py
+++ b/ashpond/gateway/serverrequests.py
@@ -77,6 +77,7 @@
         "software": reservation.state.info.software_version,
         "resume_after": progress.splitter.last_id,
         "weights": reservation.weights_version,
+        **_describe_lag(progress, reservation, knowledge),
         "objective": progress.route.objective,
         "demand": describe_demand(progress.demand),
         # Empty after a coordinator's choice, which does not list them.
@@ -92,6 +93,19 @@
     }
 
 
+def _describe_lag(
+    progress: CallProgress, reservation: Reservation, knowledge: Knowledge
+) -> dict[str, object]:
+    """Return for how long the weights at the server have been replaced, if they are."""
+    model, version = progress.demand.model, reservation.weights_version
+    if model is None or version is None:
+        return {}
+    lag = knowledge.measure_lag(model, version, trio.current_time())
+    if lag is None:
+        return {}
+    return {"weights_lag": round(lag.seconds, 3), "lag_is_dated": lag.is_dated}
+
+
 def _describe_origin(origin: PlacementOrigin | None) -> dict[str, object]:
     """Return how a coordinator placed the request, if one did."""
     if origin is None:
