--- a/tests/test_rollout_pace.py
+++ b/tests/test_rollout_pace.py
@@ -10,11 +10,8 @@
 from ashpond.decisions.loadingslots import MANY_LOADING_SHARE
 from ashpond.decisions.loads import Load
 from ashpond.fleet.updates import ServerNotice
-from ashpond.gateway.rollouts import (
-    BOUND_WAIT_SECONDS,
-    HOLDER_CHECK_SECONDS,
-    STANDBY_CHECK_SECONDS,
-)
+from ashpond.gateway.engineupdates import BOUND_WAIT_SECONDS
+from ashpond.gateway.rollouts import HOLDER_CHECK_SECONDS, STANDBY_CHECK_SECONDS
 from tests.fleet import Fleet, run_until_current
 
 
@@ -42,7 +39,7 @@
     fleet = Fleet(1, engines=1)
     state = fleet.tables[0].by_id["s0"]
     notices: list[ServerNotice] = []
-    fleet.controllers[0]._announce = notices.append
+    fleet.controllers[0].updater._announce = notices.append
     fleet.engines.load_seconds = 5.0
     async with trio.open_nursery() as nursery:
         await fleet.run(nursery)
@@ -87,7 +84,7 @@
 ) -> None:
     """Else requests sent moments before are cut: 735 answers in a large fleet."""
     fleet = Fleet(1, engines=1)
-    fleet.controllers[0]._measure_update_lag = lambda: 1.2
+    fleet.controllers[0].updater._measure_update_lag = lambda: 1.2
     state = fleet.tables[0].by_id["s0"]
     state.load = Load(4, bound=0)
     async with trio.open_nursery() as nursery:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -222,7 +222,7 @@
         return report
 
     port = fleet.engines.build_port()._replace(report=report_slowly)
-    fleet.controllers[0]._engines = port
+    fleet.controllers[0].updater._engines = port
     async with trio.open_nursery() as nursery:
         await fleet.run(nursery)
         fleet.require_version(2)
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -77,7 +77,7 @@
     peer = make_table(make_server("a", started_ms=1000))
     peer.by_id["a"].load = Load(4)
     gateway.table.note_peer_loads("p", peer.list_own_loads(), 0.0)
-    gateway.rollouts._order_counts["a"] = 7
+    gateway.rollouts.updater._order_counts["a"] = 7
     gateway.pool._idle[state.owner] = [IdleChannel()]  # type: ignore[list-item]
     return gateway
 
@@ -91,7 +91,7 @@
     assert not gateway.cache_index.count_tokens_by_server(
         SALT, PROMPT, trio.current_time()
     )
-    assert "a" not in gateway.rollouts._order_counts
+    assert "a" not in gateway.rollouts.updater._order_counts
     assert not gateway.pool._idle
     return state
 
@@ -184,7 +184,7 @@
     gateway.server_updates.on_notice(ServerNotice("a", MODEL, 3, 0.0))
     assert gateway.table.by_id["a"] is state
     assert state.load == Load(5, 100, 100)
-    assert gateway.rollouts._order_counts == {"a": 7}
+    assert gateway.rollouts.updater._order_counts == {"a": 7}
 
 
 async def test_start_reported_later_does_not_reset_a_server_without_one() -> None:
@@ -343,7 +343,7 @@
         fleet.tables[0].note_start("s0", fleet.engines.started_ms["s0"], 0.0)
         controller.reset_server("s0")
         await trio.sleep(1.0)
-        assert "s0" not in controller._paused_until
+        assert "s0" not in controller.updater._paused_until
         await run_until_current(fleet, 2, 5.0)
         nursery.cancel_scope.cancel()
 
