--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -168,6 +168,8 @@
                 )
             )
         self.scopes: list[trio.CancelScope] = []
+        # When each version was named, by the simulated clock.
+        self.named_at: dict[int, float] = {}
 
     def announce(self, notice: ServerNotice) -> None:
         for table, controller in zip(self.tables, self.controllers, strict=True):
@@ -185,6 +187,7 @@
         self.engines.cut_off.add(name)
 
     def require_version(self, version: int) -> None:
+        self.named_at[version] = trio.current_time()
         for knowledge in self.knowledge:
             knowledge.adopt_target(WeightTarget(MODEL, version), trio.current_time())
         for controller in self.controllers:
@@ -213,6 +216,24 @@
                 assert later.at - earlier.at >= LEASE_SECONDS
             assert later.order.fence >= earlier.order.fence
 
+    def measure_longest_lag(self) -> float:
+        """Return for how long the oldest weights of any engine have been replaced."""
+        now = trio.current_time()
+        return max(
+            now - self.named_at.get(version + 1, now)
+            for version in self.engines.versions.values()
+        )
+
+
+async def watch_lag(fleet: Fleet, seconds: float) -> float:
+    """Return the longest lag of any engine during a time."""
+    longest = 0.0
+    ends_at = trio.current_time() + seconds
+    while trio.current_time() < ends_at:
+        longest = max(longest, fleet.measure_longest_lag())
+        await trio.sleep(0.05)
+    return longest
+
 
 async def run_until_current(fleet: Fleet, version: int, limit: float) -> float:
     started = trio.current_time()
