Load the engines first whose weights were replaced first

Callers were served by weights that had been replaced for longer than the operators allow. Loads went to the least loaded engine. With a target each 4 s and some 5 s for all engines, an engine that was always busier than others was never chosen: a queue without deadlines.

Evidence: in `test_engines_with_much_load_are_not_left_behind_by_frequent_targets` (30 engines, virtual time) an engine ran weights replaced 11.95 s before, for a bound of 10 s.

Engines are now ordered by the time at which their weights were replaced, then by load. The longest lag in the test is 6.25 s: within the bound, above the goal of 6 s.

--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -15,6 +15,7 @@
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.decisions.leases import Lease, make_lease_terms
 from ashpond.decisions.loadingslots import count_loading_slots
+from ashpond.decisions.loads import Load
 from ashpond.fleet.updates import ServerNotice
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.engineupdates import EngineUpdater
@@ -149,7 +150,7 @@
             update for update in updates if self.updater.may_update(update.state, now)
         ]
         self._log_progress(updates, len(waiting), now)
-        waiting.sort(key=lambda update: self._table.sum_load(update.state.info.id, now))
+        self._sort_by_urgency(waiting, now)
         slots_left = self._count_loading_slots(now) - len(self.updater.updating)
         if not self.updater.updating and self._measure_lag(now) > SLOT_WAIT_SECONDS:
             slots_left = max(slots_left, 1)
@@ -181,6 +182,22 @@
             **found._asdict(),
         )
 
+    def _sort_by_urgency(self, updates: list[WeightsUpdate], now: float) -> None:
+        """Sort updates, those of the weights that were replaced first at the front.
+
+        Of engines with the same weights, the least loaded one is updated first. By load
+        alone, targets in quick succession would leave the busiest engines behind.
+        """
+        lags = measure_lags(updates, self._knowledge)
+
+        def rank(update: WeightsUpdate) -> tuple[float, Load]:
+            server_id = update.state.info.id
+            lag = lags.get(server_id)
+            seconds = lag.seconds if lag else 0.0
+            return -seconds, self._table.sum_load(server_id, now)
+
+        updates.sort(key=rank)
+
     def _measure_lag(self, now: float) -> float:
         """Return for how long some engine has been outdated (seconds)."""
         return 0.0 if self._outdated_since is None else now - self._outdated_since
