Let the loads at once follow the time that is left

Callers were served by weights replaced for longer than the bound. How many engines load at once was a fixed share, and none did while fewer than 0.75 of them worked: a rollout that was delayed ended as much later as it had begun later. Each new holder of the lease also waited anew, as it counted from when it saw an outdated engine.

The slots are now at least as many as it takes to update each engine, those furthest behind first, within 0.6 of the bound, by the learned time of an update, but at most half of the working engines. An engine whose weights are overdue gets no requests, so its load takes nothing from the traffic and does not wait for a slot.

--- a/ashpond/coordination/grantedservers.py
+++ b/ashpond/coordination/grantedservers.py
@@ -4,18 +4,14 @@
 
 __all__ = ["build_reservation", "exclude_granted"]
 
-from collections.abc import Callable
-
 from ashpond.clients.placements import PlacementDecision
 from ashpond.controllers.directory import ServerState, ServerTable
 from ashpond.coordination.pendingasks import Ask
 from ashpond.decisions.cacheindex import make_salt
+from ashpond.decisions.knowledge import FindVersion
 from ashpond.decisions.selection import Demand, make_load
 from ashpond.gateway.serverchoice import Reservation
 
-# Returns the version of a model without which a server gets no requests.
-FindVersion = Callable[[str, float], int]
-
 
 def build_reservation(
     table: ServerTable,
--- a/ashpond/decisions/knowledge.py
+++ b/ashpond/decisions/knowledge.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-__all__ = ["Knowledge", "WeightsLag"]
+__all__ = ["FindVersion", "Knowledge", "WeightsLag"]
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ashpond.decisions.declared import Declaration, WeightTarget
@@ -16,6 +17,10 @@
 MAX_TARGET_DELAY_SECONDS = 3.0
 
 
+# Returns a version of a model, given the time (seconds).
+FindVersion = Callable[[str, float], int]
+
+
 class _TargetRecord(NamedTuple):
     """A target version, when it was received, and the earliest time of acceptance.
 
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -323,6 +323,8 @@
             self._has_service,
             lambda: not self.detours.is_cut_off,
             self.era_record,
+            settings.bounds.weights_ms / MS,
+            self._find_required_version,
         )
         self.metrics.measure_weights_lag = self.rollouts.measure_lag
         self.dispatcher = Dispatcher(
--- a/ashpond/gateway/engineupdates.py
+++ b/ashpond/gateway/engineupdates.py
@@ -10,6 +10,7 @@
 import trio
 
 from ashpond.controllers.directory import ServerState, ServerTable, StartOrder
+from ashpond.decisions.learnedtimes import LearnedTime
 from ashpond.decisions.ordercrashes import OrderCrashes
 from ashpond.fleet.updates import ServerNotice
 from ashpond.gateway.orders import (
@@ -27,6 +28,8 @@
     from ashpond.gateway.decisionlog import DecisionLog
     from ashpond.gateway.outdatedweights import WeightsUpdate
 
+# How long the update of an engine takes, until one has been measured (seconds).
+FIRST_UPDATE_SECONDS = 1.0
 NOTICE_DELAY_SECONDS = 0.03  # Peers stop sending to the server before the order.
 # How long the order waits for bound requests, which no other server can resume
 # (seconds); most take 0.3 s. Resumable streams take up to 5 s and are cut.
@@ -84,6 +87,7 @@
         self._measure_retries_left = measure_retries_left
         self._measure_update_lag = measure_update_lag
         self._measure_lag = measure_lag
+        self._update_time = LearnedTime()
         self._order_counts: dict[str, int] = {}
         self._paused_until: dict[str, float] = {}
         self._excluded_at: dict[str, float] = {}
@@ -104,6 +108,10 @@
             and now >= state.backoff_until
         )
 
+    def get_update_seconds(self) -> float:
+        """Return how long the update of one engine takes (seconds)."""
+        return self._update_time.seconds or FIRST_UPDATE_SECONDS
+
     def begin(self, nursery: trio.Nursery, update: WeightsUpdate) -> None:
         """Update an engine in a task of its own."""
         self.updating.add(update.state.info.id)
@@ -124,6 +132,7 @@
                 update, trio.current_time()
             )
             if is_loaded:
+                self._update_time.note(trio.current_time() - started)
                 self.crashes.note_loaded(update.model, update.version)
             elif result is OrderExecution.YES and self._has_crashed(update.state):
                 now = trio.current_time()
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -5,6 +5,7 @@
 __all__ = ["RolloutController"]
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import trio
 
@@ -12,9 +13,13 @@
 from ashpond.controllers.erarecord import EraRecord
 from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.controllers.orderlease import OrderLease
-from ashpond.decisions.knowledge import Knowledge
+from ashpond.decisions.knowledge import FindVersion, Knowledge, WeightsLag
 from ashpond.decisions.leases import Lease, make_lease_terms
-from ashpond.decisions.loadingslots import count_loading_slots
+from ashpond.decisions.loadingslots import (
+    choose_loading_slots,
+    count_needed_slots,
+    count_overdue_slots,
+)
 from ashpond.decisions.loads import Load
 from ashpond.fleet.updates import ServerNotice
 from ashpond.gateway.decisionlog import DecisionLog
@@ -29,8 +34,9 @@
 from ashpond.gateway.store import Store, StoreClock
 from ashpond.gateway.workingengines import count_working
 
-# Loads wait until enough engines are usable, but at most this long (seconds).
-SLOT_WAIT_SECONDS = 3.0
+# The share of the weights' bound after which all engines should be updated. The rest is
+# left for what delays loads, such as crashes or the loss of the lease's holder.
+GOAL_SHARE = 0.6
 HOLDER_CHECK_SECONDS = 0.1
 # Other instances only check the holder's progress, at half the delay between ranks.
 # Ranking 195 members and checking 123 servers every 0.1 s took 0.9 % of a core on each.
@@ -42,8 +48,25 @@
 PROGRESS_LOG_SECONDS = 1.0
 
 
+class _LoadingSlots(NamedTuple):
+    """How many engines may load at once before another load begins.
+
+    ``overdue`` counts for an engine that gets no requests, so that its load takes
+    nothing from the traffic.
+    """
+
+    usual: int
+    overdue: int
+
+
 class RolloutController:
-    """Keeps engines on the declared weights while this instance holds the lease."""
+    """Keeps engines on the declared weights while this instance holds the lease.
+
+    :param weights_bound: time after which no request may begin on replaced weights
+        (seconds).
+    :param find_required_version: returns the version of a model without which an engine
+        gets no requests.
+    """
 
     def __init__(
         self,
@@ -64,7 +87,11 @@
         has_service: Callable[[str], bool] = lambda service: True,
         reaches_engines: Callable[[], bool] = lambda: True,
         era_record: EraRecord | None = None,
+        weights_bound: float = 10.0,
+        find_required_version: FindVersion = lambda model, now: 0,
     ):
+        self._goal_seconds = weights_bound * GOAL_SHARE
+        self._find_required_version = find_required_version
         self._table = table
         self._knowledge = knowledge
         self._log = log
@@ -146,49 +173,73 @@
         self, nursery: trio.Nursery, updates: list[WeightsUpdate]
     ) -> None:
         now = trio.current_time()
+        updating = self.updater.updating
+        lags = measure_lags(updates, self._knowledge)
         waiting = [
             update for update in updates if self.updater.may_update(update.state, now)
         ]
-        self._log_progress(updates, len(waiting), now)
-        self._sort_by_urgency(waiting, now)
-        slots_left = self._count_loading_slots(now) - len(self.updater.updating)
-        if not self.updater.updating and self._measure_lag(now) > SLOT_WAIT_SECONDS:
-            slots_left = max(slots_left, 1)
-        for update in waiting[: max(0, slots_left)]:
-            crashes = self.updater.crashes
-            limit = crashes.limit_loads(update.model, update.version, now)
-            if limit is not None and len(self.updater.updating) >= limit:
+        self._sort_by_urgency(waiting, lags, now)
+        possible = updating.union(update.state.info.id for update in waiting)
+        slots = self._choose_slots(
+            [lag.seconds for name, lag in lags.items() if name in possible],
+            describe_outdated(updates, self._knowledge),
+            now,
+        )
+        crashes = self.updater.crashes
+        for update in waiting:
+            is_overdue = self._is_overdue(update, now)
+            if len(updating) >= (slots.overdue if is_overdue else slots.usual):
                 continue
-            self.updater.begin(nursery, update)
+            limit = crashes.limit_loads(update.model, update.version, now)
+            if limit is None or len(updating) < limit:
+                self.updater.begin(nursery, update)
+
+    def _is_overdue(self, update: WeightsUpdate, now: float) -> bool:
+        """Return whether an engine gets no requests any more until it is updated."""
+        version = update.state.weights.get(update.model, 0)
+        return version < self._find_required_version(update.model, now)
+
+    def _choose_slots(
+        self, lags: list[float], outdated: list[list[object]], now: float
+    ) -> _LoadingSlots:
+        """Return how many engines may load at once.
+
+        :param lags: those of the engines that load or can be updated now (seconds).
+        :param outdated: what the log says of the outdated versions.
+        """
+        found = count_working(self._table, self.updater.updating, now)
+        needed = count_needed_slots(
+            lags, self.updater.get_update_seconds(), self._goal_seconds
+        )
+        longest = max(lags, default=0.0)
+        usual = choose_loading_slots(found.engines, found.working, needed, longest)
+        slots = _LoadingSlots(usual, max(usual, count_overdue_slots(found.engines)))
+        if now - self._progress_logged_at >= PROGRESS_LOG_SECONDS:
+            self._progress_logged_at = now
+            self._log.note(
+                "rollout_progress",
+                outdated=outdated,
+                updating=len(self.updater.updating),
+                can_load=len(lags),
+                needed=needed,
+                slots=usual,
+                **found._asdict(),
+            )
+        return slots
 
     def measure_lag(self) -> float:
         """Return for how long the oldest weights have been replaced (seconds)."""
         lags = measure_lags(self._find_outdated(), self._knowledge)
         return max((lag.seconds for lag in lags.values()), default=0.0)
 
-    def _log_progress(
-        self, updates: list[WeightsUpdate], waiting: int, now: float
+    def _sort_by_urgency(
+        self, updates: list[WeightsUpdate], lags: dict[str, WeightsLag], now: float
     ) -> None:
-        if now - self._progress_logged_at < PROGRESS_LOG_SECONDS:
-            return
-        self._progress_logged_at = now
-        found = count_working(self._table, self.updater.updating, now)
-        self._log.note(
-            "rollout_progress",
-            outdated=describe_outdated(updates, self._knowledge),
-            updating=len(self.updater.updating),
-            waiting=waiting,
-            slots=count_loading_slots(found.engines, found.working),
-            **found._asdict(),
-        )
-
-    def _sort_by_urgency(self, updates: list[WeightsUpdate], now: float) -> None:
         """Sort updates, those of the weights that were replaced first at the front.
 
         Of engines with the same weights, the least loaded one is updated first. By load
         alone, targets in quick succession would leave the busiest engines behind.
         """
-        lags = measure_lags(updates, self._knowledge)
 
         def rank(update: WeightsUpdate) -> tuple[float, Load]:
             server_id = update.state.info.id
@@ -201,8 +252,3 @@
     def _measure_lag(self, now: float) -> float:
         """Return for how long some engine has been outdated (seconds)."""
         return 0.0 if self._outdated_since is None else now - self._outdated_since
-
-    def _count_loading_slots(self, now: float) -> int:
-        """Return how many engines may load at once, given how many are usable."""
-        found = count_working(self._table, self.updater.updating, now)
-        return count_loading_slots(found.engines, found.working)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -170,6 +170,7 @@
         self.scopes: list[trio.CancelScope] = []
         # When each version was named, by the simulated clock.
         self.named_at: dict[int, float] = {}
+        self._target_age = 0.0
 
     def announce(self, notice: ServerNotice) -> None:
         for table, controller in zip(self.tables, self.controllers, strict=True):
@@ -186,10 +187,15 @@
         self.cut_off.add(name)
         self.engines.cut_off.add(name)
 
+    def age_targets(self, seconds: float) -> None:
+        """Let targets reach the instances this long after they were named."""
+        self._target_age = seconds
+
     def require_version(self, version: int) -> None:
-        self.named_at[version] = trio.current_time()
+        named_at = trio.current_time() - self._target_age
+        self.named_at[version] = named_at
         for knowledge in self.knowledge:
-            knowledge.adopt_target(WeightTarget(MODEL, version), trio.current_time())
+            knowledge.adopt_target(WeightTarget(MODEL, version), named_at)
         for controller in self.controllers:
             controller.note_change()
 
--- a/tests/test_rollout_order.py
+++ b/tests/test_rollout_order.py
@@ -4,8 +4,9 @@
 
 import trio
 
+from ashpond.decisions.loadingslots import MAX_LOADING_SHARE, count_needed_slots
 from ashpond.decisions.loads import Load
-from tests.fleet import Fleet, watch_lag
+from tests.fleet import Fleet, run_until_current, watch_lag
 
 WEIGHTS_BOUND_SECONDS = 10.0
 # The last engine should reach a target within this share of the bound.
@@ -28,3 +29,28 @@
             longest = max(longest, await watch_lag(fleet, NAMING_SECONDS))
         nursery.cancel_scope.cancel()
     assert longest <= WEIGHTS_BOUND_SECONDS * GOAL_SHARE
+
+
+def test_loads_at_once_follow_the_time_left() -> None:
+    """Else a rollout that was delayed ends as much later as it began later."""
+    early = count_needed_slots([0.0] * 30, 1.0, 6.0)
+    late = count_needed_slots([4.0] * 30, 1.0, 6.0)
+    assert (early, late) == (5, 15)
+    # Those that are furthest behind come first, and the others have more time.
+    assert count_needed_slots([5.0] * 4 + [0.0] * 8, 1.0, 6.0) == 4
+
+
+async def test_a_rollout_that_began_late_ends_within_the_bound(
+    autojump_clock: object,
+) -> None:
+    """The holder of the lease is lost, and its successor has half of the time."""
+    fleet = Fleet(1, engines=30)
+    fleet.age_targets(5.0)
+    for state in fleet.tables[0].by_id.values():
+        state.load = Load(1)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.require_version(2)
+        assert await run_until_current(fleet, 2, 10.0) < WEIGHTS_BOUND_SECONDS - 5.0
+        nursery.cancel_scope.cancel()
+    assert fleet.engines.max_loading <= 30 * MAX_LOADING_SHARE
