Date weight targets by when they were accepted, also at an instance that starts

Callers were served by weights replaced for longer than the bound, through instances that had just been started. An instance that met a target at its start took it for accepted then: a target accepted at 0 s, met at 9 s, was required from 17.5 s on, for a bound of 10 s (14.5 s if the configuration came first). One that was stopped dated a target 3 s back at most. The class: an age that is measured from when something was learnt, not from when it began.

- A target that an instance meets at its start may have been accepted at any time.
Until its date is known, engines with older weights get no requests from this instance.
- Instances that followed the store when a target was accepted write its date to a row of their own (`ashpond-targets`); one that starts reads it, with those of earlier targets, as an engine may be two behind.
A row of an earlier era of the store proves nothing.
- The limit of 3 s to the assumed delay holds only if the store was unreachable.
A process that was stopped may have missed more.

`test_an_instance_that_has_just_started_assumes_no_earlier_acceptance` asked for the fault.

--- a/ashpond/controllers/storeview.py
+++ b/ashpond/controllers/storeview.py
@@ -155,7 +155,8 @@
             self.knowledge.confirm(as_of)
 
     def _apply_weight_target(self, target: WeightTarget, now: float) -> None:
-        if self.knowledge.adopt_target(target, now):
+        has_failed = self._failed_at > self.knowledge.confirmed_at
+        if self.knowledge.adopt_target(target, now, was_store_unreachable=has_failed):
             self._log.note("weights_wanted", model=target.model, version=target.version)
             self._on_target()
 
--- a/ashpond/decisions/knowledge.py
+++ b/ashpond/decisions/knowledge.py
@@ -12,9 +12,12 @@
 # A weight target is required this long after it was received (seconds): from 1.5 s
 # after its acceptance, requests that run on older weights count for less.
 STALE_AFTER_SECONDS = 1.2
-# An instance receives a target at most this long after its acceptance (seconds). Longer
-# delays occur only while the store is unreachable, and do not count against the bound.
+# An instance receives a target at most this long after its acceptance, or after the end
+# of an outage of the store, which does not count against the bound (seconds).
 MAX_TARGET_DELAY_SECONDS = 3.0
+# The targets of a model that are remembered: those that an engine may have.
+MAX_RECORDS = 8
+NEVER = float("-inf")
 
 
 # Returns a version of a model, given the time (seconds).
@@ -22,22 +25,18 @@
 
 
 class _TargetRecord(NamedTuple):
-    """A target version, when it was received, and the earliest time of acceptance.
-
-    ``is_dated`` is false for one that was known before the first configuration.
-    """
+    """A target version, when it was received, and the earliest time of acceptance."""
 
     version: int
     received_at: float
     accepted_after: float
-    is_dated: bool
 
 
 class WeightsLag(NamedTuple):
     """For how long a version of a model's weights has been replaced.
 
-    ``seconds`` is the longest time that is possible. ``is_dated`` is whether the store
-    was known to lack the newer version at some time before.
+    ``seconds`` is the longest time that is possible, infinite if ``is_dated`` is false:
+    then it is not known when the newer version was accepted.
     """
 
     seconds: float
@@ -54,7 +53,7 @@
     def __init__(self) -> None:
         self.declaration: Declaration | None = None
         self.targets: dict[str, int] = {}
-        self.confirmed_at = float("-inf")
+        self.confirmed_at = NEVER
         self._target_records: dict[str, list[_TargetRecord]] = {}
 
     def adopt(self, declaration: Declaration) -> bool:
@@ -65,22 +64,72 @@
         self.declaration = declaration
         return True
 
-    def adopt_target(self, target: WeightTarget, now: float) -> bool:
-        """Adopt a weight target if it is newer; return whether it is."""
+    def adopt_target(
+        self, target: WeightTarget, now: float, *, was_store_unreachable: bool = False
+    ) -> bool:
+        """Adopt a weight target if it is newer; return whether it is.
+
+        The target did not exist when the store was last known to hold nothing newer.
+        Before the first such time, it may have been accepted at any time, until
+        :meth:`date_target` is called.
+
+        :param was_store_unreachable: whether that was why nothing has been confirmed
+            since. That time does not count against the bound.
+        """
         if target.version <= self.targets.get(target.model, 0):
             return False
         self.targets[target.model] = target.version
-        records = self._target_records.setdefault(target.model, [])
-        # The target did not exist at the last confirmation. Before the first
-        # configuration there is no confirmation to rely on.
-        accepted_after = max(self.confirmed_at, now - MAX_TARGET_DELAY_SECONDS)
-        is_dated = self.declaration is not None
-        if not is_dated:
-            accepted_after = now
-        records.append(_TargetRecord(target.version, now, accepted_after, is_dated))
-        del records[:-8]
+        accepted_after = self.confirmed_at
+        if was_store_unreachable and accepted_after != NEVER:
+            accepted_after = max(accepted_after, now - MAX_TARGET_DELAY_SECONDS)
+        record = _TargetRecord(target.version, now, accepted_after)
+        self._add_record(target.model, record)
         return True
 
+    def date_target(self, model: str, version: int, accepted_after: float) -> bool:
+        """Record when a target was accepted at the earliest; return whether it is new.
+
+        It may be an earlier target than the one that is known here.
+        """
+        if version > self.targets.get(model, 0):
+            return False
+        records = self._target_records.get(model, ())
+        known = next((r for r in records if r.version == version), None)
+        if known is None:
+            record = _TargetRecord(version, accepted_after, accepted_after)
+        elif known.accepted_after < accepted_after:
+            record = known._replace(accepted_after=accepted_after)
+        else:
+            return False
+        self._add_record(model, record)
+        return True
+
+    def _add_record(self, model: str, record: _TargetRecord) -> None:
+        """Add the record of a version, or replace the one that there is."""
+        others = [
+            other
+            for other in self._target_records.get(model, ())
+            if other.version != record.version
+        ]
+        records = sorted([*others, record])
+        self._target_records[model] = records[-MAX_RECORDS:]
+
+    def list_undated(self) -> list[str]:
+        """Return the models whose target may have been accepted at any time."""
+        return [
+            model
+            for model, records in self._target_records.items()
+            if records[-1].accepted_after == NEVER
+        ]
+
+    def list_dates(self, model: str) -> dict[int, float]:
+        """Return when the targets of a model were accepted at the earliest."""
+        return {
+            record.version: record.accepted_after
+            for record in self._target_records.get(model, ())
+            if record.accepted_after != NEVER
+        }
+
     def confirm(self, at: float) -> None:
         """Record that nothing newer was accepted before ``at``."""
         self.confirmed_at = max(self.confirmed_at, at)
@@ -102,7 +151,7 @@
         for record in self._target_records.get(model, ()):
             if record.version > version:
                 seconds = now - record.accepted_after
-                return WeightsLag(seconds, record.is_dated)
+                return WeightsLag(seconds, record.accepted_after != NEVER)
         return None
 
     def find_possible_version(self, model: str, until: float) -> int:
--- a/ashpond/decisions/loadingslots.py
+++ b/ashpond/decisions/loadingslots.py
@@ -49,7 +49,8 @@
     """
     needed = 0
     for count, lag in enumerate(sorted(lags, reverse=True), start=1):
-        rounds = max(1, int((goal_seconds - lag) / update_seconds))
+        seconds_left = max(0.0, goal_seconds - lag)
+        rounds = max(1, int(seconds_left / update_seconds))
         needed = max(needed, math.ceil(count / rounds))
     return needed
 
--- a/ashpond/emulator/simulation.py
+++ b/ashpond/emulator/simulation.py
@@ -295,6 +295,7 @@
             if instance is self.instances[0]:
                 self.announced_versions.append((at, number + 2))
             target = WeightTarget(MODEL, number + 2)
+            instance.knowledge.confirm(trio.current_time())
             instance.knowledge.adopt_target(target, trio.current_time())
 
     async def _apply_notices(self) -> None:
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -103,6 +103,7 @@
             nursery.start_soon(watch.run)
             nursery.start_soon(self.quarantine.run)
             nursery.start_soon(self.rollouts.run)
+            nursery.start_soon(self.target_dates.run)
             nursery.start_soon(run_cleanup, self)
             nursery.start_soon(self._watch_settings)
             nursery.start_soon(self.memory.run)
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -28,6 +28,7 @@
 from ashpond.controllers.serverupdates import ServerUpdates
 from ashpond.controllers.softwareversions import SoftwareVersions
 from ashpond.controllers.storeview import StoreView, build_feeds
+from ashpond.controllers.targetdates import TargetDates
 from ashpond.coordination.client import CoordinatedReservations
 from ashpond.coordination.coordinator import Coordinator
 from ashpond.coordination.grants import CoordinatorReports
@@ -98,7 +99,7 @@
             self.invalid_rows,
             on_configuration,
             self._on_servers,
-            lambda: self.rollouts.note_change(),
+            self._on_target,
             lambda state: self.server_updates.on_entry_gone(state),
         )
         self.era_record = EraRecord(
@@ -326,6 +327,16 @@
             settings.bounds.weights_ms / MS,
             self._find_required_version,
         )
+        self.target_dates = TargetDates(
+            platform.store,
+            self.knowledge,
+            self.store_view.clock,
+            log,
+            self.invalid_rows,
+            self.rng,
+            lambda: self.peers.is_reader,
+            self.rollouts.has_outdated,
+        )
         self.metrics.measure_weights_lag = self.rollouts.measure_lag
         self.dispatcher = Dispatcher(
             DispatchContext(
@@ -374,6 +385,10 @@
         self.coordinator.assign()
         self.rollouts.note_change()
 
+    def _on_target(self) -> None:
+        self.rollouts.note_change()
+        self.target_dates.note_target()
+
     def _on_members(self) -> None:
         self.own_slots.note_members()
         self.peers.adjust_links()
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -227,6 +227,10 @@
             )
         return slots
 
+    def has_outdated(self) -> bool:
+        """Return whether an engine has other weights than its target."""
+        return bool(self._find_outdated())
+
     def measure_lag(self) -> float:
         """Return for how long the oldest weights have been replaced (seconds)."""
         lags = measure_lags(self._find_outdated(), self._knowledge)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -195,7 +195,8 @@
         named_at = trio.current_time() - self._target_age
         self.named_at[version] = named_at
         for knowledge in self.knowledge:
-            knowledge.adopt_target(WeightTarget(MODEL, version), named_at)
+            knowledge.confirm(named_at)
+            knowledge.adopt_target(WeightTarget(MODEL, version), trio.current_time())
         for controller in self.controllers:
             controller.note_change()
 
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -159,18 +159,32 @@
     # The full requirement counts from the time of receipt.
     assert knowledge.find_required_version("m", 8.0) == 0
     # After a long time without the store, the assumed delay has a limit.
-    knowledge.adopt_target(WeightTarget("m", 3), 30.0)
+    target = WeightTarget("m", 3)
+    knowledge.adopt_target(target, 30.0, was_store_unreachable=True)
     assert (
         knowledge.find_possible_version("m", 30.0 - MAX_TARGET_DELAY_SECONDS - 0.1) == 2
     )
     assert knowledge.find_possible_version("m", 30.0 - MAX_TARGET_DELAY_SECONDS) == 3
 
 
-def test_an_instance_that_has_just_started_assumes_no_earlier_acceptance() -> None:
+def test_an_instance_that_was_stopped_dates_a_target_before_its_stop() -> None:
+    """The store served others meanwhile, so the time counts against the bound."""
     knowledge = Knowledge()
-    knowledge.adopt_target(WeightTarget("m", 2), 7.5)
-    assert knowledge.find_possible_version("m", 7.4) == 0
-    assert knowledge.find_possible_version("m", 7.5) == 2
+    knowledge.adopt(make_declaration())
+    knowledge.confirm(5.0)
+    knowledge.adopt_target(WeightTarget("m", 2), 12.0)
+    assert knowledge.find_possible_version("m", 5.0) == 2
+
+
+def test_an_instance_that_has_just_started_requires_a_target_of_unknown_age() -> None:
+    """It took the target for new, and sent to old engines for 8.5 s too long."""
+    knowledge = Knowledge()
+    knowledge.adopt_target(WeightTarget("m", 3), 7.5)
+    assert knowledge.find_possible_version("m", 7.5 - 8.5) == 3
+    assert knowledge.date_target("m", 3, 6.0)
+    assert knowledge.date_target("m", 2, 1.0)
+    found = [knowledge.find_possible_version("m", until) for until in (0.5, 5.9, 6.0)]
+    assert found == [0, 2, 3]
 
 
 @pytest.mark.parametrize("timeout", [0.3, 1.2, 12.0])
