Check the weights' bound when a request is sent, and leave the time that it takes to begin

A request that was sent to an engine shortly before the bound began there after it. The bound was checked when the server was chosen, with 0.15 of it left for all that follows: the wait for a connection, for a permit or a relay, and the engine's own queue and reading.

The check is repeated when the connection is there (before: the request of `test_weights_that_became_overdue_during_the_connect_get_no_request` went to the old weights). The time that is left is now at least that within which nearly all requests begin, as this instance has learned it, and at most 0.4 of the bound.

--- a/ashpond/decisions/servicetimes.py
+++ b/ashpond/decisions/servicetimes.py
@@ -75,6 +75,13 @@
         time = self._events.get(kind)
         return time.find_bound(ALL_DEVIATIONS) if time else 0.0
 
+    def estimate_longest_start(self) -> float:
+        """Return the time within which nearly all answers begin, of the slowest kind.
+
+        0 if it isn't known.
+        """
+        return max(map(self.estimate_longest_silence, self._events), default=0.0)
+
 
 def make_kind(service: str, urgency: int, prompt: Prompt | None) -> RequestKind:
     """Return the kind of a request."""
--- a/ashpond/emulator/instances.py
+++ b/ashpond/emulator/instances.py
@@ -32,6 +32,7 @@
 from ashpond.decisions.prompts import Prompt
 from ashpond.decisions.quarantine import CrashRecords
 from ashpond.decisions.servicetimes import ServiceTimes
+from ashpond.decisions.weightsbound import choose_sending_seconds
 from ashpond.emulator.connections import (
     EmulatedPool,
     build_codec,
@@ -64,9 +65,6 @@
 RETRY_WINDOW = 10.0
 LEASE_SECONDS = 3.0
 QUARANTINE_SECONDS = 600.0
-# Older weights are no longer used after this share of the bound, as in
-# :mod:`ashpond.gateway.composition`.
-REQUIRED_SHARE = 0.85
 
 
 class InstanceEnvironment(NamedTuple):
@@ -108,12 +106,14 @@
     cache_index = CacheIndex()
     rng = random.Random(f"{environment.scenario.seed}/{number}")
     log = DecisionLog(f"i{number}")
+    times = ServiceTimes()
     part = RETRY_SLACK / environment.scenario.instances
     budget = make_lone_budget(RETRY_SHARE, part, RETRY_WINDOW)
 
     def find_required_version(model: str, now: float) -> int:
-        bound = environment.scenario.bound_seconds * REQUIRED_SHARE
-        return knowledge.find_possible_version(model, now - bound)
+        bound = environment.scenario.bound_seconds
+        seconds = choose_sending_seconds(bound, times.estimate_longest_start())
+        return knowledge.find_possible_version(model, now - seconds)
 
     def note_cached(state: ServerState, salt: str, prompt: Prompt) -> None:
         now = trio.current_time()
@@ -131,7 +131,6 @@
         find_required_version,
         rng,
     )
-    times = ServiceTimes()
     reservations = ReservationQueue(table, chooser, times)
     permits = Permits(
         environment.coordinator,
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -174,6 +174,8 @@
         origin = self.call.origin
         if origin is not None and origin.version != self._describe_version(state):
             return "the server has another software version than the stream"
+        if self._is_overdue():
+            return "the weights there have been replaced for too long"
         if trio.current_time() < state.backoff_until:
             return "the server has asked for a backoff"
         if not state.is_limited:
@@ -184,6 +186,14 @@
             return "it has no permit for a server that names a rate limit"
         return None
 
+    def _is_overdue(self) -> bool:
+        """Return whether the server has weights on which no request may begin now."""
+        model, version = self.call.demand.model, self._reservation.weights_version
+        if model is None or version is None:
+            return False
+        now = trio.current_time()
+        return version < self.context.find_required_version(model, now)
+
     async def _exchange(
         self, channel: Channel, timeout: trio.CancelScope
     ) -> AttemptOutcome:
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -39,7 +39,7 @@
     make_fingerprint,
     make_part_fingerprint,
 )
-from ashpond.decisions.knowledge import Knowledge
+from ashpond.decisions.knowledge import FindVersion, Knowledge
 from ashpond.decisions.placementterms import (
     PlacementEvent,
     PlacementRefusal,
@@ -165,6 +165,8 @@
     is_version_certain: Callable[[ServerState], bool] = lambda state: (
         state.is_version_certain
     )
+    # Returns the version of a model without which a server gets no requests.
+    find_required_version: FindVersion = lambda model, now: 0
 
 
 def compute_fingerprints(
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -38,6 +38,7 @@
 from ashpond.decisions.quarantine import CrashRecords, ServerCrash
 from ashpond.decisions.relays import find_tunnel_limit
 from ashpond.decisions.servicetimes import ServiceTimes
+from ashpond.decisions.weightsbound import choose_sending_seconds
 from ashpond.fleet.exchange import PeerExchange
 from ashpond.fleet.members import MEMBERS_TABLE, Members
 from ashpond.fleet.relaying import RelayServer
@@ -56,8 +57,6 @@
 from ashpond.loopdelay import LoopWatch
 
 MS = 1000.0
-# Share of the bound after which old weights get no requests, as these may wait there.
-REQUIRED_SHARE = 0.85
 
 
 class GatewayParts:
@@ -364,6 +363,7 @@
                 self.times,
                 self.software.list_avoided,
                 self.software.is_version_certain,
+                self._find_required_version,
             )
         )
 
@@ -396,8 +396,9 @@
         self.software.note_members()
 
     def _find_required_version(self, model: str, now: float) -> int:
-        bound = self.settings.bounds.weights_ms / MS * REQUIRED_SHARE
-        return self.knowledge.find_possible_version(model, now - bound)
+        bound = self.settings.bounds.weights_ms / MS
+        seconds = choose_sending_seconds(bound, self.times.estimate_longest_start())
+        return self.knowledge.find_possible_version(model, now - seconds)
 
     def _find_domain(self, instance: str) -> str | None:
         member = self.members.by_name.get(instance)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -23,7 +23,7 @@
 from ashpond.controllers.streamorigins import make_lone_origins
 from ashpond.decisions.declared import Declaration, Route, RouteKind
 from ashpond.decisions.fingerprints import Fingerprints
-from ashpond.decisions.knowledge import Knowledge
+from ashpond.decisions.knowledge import FindVersion, Knowledge
 from ashpond.decisions.loads import Load
 from ashpond.decisions.servicetimes import ServiceTimes
 from ashpond.gateway.admission import admit_call
@@ -90,8 +90,11 @@
 class ScriptedPool(CallConnections):
     """Channels that answer by a script, whichever server is called."""
 
-    def __init__(self, script: list[Answer | ChannelError]):
+    def __init__(
+        self, script: list[Answer | ChannelError], connect_seconds: float = 0.0
+    ):
         self.script = list(script)
+        self._connect_seconds = connect_seconds
         self.requests: list[tuple[str, OutgoingRequest]] = []
         self.closed = 0
 
@@ -101,6 +104,7 @@
         if self.script and self.script[0] is UNREACHABLE:
             self.script.pop(0)
             raise UNREACHABLE
+        await trio.sleep(self._connect_seconds)
         # The owner is the id of a server and its start.
         return ScriptedChannel(self, owner.partition(" ")[0])
 
@@ -193,6 +197,8 @@
     quarantine: Quarantine | None = None,
     reservations: Reservations | None = None,
     is_version_certain: Callable[[ServerState], bool] = is_row_certain,
+    find_required_version: FindVersion = lambda model, now: 0,
+    connect_seconds: float = 0.0,
     **call_changes: Any,
 ) -> CallResult:
     declaration: Declaration = make_declaration(route or make_route())
@@ -204,7 +210,7 @@
     knowledge.confirm(now)
     if prepare:
         prepare(table, knowledge)
-    pool = ScriptedPool(list(script))
+    pool = ScriptedPool(list(script), connect_seconds)
     if pools is not None:
         pools.append(pool)
     log = DecisionLog("test")
@@ -233,6 +239,7 @@
         make_lone_origins(table.versions, log),
         ServiceTimes(),
         is_version_certain=is_version_certain,
+        find_required_version=find_required_version,
     )
     call = make_call(received_at=now, **call_changes)
     accepted = admit_call(call, knowledge, 5.0, now)
