Send no order to load weights without a precondition

An engine that had loaded the newest weights could go back to older ones, and nothing ordered it again: instances take versions of one start only upwards. An engine that did not report how many orders it had accepted got its order without the expected number, so that a copy of the order that arrived late had effect. The class: a write without a condition.

`test_late_orders_load_no_older_version_at_an_engine_without_reports` failed before with engines at versions 2 and 3. An order now waits until the engine has reported; the number is no longer optional.

--- a/ashpond/gateway/engineupdates.py
+++ b/ashpond/gateway/engineupdates.py
@@ -243,12 +243,18 @@
             return OrderExecution.NO
         if not self._table.is_current(update.state):
             return OrderExecution.NO
+        expected_orders = self._order_counts.get(info.id)
+        if expected_orders is None:
+            # Without this precondition, an order that is carried out late would load
+            # older weights after a newer order.
+            self._log.note("weights_order_unsent", server=info.id, reason="no report")
+            return OrderExecution.NO
         order = WeightsOrder(
             update.model,
             update.version,
             self.name,
             self._order_lease.lease.fence,
-            self._order_counts.get(info.id),
+            expected_orders,
             cuts_runs,
             self._order_lease.lease.valid_until,
         )
--- a/ashpond/gateway/orders.py
+++ b/ashpond/gateway/orders.py
@@ -46,7 +46,7 @@
     version: int
     holder: str
     fence: int
-    expected_orders: int | None
+    expected_orders: int
     cuts_runs: bool = False
     send_until: float = math.inf
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -52,6 +52,7 @@
         self.max_loading = 0
         self.orders: list[SentOrder] = []
         self.orders_to_lose = 0
+        self.is_report_lost = False
         self.down: set[str] = set()
         # The instances whose orders reach no engine.
         self.cut_off: set[str] = set()
@@ -116,9 +117,11 @@
         self.versions[server_id] = self.loading[server_id]
         self.loading[server_id] = 0
 
-    async def report(self, server: BackendServer) -> EngineReport | NotRun:
+    async def report(self, server: BackendServer) -> EngineReport | NotRun | MaybeRun:
         if server.id in self.down:
             return NotRun("refused")
+        if self.is_report_lost:
+            return MaybeRun("no answer in time")
         return EngineReport(
             {MODEL: self.versions[server.id]},
             bool(self.loading[server.id]),
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -101,6 +101,26 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_late_orders_load_no_older_version_at_an_engine_without_reports(
+    autojump_clock: object,
+) -> None:
+    """An order was sent without the expected number if an engine did not report it."""
+    fleet = Fleet(3)
+    fleet.engines.orders_to_lose = 3
+    fleet.engines.is_report_lost = True
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.require_version(2)
+        await trio.sleep(2.0)
+        fleet.engines.is_report_lost = False
+        fleet.require_version(3)
+        await run_until_current(fleet, 3, 15.0)
+        await trio.sleep(15.0)
+        assert set(fleet.engines.versions.values()) == {3}
+        nursery.cancel_scope.cancel()
+    assert all(sent.order.expected_orders is not None for sent in fleet.engines.orders)
+
+
 async def test_a_newer_target_replaces_an_unfinished_rollout(
     autojump_clock: object,
 ) -> None:
