Count engines that are only full as working when loads begin

In a burst, a rollout stood still for 3 s and then loaded one engine at a time, while callers went on being served by replaced weights. An engine that rejected a request, as it was full, counted as not working, and no load begins while fewer than 0.75 of the engines work.

`test_full_engines_do_not_delay_the_loads_of_others` failed before: no order within 1 s. The pause after a rejection at outdated weights now has a time of its own (`loading_until`), so that an exclusion for a failure can be told apart from it.

--- a/ashpond/controllers/serverstate.py
+++ b/ashpond/controllers/serverstate.py
@@ -66,6 +66,8 @@
         self.excluded_until = 0.0
         # Until when this instance takes it for full, as it rejected a request.
         self.full_until = 0.0
+        # Until when it may be loading weights, as it rejected a request with old ones.
+        self.loading_until = 0.0
         self.failure_share = 0.0
         self.connect_failures = 0
         self.answered_at = float("-inf")
@@ -168,7 +170,11 @@
 
     def is_pausing(self, now: float) -> bool:
         """Return whether this instance excludes the server, or takes it for full."""
-        return now < max(self.excluded_until, self.full_until)
+        return now < self.find_pause_end()
+
+    def find_pause_end(self) -> float:
+        """Return until when this instance sends no new requests to the server."""
+        return max(self.excluded_until, self.full_until, self.loading_until)
 
     def is_backing_off(self, now: float) -> bool:
         """Return whether a backoff or the rate limit forbids new requests now."""
@@ -204,9 +210,13 @@
         """
         self.full_until = max(self.full_until, now + FULL_PAUSE_SECONDS)
 
+    def note_loading(self, now: float) -> None:
+        """Record that the server rejected a request while it has outdated weights."""
+        self.loading_until = max(self.loading_until, now + LOADING_PAUSE_SECONDS)
+
     def readmit(self) -> None:
         """End the server's exclusion."""
-        self.excluded_until = self.full_until = 0.0
+        self.excluded_until = self.full_until = self.loading_until = 0.0
 
     def update_weights(self, model: str, version: int) -> bool:
         """Record a version seen at the server; return whether it is newer."""
--- a/ashpond/coordination/grantedservers.py
+++ b/ashpond/coordination/grantedservers.py
@@ -76,6 +76,6 @@
         state.info.service == demand.service
         and state.info.id not in demand.excluded
         and state.is_eligible()
-        and now >= state.excluded_until
+        and now >= max(state.excluded_until, state.loading_until)
         and not state.is_backing_off(now)
     )
--- a/ashpond/gateway/rejections.py
+++ b/ashpond/gateway/rejections.py
@@ -44,7 +44,7 @@
     if response.status == MISDIRECTED:
         _handle_misdirected(context, reservation, answer_headers, model, now)
     elif state.weights.get(model, 0) < context.knowledge.targets.get(model, 0):
-        state.exclude_for(LOADING_PAUSE_SECONDS, now)
+        state.note_loading(now)
     else:
         state.note_full(now)
     call.note(
--- a/ashpond/gateway/reservations.py
+++ b/ashpond/gateway/reservations.py
@@ -216,7 +216,7 @@
         That is after all that wait here.
         """
         times = [
-            max(state.find_retry_time(now), state.excluded_until, state.full_until)
+            max(state.find_retry_time(now), state.find_pause_end())
             for state in self.table.list_service(demand.service)
             if state.is_eligible()
         ]
--- a/ashpond/gateway/workingengines.py
+++ b/ashpond/gateway/workingengines.py
@@ -24,7 +24,7 @@
 def count_working(
     table: ServerTable, updating: Container[str], now: float
 ) -> WorkingEngines:
-    """Count the engines that work.
+    """Count the engines that work: one that rejects requests as it is full does.
 
     :param updating: the ids of the engines that load, which count as working.
     """
@@ -48,6 +48,8 @@
         return "unreached"
     if state.is_limited:
         return "rate limit"
-    if state.info.id in updating or state.is_usable(now):
+    if state.info.id in updating:
         return None
-    return "backoff" if state.is_backing_off(now) else "excluded or full"
+    if now < state.excluded_until:
+        return "excluded"
+    return "backoff" if state.is_backing_off(now) else None
--- a/tests/test_rollout_order.py
+++ b/tests/test_rollout_order.py
@@ -31,6 +31,30 @@
     assert longest <= WEIGHTS_BOUND_SECONDS * GOAL_SHARE
 
 
+async def test_full_engines_do_not_delay_the_loads_of_others(
+    autojump_clock: object,
+) -> None:
+    """In a burst, most engines reject requests, and no load began for 3 s."""
+    fleet = Fleet(1)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        nursery.start_soon(_reject_for, fleet, 5.0)
+        fleet.require_version(2)
+        await trio.sleep(1.0)
+        assert fleet.engines.orders
+        nursery.cancel_scope.cancel()
+
+
+async def _reject_for(fleet: Fleet, seconds: float) -> None:
+    """Let all engines reject requests again and again."""
+    ends_at = trio.current_time() + seconds
+    while (now := trio.current_time()) < ends_at:
+        for state in fleet.tables[0].by_id.values():
+            state.note_full(now)
+            state.note_loading(now)
+        await trio.sleep(0.02)
+
+
 def test_loads_at_once_follow_the_time_left() -> None:
     """Else a rollout that was delayed ends as much later as it began later."""
     early = count_needed_slots([0.0] * 30, 1.0, 6.0)
