Do not count crashes against weights when other engines crash too

When a part of the engines lost power during a rollout, the others kept their old weights for tens of seconds. Three crashes of loading engines without a success limit a version to one load at a time, after pauses that double from 5 s. Nine loads beside an outage of a third of the engines meet that condition more often than not.

Weights that crash each engine are limited as before (`test_weights_that_crash_engines_are_not_ordered_again_and_again`).

A crash counts only if at most a tenth of the engines that load nothing ended within 3 s. An engine that reports is reached: its earlier connect failures no longer keep loads waiting.

--- a/ashpond/controllers/serverstate.py
+++ b/ashpond/controllers/serverstate.py
@@ -228,10 +228,14 @@
     def note_answer(self, now: float, *, failed: bool) -> None:
         """Add an answer, or a failure to get one, to the average of failures."""
         if not failed:
-            self.connect_failures = 0
+            self.note_reached()
             self.answered_at = now
         self.failure_share += FAILURE_SMOOTHING * (failed - self.failure_share)
 
+    def note_reached(self) -> None:
+        """Record that a connection to the server was made."""
+        self.connect_failures = 0
+
     def note_connect_failure(self, now: float) -> float:
         """Record a failure to connect; return the exclusion in seconds."""
         pause = CONNECT_PAUSE_SECONDS * 2 ** min(self.connect_failures, MAX_DOUBLINGS)
--- a/ashpond/gateway/engineupdates.py
+++ b/ashpond/gateway/engineupdates.py
@@ -50,6 +50,13 @@
 # How long a notice excludes an engine; it is repeated after half of this (seconds).
 # The exclusion must end if the holder crashes, and last throughout a long load.
 EXCLUSION_SECONDS = 6.0
+# Crashes within this time have one cause (seconds): those of engines that are found
+# later, by requests or their rows, as well.
+SAME_CAUSE_SECONDS = 3.0
+# If a larger share of the engines that do not load crashes too, the weights are not the
+# cause.
+OTHER_CRASHES_SHARE = 0.1
+NEVER = float("-inf")
 # Pause before the next order to an engine after a failed one (seconds).
 FAILED_ORDER_PAUSE_SECONDS = 0.4
 
@@ -88,12 +95,16 @@
         self._measure_update_lag = measure_update_lag
         self._measure_lag = measure_lag
         self._update_time = LearnedTime()
+        self._restarted_at: dict[str, float] = {}
+        # When engines crashed that were loading.
+        self._load_crashed_at: dict[str, float] = {}
         self._order_counts: dict[str, int] = {}
         self._paused_until: dict[str, float] = {}
         self._excluded_at: dict[str, float] = {}
 
     def reset_server(self, server_id: str) -> None:
         """Remove what was known of a server before its new start."""
+        self._restarted_at[server_id] = trio.current_time()
         self._order_counts.pop(server_id, None)
         self._paused_until.pop(server_id, None)
 
@@ -135,8 +146,7 @@
                 self._update_time.note(trio.current_time() - started)
                 self.crashes.note_loaded(update.model, update.version)
             elif result is OrderExecution.YES and self._has_crashed(update.state):
-                now = trio.current_time()
-                self.crashes.note_crash(update.model, update.version, now)
+                self._note_load_crash(update)
             if not is_loaded and self._table.is_current(update.state):
                 self._paused_until[server_id] = (
                     trio.current_time() + FAILED_ORDER_PAUSE_SECONDS
@@ -156,6 +166,38 @@
             seconds=round(trio.current_time() - started, 3),
         )
 
+    def _note_load_crash(self, update: WeightsUpdate) -> None:
+        """Count a crash against the weights, unless other engines crash as well."""
+        now = trio.current_time()
+        self._load_crashed_at[update.state.info.id] = now
+        others = [
+            state
+            for state in self._table.by_id.values()
+            if state.info.weights and not self._has_loaded_lately(state, now)
+        ]
+        ended = [state for state in others if self._has_ended_lately(state, now)]
+        is_alone = len(ended) <= len(others) * OTHER_CRASHES_SHARE
+        if is_alone:
+            self.crashes.note_crash(update.model, update.version, now)
+        self._log.note(
+            "engine_crashed_loading",
+            server=update.state.info.id,
+            version=update.version,
+            others_ended=len(ended),
+            counts=is_alone,
+        )
+
+    def _has_loaded_lately(self, state: ServerState, now: float) -> bool:
+        """Return whether an engine loads, or crashed while it did."""
+        crashed_at = self._load_crashed_at.get(state.info.id, NEVER)
+        return state.info.id in self.updating or now - crashed_at < SAME_CAUSE_SECONDS
+
+    def _has_ended_lately(self, state: ServerState, now: float) -> bool:
+        """Return whether an engine was found to have ended or restarted."""
+        ended_at = NEVER if state.ended_at is None else state.ended_at
+        restarted_at = self._restarted_at.get(state.info.id, NEVER)
+        return now - max(ended_at, restarted_at) < SAME_CAUSE_SECONDS
+
     def _has_crashed(self, state: ServerState) -> bool:
         """Return whether an engine has restarted or refuses connections."""
         return state.connect_failures > 0 or not self._table.is_current(state)
@@ -232,6 +274,7 @@
         order = self._table.note_start(server_id, report.born, now, report.weights)
         if order is not StartOrder.SAME or not self._table.is_current(update.state):
             return MaybeRun("a report of another start")
+        update.state.note_reached()
         return report
 
     async def _send_order(
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -102,17 +102,21 @@
         self.accepted[server_id] = 0
         self.loading[server_id] = 0
 
+    async def crash(self, server_id: str) -> None:
+        """Restart an engine after ``AWAY_SECONDS``."""
+        self.crashes += 1
+        self.restart(server_id)
+        self.down.add(server_id)
+        await trio.sleep(AWAY_SECONDS)
+        self.down.discard(server_id)
+
     async def _load(self, server_id: str) -> None:
         started_ms = self.started_ms[server_id]
         await trio.sleep(self.load_seconds)
         if self.started_ms[server_id] != started_ms:
             return
         if self.loading[server_id] == self.crashing_version:
-            self.crashes += 1
-            self.restart(server_id)
-            self.down.add(server_id)
-            await trio.sleep(AWAY_SECONDS)
-            self.down.discard(server_id)
+            await self.crash(server_id)
             return
         self.versions[server_id] = self.loading[server_id]
         self.loading[server_id] = 0
@@ -182,6 +186,13 @@
             if state is not None:
                 state.update_weights(notice.model, notice.version)
 
+    def note_unreached(self, server_id: str) -> None:
+        """Let all instances fail to connect to an engine."""
+        for table in self.tables:
+            state = table.by_id[server_id]
+            state.note_connect_failure(trio.current_time())
+            state.note_ended(trio.current_time())
+
     def reaches_engines(self, name: str) -> bool:
         return name not in self.cut_off
 
--- a/tests/test_rollout_order.py
+++ b/tests/test_rollout_order.py
@@ -45,6 +45,28 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_engines_that_crash_beside_others_do_not_count_against_the_weights(
+    autojump_clock: object,
+) -> None:
+    """Half of the engines lost power: those that loaded limited the rollout for 5 s."""
+    fleet = Fleet(1, engines=20)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.require_version(2)
+        while sum(map(bool, fleet.engines.loading.values())) < 4:
+            await trio.sleep(0.01)
+        await trio.sleep(0.5)
+        loading = [name for name, version in fleet.engines.loading.items() if version]
+        others = [name for name in fleet.engines.loading if name not in loading][:6]
+        for server_id in (*loading, *others):
+            nursery.start_soon(fleet.engines.crash, server_id)
+        for server_id in others:
+            fleet.note_unreached(server_id)
+        seconds = await run_until_current(fleet, 2, 60.0)
+        nursery.cancel_scope.cancel()
+    assert seconds <= WEIGHTS_BOUND_SECONDS * GOAL_SHARE
+
+
 async def _reject_for(fleet: Fleet, seconds: float) -> None:
     """Let all engines reject requests again and again."""
     ends_at = trio.current_time() + seconds
