Load the engines of the callers' API first that have had their weights for longest

The cause of the starved engines at routed calls acts here too: of the engines that are behind, the first of the list loaded each new version, and with declarations in quick succession the last ones none. Found by reading; `test_declarations_in_quick_succession_reach_all_engines` failed before.

--- a/ashpond/controllers/rollout.py
+++ b/ashpond/controllers/rollout.py
@@ -18,6 +18,8 @@
 from ashpond.outcomes import Done
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from ashpond.clients.platform import PlatformClient, Row
     from ashpond.controllers.configuration import ConfigurationController
     from ashpond.controllers.engines import EnginesController, ServerState
@@ -59,6 +61,8 @@
         self._metrics = metrics
         self._client = make_client(ORDER_SECONDS, ORDER_SECONDS, keep_alive=False)
         self.leases: dict[str, Lease] = {}
+        # What engines last reported, by service and name.
+        self._seen: dict[str, dict[str, EngineWeights]] = {}
 
     async def run(self) -> None:
         """Contend for the leases and send orders until cancelled."""
@@ -103,7 +107,9 @@
     async def _give_orders(self, service: str, weights: str, lease: Lease) -> None:
         servers = {s.name: s for s in self._engines.list_of_service(service)}
         now = trio.current_time()
-        observed = [_read_weights(state, now) for state in servers.values()]
+        seen = self._seen.get(service, {})
+        observed = [_read_weights(s, seen, now) for s in servers.values()]
+        self._seen[service] = {engine.name: engine for engine in observed}
         for name in plan_rollout(observed, weights):
             # Checked right before each order: the process may have been suspended and
             # the lease have expired meanwhile.
@@ -118,9 +124,18 @@
                 logger.notice("weights_ordered", extra=extra)
 
 
-def _read_weights(state: ServerState, now: float) -> EngineWeights:
+def _read_weights(
+    state: ServerState, seen: Mapping[str, EngineWeights], now: float
+) -> EngineWeights:
+    """Return what an engine reports.
+
+    :param seen: what the engines reported before.
+    """
     report = state.report
     if report is None:
-        return EngineWeights(state.name, "", "", False)
+        return EngineWeights(state.name, "", "", False, now)
+    before = seen.get(state.name)
+    is_same = before is not None and before.weights == report.weights
+    since = before.since if before is not None and is_same else now
     usable = state.health.is_usable(now)
-    return EngineWeights(state.name, report.weights, report.loading, usable)
+    return EngineWeights(state.name, report.weights, report.loading, usable, since)
--- a/ashpond/decisions/rollout.py
+++ b/ashpond/decisions/rollout.py
@@ -13,17 +13,24 @@
 
 
 class EngineWeights(NamedTuple):
-    """The observed weights of an engine; ``loading`` is a version or empty."""
+    """The observed weights of an engine; ``loading`` is a version or empty.
+
+    ``since`` is when it was first seen with these weights, in seconds.
+    """
 
     name: str
     weights: str
     loading: str
     reachable: bool
+    since: float = 0.0
 
 
 def plan_rollout(engines: Sequence[EngineWeights], declared: str) -> list[str]:
     """Return the engines that should load the version ``declared`` now.
 
+    Those that have had their weights for longest come first: otherwise declarations in
+    quick succession would reach the same engines each time.
+
     At most :data:`MAX_LOADS_AT_ONCE` engines load at once, and the share of serving
     engines does not fall below :data:`CAPACITY_FLOOR`, unless there are so few engines
     that none could ever load.
@@ -36,4 +43,5 @@
     if not spare and not loading and len(serving) == len(engines):
         spare = 1
     room = min(MAX_LOADS_AT_ONCE - len(loading), spare)
+    behind.sort(key=lambda engine: engine.since)
     return [engine.name for engine in behind[: max(room, 0)]]
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -217,3 +217,16 @@
         health[name].note_backoff(5.0, 2.0)
     assert not select_usable(NAMES, health, 6.0)
     assert select_usable(NAMES, health, 7.0)
+
+
+def test_declarations_in_quick_succession_reach_all_engines():
+    """The first engines of the list got each version, and the last ones none."""
+    weights = {f"e{number}": ("w0", 0.0) for number in range(10)}
+    for step in range(1, 6):
+        engines = [
+            EngineWeights(name, version, "", True, since)
+            for name, (version, since) in weights.items()
+        ]
+        for name in plan_rollout(engines, f"w{step}"):
+            weights[name] = f"w{step}", float(step)
+    assert all(version != "w0" for version, _ in weights.values())
