Keep the lease of an instance whose orders engines answer

A rollout stood still for two seconds at a time while callers were served by replaced weights. The holder of the lease took itself for cut off from all engines and let its lease expire, as two engines that had crashed were the last that it sent requests to. In a large fleet an instance sends few requests, so that two crashes, or two engines whose streams an order resets, are often the last that it knows.

In `test_a_lease_holder_whose_orders_are_answered_is_not_cut_off` the rollout did not end within 60 s before.

An answer to an order or for a report now counts as contact, as an answer to a request does.

--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -264,14 +264,18 @@
         """
         if not channel.relay:
             self.watch.remove(channel)
-            if self.contact.note_answer(trio.current_time()):
-                self._detoured_until.clear()
-                self._log.note("servers_regained")
+            self.note_reached()
             return
         self._relays.note_answered(channel.relay)
         if backoff is not None and self._nursery is not None:
             self._nursery.start_soon(self._pass_on_backoff, channel, backoff)
 
+    def note_reached(self) -> None:
+        """Record that a server has answered this instance straight."""
+        if self.contact.note_answer(trio.current_time()):
+            self._detoured_until.clear()
+            self._log.note("servers_regained")
+
     async def _pass_on_backoff(self, channel: Channel, seconds: float) -> None:
         """Tell the relay: the server counts the request as that instance's."""
         assert isinstance(channel.transport, Tunnel)
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -48,6 +48,7 @@
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.metrics import GatewayMetrics
+from ashpond.gateway.orders import watch_answers
 from ashpond.gateway.ownslots import OwnSlots
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.reservations import ReservationQueue
@@ -311,7 +312,7 @@
             self.knowledge,
             platform.store,
             self.store_view.clock,
-            platform.engines,
+            watch_answers(platform.engines, self.detours.note_reached),
             log,
             lambda: list(self.members.by_name),
             self.peers.announce,
--- a/ashpond/gateway/orders.py
+++ b/ashpond/gateway/orders.py
@@ -12,6 +12,7 @@
     "OrderOutcome",
     "OrderRefused",
     "WeightsOrder",
+    "watch_answers",
 ]
 
 import math
@@ -109,3 +110,24 @@
     read_cache_events: Callable[
         [str, int, float], Awaitable[CacheEvents | NotRun | MaybeRun]
     ]
+
+
+def watch_answers(engines: EnginePort, note_answer: Callable[[], None]) -> EnginePort:
+    """Return the same calls, which record that an engine has answered.
+
+    :param note_answer: called after each answer to an order or for a report.
+    """
+
+    async def order(server: BackendServer, order: WeightsOrder) -> OrderOutcome:
+        outcome = await engines.order(server, order)
+        if isinstance(outcome, OrderAccepted | OrderRefused):
+            note_answer()
+        return outcome
+
+    async def report(server: BackendServer) -> EngineReport | NotRun | MaybeRun:
+        outcome = await engines.report(server)
+        if isinstance(outcome, EngineReport):
+            note_answer()
+        return outcome
+
+    return engines._replace(order=order, report=report)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from functools import partial
 from typing import NamedTuple
 
 import trio
 
 from ashpond.controllers.directory import BackendServer, ServerTable
+from ashpond.decisions.contact import ContactMonitor
 from ashpond.decisions.declared import WeightTarget
 from ashpond.decisions.knowledge import Knowledge
 from ashpond.fleet.updates import ServerNotice
@@ -20,6 +22,7 @@
     OrderOutcome,
     OrderRefused,
     WeightsOrder,
+    watch_answers,
 )
 from ashpond.gateway.rollouts import (
     RolloutController,
@@ -201,6 +204,18 @@
         self.cut_off.add(name)
         self.engines.cut_off.add(name)
 
+    def watch_contact(self) -> list[ContactMonitor]:
+        """Let instances judge their contact to the engines as gateways do."""
+        monitors = []
+        for controller in self.controllers:
+            monitor = ContactMonitor(random.Random(1))
+            monitors.append(monitor)
+            controller.updater._engines = watch_answers(
+                self.engines.build_port(), partial(_note_answer, monitor)
+            )
+            controller._order_lease._reaches_engines = partial(_has_contact, monitor)
+        return monitors
+
     def age_targets(self, seconds: float) -> None:
         """Let targets reach the instances this long after they were named."""
         self._target_age = seconds
@@ -246,6 +261,14 @@
         )
 
 
+def _note_answer(monitor: ContactMonitor) -> None:
+    monitor.note_answer(trio.current_time())
+
+
+def _has_contact(monitor: ContactMonitor) -> bool:
+    return not monitor.is_cut_off
+
+
 async def watch_lag(fleet: Fleet, seconds: float) -> float:
     """Return the longest lag of any engine during a time."""
     longest = 0.0
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -70,6 +70,28 @@
     fleet.assert_holders_apart()
 
 
+async def test_a_lease_holder_whose_orders_are_answered_is_not_cut_off(
+    autojump_clock: object,
+) -> None:
+    """Two engines crashed, and it let its lease expire while others took its orders."""
+    fleet = Fleet(1, engines=20)
+    (monitor,) = fleet.watch_contact()
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.require_version(2)
+        while not fleet.engines.orders:
+            await trio.sleep(0.01)
+        now = trio.current_time()
+        for server_id in ("s18", "s19"):
+            monitor.note_failure(server_id, now, now)
+        assert monitor.is_cut_off
+        await run_until_current(fleet, 2, 60.0)
+        nursery.cancel_scope.cancel()
+    times = [sent.at for sent in fleet.engines.orders]
+    assert max(b - a for a, b in zip(times, times[1:], strict=False)) < 1.5
+    assert len({sent.order.fence for sent in fleet.engines.orders}) == 1
+
+
 async def test_a_lease_that_expired_long_ago_is_taken_over_at_once(
     autojump_clock: object,
 ) -> None:
