Pass on only proven dates of weight targets, and read missing ones when they matter

A guess is now marked, never written, and replaced by any proven date. - A target of another model that arrived during a write ended the process (a dictionary that changes while it is iterated). - A row that lacked earlier targets counted as complete; a date in the future was adopted; a date that did not matter at the start was never read later; an instance that became a reader of the store did not write.

--- a/ashpond/controllers/targetdates.py
+++ b/ashpond/controllers/targetdates.py
@@ -96,12 +96,33 @@
         self._is_writer = is_writer
         self._is_needed = is_needed
         self._wake = trio.Event()
-        store.era.on_change(self.note_target)
+        # The versions that the rows of this era are known to date, by model.
+        self._listed: dict[str, set[int]] = {}
+        store.era.on_change(self._begin_era)
 
-    def note_target(self) -> None:
-        """Exchange dates soon, as there is a new target or a new era of the store."""
+    def _begin_era(self) -> None:
+        """Write all dates again, as those of a restored store prove nothing."""
+        self._listed.clear()
         self._wake.set()
 
+    def note_change(self) -> None:
+        """Exchange dates soon if any is missing, as a target or a server is new."""
+        if self._lacks_dates() or self._list_unwritten():
+            self._wake.set()
+
+    def _lacks_dates(self) -> bool:
+        return bool(self._knowledge.list_undated()) and self._is_needed()
+
+    def _list_unwritten(self) -> list[str]:
+        """Return the models with dates that this instance has to write."""
+        if not self._is_writer():
+            return []
+        return [
+            model
+            for model in self._knowledge.targets
+            if self._knowledge.list_dates(model).keys() - self._listed.get(model, set())
+        ]
+
     async def run(self) -> None:
         """Read missing dates and write known ones until cancelled."""
         while True:
@@ -109,26 +130,27 @@
             self._wake = trio.Event()
             pause = RETRY_SECONDS
             while not await self._exchange():
-                with trio.move_on_after(pause):
-                    await self._wake.wait()
+                await trio.sleep(pause * self._rng.uniform(0.5, 1.5))
                 pause = min(2 * pause, MAX_RETRY_SECONDS)
 
     async def _exchange(self) -> bool:
         """Read and write dates once; return whether that was all there is to do."""
-        is_dated = not self._knowledge.list_undated()
-        if is_dated and not self._is_writer():
-            return True
-        if is_dated:
+        if not self._lacks_dates():
             await trio.sleep(self._rng.uniform(0, SPREAD_SECONDS))
+        if not self._lacks_dates() and not self._list_unwritten():
+            return True
+        changes = self._store.era.changes
         outcome = await self._store.read(TARGETS_TABLE)
-        if not isinstance(outcome, Done):
+        if not isinstance(outcome, Done) or changes != self._store.era.changes:
             return False
         rows = {row.key: row for row in outcome.value.rows}
         self._clock.date(outcome.value)
         self._adopt(outcome.value)
-        is_written = not self._is_writer() or await self._write(rows)
-        is_known = not self._knowledge.list_undated() or not self._is_needed()
-        return is_written and is_known
+        for model in self._list_unwritten():
+            row = rows.get(model)
+            if not await self._write(model, row.version if row else 0):
+                return False
+        return not self._lacks_dates()
 
     def _adopt(self, snapshot: Snapshot) -> None:
         for row in snapshot.rows:
@@ -139,45 +161,40 @@
             self._invalid_rows.clear(row.table, row.key)
             if found.era != self._store.era.current:
                 continue
+            self._listed[row.key] = {date.version for date in found.dates}
             for date in found.dates:
                 accepted_after = self._clock.date_forwarded(date.accepted_after)
                 if accepted_after is not None:
                     self._adopt_date(row.key, date.version, accepted_after)
 
     def _adopt_date(self, model: str, version: int, accepted_after: float) -> None:
+        age = trio.current_time() - accepted_after
+        if age < 0:
+            self._log.note("target_date_ignored", model=model, version=version, age=age)
+            return
         if self._knowledge.date_target(model, version, accepted_after):
-            age = round(trio.current_time() - accepted_after, 3)
+            age = round(age, 3)
             self._log.note("target_dated", model=model, version=version, age=age)
 
-    async def _write(self, rows: dict[str, Row]) -> bool:
-        """Write the dates that the rows lack; return whether all were written."""
-        is_written = True
-        for model in self._knowledge.targets:
-            row = rows.get(model)
-            if self._lists_target(model, row):
-                continue
-            version = row.version if row else 0
-            outcome = await self._store.write(
-                [Condition(TARGETS_TABLE, model, version)], [self._make_row(model)]
-            )
-            is_written = is_written and isinstance(outcome, Done)
-        return is_written
+    async def _write(self, model: str, replaced: int) -> bool:
+        """Write the known dates of a model's targets; return whether this was done.
 
-    def _lists_target(self, model: str, row: Row | None) -> bool:
-        """Return whether a row has the newest date that is known here."""
+        :param replaced: the version of the row as read, 0 if there is none.
+        """
+        changes = self._store.era.changes
         dates = self._knowledge.list_dates(model)
-        if not dates:
-            return True
-        found = _decode(row) if row else None
-        if not isinstance(found, _Dates) or found.era != self._store.era.current:
-            return False
-        newest = max(dates)
-        return any(date.version >= newest for date in found.dates)
+        outcome = await self._store.write(
+            [Condition(TARGETS_TABLE, model, replaced)], [self._make_row(model, dates)]
+        )
+        is_written = isinstance(outcome, Done) and changes == self._store.era.changes
+        if is_written:
+            self._listed[model] = set(dates)
+        return is_written
 
-    def _make_row(self, model: str) -> Row:
-        dates = [
+    def _make_row(self, model: str, dates: dict[int, float]) -> Row:
+        entries = [
             _Date(version, max(0.0, self._clock.estimate_store_time(accepted_after)))
-            for version, accepted_after in self._knowledge.list_dates(model).items()
+            for version, accepted_after in dates.items()
         ]
-        content = _Dates(dates, self._store.era.current)
+        content = _Dates(entries, self._store.era.current)
         return Row(TARGETS_TABLE, model, msgspec.json.encode(content), 0)
--- a/ashpond/decisions/knowledge.py
+++ b/ashpond/decisions/knowledge.py
@@ -16,7 +16,7 @@
 # of an outage of the store, which does not count against the bound (seconds).
 MAX_TARGET_DELAY_SECONDS = 3.0
 # The targets of a model that are remembered: those that an engine may have.
-MAX_RECORDS = 8
+MAX_RECORDS = 32
 NEVER = float("-inf")
 
 
@@ -25,18 +25,22 @@
 
 
 class _TargetRecord(NamedTuple):
-    """A target version, when it was received, and the earliest time of acceptance."""
+    """A target version, when it was received, and the earliest time of acceptance.
+
+    ``is_proven`` is false if that time is unknown, or an assumption.
+    """
 
     version: int
     received_at: float
     accepted_after: float
+    is_proven: bool = True
 
 
 class WeightsLag(NamedTuple):
     """For how long a version of a model's weights has been replaced.
 
-    ``seconds`` is the longest time that is possible, infinite if ``is_dated`` is false:
-    then it is not known when the newer version was accepted.
+    ``seconds`` is the longest time that is possible, infinite if it is not known when
+    the newer version was accepted. ``is_dated`` is whether that time is proven.
     """
 
     seconds: float
@@ -80,9 +84,11 @@
             return False
         self.targets[target.model] = target.version
         accepted_after = self.confirmed_at
-        if was_store_unreachable and accepted_after != NEVER:
-            accepted_after = max(accepted_after, now - MAX_TARGET_DELAY_SECONDS)
-        record = _TargetRecord(target.version, now, accepted_after)
+        is_proven = accepted_after != NEVER
+        assumed = now - MAX_TARGET_DELAY_SECONDS
+        if was_store_unreachable and is_proven and accepted_after < assumed:
+            accepted_after, is_proven = assumed, False
+        record = _TargetRecord(target.version, now, accepted_after, is_proven)
         self._add_record(target.model, record)
         return True
 
@@ -97,8 +103,8 @@
         known = next((r for r in records if r.version == version), None)
         if known is None:
             record = _TargetRecord(version, accepted_after, accepted_after)
-        elif known.accepted_after < accepted_after:
-            record = known._replace(accepted_after=accepted_after)
+        elif not known.is_proven or known.accepted_after < accepted_after:
+            record = known._replace(accepted_after=accepted_after, is_proven=True)
         else:
             return False
         self._add_record(model, record)
@@ -115,19 +121,19 @@
         self._target_records[model] = records[-MAX_RECORDS:]
 
     def list_undated(self) -> list[str]:
-        """Return the models whose target may have been accepted at any time."""
+        """Return the models of whose target it is not proven when it was accepted."""
         return [
             model
             for model, records in self._target_records.items()
-            if records[-1].accepted_after == NEVER
+            if not records[-1].is_proven
         ]
 
     def list_dates(self, model: str) -> dict[int, float]:
-        """Return when the targets of a model were accepted at the earliest."""
+        """Return when targets of a model were accepted at the earliest, as proven."""
         return {
             record.version: record.accepted_after
             for record in self._target_records.get(model, ())
-            if record.accepted_after != NEVER
+            if record.is_proven
         }
 
     def confirm(self, at: float) -> None:
@@ -151,7 +157,7 @@
         for record in self._target_records.get(model, ()):
             if record.version > version:
                 seconds = now - record.accepted_after
-                return WeightsLag(seconds, record.accepted_after != NEVER)
+                return WeightsLag(seconds, record.is_proven)
         return None
 
     def find_possible_version(self, model: str, until: float) -> int:
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -385,10 +385,11 @@
         self.slot_queue.assign()
         self.coordinator.assign()
         self.rollouts.note_change()
+        self.target_dates.note_change()
 
     def _on_target(self) -> None:
         self.rollouts.note_change()
-        self.target_dates.note_target()
+        self.target_dates.note_change()
 
     def _on_members(self) -> None:
         self.own_slots.note_members()
@@ -421,6 +422,7 @@
     def _on_reader(self) -> None:
         for follower in self.followers.values():
             follower.note_reader()
+        self.target_dates.note_change()
 
     def _list_versions(self) -> list[TableUpdate]:
         """Return the version of the members' table, which changes rarely.
