Let one slow answer not change when outdated engines get no more requests

The learned time to the begin of a run was that of the slowest kind ever seen, by one answer: a first event after 1.4 s moved the limit from 8.5 to 6.0 s for good. Kinds count once they are settled, and the share of the bound that they can take is 0.25. The check at the send also covers requests whose prompt cannot be read.

Loads at once no longer jump where the time left is a whole number of updates, and an engine counts as unreached only while its pause after a connect failure lasts.

--- a/ashpond/decisions/learnedtimes.py
+++ b/ashpond/decisions/learnedtimes.py
@@ -37,6 +37,11 @@
             self._deviation += weight * (abs(difference) - self._deviation)
         self.seconds += weight * difference
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether there are so many measurements that one changes little."""
+        return self._count >= FIRST_MEASUREMENTS
+
     def find_bound(self, deviations: float) -> float:
         """Return the mean and a number of deviations."""
         deviation = max(self._deviation, self.seconds * MIN_DEVIATION_SHARE)
--- a/ashpond/decisions/loadingslots.py
+++ b/ashpond/decisions/loadingslots.py
@@ -50,7 +50,7 @@
     needed = 0
     for count, lag in enumerate(sorted(lags, reverse=True), start=1):
         seconds_left = max(0.0, goal_seconds - lag)
-        rounds = max(1, int(seconds_left / update_seconds))
+        rounds = max(1.0, seconds_left / update_seconds)
         needed = max(needed, math.ceil(count / rounds))
     return needed
 
--- a/ashpond/decisions/servicetimes.py
+++ b/ashpond/decisions/servicetimes.py
@@ -78,9 +78,10 @@
     def estimate_longest_start(self) -> float:
         """Return the time within which nearly all answers begin, of the slowest kind.
 
-        0 if it isn't known.
+        Kinds with few answers don't count; 0 if there is no other.
         """
-        return max(map(self.estimate_longest_silence, self._events), default=0.0)
+        settled = [time for time in self._events.values() if time.is_settled]
+        return max((time.find_bound(ALL_DEVIATIONS) for time in settled), default=0.0)
 
 
 def make_kind(service: str, urgency: int, prompt: Prompt | None) -> RequestKind:
--- a/ashpond/decisions/weightsbound.py
+++ b/ashpond/decisions/weightsbound.py
@@ -7,7 +7,7 @@
 # The share of the weights' bound that is always left for a request to begin, and the
 # share that is left at most, however long requests have waited lately.
 MIN_START_SHARE = 0.15
-MAX_START_SHARE = 0.4
+MAX_START_SHARE = 0.25
 
 
 def choose_sending_seconds(bound: float, longest_start: float) -> float:
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -188,9 +188,12 @@
 
     def _is_overdue(self) -> bool:
         """Return whether the server has weights on which no request may begin now."""
-        model, version = self.call.demand.model, self._reservation.weights_version
-        if model is None or version is None:
+        model = self.call.demand.model
+        if model is None:
             return False
+        version = self._reservation.weights_version
+        if version is None:
+            version = self._reservation.state.weights.get(model, 0)
         now = trio.current_time()
         return version < self.context.find_required_version(model, now)
 
--- a/ashpond/gateway/workingengines.py
+++ b/ashpond/gateway/workingengines.py
@@ -44,7 +44,7 @@
     """Return why an engine does not carry traffic, None if it does."""
     if not state.is_present():
         return "leaving or gone"
-    if state.connect_failures:
+    if state.connect_failures and now < state.excluded_until:
         return "unreached"
     if state.is_limited:
         return "rate limit"
