Take engines that cannot be connected to for crashed beside those that load

A connect failure here or at a peer is evidence too. Two others must have failed at least, so that one unrelated crash among few engines hides no weights that crash them.

--- a/ashpond/controllers/serverstate.py
+++ b/ashpond/controllers/serverstate.py
@@ -70,6 +70,8 @@
         self.loading_until = 0.0
         self.failure_share = 0.0
         self.connect_failures = 0
+        # When this instance or a peer last failed to connect to it.
+        self.unreached_at = float("-inf")
         self.answered_at = float("-inf")
         self.is_misdirected = False
         # Whether an answer announced that it leaves; the row may show it much later.
@@ -240,6 +242,7 @@
         """Record a failure to connect; return the exclusion in seconds."""
         pause = CONNECT_PAUSE_SECONDS * 2 ** min(self.connect_failures, MAX_DOUBLINGS)
         self.connect_failures += 1
+        self.unreached_at = now
         self.exclude_for(pause, now)
         return pause
 
@@ -250,5 +253,6 @@
         """
         is_excluded = now - self.answered_at > RECENT_ANSWER_SECONDS
         if is_excluded:
+            self.unreached_at = now
             self.exclude_for(seconds, now)
         return is_excluded
--- a/ashpond/gateway/engineupdates.py
+++ b/ashpond/gateway/engineupdates.py
@@ -53,9 +53,10 @@
 # Crashes within this time have one cause (seconds): those of engines that are found
 # later, by requests or their rows, as well.
 SAME_CAUSE_SECONDS = 3.0
-# If a larger share of the engines that do not load crashes too, the weights are not the
-# cause.
+# If so many of the engines that do not load fail too, the weights are not the cause:
+# this share, and at least this number.
 OTHER_CRASHES_SHARE = 0.1
+MIN_OTHER_CRASHES = 2
 NEVER = float("-inf")
 # Pause before the next order to an engine after a failed one (seconds).
 FAILED_ORDER_PAUSE_SECONDS = 0.4
@@ -176,7 +177,8 @@
             if state.info.weights and not self._has_loaded_lately(state, now)
         ]
         ended = [state for state in others if self._has_ended_lately(state, now)]
-        is_alone = len(ended) <= len(others) * OTHER_CRASHES_SHARE
+        least = max(MIN_OTHER_CRASHES, len(others) * OTHER_CRASHES_SHARE)
+        is_alone = len(ended) < least
         if is_alone:
             self.crashes.note_crash(update.model, update.version, now)
         self._log.note(
@@ -196,7 +198,8 @@
         """Return whether an engine was found to have ended or restarted."""
         ended_at = NEVER if state.ended_at is None else state.ended_at
         restarted_at = self._restarted_at.get(state.info.id, NEVER)
-        return now - max(ended_at, restarted_at) < SAME_CAUSE_SECONDS
+        latest = max(ended_at, restarted_at, state.unreached_at)
+        return now - latest < SAME_CAUSE_SECONDS
 
     def _has_crashed(self, state: ServerState) -> bool:
         """Return whether an engine has restarted or refuses connections."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -189,12 +189,13 @@
             if state is not None:
                 state.update_weights(notice.model, notice.version)
 
-    def note_unreached(self, server_id: str) -> None:
+    def note_unreached(self, server_id: str, *, is_refused: bool) -> None:
         """Let all instances fail to connect to an engine."""
         for table in self.tables:
             state = table.by_id[server_id]
             state.note_connect_failure(trio.current_time())
-            state.note_ended(trio.current_time())
+            if is_refused:
+                state.note_ended(trio.current_time())
 
     def reaches_engines(self, name: str) -> bool:
         return name not in self.cut_off
--- a/tests/test_rollout_order.py
+++ b/tests/test_rollout_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 import trio
 
 from ashpond.decisions.loadingslots import MAX_LOADING_SHARE, count_needed_slots
@@ -45,8 +46,9 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("is_refused", [True, False])
 async def test_engines_that_crash_beside_others_do_not_count_against_the_weights(
-    autojump_clock: object,
+    is_refused: bool, autojump_clock: object
 ) -> None:
     """Half of the engines lost power: those that loaded limited the rollout for 5 s."""
     fleet = Fleet(1, engines=20)
@@ -61,7 +63,7 @@
         for server_id in (*loading, *others):
             nursery.start_soon(fleet.engines.crash, server_id)
         for server_id in others:
-            fleet.note_unreached(server_id)
+            fleet.note_unreached(server_id, is_refused=is_refused)
         seconds = await run_until_current(fleet, 2, 60.0)
         nursery.cancel_scope.cancel()
     assert seconds <= WEIGHTS_BOUND_SECONDS * GOAL_SHARE
