Limit the loads at once for each service

With a target for the model of a small service, all of its engines loaded at once and its callers got 503: the engines of other services counted as if they could take its traffic. Of several models of one engine, the one furthest behind decides its place in the order.

--- a/ashpond/gateway/outdatedweights.py
+++ b/ashpond/gateway/outdatedweights.py
@@ -48,12 +48,14 @@
 ) -> dict[str, WeightsLag]:
     """Return for how long the weights of engines have been replaced, by server id."""
     now = trio.current_time()
-    lags = {}
+    lags: dict[str, WeightsLag] = {}
     for update in updates:
         version = update.state.weights.get(update.model, 0)
         lag = knowledge.measure_lag(update.model, version, now)
-        if lag is not None:
-            lags[update.state.info.id] = lag
+        server_id = update.state.info.id
+        known = lags.get(server_id)
+        if lag is not None and (known is None or lag.seconds > known.seconds):
+            lags[server_id] = lag
     return lags
 
 
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -32,7 +32,7 @@
     measure_lags,
 )
 from ashpond.gateway.store import Store, StoreClock
-from ashpond.gateway.workingengines import count_working
+from ashpond.gateway.workingengines import WorkingEngines, count_working
 
 # The share of the weights' bound after which all engines should be updated. The rest is
 # left for what delays loads, such as crashes or the loss of the lease's holder.
@@ -52,11 +52,13 @@
     """How many engines may load at once before another load begins.
 
     ``overdue`` counts for an engine that gets no requests, so that its load takes
-    nothing from the traffic.
+    nothing from the traffic. ``needed`` is how many loads the time left requires.
     """
 
     usual: int
     overdue: int
+    needed: int
+    found: WorkingEngines
 
 
 class RolloutController:
@@ -119,7 +121,8 @@
         )
         self._has_service = has_service
         self._outdated_since: float | None = None
-        self._progress_logged_at = float("-inf")
+        # When the state of each service was last logged.
+        self._progress_logged_at: dict[str, float] = {}
         self._changed = trio.Event()
 
     def reset_server(self, server_id: str) -> None:
@@ -171,9 +174,17 @@
 
     def _start_orders(
         self, nursery: trio.Nursery, updates: list[WeightsUpdate]
+    ) -> None:
+        services = sorted({update.state.info.service for update in updates})
+        for service in services:
+            own = [u for u in updates if u.state.info.service == service]
+            self._start_service_orders(nursery, service, own)
+
+    def _start_service_orders(
+        self, nursery: trio.Nursery, service: str, updates: list[WeightsUpdate]
     ) -> None:
         now = trio.current_time()
-        updating = self.updater.updating
+        updating = {update.state.info.id for update in updates} & self.updater.updating
         lags = measure_lags(updates, self._knowledge)
         waiting = [
             update for update in updates if self.updater.may_update(update.state, now)
@@ -181,51 +192,61 @@
         self._sort_by_urgency(waiting, lags, now)
         possible = updating.union(update.state.info.id for update in waiting)
         slots = self._choose_slots(
-            [lag.seconds for name, lag in lags.items() if name in possible],
-            describe_outdated(updates, self._knowledge),
-            now,
+            service, [lag.seconds for name, lag in lags.items() if name in possible]
         )
+        self._log_progress(service, updates, slots, now)
         crashes = self.updater.crashes
         for update in waiting:
+            server_id = update.state.info.id
             is_overdue = self._is_overdue(update, now)
             if len(updating) >= (slots.overdue if is_overdue else slots.usual):
                 continue
             limit = crashes.limit_loads(update.model, update.version, now)
-            if limit is None or len(updating) < limit:
-                self.updater.begin(nursery, update)
+            if server_id in updating or (limit is not None and len(updating) >= limit):
+                continue
+            updating.add(server_id)
+            self.updater.begin(nursery, update)
 
     def _is_overdue(self, update: WeightsUpdate, now: float) -> bool:
         """Return whether an engine gets no requests any more until it is updated."""
         version = update.state.weights.get(update.model, 0)
         return version < self._find_required_version(update.model, now)
 
-    def _choose_slots(
-        self, lags: list[float], outdated: list[list[object]], now: float
-    ) -> _LoadingSlots:
-        """Return how many engines may load at once.
+    def _choose_slots(self, service: str, lags: list[float]) -> _LoadingSlots:
+        """Return how many engines of a service may load at once.
 
         :param lags: those of the engines that load or can be updated now (seconds).
-        :param outdated: what the log says of the outdated versions.
         """
-        found = count_working(self._table, self.updater.updating, now)
+        now = trio.current_time()
+        found = count_working(self._table, service, self.updater.updating, now)
         needed = count_needed_slots(
             lags, self.updater.get_update_seconds(), self._goal_seconds
         )
         longest = max(lags, default=0.0)
         usual = choose_loading_slots(found.engines, found.working, needed, longest)
-        slots = _LoadingSlots(usual, max(usual, count_overdue_slots(found.engines)))
-        if now - self._progress_logged_at >= PROGRESS_LOG_SECONDS:
-            self._progress_logged_at = now
-            self._log.note(
-                "rollout_progress",
-                outdated=outdated,
-                updating=len(self.updater.updating),
-                can_load=len(lags),
-                needed=needed,
-                slots=usual,
-                **found._asdict(),
-            )
-        return slots
+        overdue = max(usual, count_overdue_slots(found.engines))
+        return _LoadingSlots(usual, overdue, needed, found)
+
+    def _log_progress(
+        self,
+        service: str,
+        updates: list[WeightsUpdate],
+        slots: _LoadingSlots,
+        now: float,
+    ) -> None:
+        logged_at = self._progress_logged_at.get(service, float("-inf"))
+        if now - logged_at < PROGRESS_LOG_SECONDS:
+            return
+        self._progress_logged_at[service] = now
+        self._log.note(
+            "rollout_progress",
+            service=service,
+            outdated=describe_outdated(updates, self._knowledge),
+            updating=len(self.updater.updating),
+            needed=slots.needed,
+            slots=slots.usual,
+            **slots.found._asdict(),
+        )
 
     def has_outdated(self) -> bool:
         """Return whether an engine has other weights than its target."""
--- a/ashpond/gateway/workingengines.py
+++ b/ashpond/gateway/workingengines.py
@@ -22,13 +22,13 @@
 
 
 def count_working(
-    table: ServerTable, updating: Container[str], now: float
+    table: ServerTable, service: str, updating: Container[str], now: float
 ) -> WorkingEngines:
-    """Count the engines that work: one that rejects requests as it is full does.
+    """Count a service's engines that work: one that rejects some as it is full does.
 
     :param updating: the ids of the engines that load, which count as working.
     """
-    engines = [state for state in table.by_id.values() if state.info.weights]
+    engines = [state for state in table.list_service(service) if state.info.weights]
     obstacles: Counter[str] = Counter()
     for state in engines:
         obstacle = _find_obstacle(state, updating, now)
