Exclude an engine for a load only when its order can be sent

- An engine that did not report to the holder of the lease was excluded for all instances again and again, for an order that was never sent.
The numbers count only under the lease under which they were read.

--- a/ashpond/gateway/engineupdates.py
+++ b/ashpond/gateway/engineupdates.py
@@ -60,6 +60,8 @@
 NEVER = float("-inf")
 # Pause before the next order to an engine after a failed one (seconds).
 FAILED_ORDER_PAUSE_SECONDS = 0.4
+# The pause after an engine did not report doubles so often with each further failure.
+MAX_DOUBLINGS = 3
 
 
 class EngineUpdater:
@@ -100,6 +102,9 @@
         # When engines crashed that were loading.
         self._load_crashed_at: dict[str, float] = {}
         self._order_counts: dict[str, int] = {}
+        # The lease under which they were counted: others may have sent some since.
+        self._counted_fence = 0
+        self._report_failures: dict[str, int] = {}
         self._paused_until: dict[str, float] = {}
         self._excluded_at: dict[str, float] = {}
 
@@ -108,6 +113,7 @@
         self._restarted_at[server_id] = trio.current_time()
         self._order_counts.pop(server_id, None)
         self._paused_until.pop(server_id, None)
+        self._report_failures.pop(server_id, None)
 
     def may_update(self, state: ServerState, now: float) -> bool:
         """Return whether an engine may be updated now."""
@@ -126,16 +132,26 @@
 
     def begin(self, nursery: trio.Nursery, update: WeightsUpdate) -> None:
         """Update an engine in a task of its own."""
+        if self._order_lease.lease.fence != self._counted_fence:
+            self._counted_fence = self._order_lease.lease.fence
+            self._order_counts.clear()
         self.updating.add(update.state.info.id)
         nursery.start_soon(self._update_weights, update)
 
     async def _update_weights(self, update: WeightsUpdate) -> None:
+        try:
+            if await self._fetch_order_count(update):
+                await self._load_weights(update)
+        finally:
+            self.updating.discard(update.state.info.id)
+
+    async def _load_weights(self, update: WeightsUpdate) -> None:
+        """Exclude an engine, order the load, and await its end."""
         server_id = update.state.info.id
         started = trio.current_time()
         self._exclude(update)
         try:
             await trio.sleep(NOTICE_DELAY_SECONDS)
-            await self._fetch_order_count(update)
             # No await between the last check of the load and the order: the decision
             # to cut would not hold for requests that arrive meanwhile.
             cuts_runs = await self._await_bound_requests(update, started)
@@ -153,7 +169,6 @@
                     trio.current_time() + FAILED_ORDER_PAUSE_SECONDS
                 )
         finally:
-            self.updating.discard(server_id)
             self._excluded_at.pop(server_id, None)
             update.state.readmit()
             version = update.state.weights.get(update.model, 0)
@@ -195,7 +210,7 @@
         return state.info.id in self.updating or now - crashed_at < SAME_CAUSE_SECONDS
 
     def _has_ended_lately(self, state: ServerState, now: float) -> bool:
-        """Return whether an engine was found to have ended or restarted."""
+        """Return whether an engine ended, restarted or could not be connected to."""
         ended_at = NEVER if state.ended_at is None else state.ended_at
         restarted_at = self._restarted_at.get(state.info.id, NEVER)
         latest = max(ended_at, restarted_at, state.unreached_at)
@@ -253,17 +268,29 @@
         """Return after how long all requests to an engine are known here (seconds)."""
         return max(STREAM_GRACE_SECONDS, UPDATE_LAG_SHARE * self._measure_update_lag())
 
-    async def _fetch_order_count(self, update: WeightsUpdate) -> None:
-        """Fetch the number of orders that the engine has accepted, if unknown."""
-        info = update.state.info
-        if info.id in self._order_counts:
-            return
+    async def _fetch_order_count(self, update: WeightsUpdate) -> bool:
+        """Fetch the number of orders that the engine has accepted, if unknown.
+
+        Return whether it is known: an engine that does not report is not excluded, as
+        it gets no order, and asked again after a pause that doubles.
+        """
+        server_id = update.state.info.id
+        if server_id in self._order_counts:
+            return True
         report = await self._fetch_report(update)
         if isinstance(report, EngineReport):
-            self._order_counts[info.id] = report.accepted_orders
+            self._order_counts[server_id] = report.accepted_orders
+            self._report_failures.pop(server_id, None)
             update.state.update_weights(
                 update.model, report.weights.get(update.model, 0)
             )
+            return True
+        failures = self._report_failures.get(server_id, 0)
+        self._report_failures[server_id] = failures + 1
+        pause = FAILED_ORDER_PAUSE_SECONDS * 2.0 ** min(failures, MAX_DOUBLINGS)
+        self._paused_until[server_id] = trio.current_time() + pause
+        self._log.note("engine_unreported", server=server_id, reason=report.reason)
+        return False
 
     async def _fetch_report(
         self, update: WeightsUpdate
@@ -293,7 +320,7 @@
         if expected_orders is None:
             # Without this precondition, an order that is carried out late would load
             # older weights after a newer order.
-            self._log.note("weights_order_unsent", server=info.id, reason="no report")
+            self._log.note("weights_order_unsent", server=info.id)
             return OrderExecution.NO
         order = WeightsOrder(
             update.model,
--- a/tests/test_rollout_order.py
+++ b/tests/test_rollout_order.py
@@ -102,3 +102,60 @@
         assert await run_until_current(fleet, 2, 10.0) < WEIGHTS_BOUND_SECONDS - 5.0
         nursery.cancel_scope.cancel()
     assert fleet.engines.max_loading <= 30 * MAX_LOADING_SHARE
+
+
+async def test_an_engine_that_does_not_report_keeps_its_requests(
+    autojump_clock: object,
+) -> None:
+    """It was excluded again and again for an order that it never got."""
+    fleet = Fleet(1, engines=1)
+    fleet.engines.is_report_lost = True
+    state = fleet.tables[0].by_id["s0"]
+    state.load = Load(3, bound=1)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.require_version(2)
+        for _ in range(200):
+            await trio.sleep(0.1)
+            assert state.is_usable(trio.current_time())
+        fleet.engines.is_report_lost = False
+        state.load = Load()
+        assert await run_until_current(fleet, 2, 20.0) < 6.0
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_lease_that_was_held_by_another_does_not_make_orders_fail(
+    autojump_clock: object,
+) -> None:
+    """Each engine refused its first order, as the number of orders was an old one."""
+    fleet = Fleet(1, engines=10)
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.require_version(2)
+        await run_until_current(fleet, 2, 10.0)
+        await trio.sleep(5.0)
+        for server_id in fleet.engines.accepted:
+            fleet.engines.accepted[server_id] += 1
+        already_sent = len(fleet.engines.orders)
+        fleet.require_version(3)
+        await run_until_current(fleet, 3, 20.0)
+        nursery.cancel_scope.cancel()
+    assert len(fleet.engines.orders) - already_sent == 10
+
+
+async def test_the_engines_of_one_service_do_not_load_all_at_once(
+    autojump_clock: object,
+) -> None:
+    """The engines of another service counted as if they could take the traffic."""
+    fleet = Fleet(1, engines=30)
+    for number, state in enumerate(fleet.tables[0].by_id.values()):
+        if number >= 5:
+            state.info = state.info._replace(service="s2", weights={"m2": 1})
+            state.weights = {"m2": 1}
+    async with trio.open_nursery() as nursery:
+        await fleet.run(nursery)
+        fleet.require_version(2)
+        await trio.sleep(10.0)
+        nursery.cancel_scope.cancel()
+    assert fleet.engines.max_loading == 2
+    assert sum(version == 2 for version in fleet.engines.versions.values()) == 5
