Do not take servers that crash together for a partition

When a part of the engines crashed, dozens of instances took themselves for cut off from all servers and sent their requests through each other, for a tenth of a second to two seconds: the two servers that failed were the last that they had sent anything to.

An instance that seems cut off now asks another engine for its report at once, and ends the detours if that answers. A partition is noticed as before, without a wait. `test_servers_that_crash_together_are_no_partition` failed before: still cut off.

--- a/ashpond/controllers/contactdoubts.py
+++ b/ashpond/controllers/contactdoubts.py
@@ -26,6 +26,8 @@
 class DoubtResolver:
     """Asks an engine, and then peers, when answers of several servers are late.
 
+    It also asks an engine when servers have failed in a row: they may have crashed.
+
     :param read_report: reads the state of an engine, which waits in no queue.
     :param ask_peers: returns the contacts of some peers.
     """
@@ -74,6 +76,22 @@
         )
         return contact.resolve_doubt(trio.current_time(), do_peers_reach=do_reach)
 
+    async def reach_other_engine(self) -> bool:
+        """Return whether an engine answers that is no evidence of a partition."""
+        failed = set(self.contact.list_failed()) if self.contact else set()
+        engines = [
+            state
+            for state in self._table.by_id.values()
+            if state.weights and state.is_present() and state.info.id not in failed
+        ]
+        if not engines:
+            return False
+        return await self._answers(self._rng.choice(engines).info)
+
+    async def _answers(self, server: BackendServer) -> bool:
+        report = await self._read_report(server)
+        return not isinstance(report, NotRun | MaybeRun)
+
     async def _reach_late_engine(self, servers: list[str]) -> bool:
         """Return whether an engine whose answers are late answers at all.
 
@@ -83,5 +101,4 @@
         engines = [state for state in failed if state is not None and state.weights]
         if not engines:
             return False
-        report = await self._read_report(self._rng.choice(engines).info)
-        return not isinstance(report, NotRun | MaybeRun)
+        return await self._answers(self._rng.choice(engines).info)
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -60,6 +60,25 @@
             assert not channel.relay
 
 
+async def test_servers_that_crash_together_are_no_partition() -> None:
+    """Two that failed in a row sent all requests of an instance through its peers."""
+    async with run_server(answer_all) as address:
+        servers = {"s1": address, "s2": address, "s3": address}
+        async with run_relays(servers) as (sender, _):
+            sender.is_engine_up = True
+            await sender.fetch("s1")
+            await sender.fetch("s2")
+            assert "servers_cut_off" in sender.events
+            await trio.sleep(0.05)
+            assert not sender.detours.is_cut_off
+            # A partition is noticed as before.
+            sender.is_engine_up = False
+            await sender.fetch("s1")
+            await sender.fetch("s2")
+            await trio.sleep(0.05)
+            assert sender.detours.is_cut_off
+
+
 async def send_half_and_wait(stream: trio.SocketStream, number: int) -> None:
     await read_request(stream)
     await stream.send_all(UNFRAMED)
