--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -79,6 +79,8 @@
         self.deadline_ms = 4000
         # Whether the servers have a model, as requests with prompts require.
         self.has_model = False
+        # Bounds in the settings of the instances that differ from the usual ones.
+        self.bounds: dict[str, float] = {}
         self._folder = folder
         self._counts = (instances, servers)
         self._mesh_limit = mesh_limit
@@ -125,6 +127,7 @@
                 f"127.77.0.{number + 1}",
                 self._mesh_limit,
                 self._coordinated_from,
+                self.bounds,
             )
             instance.start()
             self.instances.append(instance)
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 from typing import NamedTuple
 
@@ -38,6 +39,7 @@
         host: str,
         mesh_limit: int,
         coordinated_from: int = 0,
+        extra_bounds: Mapping[str, float] | None = None,
     ):
         self.name = name
         self.path = folder / f"{name}.toml"
@@ -50,6 +52,7 @@
         bounds = {
             "revocation_ms": REVOCATION_SECONDS * 1000,
             "grace_s": GRACE_SECONDS,
+            **(extra_bounds or {}),
         }
         lines = [f'{key} = "{value}"' for key, value in values.items()]
         lines.append(f"mesh_limit = {mesh_limit}")
