Begin the next load when one ends, and let more load at once only when needed later

The goal of 0.6 of the bound asked for more loads than it takes to keep all engines within it.

More load at once if an engine would otherwise get no more requests, from 0.75 of the bound on.

The attribution of crashes has a module of its own.

--- a/ashpond/decisions/weightsbound.py
+++ b/ashpond/decisions/weightsbound.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["choose_sending_seconds"]
+__all__ = ["MAX_START_SHARE", "choose_sending_seconds"]
 
 # The share of the weights' bound that is always left for a request to begin, and the
 # share that is left at most, however long requests have waited lately.
--- a/ashpond/gateway/engineupdates.py
+++ b/ashpond/gateway/engineupdates.py
@@ -11,8 +11,8 @@
 
 from ashpond.controllers.directory import ServerState, ServerTable, StartOrder
 from ashpond.decisions.learnedtimes import LearnedTime
-from ashpond.decisions.ordercrashes import OrderCrashes
 from ashpond.fleet.updates import ServerNotice
+from ashpond.gateway.loadcrashes import LoadCrashes
 from ashpond.gateway.orders import (
     EnginePort,
     EngineReport,
@@ -50,14 +50,6 @@
 # How long a notice excludes an engine; it is repeated after half of this (seconds).
 # The exclusion must end if the holder crashes, and last throughout a long load.
 EXCLUSION_SECONDS = 6.0
-# Crashes within this time have one cause (seconds): those of engines that are found
-# later, by requests or their rows, as well.
-SAME_CAUSE_SECONDS = 3.0
-# If so many of the engines that do not load fail too, the weights are not the cause:
-# this share, and at least this number.
-OTHER_CRASHES_SHARE = 0.1
-MIN_OTHER_CRASHES = 2
-NEVER = float("-inf")
 # Pause before the next order to an engine after a failed one (seconds).
 FAILED_ORDER_PAUSE_SECONDS = 0.4
 # The pause after an engine did not report doubles so often with each further failure.
@@ -87,7 +79,7 @@
     ):
         self.name = name
         self.updating: set[str] = set()
-        self.crashes = OrderCrashes()
+        self.crashes = LoadCrashes(table, log)
         self._table = table
         self._engines = engines
         self._log = log
@@ -98,9 +90,7 @@
         self._measure_update_lag = measure_update_lag
         self._measure_lag = measure_lag
         self._update_time = LearnedTime()
-        self._restarted_at: dict[str, float] = {}
-        # When engines crashed that were loading.
-        self._load_crashed_at: dict[str, float] = {}
+        self._ended = trio.Event()
         self._order_counts: dict[str, int] = {}
         # The lease under which they were counted: others may have sent some since.
         self._counted_fence = 0
@@ -110,7 +100,7 @@
 
     def reset_server(self, server_id: str) -> None:
         """Remove what was known of a server before its new start."""
-        self._restarted_at[server_id] = trio.current_time()
+        self.crashes.note_restart(server_id)
         self._order_counts.pop(server_id, None)
         self._paused_until.pop(server_id, None)
         self._report_failures.pop(server_id, None)
@@ -138,12 +128,18 @@
         self.updating.add(update.state.info.id)
         nursery.start_soon(self._update_weights, update)
 
+    async def wait_ended(self) -> None:
+        """Wait until the update of an engine ends."""
+        self._ended = trio.Event()
+        await self._ended.wait()
+
     async def _update_weights(self, update: WeightsUpdate) -> None:
         try:
             if await self._fetch_order_count(update):
                 await self._load_weights(update)
         finally:
             self.updating.discard(update.state.info.id)
+            self._ended.set()
 
     async def _load_weights(self, update: WeightsUpdate) -> None:
         """Exclude an engine, order the load, and await its end."""
@@ -161,9 +157,9 @@
             )
             if is_loaded:
                 self._update_time.note(trio.current_time() - started)
-                self.crashes.note_loaded(update.model, update.version)
+                self.crashes.note_loaded(update)
             elif result is OrderExecution.YES and self._has_crashed(update.state):
-                self._note_load_crash(update)
+                self.crashes.note_crash(update, self.updating)
             if not is_loaded and self._table.is_current(update.state):
                 self._paused_until[server_id] = (
                     trio.current_time() + FAILED_ORDER_PAUSE_SECONDS
@@ -182,40 +178,6 @@
             seconds=round(trio.current_time() - started, 3),
         )
 
-    def _note_load_crash(self, update: WeightsUpdate) -> None:
-        """Count a crash against the weights, unless other engines crash as well."""
-        now = trio.current_time()
-        self._load_crashed_at[update.state.info.id] = now
-        others = [
-            state
-            for state in self._table.by_id.values()
-            if state.info.weights and not self._has_loaded_lately(state, now)
-        ]
-        ended = [state for state in others if self._has_ended_lately(state, now)]
-        least = max(MIN_OTHER_CRASHES, len(others) * OTHER_CRASHES_SHARE)
-        is_alone = len(ended) < least
-        if is_alone:
-            self.crashes.note_crash(update.model, update.version, now)
-        self._log.note(
-            "engine_crashed_loading",
-            server=update.state.info.id,
-            version=update.version,
-            others_ended=len(ended),
-            counts=is_alone,
-        )
-
-    def _has_loaded_lately(self, state: ServerState, now: float) -> bool:
-        """Return whether an engine loads, or crashed while it did."""
-        crashed_at = self._load_crashed_at.get(state.info.id, NEVER)
-        return state.info.id in self.updating or now - crashed_at < SAME_CAUSE_SECONDS
-
-    def _has_ended_lately(self, state: ServerState, now: float) -> bool:
-        """Return whether an engine ended, restarted or could not be connected to."""
-        ended_at = NEVER if state.ended_at is None else state.ended_at
-        restarted_at = self._restarted_at.get(state.info.id, NEVER)
-        latest = max(ended_at, restarted_at, state.unreached_at)
-        return now - latest < SAME_CAUSE_SECONDS
-
     def _has_crashed(self, state: ServerState) -> bool:
         """Return whether an engine has restarted or refuses connections."""
         return state.connect_failures > 0 or not self._table.is_current(state)
--- a/ashpond/gateway/rollouts.py
+++ b/ashpond/gateway/rollouts.py
@@ -21,6 +21,7 @@
     count_overdue_slots,
 )
 from ashpond.decisions.loads import Load
+from ashpond.decisions.weightsbound import MAX_START_SHARE
 from ashpond.fleet.updates import ServerNotice
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.engineupdates import EngineUpdater
@@ -34,9 +35,9 @@
 from ashpond.gateway.store import Store, StoreClock
 from ashpond.gateway.workingengines import WorkingEngines, count_working
 
-# The share of the weights' bound after which all engines should be updated. The rest is
-# left for what delays loads, such as crashes or the loss of the lease's holder.
-GOAL_SHARE = 0.6
+# The share of the weights' bound within which all engines should be updated: after it,
+# requests that wait at engines may keep outdated ones from getting any.
+GOAL_SHARE = 1.0 - MAX_START_SHARE
 HOLDER_CHECK_SECONDS = 0.1
 # Other instances only check the holder's progress, at half the delay between ranks.
 # Ranking 195 members and checking 123 servers every 0.1 s took 0.9 % of a core on each.
@@ -153,7 +154,12 @@
                 await self._order_lease.hold(now, self._measure_lag(now))
                 if self.lease.holds(trio.current_time()):
                     self._start_orders(nursery, updates)
-                await trio.sleep(self._choose_check_interval())
+                await self._await_check()
+
+    async def _await_check(self) -> None:
+        """Wait for the next check; the end of an update makes room for another."""
+        with trio.move_on_after(self._choose_check_interval()):
+            await self.updater.wait_ended()
 
     def _choose_check_interval(self) -> float:
         """Return the time to the next check: short if this instance may order soon."""
@@ -201,7 +207,7 @@
             is_overdue = self._is_overdue(update, now)
             if len(updating) >= (slots.overdue if is_overdue else slots.usual):
                 continue
-            limit = crashes.limit_loads(update.model, update.version, now)
+            limit = crashes.limit_loads(update, now)
             if server_id in updating or (limit is not None and len(updating) >= limit):
                 continue
             updating.add(server_id)
