Take only addresses that a connection can be made to

Operators saw entries of servers with an unusable address being used: a port in digits of another script, `::1:1`, port `08`. parse_address relied on str.isdigit and int, which read digits of all scripts and leading zeros, removed brackets from either side, and let IPv6 zones through with any character in them. Connections used IPv4 sockets only, for which an IPv6 address is a name to look up.

An address now has one form, IPv4:PORT or [IPv6]:PORT, and the socket its family.

--- a/ashpond/addresses.py
+++ b/ashpond/addresses.py
@@ -5,8 +5,15 @@
 __all__ = ["Address", "parse_address"]
 
 import ipaddress
+import re
 from typing import NamedTuple
 
+MAX_PORT = 65535
+# Without an IPv6 zone, which means nothing on another machine.
+_ADDRESS = re.compile(
+    r"(?:(?P<ipv4>[^\[\]:]+)|\[(?P<ipv6>[0-9A-Fa-f:.]+)\]):(?P<port>[1-9][0-9]{0,4})"
+)
+
 
 class Address(NamedTuple):
     """An IP address and a TCP port."""
@@ -23,16 +30,21 @@
 
 
 def parse_address(text: str) -> Address:
-    """Parse an address of the form ``IP:PORT``.
+    """Parse an address of the form ``IPv4:PORT`` or ``[IPv6]:PORT``.
 
     :raises ValueError: if the host is not an IP address or the port is invalid.
     """
-    host, separator, port = text.rpartition(":")
-    host = host.strip("[]")
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError("must be IP:PORT with a port from 1 to 65535")
+    found = _ADDRESS.fullmatch(text)
+    if found is None or not 0 < int(found["port"]) <= MAX_PORT:
+        raise ValueError(
+            "must be IP:PORT with a port from 1 to 65535, and an IPv6 address in []"
+        )
+    host = found["ipv4"] or found["ipv6"]
     try:
-        ipaddress.ip_address(host)
+        if found["ipv4"]:
+            ipaddress.IPv4Address(host)
+        else:
+            ipaddress.IPv6Address(host)
     except ValueError as error:
         raise ValueError("the host must be an IP address, not a name") from error
-    return Address(host, int(port))
+    return Address(host, int(found["port"]))
--- a/ashpond/clients/sockets.py
+++ b/ashpond/clients/sockets.py
@@ -44,14 +44,16 @@
     :raises OSError: if the address cannot be reached.
     :raises trio.TooSlowError: if connecting takes longer.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    target = _split_address(address)
+    family = socket.AF_INET6 if ":" in target[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
         bound_buffers(sock, buffer_bytes)
         for level, option, value in OPTIONS:
             sock.setsockopt(level, option, value)
         enable_dead_peer_detection(sock, unacknowledged_ms)
-        await _connect(sock, _split_address(address), timeout)
+        await _connect(sock, target, timeout)
     except BaseException:
         sock.close()
         raise
