Take no names with control characters from rows of servers and members

Entries of servers whose service or failure domain had a CR LF or a NUL in it were used, logged and told to peers; only names that go into headers were checked. The service, failure domain and software version of a server, and the failure domain of a member, now have no control characters or line separators and at most 200 characters; the two kinds of names are declared once, in ashpond.names.

--- a/ashpond/fleet/members.py
+++ b/ashpond/fleet/members.py
@@ -19,6 +19,7 @@
 from ashpond.fleet.formermembers import FormerMembers
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.store import Condition, InvalidRow, Row, Snapshot, Store
+from ashpond.names import PlainName
 from ashpond.outcomes import Conflict, Done, Unavailable, Unknown
 
 MEMBERS_TABLE = "ashpond-members"
@@ -41,7 +42,7 @@
 
 class _MemberRow(msgspec.Struct):
     address: str
-    failure_domain: str = ""
+    failure_domain: PlainName = ""
     link_mbps: float = 0.0
     # Distinguishes the processes of one instance; earlier versions do not write it.
     incarnation: str = ""
--- a/tests/test_damaged_rows.py
+++ b/tests/test_damaged_rows.py
@@ -85,6 +85,11 @@
             ("address", ""),
             ("zone", 3),
             ("version", 1),
+            *(
+                (field, text)
+                for field in ("service", "zone", "version")
+                for text in ("a\r\nb", "a\0", "a\n", "\u2028", "\x85", "x" * 201)
+            ),
             ("slots", "x"),
             ("slots", 0),
             ("slots", -4),
@@ -139,6 +144,20 @@
     assert found.reason
 
 
+@pytest.mark.parametrize("name", ["a\r\nb", "a\0", "a\n", "\u2028", "x" * 201])
+def test_failure_domain_of_a_member_with_control_characters_is_invalid(
+    name: str,
+) -> None:
+    value = {"address": "127.0.0.1:9", "failure_domain": name}
+    assert isinstance(decode_member_row(make_row("i2", value)), InvalidRow)
+
+
+@pytest.mark.parametrize("name", ["eu west", "caf\u00e9", ""])
+def test_names_may_have_any_printable_characters(name: str) -> None:
+    entry = SERVER | {"service": name, "zone": name, "version": name}
+    assert isinstance(decode_server_row(make_row("i-1", entry)), BackendServer)
+
+
 @pytest.mark.parametrize("key", ["", "two words", "line\r\nbreak", "\u20ac", "x" * 300])
 def test_id_invalid_in_a_header_is_rejected(key: str) -> None:
     assert isinstance(decode_server_row(make_row(key, SERVER)), InvalidRow)
