Give the processes of each test run loopback addresses of their own

Two runs of tests on one machine used the same addresses 127.77.0.x for instances, while free ports are looked for on 127.0.0.1: an instance failed to start with "address already in use", and its test with TooSlowError after 60 s. The process id is now in the address, as in the soak.

--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -122,7 +123,7 @@
                 f"i{number}",
                 self._folder,
                 store,
-                f"127.77.0.{number + 1}",
+                f"127.77.{os.getpid() % 254 + 1}.{number + 1}",
                 self._mesh_limit,
                 self._coordinated_from,
             )
