Charge the retry budget only for what arrives at a server

With five entries of servers that cannot be connected to beside four sound ones, callers got 503 "no connection" while sound servers were free. Each retry took a right of the budget, also after a refused connection; the rights were used up, as the idle unreachable servers are chosen first after each pause.

The budget bounds arrivals. An attempt that was not sent keeps its right to arrive, so that the next one needs none. A request that could not be sent to several servers waits before each next one, so that an instance that reaches none does not try them all.

--- a/ashpond/decisions/timeleft.py
+++ b/ashpond/decisions/timeleft.py
@@ -10,6 +10,7 @@
     "MIN_ATTEMPT_SECONDS",
     "MIN_SILENT_SECONDS",
     "choose_longest_gap",
+    "choose_reconnect_pause",
     "choose_resend_pause",
     "choose_retry_after",
     "choose_run_timeout",
@@ -32,6 +33,10 @@
 # The pause before a request that servers have rejected is sent once more, beyond the
 # servers that it may try in turn (seconds). It doubles with each further rejection.
 RESEND_PAUSE_SECONDS = 0.15
+# The pause before a request that could not be sent to several servers is tried at the
+# next one (seconds). It doubles with each further one, so that an instance that reaches
+# none does not try them all for each request.
+RECONNECT_PAUSE_SECONDS = 0.01
 # Clients close a stream after a pause of this length, or of so many of the longest
 # pauses that the route allows, whichever is longer (seconds, a number).
 CLOSING_GAP_SECONDS = 2.0
@@ -92,6 +97,16 @@
     return RESEND_PAUSE_SECONDS * 2**surplus if surplus >= 0 else 0.0
 
 
+def choose_reconnect_pause(failures: int, server_limit: int) -> float:
+    """Return how long a request waits after it could not be sent (seconds).
+
+    :param failures: how many servers it could not be sent to.
+    :param server_limit: how many servers may be tried in turn.
+    """
+    surplus = failures - server_limit
+    return RECONNECT_PAUSE_SECONDS * 2**surplus if surplus >= 0 else 0.0
+
+
 def spread_by_id(request_id: str) -> float:
     """Return a number from 0 to 1 that differs between requests."""
     return zlib.crc32(request_id.encode(errors="replace")) / 2**32
--- a/ashpond/gateway/dispatch.py
+++ b/ashpond/gateway/dispatch.py
@@ -136,8 +136,11 @@
         """Take a retry from the budget and the allowance; return whether both had it.
 
         A request that may have run uses its team's allowance again. One that a server
-        rejected without running it keeps what was taken for it.
+        rejected without running it keeps what was taken for it. One that was not sent
+        keeps its right to arrive at a server as well.
         """
+        if isinstance(outcome, AttemptNotRun) and not outcome.is_rejected:
+            return True
         service = self.call.demand.service
         budget = self.context.get_budget(service)
         if not await budget.take(self.call.accepted.deadline):
@@ -181,7 +184,7 @@
         until = self.call.find_end_of_wait()
         pause = self._tried.choose_pause()
         if trio.current_time() + pause + MIN_ATTEMPT_SECONDS > until:
-            await self.give_up("servers rejected it without running it")
+            await self.give_up("no server has taken it")
             return None
         await trio.sleep(pause)
         while True:
--- a/ashpond/gateway/triedservers.py
+++ b/ashpond/gateway/triedservers.py
@@ -6,7 +6,7 @@
 
 from typing import TYPE_CHECKING
 
-from ashpond.decisions.timeleft import choose_resend_pause
+from ashpond.decisions.timeleft import choose_reconnect_pause, choose_resend_pause
 from ashpond.gateway.callprogress import AttemptNotRun
 
 if TYPE_CHECKING:
@@ -30,6 +30,7 @@
         self._excluded: set[str] = set()
         self._sent_to: set[str] = set()
         self._rejections = 0
+        self._unsent = 0
 
     def note(self, server_id: str, outcome: AttemptOutcome) -> None:
         """Record the outcome of an attempt.
@@ -38,7 +39,9 @@
         All others get it no more.
         """
         is_unsent = isinstance(outcome, AttemptNotRun) and not outcome.is_rejected
-        if not is_unsent:
+        if is_unsent:
+            self._unsent += 1
+        else:
             self._sent_to.add(server_id)
         if isinstance(outcome, AttemptNotRun) and outcome.is_rejected:
             self._rejections += 1
@@ -47,7 +50,10 @@
 
     def choose_pause(self) -> float:
         """Return how long the request waits before its next attempt (seconds)."""
-        return choose_resend_pause(self._rejections, self._limit)
+        return max(
+            choose_resend_pause(self._rejections, self._limit),
+            choose_reconnect_pause(self._unsent, self._limit),
+        )
 
     def list_excluded(self, servers: Iterable[str]) -> frozenset[str]:
         """Return the servers of a service that the request must not be sent to."""
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -178,6 +178,44 @@
     assert result.reply.status == 500
 
 
+@pytest.mark.parametrize("route", [make_route(), NON_IDEMPOTENT])
+@pytest.mark.parametrize("count", [1, 5])
+async def test_a_connection_that_fails_uses_no_retry_budget(
+    count: int, route: Route, autojump_clock: object
+) -> None:
+    """Requests were refused beside sound servers, as refused connections used it up."""
+    table = make_table(*(make_server(f"s{number}") for number in range(9)))
+    script = [*[UNREACHABLE] * count, Answer()]
+    result = await run_call(*script, table=table, route=route, slack=0.0)
+    assert result.reply.status == 200
+    assert len(result.pool.requests) == 1
+    assert result.reply.finished_at < 0.1
+
+
+async def test_a_connection_that_fails_keeps_the_right_to_arrive(
+    autojump_clock: object,
+) -> None:
+    """There is one right, which the rejected request takes; each next one needs its."""
+    table = make_table(*(make_server(f"s{number}") for number in range(9)))
+    full = Answer(503, headers=NOT_RUN)
+    script = [UNREACHABLE, full, UNREACHABLE, UNREACHABLE]
+    result = await run_call(*script, Answer(), table=table, slack=2.0)
+    assert result.reply.status == 200
+    result = await run_call(*script, full, Answer(), table=table, slack=2.0)
+    assert result.reply.status == 503
+    assert len(result.pool.requests) == 2
+
+
+async def test_a_call_does_not_try_all_of_many_unreachable_servers(
+    autojump_clock: object,
+) -> None:
+    table = make_table(*(make_server(f"s{number}") for number in range(100)))
+    result = await run_call(*[UNREACHABLE] * 100, table=table, slack=0.0)
+    assert result.reply.status == 503
+    assert len(result.pool.script) >= 85
+    assert float(result.reply.get(b"retry-after")) > 0
+
+
 async def test_an_idempotent_call_is_retried_after_an_answer_timeout(
     autojump_clock: object,
 ) -> None:
