Name no length in answers of the callers' API that have no body

A plain service's answer to HEAD with Content-Length: 12 reached callers with content-length: 0, and so did 204 and 304. The server's length is dropped, as it belongs to one connection, and Quart counted a new one from the body, which such an answer does not have. The routed path leaves the length out already.

The new test failed in four of four cases before (HEAD with 200 and 404, 204, 304), each with 'content-length: 0'. The header is now removed where the framing of the answer says that it has no body; refusals keep their length, as they have a body.

--- a/ashpond/api/callers.py
+++ b/ashpond/api/callers.py
@@ -15,6 +15,7 @@
 
 from ashpond.asgi import CLOSE_DELIMITED
 from ashpond.call import Call, CallKind, Handler, Progress, Reply
+from ashpond.clients.responseheads import Framing, find_framing
 from ashpond.filters.authentication import find_team
 from ashpond.filters.parsing import RESUMABLE_HEADER
 from ashpond.outcomes import Refusal, RunState
@@ -90,6 +91,8 @@
             response = Response(reply.body, reply.status, reply.headers)
             if reply.is_close_delimited:
                 mark_close_delimited(response)
+            elif not reply.body and is_bodyless(reply.status):
+                response.headers.pop("Content-Length", None)
             return response
         get_exit_stack().push_async_callback(close_body, reply.body)
         return Response(reply.body, reply.status, reply.headers)
@@ -176,6 +179,11 @@
     return exits
 
 
+def is_bodyless(status: int) -> bool:
+    """Return whether the response has no body, whose length only its server knows."""
+    return find_framing(request.method, status, []) is Framing.NO_BODY
+
+
 def mark_close_delimited(response: Response) -> None:
     """Have the response end with its connection, without a length."""
     scope = cast("dict[str, Any]", request.scope)
--- a/tests/test_asgi.py
+++ b/tests/test_asgi.py
@@ -165,3 +165,28 @@
     assert body == b"part"
     assert b"content-length" not in head.lower()
     assert b"transfer-encoding" not in head.lower()
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", 200), ("HEAD", 404), ("POST", 204), ("POST", 304)]
+)
+async def test_an_answer_that_has_no_body_gets_no_length_of_zero(method, status):
+    """Its server may have named the length that the body would have."""
+
+    async def answer_without_body(call: Call) -> Reply:
+        return Reply(status, {"X-Own": "1"}, b"")
+
+    unused: Any = None
+    app = build_callers_app(
+        make_settings(), unused, answer_without_body, unused, trio.Event()
+    )
+    request = f"{method} /services/s/x HTTP/1.1\r\nHost: a\r\n".encode()
+    request += b"Content-Length: 0\r\n\r\n"
+    async with run_listener(make_handler(app)) as running:
+        stream = await running.connect()
+        async with stream:
+            for _ in range(2):
+                await stream.send_all(request)
+                head = await read_until(stream, b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 %d" % status)
+                assert b"content-length" not in head.lower()
