End no run of 30 ms for a pause of 300 ms

What callers saw: beside much other work, repeatable calls got 502 although their servers were sound and answered. Cause: a run was ended after the learned mean and four mean deviations, 60 ms for equal runs of 30 ms, without the minimum that RFC 6298 (2.4) has. A pause of the servers, the network or the instance ended all runs in flight together, which used up the shared retry budget. The time in which the instance's own event loop stood still counted as the server's. Why it works: a run lasts at least 1 s, or its share of the caller's time left if that is shorter, so that another run can still finish; and stalls of the event loop extend the timeouts of the runs in flight, so that what has arrived is read first.

The rule of test_timeleft asks for the new bound exactly, and for as much time for another run as before. A repeatable call at a server that stopped for good is sent to another after 1 s instead of twice its usual time.

--- a/ashpond/decisions/timeleft.py
+++ b/ashpond/decisions/timeleft.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "MIN_ATTEMPT_SECONDS",
+    "MIN_RUN_SECONDS",
     "MIN_SILENT_SECONDS",
     "choose_longest_gap",
     "choose_resend_pause",
@@ -22,6 +23,10 @@
 
 # No attempt is made with less time than this before the deadline (seconds).
 MIN_ATTEMPT_SECONDS = 0.02
+# A run isn't ended sooner than after this, or its share of the time left if that is
+# shorter (seconds): a server or a network may pause for so long without being lost, and
+# a run that is ended for that uses a retry that all requests share (RFC 6298, 2.4).
+MIN_RUN_SECONDS = 1.0
 # Clients wait for a Retry-After of at most this share of the time that they have left.
 MAX_RETRY_SHARE = 1 / 3
 # The least Retry-After (seconds).
@@ -50,9 +55,12 @@
     """
     if runs_left <= 1:
         return math.inf
+    share = left / runs_left
     if not longest:
-        return max(MIN_ATTEMPT_SECONDS, left / runs_left)
-    return longest if left >= 2 * longest else math.inf
+        return max(MIN_ATTEMPT_SECONDS, share)
+    if left < 2 * longest:
+        return math.inf
+    return max(longest, min(MIN_RUN_SECONDS, share))
 
 
 def choose_silent_seconds(left: float, longest: float) -> float:
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -99,7 +99,7 @@
         # That of an earlier answer, which may yet be forwarded.
         credit = memory.credit
         try:
-            with trio.move_on_after(self._choose_timeout()) as timeout:
+            with self.context.move_on_after(self._choose_timeout()) as timeout:
                 channel = await self.context.pool.acquire(
                     state.owner,
                     state.info.address,
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -19,6 +19,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
 from typing import NamedTuple, Protocol
 
 import trio
@@ -165,6 +166,10 @@
     is_version_certain: Callable[[ServerState], bool] = lambda state: (
         state.is_version_certain
     )
+    # Limits a run, not counting stalls of this instance's event loop.
+    move_on_after: Callable[[float], AbstractContextManager[trio.CancelScope]] = (
+        trio.move_on_after
+    )
 
 
 def compute_fingerprints(
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -350,6 +350,7 @@
                 self.times,
                 self.software.list_avoided,
                 self.software.is_version_certain,
+                self.loop_watch.move_on_after,
             )
         )
 
--- a/ashpond/loopdelay.py
+++ b/ashpond/loopdelay.py
@@ -4,12 +4,13 @@
 
 __all__ = ["LoopDelay", "LoopWatch"]
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 # A step of the event loop takes a few ms. A stall of this length (seconds) delays all
 # callers of the instance noticeably.
@@ -40,6 +41,7 @@
         self.last: LoopDelay | None = None
         self.note = note
         self._clock = clock
+        self._timeouts: set[trio.CancelScope] = set()
         self._step_began_at: float | None = None
         self._wait_ends_at: float | None = None
 
@@ -47,6 +49,20 @@
         """Watch the event loop of the current task until the loop ends."""
         trio.lowlevel.add_instrument(self)
 
+    @contextmanager
+    def move_on_after(self, seconds: float) -> Iterator[trio.CancelScope]:
+        """Limit a wait for others to a time in which this event loop runs.
+
+        What arrives during a stall is read after it, so that a wait ends only once the
+        loop has had the time to read it.
+        """
+        with trio.move_on_after(seconds) as timeout:
+            self._timeouts.add(timeout)
+            try:
+                yield timeout
+            finally:
+                self._timeouts.discard(timeout)
+
     def describe(self) -> list[float] | None:
         """Return length and age of the last stall, in seconds, for a log line."""
         if self.last is None:
@@ -71,4 +87,6 @@
     def _record_stall(self, now: float, seconds: float) -> None:
         if seconds >= MIN_STALL_SECONDS:
             self.last = LoopDelay(now, seconds)
+            for timeout in self._timeouts:
+                timeout.deadline += seconds
             self.note(self.last)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -14,7 +14,7 @@
 from ashpond.clients.channels import ChannelError, OutgoingRequest
 from ashpond.clients.responseheads import Framing
 from ashpond.controllers.allowancegrants import grant_unlimited
-from ashpond.controllers.budgets import make_lone_budget
+from ashpond.controllers.budgets import ServiceBudget, make_lone_budget
 from ashpond.controllers.crashdetection import CrashDetector, WatchedServer
 from ashpond.controllers.directory import ServerState, ServerTable
 from ashpond.controllers.permits import grant_without_limit
@@ -35,6 +35,7 @@
 from ashpond.gateway.calls import Headers
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
+from ashpond.loopdelay import LoopWatch
 from ashpond_platform.headers import CODEC, REQUEST_ID
 from tests.gateway_builders import (
     FINGERPRINT,
@@ -193,6 +194,9 @@
     quarantine: Quarantine | None = None,
     reservations: Reservations | None = None,
     is_version_certain: Callable[[ServerState], bool] = is_row_certain,
+    times: ServiceTimes | None = None,
+    watch: LoopWatch | None = None,
+    budget: ServiceBudget | None = None,
     **call_changes: Any,
 ) -> CallResult:
     declaration: Declaration = make_declaration(route or make_route())
@@ -208,7 +212,7 @@
     if pools is not None:
         pools.append(pool)
     log = DecisionLog("test")
-    budget = make_lone_budget(0.0, slack, 10.0)
+    own_budget = budget or make_lone_budget(0.0, slack, 10.0)
     context = DispatchContext(
         reservations or make_reservations(table),
         pool,  # type: ignore[arg-type]
@@ -216,7 +220,7 @@
         REQUEST_ID,
         knowledge,
         log,
-        lambda service: budget,
+        lambda service: own_budget,
         lambda server, salt, prompt: None,
         lambda call, accepted: Fingerprints(FINGERPRINT) if quarantine else None,
         CrashDetector(check_nothing, log.note, lambda lost: None),
@@ -231,8 +235,9 @@
         lambda kind: None,
         random.Random(1),
         make_lone_origins(table.versions, log),
-        ServiceTimes(),
+        times or ServiceTimes(),
         is_version_certain=is_version_certain,
+        move_on_after=watch.move_on_after if watch else trio.move_on_after,
     )
     call = make_call(received_at=now, **call_changes)
     accepted = admit_call(call, knowledge, 5.0, now)
--- a/tests/test_timeleft.py
+++ b/tests/test_timeleft.py
@@ -12,6 +12,7 @@
 from ashpond.decisions.timeleft import (
     MAX_RETRY_SHARE,
     MIN_RETRY_SECONDS,
+    MIN_RUN_SECONDS,
     RESEND_PAUSE_SECONDS,
     choose_longest_gap,
     choose_resend_pause,
@@ -39,7 +40,9 @@
     if runs_left <= 1 or (longest and left < 2 * longest):
         assert timeout == math.inf
     elif longest:
-        assert timeout == longest <= left - timeout
+        share = left / runs_left
+        assert timeout == max(longest, min(MIN_RUN_SECONDS, share))
+        assert longest <= left - timeout + 1e-9
     else:
         assert timeout == pytest.approx(max(0.02, left / runs_left))
 
