--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -19,6 +19,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
 from typing import NamedTuple, Protocol
 
 import trio
@@ -167,6 +168,10 @@
     )
     # Returns the version of a model without which a server gets no requests.
     find_required_version: FindVersion = lambda model, now: 0
+    # Limits a run, not counting stalls of this instance's event loop.
+    move_on_after: Callable[[float], AbstractContextManager[trio.CancelScope]] = (
+        trio.move_on_after
+    )
 
 
 def compute_fingerprints(
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -365,6 +365,7 @@
                 self.software.list_avoided,
                 self.software.is_version_certain,
                 self._find_required_version,
+                self.loop_watch.move_on_after,
             )
         )
 
