--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -28,7 +28,6 @@
 from ashpond.controllers.serverupdates import ServerUpdates
 from ashpond.controllers.softwareversions import SoftwareVersions
 from ashpond.controllers.storeview import StoreView, build_feeds
-from ashpond.controllers.targetdates import TargetDates
 from ashpond.coordination.client import CoordinatedReservations
 from ashpond.coordination.coordinator import Coordinator
 from ashpond.coordination.grants import CoordinatorReports
@@ -43,16 +42,17 @@
 from ashpond.fleet.members import MEMBERS_TABLE, Members
 from ashpond.fleet.relaying import RelayServer
 from ashpond.fleet.updates import UpdateHandlers
+from ashpond.gateway.assembly import (
+    build_dispatcher,
+    build_rollouts,
+    build_target_dates,
+)
 from ashpond.gateway.busyness import is_instance_busy
-from ashpond.gateway.callprogress import DispatchContext, compute_fingerprints
 from ashpond.gateway.decisionlog import DecisionLog
-from ashpond.gateway.dispatch import Dispatcher
 from ashpond.gateway.metrics import GatewayMetrics
-from ashpond.gateway.orders import watch_answers
 from ashpond.gateway.ownslots import OwnSlots
 from ashpond.gateway.ports import Platform
 from ashpond.gateway.reservations import ReservationQueue
-from ashpond.gateway.rollouts import RolloutController
 from ashpond.gateway.serverchoice import ServerChooser
 from ashpond.gateway.settings import GatewaySettings, SettingsFile
 from ashpond.loopdelay import LoopWatch
@@ -187,7 +187,7 @@
             settings.failure_domain,
             lambda: self.knowledge.declaration,
             self.knowledge.find_required_version,
-            self._find_required_version,
+            self.find_required_version,
             self.rng,
             lambda: bool(self.peers.links.group),
             brittle=self.table.brittle,
@@ -203,7 +203,7 @@
                 settings.failure_domain,
                 lambda: self.knowledge.declaration,
                 self.knowledge.find_required_version,
-                self._find_required_version,
+                self.find_required_version,
                 self.rng,
             ),
             self._find_domain,
@@ -248,7 +248,7 @@
             log,
             self.metrics,
             lambda: self.settings.coordinated_from,
-            self._find_required_version,
+            self.find_required_version,
             self.rng,
             self.coordinator,
         )
@@ -306,68 +306,10 @@
             for feed in self._build_feeds()
         }
         self.peers.on_reader = self._on_reader
-        self.rollouts = RolloutController(
-            settings.name,
-            self.table,
-            self.knowledge,
-            platform.store,
-            self.store_view.clock,
-            watch_answers(platform.engines, self.detours.note_reached),
-            log,
-            lambda: list(self.members.by_name),
-            self.peers.announce,
-            self.slot_queue.assign,
-            self.retry_budgets.measure_left,
-            settings.bounds.lease_ms / MS,
-            lambda: self.peers.get_max_lag(),
-            self.invalid_rows,
-            self._has_service,
-            lambda: not self.detours.is_cut_off,
-            self.era_record,
-            settings.bounds.weights_ms / MS,
-            self._find_required_version,
-        )
-        self.target_dates = TargetDates(
-            platform.store,
-            self.knowledge,
-            self.store_view.clock,
-            log,
-            self.invalid_rows,
-            self.rng,
-            lambda: self.peers.is_reader,
-            self.rollouts.has_outdated,
-        )
+        self.rollouts = build_rollouts(self)
+        self.target_dates = build_target_dates(self)
         self.metrics.measure_weights_lag = self.rollouts.measure_lag
-        self.dispatcher = Dispatcher(
-            DispatchContext(
-                self.reservations,
-                self.detours,
-                platform.codec,
-                platform.id_header,
-                self.knowledge,
-                log,
-                self.retry_budgets.get,
-                self.server_updates.note_cached_prompt,
-                lambda call, accepted: compute_fingerprints(
-                    self.members.secret, call, accepted
-                ),
-                self.crash_detector,
-                self.directives,
-                self.quarantine,
-                self.server_updates.announce_unreachable,
-                self.allowances.take,
-                self.allowances.refund,
-                self.permits.take,
-                self.metrics.count_refusal,
-                self.rng,
-                self.origins,
-                self.times,
-                self.software.list_avoided,
-                self.software.is_version_certain,
-                self._find_required_version,
-                self.loop_watch.move_on_after,
-            )
-        )
+        self.dispatcher = build_dispatcher(self)
 
     @property
     def settings(self) -> GatewaySettings:
@@ -398,7 +340,8 @@
         self.reservations.note_members()
         self.software.note_members()
 
-    def _find_required_version(self, model: str, now: float) -> int:
+    def find_required_version(self, model: str, now: float) -> int:
+        """Return the version of a model without which servers get no requests."""
         bound = self.settings.bounds.weights_ms / MS
         seconds = choose_sending_seconds(bound, self.times.estimate_longest_start())
         return self.knowledge.find_possible_version(model, now - seconds)
@@ -407,7 +350,8 @@
         member = self.members.by_name.get(instance)
         return member.failure_domain if member else None
 
-    def _has_service(self, service: str) -> bool:
+    def has_service(self, service: str) -> bool:
+        """Return whether a service is declared."""
         declaration = self.knowledge.declaration
         return declaration is not None and service in declaration.services
 
