Bound the bandwidth in rows of members

Tables other than the servers' had not been tried with odd rows. Values that are nested 100,000 deep, too large, of other types, invalid UTF-8 or huge in each field of the rows of all tables raised one error: link_mbps of 1e308 in a member's row gave OverflowError where peers are ranked as relays. The decoder took any float, also a negative one. It is now an amount as all others, from 0 to 2^50.

The tests of the other tables passed before. The lease and the secret have theirs in test_damaged_rows.

--- a/ashpond/fleet/members.py
+++ b/ashpond/fleet/members.py
@@ -13,6 +13,7 @@
 import trio
 
 from ashpond.addresses import parse_address
+from ashpond.bounds import Amount
 from ashpond.controllers.invalidrows import InvalidRows
 from ashpond.decisions.eras import EraState
 from ashpond.decisions.fleetlinks import Member
@@ -43,7 +44,7 @@
 class _MemberRow(msgspec.Struct):
     address: str
     failure_domain: PlainName = ""
-    link_mbps: float = 0.0
+    link_mbps: Amount = 0.0
     # Distinguishes the processes of one instance; earlier versions do not write it.
     incarnation: str = ""
 
