Test odd values in messages of peers, engines and the store

Deep nesting, numbers too large, NaN and invalid UTF-8 in fields that nobody reads, and messages of peers nested 400 and 100,000 deep. All were refused, or the fields passed over, before; nothing is changed but the table of what comes from outside.

--- a/tests/test_damaged_messages.py
+++ b/tests/test_damaged_messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import Any
 
 import msgpack
@@ -51,6 +52,7 @@
 from tests.peer_fleet import make_update
 from tests.placement_builders import make_ask
 
+DEEP = b"[" * 100_000 + b"]" * 100_000
 REPORT = {"models": [{"name": "m", "version": 1}], "busy": False, "seq": 2, "born": 5}
 EVENTS = {
     "boot_epoch": 1,
@@ -140,6 +142,29 @@
         return
 
 
+@pytest.mark.parametrize("odd", [DEEP, b"9" * 400, b"1e999", b"NaN", b'"\xff"'])
+def test_odd_values_in_unknown_fields_raise_one_error_only(odd: bytes) -> None:
+    for good, decode in (
+        (REPORT, decode_report),
+        (EVENTS, decode_cache_events),
+        (ANSWER, partial(decode_body, 200)),
+    ):
+        data = orjson.dumps(good)[:-1] + b',"odd":' + odd + b"}"
+        try:
+            decode(data)
+        except (ValueError, RecursionError):
+            continue
+
+
+@pytest.mark.parametrize("opening", [b"\x91", b"\x81\xa1a"])
+@pytest.mark.parametrize("depth", [400, 100_000])
+def test_deeply_nested_messages_of_peers_are_refused(
+    opening: bytes, depth: int
+) -> None:
+    with pytest.raises(FrameError):
+        parse_message(unpack_value(opening * depth + b"\xc0"))
+
+
 def test_one_damaged_cache_event_does_not_drop_the_others() -> None:
     found = decode_cache_events(orjson.dumps(EVENTS))
     assert [event.number for event in found.events] == [1, 2]
