--- a/ashpond/controllers/serverstate.py
+++ b/ashpond/controllers/serverstate.py
@@ -72,6 +72,8 @@
         self.connect_failures = 0
         # When this instance or a peer last failed to connect to it.
         self.unreached_at = float("-inf")
+        # Whether this instance has ever connected to it, not through a peer.
+        self.was_reached = False
         self.answered_at = float("-inf")
         self.is_misdirected = False
         # Whether an answer announced that it leaves; the row may show it much later.
