--- a/ashpond/controllers/contactdoubts.py
+++ b/ashpond/controllers/contactdoubts.py
@@ -76,7 +76,15 @@
         )
         return contact.resolve_doubt(trio.current_time(), do_peers_reach=do_reach)
 
-    async def reach_other_engine(self) -> bool:
+    async def check_contact(self, note_reached: Callable[[], None]) -> None:
+        """Call ``note_reached`` if an engine answers: those that failed have crashed.
+
+        An instance with few requests would otherwise go without an answer for long.
+        """
+        if await self._reach_other_engine():
+            note_reached()
+
+    async def _reach_other_engine(self) -> bool:
         """Return whether an engine answers that is no evidence of a partition."""
         failed = set(self.contact.list_failed()) if self.contact else set()
         engines = [
--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -349,16 +349,8 @@
     def _begin_cut_off(self) -> None:
         self._log.note("servers_cut_off", servers=self.contact.list_failed())
         self._probes_needed.set()
-        if self._nursery is not None:
-            self._nursery.start_soon(self._check_contact)
-
-    async def _check_contact(self) -> None:
-        """End the detours if an engine answers: the servers that failed have crashed.
-
-        An instance with few requests would otherwise go without an answer for long.
-        """
-        if self._doubts is not None and await self._doubts.reach_other_engine():
-            self.note_reached()
+        if self._nursery is not None and self._doubts is not None:
+            self._nursery.start_soon(self._doubts.check_contact, self.note_reached)
 
     async def check(self, owner: str, address: str) -> ConnectResult:
         """Check whether a server is up; it is not gone while a peer reaches it."""
