--- a/tests/outofstepworld.py
+++ b/tests/outofstepworld.py
@@ -55,10 +55,10 @@
 
     async def _serve_store(self, stream: trio.SocketStream) -> None:
         """Answer calls, those of the instance that is cut off once it is not."""
+        owner = self._partitions.find_owner(stream)
         try:
             while request := await read_request(stream):
-                owner = self._partitions.find_owner(stream)
-                is_out = bool(self.instances) and owner == self.instances[-1].name
+                is_out = owner == self.instances[-1].name
                 status, body = await answer_call(self.memory, request)
                 while is_out and self._is_store_cut:
                     await trio.sleep(0.02)
