Test answers that stop at any byte, on all ways to a server

An engine stopped in the middle of its answer's head, and clients of another system got a 200 with an empty or short body that was framed as whole.

--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -81,14 +81,18 @@
 
 @asynccontextmanager
 async def run_gateway(
-    server_address: str, *, is_known: bool = True, memory_mb: float = 0.0
+    *server_addresses: str,
+    is_known: bool = True,
+    memory_mb: float = 0.0,
+    routes: list[dict[str, Any]] = ROUTES,
 ) -> AsyncIterator[RunningGateway]:
     store = MemoryStore()
-    configuration = {**CONFIGURATION, "routes": ROUTES}
+    configuration = {**CONFIGURATION, "routes": routes}
     if is_known:
         store.put(OPERATOR_TABLE, "config", orjson.dumps(configuration))
-    entry = {**SERVER, "address": server_address}
-    store.put(SERVERS_TABLE, "i-1", orjson.dumps(entry))
+    for number, address in enumerate(server_addresses, start=1):
+        entry = orjson.dumps({**SERVER, "address": address})
+        store.put(SERVERS_TABLE, f"i-{number}", entry)
     pool = ChannelPool()
     platform = build_platform(store.build_port(), pool)
     log = DecisionLog("i0", 2)
