Give the fleet's processes ports that no outgoing connection takes

test_a_graceful_shutdown_cuts_no_stream failed once, as the restarted instance did not come back on its port in time. The fleet's ports were ephemeral ones (the highest of 50 was 60469), which the kernel gives to outgoing connections while their process is down; a listener then fails with 'address in use', as a new test shows. TIME_WAIT is not the cause: a listener binds beside it. The ports now lie below the ephemeral ones.

--- /dev/null
+++ b/tests/test_fleet_ports.py
@@ -0,0 +1,32 @@
+"""Ports of the processes that a fleet starts, and starts again."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+import trio
+
+from ashpond.listener import Listener
+from tests.listeners import LIMITS, echo
+from tools.fleet import find_ports
+
+FIRST_EPHEMERAL_PORT = 32_768
+
+
+async def test_an_instance_whose_port_an_outgoing_connection_has_fails_at_once():
+    """It does not run on without listening."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as server,
+        socket.create_connection(server.getsockname()) as outgoing,
+    ):
+        host, port = outgoing.getsockname()
+        listener = Listener({f"{host}:{port}": echo}, lambda: LIMITS)
+        with trio.fail_after(5), pytest.raises(OSError, match="in use"):
+            await listener.run(trio.sleep_forever, 1.0)
+
+
+def test_no_outgoing_connection_takes_the_port_of_a_restarted_process():
+    ports = find_ports(50)
+    assert len(set(ports)) == 50
+    assert max(ports) < FIRST_EPHEMERAL_PORT
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +24,9 @@
 EXAMPLES = Path(__file__).parent.parent / "examples" / "khangai"
 ADMIN_TOKEN = "fleet-admin-token-0001"
 PEER_SECRET = "fleet-peer-secret-0001"
+# Below the ephemeral ports (32768 and up): an outgoing connection of any process could
+# take the port of one that is being restarted.
+LISTENING_PORTS = range(4_096, 10_240)
 START_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.05
@@ -61,12 +65,20 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return ``count`` distinct free ports of the loopback address."""
+    """Return ``count`` distinct free ports of the loopback address.
+
+    :raises RuntimeError: if there are not so many.
+    """
+    found: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
+        for port in random.sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+            if len(found) == count:
+                return found
+            sock = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", port))
+                found.append(port)
+    raise RuntimeError(f"no {count} free ports")
 
 
 class Fleet:
