Let others look for servers when several callers leave at once

What callers would see: calls that wait at an instance without a coordinator are not sent to a server that is free, until the next call comes or ends, or their deadline (503), once others have closed their connections together. Cause: one waiting request repeats the search for all. When it leaves it wakes another; if that one left in the same turn of the event loop, it had not taken the search over and passed nothing on. Why it works: whoever leaves passes the search on, unless another one that waits has it.

The scripted instance of the tests may answer several calls.

--- a/ashpond/gateway/reservations.py
+++ b/ashpond/gateway/reservations.py
@@ -182,8 +182,11 @@
                 self._recheck()
 
     def _pass_search_on(self, waiter: _Waiter) -> None:
-        """Let another one repeat the search, if this one has."""
-        if self._searcher is not waiter:
+        """Let another one repeat the search, unless one that waits does.
+
+        The one that was woken for it may leave before it runs, and passes it on then.
+        """
+        if self._searcher is not None and self._searcher is not waiter:
             return
         self._searcher = None
         successor = next(iter(self._waiters.values()), None)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -183,22 +183,36 @@
     log: DecisionLog
 
 
-async def run_call(
+class ScriptedInstance(NamedTuple):
+    """An instance whose servers follow a script."""
+
+    context: DispatchContext
+    pool: ScriptedPool
+    table: ServerTable
+    log: DecisionLog
+
+    async def answer(self, reply: RecordedReply, **call_changes: Any) -> None:
+        """Answer one call."""
+        now, knowledge = trio.current_time(), self.context.knowledge
+        call = make_call(received_at=now, **call_changes)
+        accepted = admit_call(call, knowledge, 5.0, now)
+        await Dispatcher(self.context).dispatch(call, accepted, reply)
+
+
+def make_instance(
     *script: Answer | ChannelError,
     route: Route | None = None,
     table: ServerTable | None = None,
     prepare: Callable[[ServerTable, Knowledge], None] | None = None,
     slack: float = 100.0,
-    pools: list[ScriptedPool] | None = None,
-    reply: RecordedReply | None = None,
     quarantine: Quarantine | None = None,
     reservations: Reservations | None = None,
     is_version_certain: Callable[[ServerState], bool] = is_row_certain,
     times: ServiceTimes | None = None,
     watch: LoopWatch | None = None,
     budget: ServiceBudget | None = None,
-    **call_changes: Any,
-) -> CallResult:
+) -> ScriptedInstance:
+    """Return an instance with one route and three servers, or those of ``table``."""
     declaration: Declaration = make_declaration(route or make_route())
     if table is None:
         table = make_table(make_server("a"), make_server("b"), make_server("c"))
@@ -209,8 +223,6 @@
     if prepare:
         prepare(table, knowledge)
     pool = ScriptedPool(list(script))
-    if pools is not None:
-        pools.append(pool)
     log = DecisionLog("test")
     own_budget = budget or make_lone_budget(0.0, slack, 10.0)
     context = DispatchContext(
@@ -239,12 +251,46 @@
         is_version_certain=is_version_certain,
         move_on_after=watch.move_on_after if watch else trio.move_on_after,
     )
-    call = make_call(received_at=now, **call_changes)
-    accepted = admit_call(call, knowledge, 5.0, now)
+    return ScriptedInstance(context, pool, table, log)
+
+
+async def run_call(
+    *script: Answer | ChannelError,
+    route: Route | None = None,
+    table: ServerTable | None = None,
+    prepare: Callable[[ServerTable, Knowledge], None] | None = None,
+    slack: float = 100.0,
+    pools: list[ScriptedPool] | None = None,
+    reply: RecordedReply | None = None,
+    quarantine: Quarantine | None = None,
+    reservations: Reservations | None = None,
+    is_version_certain: Callable[[ServerState], bool] = is_row_certain,
+    times: ServiceTimes | None = None,
+    watch: LoopWatch | None = None,
+    budget: ServiceBudget | None = None,
+    **call_changes: Any,
+) -> CallResult:
+    """Run one call at an instance of its own."""
+    instance = make_instance(
+        *script,
+        route=route,
+        table=table,
+        prepare=prepare,
+        slack=slack,
+        quarantine=quarantine,
+        reservations=reservations,
+        is_version_certain=is_version_certain,
+        times=times,
+        watch=watch,
+        budget=budget,
+    )
+    if pools is not None:
+        pools.append(instance.pool)
     reply = reply or RecordedReply()
-    await Dispatcher(context).dispatch(call, accepted, reply)
-    assert all(state.load == Load() for state in table.by_id.values())
-    return CallResult(pool, reply, table, log)
+    await instance.answer(reply, **call_changes)
+    states = instance.table.by_id.values()
+    assert all(state.load == Load() for state in states)
+    return CallResult(instance.pool, reply, instance.table, instance.log)
 
 
 NON_IDEMPOTENT = make_route(kind=RouteKind.NON_IDEMPOTENT, max_attempts=1)
