--- a/ashpond/gateway/dispatch.py
+++ b/ashpond/gateway/dispatch.py
@@ -11,10 +11,7 @@
 from ashpond.decisions.placementterms import PlacementRefusal
 from ashpond.decisions.quarantine import QuarantineState
 from ashpond.decisions.streamorigins import UnknownReason
-from ashpond.decisions.timeleft import (
-    MIN_ATTEMPT_SECONDS,
-    choose_retry_after,
-)
+from ashpond.decisions.timeleft import MIN_ATTEMPT_SECONDS, choose_retry_after
 from ashpond.gateway.admission import AcceptedCall
 from ashpond.gateway.attempts import Attempt
 from ashpond.gateway.callprogress import (
@@ -135,9 +132,8 @@
     async def _take_retry_allowance(self, outcome: AttemptOutcome) -> bool:
         """Take a retry from the budget and the allowance; return whether both had it.
 
-        A request that may have run uses its team's allowance again. One that a server
-        rejected without running it keeps what was taken for it. One that was not sent
-        keeps its right to arrive at a server as well.
+        A request that may have run uses its team's allowance again; one that a server
+        rejected keeps it. One that was not sent keeps its right to arrive as well.
         """
         if isinstance(outcome, AttemptNotRun) and not outcome.is_rejected:
             return True
