Let the tests' servers answer reads of an engine's state

An instance that seems cut off now asks an engine for its report. The stand-ins of two worlds took that for a request: they failed without a request id, or would have counted an arrival. They answer 404, as servers without that call do.

--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -20,7 +20,7 @@
 from tests.servers import make_answer, read_request
 from tests.soak.instances import Instance
 from tests.soak.resets import reset
-from tests.soak.servers import parse_headers
+from tests.soak.servers import CONTROL_PREFIX, parse_headers
 from tests.test_platform_store import answer_call
 
 # How long the deadly request runs until its server crashes, and how long the server is
@@ -198,7 +198,10 @@
         server_nursery: trio.Nursery,
     ) -> None:
         body = request.partition(b"\r\n\r\n")[2]
-        _, _, headers = parse_headers(request)
+        _, target, headers = parse_headers(request)
+        if target.startswith(CONTROL_PREFIX):
+            await stream.send_all(make_answer(b"", status=404))
+            return
         arrival = Arrival(time.monotonic(), server_id, body)
         self.arrivals.append(arrival)
         parts = list_parts(headers)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -19,6 +19,9 @@
 if TYPE_CHECKING:
     from tests.soak.directives import LimitPeriod
 
+# The paths of calls to an engine itself, such as a read of its state. These servers
+# answer none.
+CONTROL_PREFIX = "/api/"
 EVENTS = 6
 EVENT_SECONDS = 0.03
 PLAIN_SECONDS = 0.02
@@ -128,6 +131,9 @@
 
     async def _answer(self, stream: trio.SocketStream, request: bytes) -> None:
         method, target, headers = parse_headers(request)
+        if target.startswith(CONTROL_PREFIX):
+            await stream.send_all(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+            return
         request_id = headers.get("x-request-id", "")
         expected = headers.get("x-expect-instance")
         if expected is not None and expected != self.server_id:
