--- a/tests/test_version_rows.py
+++ b/tests/test_version_rows.py
@@ -309,7 +309,7 @@
 async def test_a_row_confirms_the_only_version_as_of_now(
     autojump_clock: object, nursery: trio.Nursery
 ) -> None:
-    """Guards against a version that an instance has not heard of yet."""
+    """Guards against a version that an instance does not know yet."""
     store = MemoryStore()
     one = await start(nursery, store, "v1")
     other = await start(nursery, store, "v1")
