--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -368,6 +368,7 @@
         loading, Answer(), route=STREAM, prompt=make_prompt(), prepare=adopt_target
     )
     state = result.table.by_id[result.pool.requests[0][0]]
+    assert state.loading_until - trio.current_time() > 0.3
     assert not state.is_usable(trio.current_time() + 0.3)
 
 
