Log what shows that a request has not run, and on which connection that came

not_run_there now has the proof, the number of the connection, the requests sent on it, whether one of them had the same id, whether the answer has an id, and how many answers to other requests were skipped; ashpond_gateway_rejections counts refusals by proof. No decision changes.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -11,10 +11,12 @@
 __all__ = [
     "Channel",
     "ChannelError",
+    "Correlation",
     "OutgoingRequest",
     "Response",
 ]
 
+import itertools
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -40,6 +42,7 @@
 IDLE_LIMIT_SHARE = 0.7
 DEFAULT_IDLE_SECONDS = 4.0
 MAX_STALE_ANSWERS = 3
+_connection_numbers = itertools.count(1)
 
 
 class ChannelError(AshpondError):
@@ -79,16 +82,38 @@
     id_header: bytes = b""
 
 
+class Correlation(NamedTuple):
+    """What tells a response to a request from one to an earlier request.
+
+    ``connection`` identifies the connection in this process; ``requests`` were sent on
+    it. ``is_repeated`` is whether one of the earlier ones had the same id and was
+    answered without success. ``has_id`` is whether the response names an id.
+    ``skipped`` responses to other requests were discarded before it.
+    """
+
+    connection: int = 0
+    requests: int = 1
+    is_repeated: bool = False
+    has_id: bool = True
+    skipped: int = 0
+
+
 class Response:
     """A response whose head has arrived; its body is read piece by piece."""
 
     def __init__(
-        self, channel: Channel, status: int, headers: Headers, framing: Framing
+        self,
+        channel: Channel,
+        status: int,
+        headers: Headers,
+        framing: Framing,
+        correlation: Correlation,
     ):
         self.channel = channel
         self.status = status
         self.headers = headers
         self.framing = framing
+        self.correlation = correlation
 
     async def read(self) -> bytes:
         """Return the next piece of the body, empty at its complete end.
@@ -121,6 +146,9 @@
 class Channel:
     """One HTTP/1.1 connection to a backend server.
 
+    ``number`` identifies it in this process. ``requests`` is how many requests have
+    been sent on it, the current one included.
+
     :param relay: the name of the instance through which it leads, empty if none.
     """
 
@@ -133,6 +161,9 @@
         self.transport = transport
         self.relay = relay
         self.opened_at = clock()
+        self.number = next(_connection_numbers)
+        self.requests = 0
+        self._unserved_ids: set[str] = set()
         self._clock = clock
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
         self._has_sent_bytes = False
@@ -150,6 +181,7 @@
         self._has_sent_bytes = False
         self._is_request_sent = False
         self._read_at = self._clock()
+        self.requests += 1
         self.limits = ReadLimits()
         head = h11.Request(
             method=request.method, target=request.target, headers=request.headers
@@ -204,7 +236,7 @@
             raise ChannelError(f"sending failed: {error!r}", is_sent=True) from error
 
     async def _read_head(self, request: OutgoingRequest) -> Response:
-        for _ in range(MAX_STALE_ANSWERS):
+        for skipped in range(MAX_STALE_ANSWERS):
             event = await self._next_event(shield_ready_data=True)
             while isinstance(event, h11.InformationalResponse):
                 event = await self._next_event(shield_ready_data=True)
@@ -215,10 +247,26 @@
                 self._read_idle_limit(headers)
                 status = event.status_code
                 framing = find_framing(request.method, status, headers)
-                return Response(self, status, headers, framing)
+                correlation = self._note_response(request, status, headers, skipped)
+                return Response(self, status, headers, framing, correlation)
             await self._skip_answer(request, event.status_code, headers)
         raise ChannelError("only answers to other requests came", is_sent=True)
 
+    def _note_response(
+        self, request: OutgoingRequest, status: int, headers: Headers, skipped: int
+    ) -> Correlation:
+        request_id = request.request_id
+        correlation = Correlation(
+            self.number,
+            self.requests,
+            request_id is not None and self.has_carried(request_id),
+            find_header(headers, request.id_header) is not None,
+            skipped,
+        )
+        if request_id is not None and not _is_success(status):
+            self._unserved_ids.add(request_id)
+        return correlation
+
     async def _skip_answer(
         self, request: OutgoingRequest, status: int, headers: Headers
     ) -> None:
@@ -300,6 +348,13 @@
         if seconds is not None:
             self._idle_seconds = seconds * IDLE_LIMIT_SHARE
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id was answered here without success.
+
+        Only the id tells a late copy of that response from the next one.
+        """
+        return request_id in self._unserved_ids
+
     def prepare_reuse(self) -> bool:
         """Reset the connection for another request; return whether that is possible."""
         if not self._is_request_sent or self._conn.trailing_data != (b"", False):
@@ -331,6 +386,10 @@
         self.transport.close()
 
 
+def _is_success(status: int) -> bool:
+    return 200 <= status < 300
+
+
 def _is_overdue() -> bool:
     """Return whether the deadline has passed, or the reader is cancelled otherwise."""
     return trio.current_effective_deadline() <= trio.current_time()
--- a/ashpond/emulator/connections.py
+++ b/ashpond/emulator/connections.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from ashpond.clients.channels import ChannelError, OutgoingRequest
+from ashpond.clients.channels import ChannelError, Correlation, OutgoingRequest
 from ashpond.clients.responseheads import Framing
 from ashpond.controllers.directory import BackendServer
 from ashpond.emulator.engines import EmulatedEngine, Run
@@ -94,6 +94,7 @@
         self.status = status
         self.headers = headers
         self.framing = Framing.CHUNKS
+        self.correlation = Correlation()
         self._run = run
         self._has_read_first = False
 
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -168,6 +168,8 @@
     )
     # Returns the version of a model without which a server gets no requests.
     find_required_version: FindVersion = lambda model, now: 0
+    # Counts an answer that refuses a request, by what shows that it has not run.
+    count_rejection: Callable[[str], None] = lambda proof: None
     # Limits a run, not counting stalls of this instance's event loop.
     move_on_after: Callable[[float], AbstractContextManager[trio.CancelScope]] = (
         trio.move_on_after
--- a/ashpond/gateway/metrics.py
+++ b/ashpond/gateway/metrics.py
@@ -36,6 +36,11 @@
             "Refusals by kind",
             registry=self.registry,
         )
+        self.rejections = Counter(
+            "ashpond_gateway_rejections",
+            "Refusals of servers, by what shows that the request has not run",
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "ashpond_gateway_seconds",
             "Time to the end of the answer, by kind of route",
@@ -139,6 +144,10 @@
             registry=self.registry,
         )
 
+    def count_rejection(self, proof: str) -> None:
+        """Count one refusal of a server."""
+        self.rejections.inc({"proof": str(proof)})
+
     def count_cut_call(self, cause: str) -> None:
         """Count one call that ended before its answer was complete."""
         self.cut_calls.inc({"cause": str(cause)})
--- a/ashpond/gateway/rejections.py
+++ b/ashpond/gateway/rejections.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-__all__ = ["read_rejection", "skip_body"]
+__all__ = ["PROMISES", "RejectionProof", "find_proof", "read_rejection", "skip_body"]
 
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import trio
@@ -20,11 +21,41 @@
     from ashpond.gateway.reservations import Reservation
 
 MISDIRECTED = 421
+# The statuses that promise a client that its request has not run and never will.
+PROMISES = frozenset({408, MISDIRECTED, 429, 503})
 # The body of a rejection is read up to these limits (bytes, seconds).
 MAX_REJECTION_BYTES = 1 << 16
 REJECTION_BODY_SECONDS = 0.1
 
 
+class RejectionProof(StrEnum):
+    """What shows that a server has not run a request that it answered.
+
+    ``STATED`` is the header that says so. The others are a status of 421 from another
+    server than the expected one, or from one with other weights than those asked for.
+    """
+
+    STATED = "stated"
+    OTHER_SERVER = "other_server"
+    OTHER_WEIGHTS = "other_weights"
+
+
+def find_proof(
+    status: int, answer_headers: AnswerHeaders, reservation: Reservation
+) -> RejectionProof | None:
+    """Return what shows that the server of a reservation has not run a request."""
+    if answer_headers.is_not_run:
+        return RejectionProof.STATED
+    if status != MISDIRECTED:
+        return None
+    if answer_headers.server_id not in (None, reservation.state.info.id):
+        return RejectionProof.OTHER_SERVER
+    version, asked = answer_headers.weights_version, reservation.weights_version
+    if None not in (version, asked) and version != asked:
+        return RejectionProof.OTHER_WEIGHTS
+    return None
+
+
 def read_rejection(
     context: DispatchContext,
     call: CallProgress,
@@ -36,6 +67,9 @@
 
     The server gets no new requests for a short time, according to the reason.
     """
+    proof = find_proof(response.status, answer_headers, reservation)
+    if proof or response.status in PROMISES:
+        context.count_rejection(proof or "none")
     if not answer_headers.is_not_run and response.status != MISDIRECTED:
         return None
     state = reservation.state
@@ -53,6 +87,8 @@
         status=response.status,
         weights=answer_headers.weights_version,
         asked=reservation.weights_version,
+        proof=proof,
+        **response.correlation._asdict(),
     )
     return AttemptNotRun(
         f"the server answered {response.status} without running it",
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -11,7 +11,7 @@
 import trio.testing
 
 from ashpond.clients.channelpools import ConnectResult
-from ashpond.clients.channels import ChannelError, OutgoingRequest
+from ashpond.clients.channels import ChannelError, Correlation, OutgoingRequest
 from ashpond.clients.responseheads import Framing
 from ashpond.controllers.allowancegrants import grant_unlimited
 from ashpond.controllers.budgets import ServiceBudget, make_lone_budget
@@ -69,6 +69,7 @@
         self.status = answer.status
         self.headers = [(b"x-engine-seal", b"seal"), *answer.headers]
         self.framing = answer.framing
+        self.correlation = Correlation()
         self._pieces = list(answer.pieces)
         self._error = answer.error
         self._body_seconds = answer.body_seconds
