Send no two attempts of a request on the same connection

Callers saw requests that must run once run twice, and some refused with 503 that ran (TWICE, REFUSED). All attempts of a request carry its one id, and a rejected request was often sent again on the connection that had brought the rejection. A late copy of that rejection, which the server may send, was then taken for the answer to the second attempt while the server ran it.

A connection now keeps the ids that it has carried without success, and gets no request with one of them; a copy can only meet another id, by which it is skipped. A connection with more than 64 such ids is not reused.

--- a/ashpond/clients/channelpools.py
+++ b/ashpond/clients/channelpools.py
@@ -47,20 +47,31 @@
         # Size of the buffers of each new connection's socket; 0: the kernel's choice.
         self.buffer_bytes = 0
 
-    async def acquire(self, owner: str, address: str) -> Channel:
+    async def acquire(
+        self, owner: str, address: str, request_id: str | None = None
+    ) -> Channel:
         """Return an idle or a new connection to ``address``.
 
         :param owner: key of the server. An address may later be assigned to another
             server, which must not get the connections of the former one.
+        :param request_id: as for :meth:`take_idle`.
         :raises ChannelError: if connecting fails; nothing was sent.
         """
-        return self.take_idle(owner) or await self.connect(address)
+        return self.take_idle(owner, request_id) or await self.connect(address)
+
+    def take_idle(self, owner: str, request_id: str | None = None) -> Channel | None:
+        """Return an idle connection to a server, None if there is none.
 
-    def take_idle(self, owner: str) -> Channel | None:
-        """Return an idle connection to a server, None if there is none."""
+        :param request_id: the id of the request to send, None if it has none. The
+            attempts of a request need connections of their own: a late copy of the
+            answer to one looks like that to the next.
+        """
         idle = self._idle.get(owner, [])
-        while idle:
-            channel = idle.pop()
+        for index in reversed(range(len(idle))):
+            channel = idle[index]
+            if request_id is not None and channel.has_carried(request_id):
+                continue
+            del idle[index]
             if channel.is_usable(self._clock()):
                 return channel
             channel.close()
--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -42,6 +42,9 @@
 IDLE_LIMIT_SHARE = 0.7
 DEFAULT_IDLE_SECONDS = 4.0
 MAX_STALE_ANSWERS = 3
+# A connection that has carried more requests without success is not reused, which
+# bounds the ids that it keeps.
+MAX_UNSERVED_IDS = 64
 _connection_numbers = itertools.count(1)
 
 
@@ -357,6 +360,8 @@
 
     def prepare_reuse(self) -> bool:
         """Reset the connection for another request; return whether that is possible."""
+        if len(self._unserved_ids) > MAX_UNSERVED_IDS:
+            return False
         if not self._is_request_sent or self._conn.trailing_data != (b"", False):
             return False
         if self._conn.our_state is not h11.DONE:
--- a/ashpond/controllers/detours.py
+++ b/ashpond/controllers/detours.py
@@ -113,11 +113,17 @@
                     await trio.sleep(PROBE_SECONDS * self._rng.uniform(0.7, 1.3))
 
     async def acquire(
-        self, owner: str, address: str, *, is_repeatable: bool
+        self,
+        owner: str,
+        address: str,
+        *,
+        is_repeatable: bool,
+        request_id: str | None = None,
     ) -> Channel:
         """Return an idle or a new connection to a server, if need be through a peer.
 
         :param is_repeatable: whether the call may run again if this attempt fails.
+        :param request_id: as for :meth:`ChannelPool.take_idle`.
         :raises ChannelError: if there is none; nothing was sent.
         """
         now = trio.current_time()
@@ -125,11 +131,11 @@
             if self.contact.begin_trial(now, is_repeatable=is_repeatable):
                 return await self._try_directly(owner, address)
             return await self._acquire_while_cut_off(
-                owner, address, is_repeatable=is_repeatable
+                owner, address, request_id, is_repeatable=is_repeatable
             )
-        channel = self._pool.take_idle(owner)
+        channel = self._pool.take_idle(owner, request_id)
         if channel is None and now < self._detoured_until.get(owner, 0.0):
-            channel = await self._acquire_tunnel(owner)
+            channel = await self._acquire_tunnel(owner, request_id)
         return channel or await self._connect(owner, address)
 
     async def _try_directly(self, owner: str, address: str) -> Channel:
@@ -142,9 +148,9 @@
                 self.contact.end_trial()
 
     async def _acquire_while_cut_off(
-        self, owner: str, address: str, *, is_repeatable: bool
+        self, owner: str, address: str, request_id: str | None, *, is_repeatable: bool
     ) -> Channel:
-        channel = await self._acquire_tunnel(owner)
+        channel = await self._acquire_tunnel(owner, request_id)
         if channel is not None:
             return channel
         if self._fails_fast or not self._relays.has_peers():
@@ -157,10 +163,13 @@
         reason = "this instance is cut off, and no peer relays"
         raise ChannelError(reason, is_sent=False, is_own_fault=True)
 
-    async def _acquire_tunnel(self, owner: str) -> Channel | None:
+    async def _acquire_tunnel(
+        self, owner: str, request_id: str | None
+    ) -> Channel | None:
         key = owner + TUNNEL_OWNER
-        idle = self._pool.take_idle(key)
-        if key in self._idle_tunnels:
+        idle = self._pool.take_idle(key, request_id)
+        is_kept = idle is None and self._pool.count_idle(key) > 0
+        if key in self._idle_tunnels and not is_kept:
             self._idle_tunnels.remove(key)
         return idle or (await self._open_tunnel(owner)).channel
 
--- a/ashpond/emulator/connections.py
+++ b/ashpond/emulator/connections.py
@@ -192,7 +192,12 @@
         self.by_address = {make_address(name): e for name, e in engines.items()}
 
     async def acquire(  # type: ignore[override]
-        self, owner: str, address: str, *, is_repeatable: bool = False
+        self,
+        owner: str,
+        address: str,
+        *,
+        is_repeatable: bool = False,
+        request_id: str | None = None,
     ) -> EmulatedChannel:
         """Return a connection to the engine at an address.
 
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -104,6 +104,7 @@
                     state.owner,
                     state.info.address,
                     is_repeatable=self.call.is_repeatable,
+                    request_id=self.call.request.envelope.request_id,
                 )
                 state.note_busy(channel.opened_at)
                 obstacle = self._find_obstacle(state)
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -106,10 +106,17 @@
     """The connections for calls; the methods that only record do nothing here."""
 
     async def acquire(
-        self, owner: str, address: str, *, is_repeatable: bool
+        self,
+        owner: str,
+        address: str,
+        *,
+        is_repeatable: bool,
+        request_id: str | None = None,
     ) -> Channel:
         """Return an idle or a new connection to a server.
 
+        :param request_id: the id of the request, which no two attempts carry on the
+            same connection.
         :raises ChannelError: if there is none; nothing was sent.
         """
 
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -84,7 +84,12 @@
         self._fleet = fleet
 
     async def acquire(  # type: ignore[override]
-        self, owner: str, address: str, *, is_repeatable: bool = False
+        self,
+        owner: str,
+        address: str,
+        *,
+        is_repeatable: bool = False,
+        request_id: str | None = None,
     ) -> FleetChannel:
         await trio.sleep(0.001)
         server = self._fleet.servers.get(owner.partition(" ")[0])
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -101,7 +101,12 @@
         self.closed = 0
 
     async def acquire(  # type: ignore[override]
-        self, owner: str, address: str, *, is_repeatable: bool = False
+        self,
+        owner: str,
+        address: str,
+        *,
+        is_repeatable: bool = False,
+        request_id: str | None = None,
     ) -> ScriptedChannel:
         if self.script and self.script[0] is UNREACHABLE:
             self.script.pop(0)
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -150,6 +150,38 @@
         assert await fetch(pool, address, make_request()) == b"2"
 
 
+async def test_rejected_request_is_not_sent_again_on_its_connection() -> None:
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        while await read_request(stream):
+            await stream.send_all(make_answer(str(number).encode(), status=503))
+
+    async with run_server(script) as address:
+        pool = ChannelPool()
+        first = await pool.acquire("s1", address, "id-1")
+        await (await first.exchange(make_request())).read_all(100)
+        pool.release("s1", first)
+        second = await pool.acquire("s1", address, "id-1")
+        assert second is not first
+        assert await pool.acquire("s1", address, "id-2") is first
+        first.close()
+        second.close()
+
+
+async def test_connection_with_many_rejections_is_not_kept() -> None:
+    sent = 0
+
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        while await read_request(stream):
+            await stream.send_all(make_answer(b"", f"id-{sent}", 503))
+
+    async with run_server(script) as address:
+        pool = ChannelPool()
+        while pool.opened < 2:
+            sent += 1
+            await fetch(pool, address, make_request(request_id=f"id-{sent}"))
+    assert sent == channels.MAX_UNSERVED_IDS + 2
+
+
 class PooledConnection:
     """A connection of a pool; the test holds the server's end as a plain socket."""
 
