--- a/tests/detour_fleet.py
+++ b/tests/detour_fleet.py
@@ -80,7 +80,7 @@
         transport: Any = DirectTransport()
         return Channel(transport)
 
-    def take_idle(self, owner: str) -> Channel | None:
+    def take_idle(self, owner: str, request_id: str | None = None) -> Channel | None:
         idle = self._idle.get(owner, [])
         while idle:
             channel = idle.pop()
@@ -91,6 +91,9 @@
     def release(self, owner: str, channel: Channel) -> None:
         self._idle.setdefault(owner, []).append(channel)
 
+    def count_idle(self, owner: str) -> int:
+        return len(self._idle.get(owner, ()))
+
     def close_idle(self, owner: str) -> None:
         for channel in self._idle.pop(owner, []):
             channel.close()
