Take an answer without an id for no answer to a request on a used connection

Callers saw requests run twice, refused ones run, and clients got the answers to other requests. An answer that names no id was taken for that to the current request, although it may be a late one to an earlier request of the connection.

Servers name the id in their answers. One without it now counts only on a new connection, on which no other request has been sent, and that connection is not used again; on a used one it is discarded like an answer with another id.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -167,6 +167,8 @@
         self.number = next(_connection_numbers)
         self.requests = 0
         self._unserved_ids: set[str] = set()
+        # Whether the last response named the id of its request.
+        self._tells_responses_apart = True
         self._clock = clock
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
         self._has_sent_bytes = False
@@ -246,7 +248,7 @@
             if not isinstance(event, h11.Response):
                 raise ChannelError("no answer came", is_sent=True)
             headers = [(bytes(name), bytes(value)) for name, value in event.headers]
-            if _matches_request(headers, request):
+            if self._matches_request(headers, request):
                 self._read_idle_limit(headers)
                 status = event.status_code
                 framing = find_framing(request.method, status, headers)
@@ -255,6 +257,15 @@
             await self._skip_answer(request, event.status_code, headers)
         raise ChannelError("only answers to other requests came", is_sent=True)
 
+    def _matches_request(self, headers: Headers, request: OutgoingRequest) -> bool:
+        if request.request_id is None:
+            return True
+        repeated = find_header(headers, request.id_header)
+        if repeated is None:
+            # Only on a new connection is it certainly no answer to an earlier request.
+            return self.requests == 1
+        return repeated.decode("latin-1") == request.request_id
+
     def _note_response(
         self, request: OutgoingRequest, status: int, headers: Headers, skipped: int
     ) -> Correlation:
@@ -268,6 +279,7 @@
         )
         if request_id is not None and not _is_success(status):
             self._unserved_ids.add(request_id)
+        self._tells_responses_apart = request_id is None or correlation.has_id
         return correlation
 
     async def _skip_answer(
@@ -360,6 +372,8 @@
 
     def prepare_reuse(self) -> bool:
         """Reset the connection for another request; return whether that is possible."""
+        if not self._tells_responses_apart:
+            return False
         if len(self._unserved_ids) > MAX_UNSERVED_IDS:
             return False
         if not self._is_request_sent or self._conn.trailing_data != (b"", False):
@@ -398,10 +412,3 @@
 def _is_overdue() -> bool:
     """Return whether the deadline has passed, or the reader is cancelled otherwise."""
     return trio.current_effective_deadline() <= trio.current_time()
-
-
-def _matches_request(headers: Headers, request: OutgoingRequest) -> bool:
-    repeated = find_header(headers, request.id_header)
-    if request.request_id is None or repeated is None:
-        return True
-    return repeated.decode("latin-1") == request.request_id
