Take a 421 for a rejection only if something in it shows that nothing ran

Callers saw requests run twice, and some refused with 503 that ran. Any answer with status 421 was taken for a rejection, and the request was sent again. Only the header that says so, another server's id or other weights than those asked for show that the request has not run; a 421 of the expected server without them shows nothing.

Three forms of such a 421 in test_gateway_dispatch were sent again before.

What a 421 says of the server is noted as before. A success that claims not to have run is a success. The tests' servers and the emulated engines now state their rejections, and name the request, as the servers that they stand for do.

--- a/ashpond/emulator/connections.py
+++ b/ashpond/emulator/connections.py
@@ -149,7 +149,7 @@
         if self.engine.ordered_version is not None or is_rejecting:
             return EmulatedResponse(503, [*NOT_RUN, *statement_headers], None)
         if instructions.weights_version != self.engine.version:
-            return EmulatedResponse(421, statement_headers, None)
+            return EmulatedResponse(421, [*NOT_RUN, *statement_headers], None)
         urgency = instructions.urgency
         earlier_runs = self.pool.records.runs.setdefault(request.request_id, [])
         run = Run(
--- a/ashpond/gateway/rejections.py
+++ b/ashpond/gateway/rejections.py
@@ -20,6 +20,7 @@
     from ashpond.gateway.calls import AnswerHeaders
     from ashpond.gateway.reservations import Reservation
 
+CLIENT_ERROR = 400
 MISDIRECTED = 421
 # The statuses that promise a client that its request has not run and never will.
 PROMISES = frozenset({408, MISDIRECTED, 429, 503})
@@ -44,7 +45,7 @@
     status: int, answer_headers: AnswerHeaders, reservation: Reservation
 ) -> RejectionProof | None:
     """Return what shows that the server of a reservation has not run a request."""
-    if answer_headers.is_not_run:
+    if answer_headers.is_not_run and status >= CLIENT_ERROR:
         return RejectionProof.STATED
     if status != MISDIRECTED:
         return None
@@ -63,27 +64,22 @@
     response: Response,
     answer_headers: AnswerHeaders,
 ) -> AttemptNotRun | None:
-    """Return the outcome if an answer says that the request has not run.
+    """Return the outcome if an answer shows that the request has not run.
 
     The server gets no new requests for a short time, according to the reason.
     """
     proof = find_proof(response.status, answer_headers, reservation)
     if proof or response.status in PROMISES:
         context.count_rejection(proof or "none")
-    if not answer_headers.is_not_run and response.status != MISDIRECTED:
-        return None
-    state = reservation.state
-    now = trio.current_time()
-    model = call.demand.model or ""
     if response.status == MISDIRECTED:
-        _handle_misdirected(context, reservation, answer_headers, model, now)
-    elif state.weights.get(model, 0) < context.knowledge.targets.get(model, 0):
-        state.note_loading(now)
-    else:
-        state.note_full(now)
+        _handle_misdirected(context, call, reservation, answer_headers)
+    if proof is None:
+        return None
+    if response.status != MISDIRECTED:
+        _exclude_briefly(context, call, reservation)
     call.note(
         "not_run_there",
-        server=state.info.id,
+        server=reservation.state.info.id,
         status=response.status,
         weights=answer_headers.weights_version,
         asked=reservation.weights_version,
@@ -96,12 +92,24 @@
     )
 
 
+def _exclude_briefly(
+    context: DispatchContext, call: CallProgress, reservation: Reservation
+) -> None:
+    """Record that a server is loading weights, or is full."""
+    state = reservation.state
+    model = call.demand.model or ""
+    now = trio.current_time()
+    if state.weights.get(model, 0) < context.knowledge.targets.get(model, 0):
+        state.note_loading(now)
+    else:
+        state.note_full(now)
+
+
 def _handle_misdirected(
     context: DispatchContext,
+    call: CallProgress,
     reservation: Reservation,
     answer_headers: AnswerHeaders,
-    model: str,
-    now: float,
 ) -> None:
     """Record that the address has another server, or the server other weights.
 
@@ -109,6 +117,7 @@
     version and the update that reports it has not arrived yet.
     """
     state = reservation.state
+    model = call.demand.model or ""
     target = context.knowledge.targets.get(model, 0)
     asked_version = reservation.weights_version or 0
     if answer_headers.server_id not in (None, state.info.id):
@@ -121,7 +130,7 @@
     else:
         # The target is wrong too: go back to the entry's version, after a pause.
         state.weights[model] = state.info.weights.get(model, 0)
-        state.exclude_for(LOADING_PAUSE_SECONDS, now)
+        state.exclude_for(LOADING_PAUSE_SECONDS, trio.current_time())
 
 
 async def skip_body(call: CallProgress, server_id: str, response: Response) -> None:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -137,7 +137,8 @@
         request_id = headers.get("x-request-id", "")
         expected = headers.get("x-expect-instance")
         if expected is not None and expected != self.server_id:
-            head = f"HTTP/1.1 421 X\r\nX-Instance-Id: {self.server_id}\r\n"
+            head = f"HTTP/1.1 421 X\r\nX-Request-Id: {request_id}\r\n"
+            head += f"X-Instance-Id: {self.server_id}\r\n"
             await stream.send_all((head + "Content-Length: 0\r\n\r\n").encode())
             return
         now = trio.current_time()
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -339,6 +339,32 @@
     assert result.reply.status == 200
 
 
+UNPROVEN = [
+    Answer(421),
+    Answer(421, headers=((b"x-instance-id", b"a"),)),
+    Answer(421, headers=((b"x-weight-versions", b"1"),)),
+]
+
+
+@pytest.mark.parametrize("answer", UNPROVEN)
+async def test_misdirected_request_that_may_have_run_is_not_sent_again(
+    answer: Answer, autojump_clock: object
+) -> None:
+    table = make_table(make_server("a"))
+    result = await run_call(
+        answer, Answer(), route=STREAM, prompt=make_prompt(), table=table
+    )
+    assert len(result.pool.requests) == 1
+
+
+async def test_success_that_claims_not_to_have_run_is_not_sent_again(
+    autojump_clock: object,
+) -> None:
+    result = await run_call(Answer(headers=NOT_RUN), Answer(), route=NON_IDEMPOTENT)
+    assert len(result.pool.requests) == 1
+    assert result.reply.status == 200
+
+
 async def test_a_request_with_a_prompt_sends_salt_and_weights_version(
     autojump_clock: object,
 ) -> None:
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -14,6 +14,7 @@
 from tests.crashingservers import World, make_configuration
 from tests.ports import find_free_port
 from tests.row_builders import ROUTE, SERVER
+from tests.servers import make_answer
 from tests.soak.resets import reset
 from tests.soak.servers import parse_headers
 from tests.streamclients import (
@@ -135,7 +136,9 @@
             await super()._answer(server_id, stream, request, server_nursery)
             return
         if headers.get("x-expect-instance") != server_id:
-            await stream.send_all(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+            request_id = headers["x-request-id"]
+            rejection = make_answer(b"", request_id, 421, "X-Not-Executed: 1\r\n")
+            await stream.send_all(rejection)
             return
         body = request.partition(b"\r\n\r\n")[2]
         head = f"HTTP/1.1 200 X\r\nX-Request-Id: {headers['x-request-id']}\r\n"
