Pass no status of a server on as a promise that the server has not given

Callers got 408, 421, 429 or 503 for requests that had run (REFUSED): these statuses promise that a request has not run and never will, and a server's status was forwarded whether or not it had said so.

An answer with one of these statuses and no proof now counts as a failed attempt: a request that may run again is retried, also after 408 and 429, any other gets 502, which promises nothing.

--- a/ashpond/gateway/dispatch.py
+++ b/ashpond/gateway/dispatch.py
@@ -27,7 +27,7 @@
 from ashpond.gateway.replies import send_refusal
 from ashpond.gateway.reservations import Reservation
 from ashpond.gateway.triedservers import TriedServers
-from ashpond.gateway.wholeanswers import forward_answer
+from ashpond.gateway.wholeanswers import find_obstacle, forward_answer
 from ashpond.outcomes import Refusal, RunState
 
 # How long a request that may crash servers waits for another attempt of it to end: if
@@ -163,11 +163,11 @@
             if isinstance(outcome, Delivered):
                 return
             if isinstance(outcome, Answer):
-                if self.call.is_started:
-                    # A server answered the resumption of a stream with an error.
-                    outcome = AttemptFailed(f"status {outcome.status} on resumption")
-                else:
+                obstacle = find_obstacle(self.call, outcome)
+                if obstacle is None:
                     self.last_answer = outcome
+                else:
+                    outcome = AttemptFailed(obstacle)
             if not self._may_retry(outcome, reservation):
                 await self._finish(outcome)
                 return
--- a/ashpond/gateway/wholeanswers.py
+++ b/ashpond/gateway/wholeanswers.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-__all__ = ["forward_answer"]
+__all__ = ["find_obstacle", "forward_answer"]
 
 from typing import TYPE_CHECKING
 
 from ashpond.clients.responseheads import Framing
+from ashpond.gateway.rejections import PROMISES
 from ashpond.gateway.replies import drop_connection_headers
 
 if TYPE_CHECKING:
@@ -15,6 +16,19 @@
 BODYLESS_STATUSES = (204, 304)
 
 
+def find_obstacle(call: CallProgress, answer: Answer) -> str | None:
+    """Return why an answer cannot be the client's, None if it can.
+
+    A client that gets one of the statuses that promise that its request has not run
+    sends it again; the server that answered has promised nothing.
+    """
+    if call.is_started:
+        return f"status {answer.status} on resumption"
+    if answer.status in PROMISES:
+        return f"the server answered {answer.status}, but may have run the request"
+    return None
+
+
 async def forward_answer(call: CallProgress, answer: Answer) -> None:
     """Complete the client's answer with that of a server."""
     headers = drop_connection_headers(answer.headers)
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -357,6 +357,26 @@
     assert len(result.pool.requests) == 1
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+async def test_unproven_refusal_of_a_request_that_may_run_again_is_retried(
+    status: int, autojump_clock: object
+) -> None:
+    result = await run_call(Answer(status), Answer())
+    assert len(result.pool.requests) == 2
+    assert result.reply.status == 200
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("route", [NON_IDEMPOTENT, STREAM])
+async def test_unproven_refusal_is_not_passed_on_as_a_promise(
+    route: Route, status: int, autojump_clock: object
+) -> None:
+    result = await run_call(Answer(status), Answer(), route=route)
+    assert len(result.pool.requests) == 1
+    assert result.reply.status == 502
+    assert result.reply.get(b"x-engine-seal") is None
+
+
 async def test_success_that_claims_not_to_have_run_is_not_sent_again(
     autojump_clock: object,
 ) -> None:
@@ -413,6 +433,10 @@
         [
             Answer(),
             Answer(500),
+            Answer(408),
+            Answer(421),
+            Answer(429),
+            Answer(503),
             Answer(503, headers=NOT_RUN),
             BROKEN,
             UNREACHABLE,
@@ -445,7 +469,7 @@
     if not (route.is_idempotent or route.is_resumable):
         assert len(ran) <= 1
     assert len(ran) <= max(1, route.max_attempts)
-    if reply.status == 503:
+    if reply.status in (408, 421, 429, 503):
         assert not ran, "a refusal that promises not to have run"
     if reply.status == 200 and reply.is_complete:
         assert ran[-1] == Answer()
@@ -458,7 +482,7 @@
 def _may_have_run(step: Answer | ChannelError) -> bool:
     if isinstance(step, ChannelError):
         return step.is_sent
-    return step.status != 421 and not step.headers
+    return not step.headers
 
 
 async def test_a_refusal_without_a_version_while_weights_change_implies_the_target(
