Take a server's refusal only for the attempt that it names, on the callers' API

A late refusal of an earlier request on a kept connection was taken for that of the current attempt, as X-Not-Run was read before the attempt's id was compared; the call was then reported as not_run although the server ran it. Only repeatable calls use kept connections there, so none ran twice that must not.

Evidence: test_dispatch, a refusal with another attempt's id and one without an id counted as not run on both kinds of calls before. A refusal now has to name the attempt. The stand-ins name it.

--- a/ashpond/clients/engine.py
+++ b/ashpond/clients/engine.py
@@ -19,6 +19,7 @@
     "read_body",
     "read_event_batches",
     "resume_stream",
+    "says_not_run",
     "send_order",
     "send_request",
 ]
@@ -47,6 +48,7 @@
 SERVER_ERROR = 500
 OK = 200
 FENCED_OUT = 412
+OTHER_ANSWER = "the answer belongs to another request"
 
 
 class EngineRequest(NamedTuple):
@@ -173,19 +175,31 @@
     except httpx.HTTPError as error:
         return MaybeRun(repr(error))
     status = response.status_code
-    if response.headers.get(NOT_RUN_HEADER) == "true":
+    echo = response.headers.get(ATTEMPT_HEADER)
+    if echo != attempt and (status == OK or echo is not None):
+        # This is the response to another request: close the connection.
+        await response.aclose()
+        return MaybeRun(OTHER_ANSWER)
+    if says_not_run(response, attempt):
         await response.aclose()
         return NotRun(f"refused with status {status}", backoff=read_backoff(response))
     if status >= SERVER_ERROR:
         await response.aclose()
         return MaybeRun(f"failed with status {status}", read_backoff(response))
-    if status == OK and response.headers.get(ATTEMPT_HEADER) != attempt:
-        # This is the response to another request: close the connection.
-        await response.aclose()
-        return MaybeRun("the answer belongs to another request")
     return Answered(_read_head(address, response))
 
 
+def says_not_run(response: httpx.Response, attempt: str) -> bool:
+    """Return whether a response says that this attempt has not run.
+
+    One that names no attempt may be a late response to an earlier request.
+    """
+    headers = response.headers
+    return (
+        headers.get(NOT_RUN_HEADER) == "true" and headers.get(ATTEMPT_HEADER) == attempt
+    )
+
+
 def _read_head(address: str, response: httpx.Response) -> EngineAnswer:
     headers = response.headers
     cached = headers.get("X-Cached-Tokens")
--- a/ashpond/clients/service.py
+++ b/ashpond/clients/service.py
@@ -9,7 +9,13 @@
 import httpx
 import orjson
 
-from ashpond.clients.engine import ATTEMPT_HEADER, NOT_RUN_HEADER, make_idle_timeout
+from ashpond.clients.engine import (
+    ATTEMPT_HEADER,
+    NOT_RUN_HEADER,
+    OTHER_ANSWER,
+    make_idle_timeout,
+    says_not_run,
+)
 from ashpond.clients.http import (
     NOT_SENT_ERRORS,
     ends_with_connection,
@@ -87,15 +93,15 @@
         return NotRun(f"not reached: {error!r}", unreached=True)
     except httpx.HTTPError as error:
         return MaybeRun(repr(error))
-    if response.headers.get(NOT_RUN_HEADER) == "true":
+    echo = response.headers.get(ATTEMPT_HEADER)
+    if echo not in (None, request.attempt):
+        return MaybeRun(OTHER_ANSWER)
+    if says_not_run(response, request.attempt):
         reason = f"refused with status {response.status_code}"
         return NotRun(reason, backoff=read_backoff(response))
     if response.status_code >= SERVER_ERROR:
         reason = f"failed with status {response.status_code}"
         return MaybeRun(reason, read_backoff(response))
-    echo = response.headers.get(ATTEMPT_HEADER)
-    if echo not in (None, request.attempt):
-        return MaybeRun("the answer belongs to another request")
     kept = keep_end_to_end(dict(response.headers))
     kept.pop("content-encoding", None)
     answer = PlainAnswer(
--- a/ashpond/standins/engine.py
+++ b/ashpond/standins/engine.py
@@ -118,13 +118,16 @@
         while model.faults.frozen and not request.path.startswith("/control/"):
             await trio.sleep(0.01)
 
+    def make_rejection() -> dict[str, str]:
+        return {**NOT_RUN, "X-Attempt-Id": request.headers.get("X-Attempt-Id", "")}
+
     async def accept(chat: bool) -> Response:
         payload = orjson.loads(await read_body())
         if model.faults.draining or model.role != "serve":
-            return answer({"error": "draining"}, 503, NOT_RUN)
+            return answer({"error": "draining"}, 503, make_rejection())
         wanted = request.headers.get("X-Weights-Version", model.weights)
         if wanted != model.weights or model.loading:
-            return answer({"error": "other weights"}, 409, NOT_RUN)
+            return answer({"error": "other weights"}, 409, make_rejection())
         prompt = render_chat(payload["messages"])[0] if chat else payload["prompt"]
         if model.faults.deadly_text and model.faults.deadly_text in prompt:
             os._exit(1)
@@ -267,7 +270,7 @@
     async def import_kv() -> Response:
         descriptor = orjson.loads(await read_body())
         if descriptor["weights"] != model.weights:
-            return answer({"error": "other weights"}, 409, NOT_RUN)
+            return answer({"error": "other weights"}, 409, make_rejection())
         model.import_blocks(descriptor["blocks"])
         return answer({})
 
--- a/ashpond/standins/service.py
+++ b/ashpond/standins/service.py
@@ -38,15 +38,15 @@
     @app.route("/<path:path>", methods=["GET", "POST", "PUT", "PATCH", "DELETE"])
     async def run(path: str) -> Response:
         body = await read_body()
+        echo = {"X-Attempt-Id": request.headers.get("X-Attempt-Id", "")}
         if faults.get("draining"):
-            return Response(b"{}", 503, {"X-Not-Run": "true"})
+            return Response(b"{}", 503, {"X-Not-Run": "true", **echo})
         name = request.headers.get("X-Call-Id", path)
         runs[name] = runs.get(name, 0) + 1
         await trio.sleep(work_seconds + faults["slow_seconds"])
         if faults["drop_answers"] > 0:
             faults["drop_answers"] -= 1
             await trio.sleep_forever()
-        echo = {"X-Attempt-Id": request.headers.get("X-Attempt-Id", "")}
         answer = {"path": path, "method": request.method, "runs": runs[name]}
         answer["received"] = len(body)
         return Response(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -73,10 +73,22 @@
     await stream.send_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
 
 
+REFUSAL = b"HTTP/1.1 503 No\r\nX-Not-Run: true\r\nContent-Length: 0\r\n"
+
+
 async def refuse_without_running(stream: trio.SocketStream) -> None:
     await read_request(stream)
-    head = b"HTTP/1.1 503 No\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
-    await stream.send_all(head)
+    await stream.send_all(REFUSAL + b"X-Attempt-Id: a1\r\n\r\n")
+
+
+async def refuse_another_attempt(stream: trio.SocketStream) -> None:
+    await read_request(stream)
+    await stream.send_all(REFUSAL + b"X-Attempt-Id: b2\r\n\r\n")
+
+
+async def refuse_without_an_id(stream: trio.SocketStream) -> None:
+    await read_request(stream)
+    await stream.send_all(REFUSAL + b"\r\n")
 
 
 CASES = [
@@ -87,6 +99,8 @@
     (answer_with_another_attempt_id, MaybeRun),
     (answer_500, MaybeRun),
     (refuse_without_running, NotRun),
+    (refuse_another_attempt, MaybeRun),
+    (refuse_without_an_id, MaybeRun),
     (answer, Answered),
 ]
 
@@ -324,7 +338,7 @@
 ) -> None:
     async def reject(stream: trio.SocketStream) -> None:
         await read_request(stream)
-        end = b"\r\nContent-Length: 0\r\n\r\n"
+        end = b"\r\nX-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n"
         await stream.send_all(b"HTTP/1.1 " + head + end)
 
     async with trio.open_nursery() as nursery, make_client(1, 1) as client:
