Discard a late answer also while a large body is being sent

A late answer to an earlier request that came before a body of more than 16 KiB had been sent failed the attempt, so that callers whose requests must run once got 502 although the server answered them. h11 has the whole request before the first byte is sent, so that it can expect another response at any time.

Evidence: test_channels, failed with "an answer to another request came".

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -295,11 +295,10 @@
             )
         while piece := await self.read_body():
             self.limits.add_stale(len(piece))
-        if not self._is_request_sent or self._conn.our_state is not h11.DONE:
-            raise ChannelError("an answer to another request came", is_sent=True)
         try:
             self._conn.start_next_cycle()
-            # The request has been sent; this only makes h11 expect another response.
+            # h11 already has the whole request, though a large body may still be on its
+            # way; this only makes it expect another response.
             head = h11.Request(
                 method=request.method, target=request.target, headers=request.headers
             )
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -150,6 +150,36 @@
         assert await fetch(pool, address, make_request()) == b"2"
 
 
+async def test_late_answer_that_comes_while_a_body_is_sent_is_discarded() -> None:
+    body = b"x" * (channels.INLINE_BODY_BYTES * 40)
+    received: list[int] = []
+
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        await read_request(stream)
+        await stream.send_all(make_answer(b"first", "id-0"))
+        await stream.receive_some(10_000)
+        await stream.send_all(make_answer(b"stale", "id-0"))
+        await trio.sleep(0.05)
+        received.append(await receive_rest(stream))
+        await stream.send_all(make_answer(b"own"))
+
+    async with run_server(script) as address:
+        pool = ChannelPool()
+        await fetch(pool, address, make_request(request_id="id-0"))
+        assert await fetch(pool, address, make_request(body)) == b"own"
+    assert received[0] >= len(body)
+
+
+async def receive_rest(stream: trio.SocketStream) -> int:
+    """Return how many bytes come until the client has sent nothing for a while."""
+    size = 10_000
+    while True:
+        with trio.move_on_after(0.2) as scope:
+            size += len(await stream.receive_some(65_536))
+        if scope.cancelled_caught:
+            return size
+
+
 async def test_rejected_request_is_not_sent_again_on_its_connection() -> None:
     async def script(stream: trio.SocketStream, number: int) -> None:
         while await read_request(stream):
