--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -79,6 +79,30 @@
             assert sender.detours.is_cut_off
 
 
+async def test_rejected_request_is_sent_again_through_another_tunnel() -> None:
+    """A late copy of the rejection would be taken for the answer to the next attempt."""
+
+    async def reject_once(stream: trio.SocketStream, number: int) -> None:
+        await read_request(stream)
+        rejection = make_answer(b"full", status=503)
+        await stream.send_all(rejection)
+        await read_request(stream)
+        await stream.send_all(rejection)
+
+    async def answer(stream: trio.SocketStream, number: int) -> None:
+        serve = reject_once if number == 1 else answer_all
+        await serve(stream, number)
+
+    async with (
+        run_server(answer) as address,
+        run_relays({"s1": address}) as (sender, relays),
+    ):
+        assert await sender.fetch() == b"full"
+        assert relays[0].server.tunnels == 1
+        assert await sender.fetch() == b"2"
+        assert relays[0].server.tunnels == 2
+
+
 async def send_half_and_wait(stream: trio.SocketStream, number: int) -> None:
     await read_request(stream)
     await stream.send_all(UNFRAMED)
