Answer every request of an instance that stops before its grace period ends

In a planned stop, requests that came late in the grace period were passed on and closed without an answer at its end, among them some that must run once (LOST). Nothing that handles a request knew when the grace period ends.

The time left of the grace period now limits that of each request: the server gets a deadline inside it, a request that does not usually end in it is refused at once, also while it waits for a server, and what is still open shortly before the end gets 502 if it may have run, else 503. Idle tunnels of peers are ended from the start of the stop, and a second SIGTERM does not begin it again.

--- a/ashpond/gateway/answertimeouts.py
+++ b/ashpond/gateway/answertimeouts.py
@@ -42,6 +42,10 @@
         longest = self._times.estimate_longest(self._kind)
         return choose_run_timeout(self._measure_left(), runs_left, longest)
 
+    def estimate_longest(self) -> float:
+        """Return the time within which nearly all are answered, 0 if unknown."""
+        return self._times.estimate_longest(self._kind)
+
     def choose_silent_seconds(self) -> float:
         """Return after what time without any byte the server is silent."""
         longest = self._times.estimate_longest_silence(
@@ -58,4 +62,4 @@
         self._times.note_answered(self._kind, trio.current_time() - sent_at)
 
     def _measure_left(self) -> float:
-        return self._call.accepted.deadline - trio.current_time()
+        return self._call.deadline - trio.current_time()
--- a/ashpond/gateway/application.py
+++ b/ashpond/gateway/application.py
@@ -33,6 +33,9 @@
 LEAVE_MEMBERS_SECONDS = 1.0
 # Part of the grace period that is left for the exit of the process (seconds).
 GRACE_MARGIN_SECONDS = 0.4
+# Before connections are cut, requests without an answer get a refusal, which has this
+# long to reach their clients (seconds).
+ANSWER_SECONDS = 0.3
 SETTINGS_SECONDS = 2.0  # Poll interval; the file may change without a signal.
 
 
@@ -113,9 +116,11 @@
                 self.platform.engines,
                 self.log,
             )
-            grace = self.settings.bounds.grace_s - GRACE_MARGIN_SECONDS
-            await self.ingress.run(self._wait_to_close, grace - LEAVE_SECONDS)
-            await self.relay_server.drain(self._left_at + grace)
+            nursery.start_soon(self._drain_tunnels)
+            await self.ingress.run(
+                self._wait_to_close, self._grace_seconds - LEAVE_SECONDS
+            )
+            await self.relay_server.drain(self._left_at + self._grace_seconds)
             self.log.note("stopped", open_calls=self.ingress.open_calls)
             nursery.cancel_scope.cancel()
         self.log.flush()
@@ -186,14 +191,27 @@
 
     def leave(self) -> None:
         """Begin the shutdown: stop taking connections, finish open calls, then stop."""
+        if self.leave_event.is_set():
+            return
         self.log.note("stopping", open_calls=self.ingress.open_calls)
         self._left_at = trio.current_time()
+        self.grace.begin(self._left_at + self._grace_seconds - ANSWER_SECONDS)
         self.relay_server.is_leaving = True
         self.ingress.is_leaving = True
         self.reservations.leave()
         self.coordinator.close_all()
         self.leave_event.set()
 
+    @property
+    def _grace_seconds(self) -> float:
+        """The time from SIGTERM until connections are cut (seconds)."""
+        return self.settings.bounds.grace_s - GRACE_MARGIN_SECONDS
+
+    async def _drain_tunnels(self) -> None:
+        """End the tunnels of peers that carry no request, once this instance stops."""
+        await self.leave_event.wait()
+        await self.relay_server.drain(self._left_at + self._grace_seconds)
+
     async def _wait_to_close(self) -> None:
         await self.leave_event.wait()
         # The grace period starts now, so a slow store must not delay the close.
--- a/ashpond/gateway/assembly.py
+++ b/ashpond/gateway/assembly.py
@@ -86,6 +86,7 @@
             parts.software.list_avoided,
             parts.software.is_version_certain,
             parts.find_required_version,
+            parts.grace,
             parts.metrics.count_rejection,
             parts.loop_watch.move_on_after,
         )
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -175,6 +175,8 @@
         origin = self.call.origin
         if origin is not None and origin.version != self._describe_version(state):
             return "the server has another software version than the stream"
+        if not self.context.grace.leaves_time(self._times.estimate_longest()):
+            return "it would not end before this instance stops"
         if self._is_overdue():
             return "the weights there have been replaced for too long"
         if trio.current_time() < state.backoff_until:
--- a/ashpond/gateway/callprogress.py
+++ b/ashpond/gateway/callprogress.py
@@ -54,6 +54,7 @@
 from ashpond.gateway.admission import AcceptedCall
 from ashpond.gateway.calls import Codec, Headers, IncomingCall, Reply
 from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.graceperiod import GracePeriod
 from ashpond.gateway.replies import drop_connection_headers
 from ashpond.gateway.serverchoice import Reservation
 from ashpond.outcomes import Refusal
@@ -175,6 +176,8 @@
     )
     # Returns the version of a model without which a server gets no requests.
     find_required_version: FindVersion = lambda model, now: 0
+    # What this instance has left for its answers.
+    grace: GracePeriod = GracePeriod()
     # Counts an answer that refuses a request, by what shows that it has not run.
     count_rejection: Callable[[str], None] = lambda proof: None
     # Limits a run, not counting stalls of this instance's event loop.
@@ -292,6 +295,7 @@
             is_resumable=accepted.route.is_resumable,
         )
         self.origin: StreamOrigin | None = None
+        self._grace = context.grace
         self._origins = context.origins
         self._log = context.log
 
@@ -305,6 +309,11 @@
         """The route of the call."""
         return self.accepted.route
 
+    @property
+    def deadline(self) -> float:
+        """When the answer must be complete, here and for the client."""
+        return min(self.accepted.deadline, self._grace.ends_at)
+
     @property
     def is_repeatable(self) -> bool:
         """Whether the call may run again after it may have run."""
@@ -346,9 +355,9 @@
         Clients close a stream that has begun and pauses for too long.
         """
         if not self.is_started:
-            return self.accepted.deadline
+            return self.deadline
         closed_at = self.forwarded_at + choose_longest_gap(self.route.longest_pause)
-        return min(self.accepted.deadline, closed_at)
+        return min(self.deadline, closed_at)
 
     def make_placement_terms(self, until: float) -> PlacementTerms:
         """Return what a coordinator is sent about the caller's needs.
--- a/ashpond/gateway/composition.py
+++ b/ashpond/gateway/composition.py
@@ -49,6 +49,7 @@
 )
 from ashpond.gateway.busyness import is_instance_busy
 from ashpond.gateway.decisionlog import DecisionLog
+from ashpond.gateway.graceperiod import GracePeriod
 from ashpond.gateway.metrics import GatewayMetrics
 from ashpond.gateway.ownslots import OwnSlots
 from ashpond.gateway.ports import Platform
@@ -81,6 +82,7 @@
         self.log = log
         self.rng = random.Random()
         self.metrics = GatewayMetrics()
+        self.grace = GracePeriod()
         self.memory = MemoryController(
             settings.memory_mb, log.note, self.metrics.count_memory
         )
--- a/ashpond/gateway/serverrequests.py
+++ b/ashpond/gateway/serverrequests.py
@@ -29,7 +29,7 @@
     instructions = Instructions(
         server_id=reservation.state.info.id,
         team=accepted.team.name if accepted.team else None,
-        time_left=accepted.deadline - trio.current_time(),
+        time_left=progress.deadline - trio.current_time(),
         salt=salt,
         weights_version=weights_version,
         urgency=accepted.urgency if progress.demand.model else None,
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -35,6 +35,7 @@
 from ashpond.gateway.calls import Headers
 from ashpond.gateway.decisionlog import DecisionLog
 from ashpond.gateway.dispatch import Dispatcher
+from ashpond.gateway.graceperiod import GracePeriod
 from ashpond.loopdelay import LoopWatch
 from ashpond_platform.headers import CODEC, REQUEST_ID
 from tests.gateway_builders import (
@@ -262,6 +263,7 @@
         times or ServiceTimes(),
         is_version_certain=is_version_certain,
         find_required_version=find_required_version,
+        grace=GracePeriod(),
         move_on_after=watch.move_on_after if watch else trio.move_on_after,
     )
     return ScriptedInstance(context, pool, table, log)
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -80,7 +80,7 @@
 
 
 async def test_rejected_request_is_sent_again_through_another_tunnel() -> None:
-    """A late copy of the rejection would be taken for the answer to the next attempt."""
+    """A late copy of the rejection would look like the next answer."""
 
     async def reject_once(stream: trio.SocketStream, number: int) -> None:
         await read_request(stream)
