Let the soak's servers reject requests, and excuse less at the end of the grace period

The soak's check of requests that ran twice, or after a refusal, had nothing to see: its servers never said that they had not run a request. They now reject a share, send each rejection again where the next answer is due, and answer some that ran with 408, 421, 429 or 503.

Every request that ended in the last 0.4 s of the grace period was excused. Now only those sent within 3 s of SIGTERM are, as their servers may still be at work; the case that the old check excused is among those that are reported.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -61,6 +61,7 @@
 @click.option("--endless", type=float, default=0.005, help="Share of such answers.")
 @click.option("--herds", type=int, default=0, help="Kills of all at once.")
 @click.option("--coordinated", type=int, default=0, help="Instances; 0 for never.")
+@click.option("--rejections", type=float, default=0.0, help="Share of such answers.")
 @click.option("--worlds", type=int, default=1, help="Seeds played at once.")
 def main(
     seed: int,
@@ -80,6 +81,7 @@
     endless: float,
     herds: int,
     coordinated: int,
+    rejections: float,
     worlds: int,
 ) -> None:
     """Play COUNT seeds from SEED on, each for SECONDS; exit 1 if one failed."""
@@ -98,6 +100,7 @@
         endless,
         herds,
         coordinated,
+        rejections,
     )
     failed = 0
     seeds = range(seed, seed + count)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -33,6 +33,9 @@
 UNHARMED_BEFORE_SECONDS = 1.0
 # Part of the grace period that instances reserve for shutting down the process.
 GRACE_MARGIN_SECONDS = 0.4
+# A request sent later than this after SIGTERM must not be cut at the end of the grace
+# period (seconds).
+LATEST_EXCUSED_SECONDS = 3.0
 
 
 def check(world: World, settled: float) -> list[str]:
@@ -182,8 +185,9 @@
     term = instance.find_signal(
         signal.SIGTERM, outcome.connection.process_started_at, ended_at
     )
-    grace = GRACE_SECONDS - GRACE_MARGIN_SECONDS
-    return term is not None and ended_at >= term.at + grace
+    if term is None or sent_at > term.at + LATEST_EXCUSED_SECONDS:
+        return False
+    return ended_at >= term.at + GRACE_SECONDS - GRACE_MARGIN_SECONDS
 
 
 def _may_stream_be_cut(outcome: Outcome) -> bool:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -11,9 +11,10 @@
 import trio
 
 from tests.directives import NO_DIRECTIVE, Directive
-from tests.servers import read_request
+from tests.servers import make_answer, read_request
 from tests.soak import versions
 from tests.soak.endless import send_endless
+from tests.soak.rejections import Rejections
 from tests.soak.resets import reset
 
 if TYPE_CHECKING:
@@ -106,6 +107,7 @@
     ):
         self._crash = crash
         self._rng = random.Random(server_id)
+        self.rejections = Rejections(server_id)
         self.server_id = server_id
         self.version = version
         # Between two events of a stream that may be resumed (seconds).
@@ -128,6 +130,8 @@
                 await self._answer(stream, request)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             return
+        finally:
+            self.rejections.forget(stream)
 
     async def _answer(self, stream: trio.SocketStream, request: bytes) -> None:
         method, target, headers = parse_headers(request)
@@ -152,6 +156,9 @@
             head += directive.format_headers() + "Content-Length: 0\r\n\r\n"
             await stream.send_all(head.encode())
             return
+        await self.rejections.send_due(stream)
+        if await self.rejections.reject(stream, request_id):
+            return
         leaked = "authorization" in headers
         run = Run(trio.current_time(), self.server_id, method, leaked)
         self.ledger.runs[request_id].append(run)
@@ -159,6 +166,12 @@
             await trio.sleep(PLAIN_SECONDS)
             self._crash()
             await trio.sleep_forever()
+        status = self.rejections.choose_status()
+        if status != 200:
+            await trio.sleep(PLAIN_SECONDS)
+            marks = f"X-Instance-Id: {self.server_id}\r\n"
+            await stream.send_all(make_answer(b"odd", request_id, status, marks))
+            return
         head = f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\n"
         head += directive.format_headers()
         if target == versions.PATH:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -65,6 +65,8 @@
     is the share of requests that get bytes without end. ``herds`` players kill all
     instances at once, around releases and outages; streams then last for longer. From
     ``coordinated_from`` instances on, coordinators choose the servers; 0 is never.
+    ``rejections`` is the share of requests that servers reject, and that of requests
+    which run and get a status that promises that they have not.
     """
 
     instances: int | None = None
@@ -81,6 +83,7 @@
     endless: float = 0.0
     herds: int = 0
     coordinated_from: int = 0
+    rejections: float = 0.0
 
 
 class World:
@@ -301,6 +304,7 @@
         )
         if self.play.herds:
             server.event_seconds = LONG_EVENT_SECONDS
+        server.rejections.share = self.play.rejections
         self.servers[server_id] = server
         address = await self._listen(nursery, server.serve)
         proxy = Proxy(address, self.partitions)
@@ -449,6 +453,7 @@
         self.memory.is_down = False
         self.partitions.cut([], Cut.RESET)
         for server in self.servers.values():
+            server.rejections.share = 0.0
             if not server.directive.is_leaving:
                 server.directive = NO_DIRECTIVE
         for proxy in [*self.store_proxies, *self.server_proxies.values()]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -63,6 +63,12 @@
 #       at another software version.
 HERD_SEEDS = (6600, 6602)
 HERDS = Play(instances=5, servers=3, keepers=10, versions=30, herds=1)
+# Servers reject requests, send the rejections again, and answer requests that ran with
+# statuses that promise that they have not.
+# 9800, 9801: a copy of a rejection was taken for the answer to the next attempt, and
+#       statuses of servers were passed on as promises.
+REJECTION_SEEDS = (9800, 9801)
+REJECTIONS = Play(keepers=20, series=2, rejections=0.15)
 KEEP_ALIVE = Play(instances=6, keepers=150, series=5)
 
 
@@ -131,6 +137,15 @@
     assert has_seen_enough()
 
 
+@pytest.mark.parametrize("seed", REJECTION_SEEDS)
+async def test_no_request_runs_twice_or_after_a_refusal_beside_odd_rejections(
+    seed: int, tmp_path: Path
+) -> None:
+    world = World(seed, tmp_path, REJECTIONS)
+    assert await world.run(SECONDS, world.has_served) == []
+    assert world.has_served()
+
+
 # One request sent at 10 s and ended without an answer at 10.2 s.
 LOST = Outcome(
     "r1",
@@ -176,6 +191,7 @@
         (LOST._replace(connection=ConnectionUse("i0", 1.0)), [], []),
         (LOST, [SentSignal(7.0, signal.SIGTERM)], []),
         (LOST, [SentSignal(0.5, signal.SIGTERM)], []),
+        (LOST, [SentSignal(6.5, signal.SIGTERM)], []),
         (LOST, [SentSignal(9.9, signal.SIGKILL)], []),
         (
             LOST,
@@ -201,7 +217,7 @@
         (LOST._replace(is_whole=True, status=502), [], []),
         (LOST._replace(request_id="never passed on"), [], []),
         (LOST, [SentSignal(10.1, signal.SIGKILL)], []),
-        (LOST, [SentSignal(6.5, signal.SIGTERM)], []),
+        (LOST._replace(ended_at=10.7), [SentSignal(7.05, signal.SIGTERM)], []),
         (
             LATE,
             [SentSignal(10.1, signal.SIGSTOP), SentSignal(14.2, signal.SIGCONT)],
