Pick the tests' ports by a generator that hypothesis does not set back

test_every_forwarded_request_is_answered_however_its_connection_ends failed once with "no port is free" in a run of all tests. Hypothesis sets the global generator back for each example, so that each one picked the ports of those before and skipped them, until no pick was left. Traced by reading; the test added fails on the code before.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -26,12 +26,15 @@
 
 LISTENING_PORTS = choose_ports(os.environ.get("PYTEST_XDIST_WORKER", ""))
 _handed_out: set[int] = set()
+# Hypothesis sets the global generator back for each example, which would then pick the
+# ports of the examples before.
+_rng = random.Random()
 
 
 def find_free_port() -> int:
     # Random picks are faster than a shuffle of all ports; at most a quarter is tried.
     for _ in range(len(LISTENING_PORTS) // 4):
-        port = random.choice(LISTENING_PORTS)
+        port = _rng.choice(LISTENING_PORTS)
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
--- a/tests/test_fleet_ports.py
+++ b/tests/test_fleet_ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 
 import pytest
@@ -9,6 +10,7 @@
 
 from ashpond.listener import Listener
 from tests.listeners import LIMITS, echo
+from tests.ports import find_free_port
 from tools.fleet import find_ports
 
 FIRST_EPHEMERAL_PORT = 32_768
@@ -30,3 +32,9 @@
     ports = find_ports(50)
     assert len(set(ports)) == 50
     assert max(ports) < FIRST_EPHEMERAL_PORT
+
+
+def test_free_ports_are_not_picked_by_the_generator_that_hypothesis_sets_back():
+    state = random.getstate()
+    find_free_port()
+    assert random.getstate() == state
