Limit what answers of unknown length take of the memory, by server and service

While all servers of a service wrote without end, requests to a sound service were refused: an answer without a declared length grows piece by piece, and such answers could take nine tenths of the memory for all calls.

Answers whose length is unknown may take a fifth of that memory from one server and a half from one service; the only one of a server may be of any size. One that exceeds this has failed at once.

--- a/ashpond/controllers/memory.py
+++ b/ashpond/controllers/memory.py
@@ -125,6 +125,21 @@
         if self._controller is not None:
             self._controller.budget.release_at_server(server_id, size)
 
+    def hold_for_writers(self, writers: tuple[str, str], held: int, size: int) -> bool:
+        """Count a piece of an answer of unknown length; return whether it may be read.
+
+        :param writers: the server and the service that write it.
+        :param held: the bytes of this answer that are counted already.
+        """
+        if self._controller is None:
+            return True
+        return self._controller.hold_for_writers(writers, held, size)
+
+    def release_for_writers(self, writers: tuple[str, str], size: int) -> None:
+        """Stop counting the bytes of an answer."""
+        if self._controller is not None:
+            self._controller.budget.release_for_writers(writers, size)
+
     def close(self) -> None:
         """Release everything."""
         if self._controller is not None:
@@ -290,6 +305,13 @@
         self._count_action("server_full")
         return False
 
+    def hold_for_writers(self, writers: tuple[str, str], held: int, size: int) -> bool:
+        """Count a piece of an answer; return whether it may be read."""
+        if self.budget.hold_for_writers(writers, held, size):
+            return True
+        self._count_action("answers_full")
+        return False
+
     def describe(self) -> dict[str, Any]:
         """Return limit, use and actions so far, for the status page."""
         return self._describe() | {
--- a/ashpond/decisions/memorybudget.py
+++ b/ashpond/decisions/memorybudget.py
@@ -48,6 +48,9 @@
 # if the requests that it holds exceed its memory.
 SERVER_SHARE = 0.25
 LARGE_SERVER_SHARE = 0.2
+# Answers whose length is unknown may take these shares of the budget, from one server
+# and from one service: a server that writes without end leaves the rest to others.
+WRITER_SHARES = (0.2, 0.5)
 # Time named to a refused client if nothing indicates when there will be room.
 DEFAULT_RETRY_SECONDS = 1.0
 MIN_RETRY_SECONDS = 0.1
@@ -120,6 +123,7 @@
         self.holdings: set[Holding] = set()
         self._freeing = 0
         self._at_servers: dict[str, int] = {}
+        self._by_writers: dict[str, int] = {}
 
     def open(self, now: float) -> Holding:
         """Add a holding without bytes."""
@@ -217,3 +221,28 @@
             self._at_servers[server_id] = held
         else:
             self._at_servers.pop(server_id, None)
+
+    def hold_for_writers(self, writers: tuple[str, str], held: int, size: int) -> bool:
+        """Count a piece of an answer of unknown length; return whether it may be read.
+
+        The only answer of a server or service may be of any size.
+
+        :param writers: the server and the service that write it.
+        :param held: the bytes of this answer that are counted already.
+        """
+        for writer, share in zip(writers, WRITER_SHARES, strict=True):
+            total = self._by_writers.get(writer, 0)
+            if total > held and total + size > self.limit * share:
+                return False
+        for writer in writers:
+            self._by_writers[writer] = self._by_writers.get(writer, 0) + size
+        return True
+
+    def release_for_writers(self, writers: tuple[str, str], size: int) -> None:
+        """Stop counting the bytes of an answer."""
+        for writer in writers:
+            left = self._by_writers.get(writer, 0) - size
+            if left > 0:
+                self._by_writers[writer] = left
+            else:
+                self._by_writers.pop(writer, None)
--- a/ashpond/gateway/attempts.py
+++ b/ashpond/gateway/attempts.py
@@ -33,9 +33,9 @@
 from ashpond.gateway.reservations import Reservation
 from ashpond.gateway.serverrequests import build_server_request, describe_sent
 from ashpond.gateway.streamrelay import forward_stream
+from ashpond.gateway.wholebodies import MAX_ANSWER_BYTES, read_body
 
 OK = 200
-MAX_ANSWER_BYTES = 16 << 20
 NO_ANSWER = "silent"
 
 
@@ -236,11 +236,7 @@
         if self.call.route.kind is RouteKind.STREAM and response.status == OK:
             timeout.deadline = float("inf")
             return await self._relay_stream(response, reserve)
-        body = await (
-            response.read_all(MAX_ANSWER_BYTES, reserve)
-            if reserve is not None
-            else response.read_all(MAX_ANSWER_BYTES)
-        )
+        body = await read_body(response, state.info, self.call.request.memory, reserve)
         failed = response.status >= SERVER_ERROR
         if not failed:
             self._times.note_ended(self._sent_at)
--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -82,6 +82,8 @@
         self.has_model = False
         # Bounds in the settings of the instances that differ from the usual ones.
         self.bounds: dict[str, float] = {}
+        # Further settings of the instances.
+        self.settings: dict[str, float] = {}
         self._folder = folder
         self._counts = (instances, servers)
         self._mesh_limit = mesh_limit
@@ -129,6 +131,7 @@
                 self._mesh_limit,
                 self._coordinated_from,
                 self.bounds,
+                self.settings,
             )
             instance.start()
             self.instances.append(instance)
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -40,6 +40,7 @@
         mesh_limit: int,
         coordinated_from: int = 0,
         extra_bounds: Mapping[str, float] | None = None,
+        extra_settings: Mapping[str, float] | None = None,
     ):
         self.name = name
         self.path = folder / f"{name}.toml"
@@ -57,6 +58,7 @@
         lines = [f'{key} = "{value}"' for key, value in values.items()]
         lines.append(f"mesh_limit = {mesh_limit}")
         lines.append(f"coordinated_from = {coordinated_from}")
+        lines += [f"{key} = {value}" for key, value in (extra_settings or {}).items()]
         lines.append(FIRST_START)
         lines += ["[bounds]", *(f"{key} = {value}" for key, value in bounds.items())]
         self.path.write_text("\n".join(lines))
