Keep hashes of the ids that a connection has carried

An id may be as long as the head of a request, of which a connection would keep up to 65. Two ids with one hash cost a new connection, nothing else.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -166,7 +166,8 @@
         self.opened_at = clock()
         self.number = next(_connection_numbers)
         self.requests = 0
-        self._unserved_ids: set[str] = set()
+        # Hashes, as ids may be as long as the head of a request.
+        self._unserved_ids: set[int] = set()
         # Whether the last response named the id of its request.
         self._tells_responses_apart = True
         self._clock = clock
@@ -278,7 +279,7 @@
             skipped,
         )
         if request_id is not None and not _is_success(status):
-            self._unserved_ids.add(request_id)
+            self._unserved_ids.add(hash(request_id))
         self._tells_responses_apart = request_id is None or correlation.has_id
         return correlation
 
@@ -367,7 +368,7 @@
 
         Only the id tells a late copy of that response from the next one.
         """
-        return request_id in self._unserved_ids
+        return hash(request_id) in self._unserved_ids
 
     def prepare_reuse(self) -> bool:
         """Reset the connection for another request; return whether that is possible."""
