Take a timeout's answer for no proof that an instance has read a directive

The check took any whole answer of a request for one that had brought its server's directive. Such an answer does not count any more; all others do as before.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,7 +4,6 @@
 
 import signal
 from bisect import bisect_left, bisect_right
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from ashpond.gateway.settings import GatewayBounds
@@ -18,6 +17,7 @@
 from tests.soak.directives import find_directive_violations
 from tests.soak.endless import find_endless_violations
 from tests.soak.faults import ROUTE_TIMEOUTS_MS
+from tests.soak.histories import read_history
 from tests.soak.instances import GRACE_SECONDS, REVOCATION_SECONDS, Instance
 from tests.soak.parts import find_part_violations
 from tests.soak.servers import EVENTS, Run, make_body, make_event
@@ -45,7 +45,7 @@
     """
     broken = [f for outcome in world.outcomes for f in _check_one(world, outcome)]
     broken += [
-        "\n".join([line, *_read_history(world, outcome)])
+        "\n".join([line, *read_history(world, outcome.request_id)])
         for outcome, line in _list_lost(world)
     ]
     broken += find_directive_violations(world)
@@ -99,17 +99,6 @@
     ]
 
 
-def _read_history(world: World, outcome: Outcome) -> list[str]:
-    """Return what all instances have logged of a request."""
-    name = f'"{outcome.request_id}"'.encode()
-    return [
-        f"{instance.name}: {line.decode(errors='replace').rstrip()}"
-        for instance in world.instances
-        for line in Path(instance.log.name).read_bytes().splitlines()
-        if name in line
-    ]
-
-
 def _check_one(world: World, outcome: Outcome) -> list[str]:
     runs = world.ledger.runs.get(outcome.request_id, [])
     broken = []
--- a/tests/soak/directives.py
+++ b/tests/soak/directives.py
@@ -19,11 +19,14 @@
     REACTION_SECONDS,
     Directive,
 )
+from tests.soak.histories import read_history
 
 if TYPE_CHECKING:
     from tests.soak.servers import IssuedDirective, Server
     from tests.soak.world import World
 
+# The status of an instance whose servers have not answered before the deadline.
+TIMED_OUT = 504
 BETWEEN_SECONDS = (0.1, 0.8)
 LIMITS = (0.0, 0.5, 1.5, 6.0)
 LIMITED_SECONDS = (3.5, 7.0)
@@ -124,14 +127,13 @@
     def _find_informed(self, issued: IssuedDirective) -> str | None:
         """Return the instance that received a directive, if its client got an answer.
 
-        Only a complete answer shows that the instance has read the directive.
+        Only a complete answer shows that the instance has read the directive, but not
+        one that says that no server has answered in time.
         """
         outcome = self._outcomes.get(issued.request_id)
-        return (
-            outcome.connection.instance
-            if outcome is not None and outcome.is_whole
-            else None
-        )
+        if outcome is None or not outcome.is_whole or outcome.status == TIMED_OUT:
+            return None
+        return outcome.connection.instance
 
     def _is_excused(self, server: str, name: str, since: float, until: float) -> bool:
         instance = self._world.find_instance(name)
@@ -155,9 +157,9 @@
                 is_late = at > issued.at + LEAVING_SECONDS
                 if is_late and not self._is_excused(issued.server, name, issued.at, at):
                     late = at - issued.at
-                    broken.append(
-                        f"{name} sent to {issued.server} {late:.2f} s after it left"
-                    )
+                    line = f"{name} sent to {issued.server} {late:.2f} s after it left"
+                    history = read_history(self._world, issued.request_id)
+                    broken.append("\n".join([line, *history]))
         return broken
 
     def list_in_backoffs(self) -> list[str]:
