--- a/tests/crashingservers.py
+++ b/tests/crashingservers.py
@@ -182,6 +182,9 @@
                 streams.add(stream)
                 try:
                     while request := await read_request(stream):
+                        if parse_headers(request)[1].startswith(CONTROL_PREFIX):
+                            await stream.send_all(make_answer(b"", status=404))
+                            continue
                         await self._answer(server_id, stream, request, nursery)
                 except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
                     return
@@ -201,10 +204,7 @@
         server_nursery: trio.Nursery,
     ) -> None:
         body = request.partition(b"\r\n\r\n")[2]
-        _, target, headers = parse_headers(request)
-        if target.startswith(CONTROL_PREFIX):
-            await stream.send_all(make_answer(b"", status=404))
-            return
+        headers = parse_headers(request)[2]
         arrival = Arrival(time.monotonic(), server_id, body)
         self.arrivals.append(arrival)
         parts = list_parts(headers)
--- a/tests/floodworld.py
+++ b/tests/floodworld.py
@@ -13,7 +13,7 @@
 from tests.ports import find_free_port
 from tests.row_builders import SERVER
 from tests.servers import make_answer
-from tests.soak.servers import CONTROL_PREFIX, parse_headers
+from tests.soak.servers import parse_headers
 
 PIECE = b"8000\r\n" + b"x" * 0x8000 + b"\r\n"
 # Between two pieces: about a megabyte a second on each connection.
@@ -78,9 +78,6 @@
         server_nursery: trio.Nursery,
     ) -> None:
         _, target, headers = parse_headers(request)
-        if target.startswith(CONTROL_PREFIX):
-            await stream.send_all(make_answer(b"", status=404))
-            return
         request_id = headers["x-request-id"]
         if target == SOUND_PATH or not self._is_flooding:
             await stream.send_all(make_answer(b"done", request_id))
--- a/tests/latebodies.py
+++ b/tests/latebodies.py
@@ -13,7 +13,7 @@
 
 from tests.crashingservers import World, make_configuration
 from tests.servers import make_answer
-from tests.soak.servers import CONTROL_PREFIX, parse_headers
+from tests.soak.servers import parse_headers
 
 BODY = b"x" * 300
 # Requests before SIGTERM, from which the instance learns how long they take.
@@ -114,10 +114,7 @@
         request: bytes,
         server_nursery: trio.Nursery,
     ) -> None:
-        _, target, headers = parse_headers(request)
-        if target.startswith(CONTROL_PREFIX):
-            await stream.send_all(make_answer(b"", status=404))
-            return
+        headers = parse_headers(request)[2]
         request_id = headers["x-request-id"]
         self.runs[request_id] += 1
         await trio.sleep(self._work)
--- a/tests/rejectingservers.py
+++ b/tests/rejectingservers.py
@@ -14,7 +14,7 @@
 
 from tests.crashingservers import WORK_SECONDS, World, make_configuration
 from tests.servers import make_answer
-from tests.soak.servers import CONTROL_PREFIX, parse_headers
+from tests.soak.servers import parse_headers
 
 # The share of requests that a server answers oddly.
 ODD_SHARE = 0.2
@@ -145,10 +145,7 @@
         request: bytes,
         server_nursery: trio.Nursery,
     ) -> None:
-        _, target, headers = parse_headers(request)
-        if target.startswith(CONTROL_PREFIX):
-            await stream.send_all(make_answer(b"", status=404))
-            return
+        headers = parse_headers(request)[2]
         request_id = headers["x-request-id"]
         is_odd = self._is_playing and self._rng.random() < ODD_SHARE
         due = self._due.pop(stream, None)
