Give fleets of test processes that start together ports of their own

An instance of a fleet did not answer its health check in time at set-up, once in a run of all tests. A port is checked when it is picked and taken once its process has started; the fleets of eight test processes picked from the same 6,144 ports. That this was the cause of that failure is not shown.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -4,27 +4,14 @@
 
 import os
 import random
-import re
 import socket
 
+from tools.ports import choose_share
+
 # Below the ephemeral ports (32768 and up): an outgoing connection of another process
 # could take one of those between the check below and the start of the listener.
 ALL_PORTS = range(10_240, 32_000)
-# Test processes that run side by side have ports of their own.
-MAX_WORKERS = 8
-
-
-def choose_ports(worker: str) -> range:
-    """Return the ports of a test process by its name, all for an unnamed one."""
-    number = re.search(r"\d+$", worker)
-    if number is None:
-        return ALL_PORTS
-    size = len(ALL_PORTS) // MAX_WORKERS
-    start = ALL_PORTS.start + int(number[0]) % MAX_WORKERS * size
-    return range(start, start + size)
-
-
-LISTENING_PORTS = choose_ports(os.environ.get("PYTEST_XDIST_WORKER", ""))
+LISTENING_PORTS = choose_share(ALL_PORTS, os.environ.get("PYTEST_XDIST_WORKER", ""))
 _handed_out: set[int] = set()
 # Hypothesis sets the global generator back for each example, which would then pick the
 # ports of the examples before.
--- a/tests/test_fleet_ports.py
+++ b/tests/test_fleet_ports.py
@@ -11,9 +11,11 @@
 from ashpond.listener import Listener
 from tests.listeners import LIMITS, echo
 from tests.ports import find_free_port
-from tools.fleet import find_ports
+from tools.fleet import ALL_PORTS, find_ports
+from tools.ports import choose_share
 
 FIRST_EPHEMERAL_PORT = 32_768
+MOST_PROCESS_PORTS = 500
 
 
 async def test_an_instance_whose_port_an_outgoing_connection_has_fails_at_once():
@@ -38,3 +40,9 @@
     state = random.getstate()
     find_free_port()
     assert random.getstate() == state
+
+
+def test_fleets_of_test_processes_that_start_together_share_no_port():
+    shares = [set(choose_share(ALL_PORTS, f"gw{n}")) for n in range(8)]
+    assert len(set.union(*shares)) == sum(map(len, shares))
+    assert min(map(len, shares)) >= MOST_PROCESS_PORTS
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -21,12 +21,17 @@
 
 import httpx
 
+from tools.ports import choose_share
+
 EXAMPLES = Path(__file__).parent.parent / "examples" / "khangai"
 ADMIN_TOKEN = "fleet-admin-token-0001"
 PEER_SECRET = "fleet-peer-secret-0001"
 # Below the ephemeral ports (32768 and up): an outgoing connection of any process could
 # take the port of one that is being restarted.
-LISTENING_PORTS = range(4_096, 10_240)
+ALL_PORTS = range(4_096, 10_240)
+# A port is free when it is picked, and taken once its process has started: fleets that
+# start at the same time must not pick from the same ones.
+LISTENING_PORTS = choose_share(ALL_PORTS, os.environ.get("PYTEST_XDIST_WORKER", ""))
 START_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.05
