Pick no port for a fleet's process that an earlier one has yet to take

The fixture of test_operations failed once in a run of all tests (10 errors): entry-1 and entry-2 had both been given port 5677, by the settings files that the run left, as a port is checked when it is picked and taken once its process has started. A share of the ports for each test process made that eight times as likely. Ports that were handed out are now picked last; the test added fails on the code before.

--- a/tests/test_fleet_ports.py
+++ b/tests/test_fleet_ports.py
@@ -46,3 +46,8 @@
     shares = [set(choose_share(ALL_PORTS, f"gw{n}")) for n in range(8)]
     assert len(set.union(*shares)) == sum(map(len, shares))
     assert min(map(len, shares)) >= MOST_PROCESS_PORTS
+
+
+def test_processes_of_a_fleet_that_start_one_after_another_share_no_port():
+    ports = [port for _ in range(60) for port in find_ports(3)]
+    assert len(set(ports)) == len(ports)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -32,6 +32,7 @@
 # A port is free when it is picked, and taken once its process has started: fleets that
 # start at the same time must not pick from the same ones.
 LISTENING_PORTS = choose_share(ALL_PORTS, os.environ.get("PYTEST_XDIST_WORKER", ""))
+_handed_out: set[int] = set()
 START_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.05
@@ -72,12 +73,18 @@
 def find_ports(count: int) -> list[int]:
     """Return ``count`` distinct free ports of the loopback address.
 
+    A process that was given one earlier may not have taken it yet, so that all others
+    are picked before it.
+
     :raises RuntimeError: if there are not so many.
     """
     found: list[int] = []
+    unused = [port for port in LISTENING_PORTS if port not in _handed_out]
+    candidates = random.sample(unused, len(unused)) + list(_handed_out)
     with contextlib.ExitStack() as stack:
-        for port in random.sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+        for port in candidates:
             if len(found) == count:
+                _handed_out.update(found)
                 return found
             sock = stack.enter_context(socket.socket())
             with contextlib.suppress(OSError):
