--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -86,7 +86,7 @@
 
 
 class Correlation(NamedTuple):
-    """What tells a response to a request from one to an earlier request.
+    """What distinguishes a response to a request from one to an earlier request.
 
     ``connection`` identifies the connection in this process; ``requests`` were sent on
     it. ``is_repeated`` is whether one of the earlier ones had the same id and was
@@ -169,7 +169,7 @@
         # Hashes, as ids may be as long as the head of a request.
         self._unserved_ids: set[int] = set()
         # Whether the last response named the id of its request.
-        self._tells_responses_apart = True
+        self._names_request_ids = True
         self._clock = clock
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
         self._has_sent_bytes = False
@@ -280,7 +280,7 @@
         )
         if request_id is not None and not _is_success(status):
             self._unserved_ids.add(hash(request_id))
-        self._tells_responses_apart = request_id is None or correlation.has_id
+        self._names_request_ids = request_id is None or correlation.has_id
         return correlation
 
     async def _skip_answer(
@@ -366,13 +366,13 @@
     def has_carried(self, request_id: str) -> bool:
         """Return whether a request with this id was answered here without success.
 
-        Only the id tells a late copy of that response from the next one.
+        Only the id distinguishes a late copy of that response from the next one.
         """
         return hash(request_id) in self._unserved_ids
 
     def prepare_reuse(self) -> bool:
         """Reset the connection for another request; return whether that is possible."""
-        if not self._tells_responses_apart:
+        if not self._names_request_ids:
             return False
         if len(self._unserved_ids) > MAX_UNSERVED_IDS:
             return False
--- a/tests/rejectingservers.py
+++ b/tests/rejectingservers.py
@@ -52,7 +52,7 @@
 class Count(NamedTuple):
     """Requests by what became of them.
 
-    ``twice`` ran more than once, ``refused`` ran though their clients were told that
+    ``twice`` ran more than once, ``refused`` ran though their answers promised that
     they did not, ``foreign`` got the answer to another request.
     """
 
