Count a resumption that the soak's server fails as broken off by the server

Traced by the report's logs: s1's connection was reset by a fault, the stream was resumed at s0, which ran it and answered 503 as the new player wants, and the retry budget was used up. The server failed the run, as one that breaks an answer off does; such requests are recorded as torn. No other request is.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -168,6 +168,9 @@
             await trio.sleep_forever()
         status = self.rejections.choose_status()
         if status != 200:
+            if "last-event-id" in headers:
+                # A stream that may not be tried once more ends with this.
+                self.ledger.torn.add(request_id)
             await trio.sleep(PLAIN_SECONDS)
             marks = f"X-Instance-Id: {self.server_id}\r\n"
             await stream.send_all(make_answer(b"odd", request_id, status, marks))
