Take no end of a connection for that of an answer while its request is sent

What callers saw: an engine answered a long upload at once with a 200 that had neither a length nor chunks, sent a part and reset the connection. The part was passed on as a complete answer; a stream got the router's own last chunk.

Cause: the kernel reports a reset once, to the next call on the socket. While a large body is sent, that is the send, whose error was dropped as the server may have answered before. The task that reads then gets the bytes left and what looks like a regular end, which completes such an answer.

Why this works: the reader judges every end of a connection, and knows whether the whole request was handed to it. A length or a last chunk is reached before that end, so that early answers with one of them are passed on as before.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -216,8 +216,8 @@
                     await self._send(part)
                 self._is_request_sent = True
             except ChannelError:
-                # The server may have responded before it closed the connection: the
-                # task that reads returns that response or raises its own error.
+                # The server may have responded before it closed the connection. The
+                # task that reads returns that response if it has an end of its own.
                 return
 
         async def read_response_head(scope: trio.CancelScope) -> None:
@@ -335,6 +335,11 @@
                 if not data and self._conn.their_state is h11.SEND_RESPONSE:
                     reason = "the server ended the connection without an answer"
                     raise ChannelError(reason, is_sent=True)
+                if not data and not self._is_request_sent:
+                    # A reset is reported once, perhaps to the task that sends. The
+                    # reader then sees what a regular end looks like.
+                    reason = "the connection ended before the request was sent"
+                    raise ChannelError(reason, is_sent=True)
                 self._conn.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise ChannelError(f"not a whole answer: {error}", is_sent=True) from error
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -58,3 +58,28 @@
         nursery.start_soon(trio.serve_listeners, handle, listeners)
         yield f"127.0.0.1:{port}"
         nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def run_server_in_thread(script: Script) -> AsyncIterator[str]:
+    """Like :func:`run_server`, but independent of the event loop of its clients."""
+    own_token = trio.lowlevel.current_trio_token()
+    is_started, is_stopped = trio.Event(), trio.Event()
+    address = ""
+    token: trio.lowlevel.TrioToken | None = None
+
+    async def serve() -> None:
+        nonlocal address, token
+        async with run_server(script) as address:
+            token = trio.lowlevel.current_trio_token()
+            own_token.run_sync_soon(is_started.set)
+            await is_stopped.wait()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.to_thread.run_sync, trio.run, serve)
+        await is_started.wait()
+        assert token is not None
+        try:
+            yield address
+        finally:
+            token.run_sync_soon(is_stopped.set)
