Take no end of a connection for that of an answer before the request has arrived

Cause: a server that closes its connection, and whose kernel gets bytes afterwards, ends it regularly first and resets it then. Linux shows a reader the end only. That the whole request was handed to the kernel says little, as it keeps what the server has no room for.

The new test, in which the server's kernel has room for no whole request, failed with 15 kB.

Why this works: the end of the server's stream acknowledges all that its kernel has received, so that bytes without an acknowledgement are bytes that the server cannot have read.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -335,9 +335,7 @@
                 if not data and self._conn.their_state is h11.SEND_RESPONSE:
                     reason = "the server ended the connection without an answer"
                     raise ChannelError(reason, is_sent=True)
-                if not data and not self._is_request_sent:
-                    # A reset is reported once, perhaps to the task that sends. The
-                    # reader then sees what a regular end looks like.
+                if not data and not self._has_server_request():
                     reason = "the connection ended before the request was sent"
                     raise ChannelError(reason, is_sent=True)
                 self._conn.receive_data(data)
@@ -346,6 +344,15 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
             raise ChannelError(f"reading failed: {error!r}", is_sent=True) from error
 
+    def _has_server_request(self) -> bool:
+        """Return, at the end of the connection, whether the server has the request.
+
+        Without it, that end may be one of two kinds of reset. One is reported to the
+        task that sends, and to no other. The other follows a regular end, as the
+        server's kernel answers bytes that arrive after it.
+        """
+        return self._is_request_sent and not self.transport.has_unacknowledged_data()
+
     async def _receive(self, *, shield_ready_data: bool) -> bytes:
         excess = self.limits.find_excess()
         if excess is not None:
--- a/ashpond/clients/sockets.py
+++ b/ashpond/clients/sockets.py
@@ -6,12 +6,22 @@
 
 from __future__ import annotations
 
-__all__ = ["close_socket", "has_data", "open_socket", "receive", "send_all"]
+__all__ = [
+    "close_socket",
+    "has_data",
+    "has_unacknowledged_data",
+    "open_socket",
+    "receive",
+    "send_all",
+]
 
 import errno
+import fcntl
 import functools
 import os
 import socket
+import struct
+import termios
 
 import trio
 
@@ -22,6 +32,8 @@
 # Bytes that the kernel accepts beyond those it can send at once, as trio's streams set
 # it. More of them would only wait longer in the kernel.
 MAX_UNSENT_BYTES = 16_384
+# The kernel's answer to a question for a number of bytes.
+COUNT = struct.Struct("i")
 OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES),
@@ -137,6 +149,16 @@
     return True
 
 
+def has_unacknowledged_data(sock: socket.socket) -> bool:
+    """Return whether the peer's kernel has not received all bytes that were sent.
+
+    The end of the peer's stream acknowledges all that had arrived before it.
+    """
+    # Linux defines SIOCOUTQ, which asks that of a socket, as TIOCOUTQ.
+    answer = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(COUNT.size))
+    return COUNT.unpack(answer)[0] > 0
+
+
 def close_socket(sock: socket.socket) -> None:
     """Close a socket without waiting for pending data; wake tasks that wait for it."""
     if sock.fileno() >= 0:
--- a/ashpond/clients/transports.py
+++ b/ashpond/clients/transports.py
@@ -6,7 +6,13 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from ashpond.clients.sockets import close_socket, has_data, receive, send_all
+from ashpond.clients.sockets import (
+    close_socket,
+    has_data,
+    has_unacknowledged_data,
+    receive,
+    send_all,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -33,6 +39,12 @@
     def has_data(self) -> bool:
         """Return whether there are bytes, an error or the end to receive."""
 
+    def has_unacknowledged_data(self) -> bool:
+        """Return whether bytes that were sent are not known to have arrived.
+
+        Asked once the end has been received.
+        """
+
     def close(self) -> None:
         """Close it without waiting for pending data."""
 
@@ -59,6 +71,10 @@
         """Return whether there are bytes, an error or the end to receive."""
         return has_data(self.socket)
 
+    def has_unacknowledged_data(self) -> bool:
+        """Return whether the peer's kernel has not received all bytes."""
+        return has_unacknowledged_data(self.socket)
+
     def close(self) -> None:
         """Close the socket; wake tasks that wait for it."""
         close_socket(self.socket)
--- a/ashpond/clients/tunnels.py
+++ b/ashpond/clients/tunnels.py
@@ -107,6 +107,10 @@
         """Return whether there are bytes, an error or the end to receive."""
         return self._stream.has_data()
 
+    def has_unacknowledged_data(self) -> bool:
+        """Return False: a relay reports an end only if the server has all bytes."""
+        return False
+
     def close(self) -> None:
         """Close the tunnel, and thereby the peer's connection to the server."""
         self._stream.close()
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import errno
+import socket
 from typing import NamedTuple
 
 import pytest
 import trio
 
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.clients.channels import Channel, ChannelError, OutgoingRequest
 from tests.broken_answers import (
     BODY,
@@ -100,6 +102,9 @@
     def has_data(self) -> bool:
         return True
 
+    def has_unacknowledged_data(self) -> bool:
+        return False
+
     def close(self) -> None:
         return
 
@@ -125,6 +130,26 @@
     assert await fetch(Channel(transport), UPLOAD_BYTES) == BODY
 
 
+@pytest.mark.parametrize("size", [15_000, 40_000])
+async def test_an_end_before_the_request_has_arrived_completes_no_answer(
+    size: int,
+) -> None:
+    listener = socket.socket()
+    # The kernel makes it as small as it can, so that no whole request fits.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    port = listener.getsockname()[1]
+    channel = await ChannelPool().connect(f"127.0.0.1:{port}")
+    server, _ = listener.accept()
+    with listener, server:
+        server.sendall(OK + ID + b"\r\n" + PART)
+        server.shutdown(socket.SHUT_WR)
+        with pytest.raises(ChannelError) as caught:
+            await fetch(channel, size)
+    assert caught.value.is_sent
+
+
 @pytest.mark.parametrize("stop", STOPS)
 @pytest.mark.parametrize("kind", KINDS)
 async def test_no_client_gets_a_part_that_was_sent_during_an_upload(
