Let a relay report an end as a reset unless the server had all bytes

What callers saw: through an instance that relays, the part of an answer with neither a length nor chunks was passed on as a complete one, when its server closed the connection before it had the request.

Cause: the relay reported a regular end whatever had become of the bytes that were on their way to the server, and the peer cannot know that. A failure to send ended the whole tunnel, so that the relay was taken for lost.

Why this works: the relay knows of bytes that it has not sent, has not read, or that the server has not acknowledged. With any of these the end is no proof, which is what a reset means to the peer; the messages stay as they are, so that instances of both builds work together. After a failure to send, the relay forwards what the server has sent before, so that early answers with an end of their own arrive.

--- a/ashpond/clients/peermessages.py
+++ b/ashpond/clients/peermessages.py
@@ -294,7 +294,8 @@
 class TunnelEnd(NamedTuple):
     """The server has closed or reset its connection.
 
-    The loss of the connection between the instances is not such an end.
+    One that it closed before it had all bytes of the sender counts as reset. The loss
+    of the connection between the instances is not such an end.
     """
 
     is_reset: bool
--- a/ashpond/fleet/relaying.py
+++ b/ashpond/fleet/relaying.py
@@ -16,7 +16,13 @@
     TunnelEnd,
     TunnelRequest,
 )
-from ashpond.clients.sockets import close_socket, open_socket, receive, send_all
+from ashpond.clients.sockets import (
+    close_socket,
+    has_unacknowledged_data,
+    open_socket,
+    receive,
+    send_all,
+)
 from ashpond.clients.tunnels import PIECE_BYTES, TunnelState
 from ashpond.fleet.links import run_until_end
 
@@ -39,10 +45,15 @@
 
 
 class _Traffic:
-    """The state of one tunnel; ``awaits_server`` from a request until its answer."""
+    """The state of one tunnel; ``awaits_server`` from a request until its answer.
+
+    ``has_unsent_data`` is whether bytes of the peer are yet to be sent to the server,
+    which stays so once that has failed.
+    """
 
     def __init__(self) -> None:
         self.awaits_server = False
+        self.has_unsent_data = False
         self.moved_at = trio.current_time()
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -169,9 +180,7 @@
             while True:
                 message = await stream.receive()
                 if isinstance(message, TunnelData):
-                    traffic.awaits_server = True
-                    traffic.sent_bytes += len(message.data)
-                    await send_all(sock, message.data)
+                    await _forward_request(sock, message.data, traffic)
                 elif isinstance(message, TunnelBackoff):
                     # The server counts the peer's requests as this instance's.
                     seconds = min(max(0.0, message.seconds), MAX_BACKOFF_SECONDS)
@@ -191,7 +200,10 @@
             except OSError:
                 await stream.send(TunnelEnd(is_reset=True))
                 return
-            await stream.send(TunnelEnd(is_reset=False))
+            # The peer cannot know which of its bytes the server has.
+            is_early = traffic.has_unsent_data or stream.has_data()
+            is_early = is_early or has_unacknowledged_data(sock)
+            await stream.send(TunnelEnd(is_reset=is_early))
 
         reason = await run_until_end(forward_requests, forward_answers)
         if reason:
@@ -206,3 +218,18 @@
                 if traffic.is_idle(now):
                     traffic.scope.cancel()
             await trio.sleep(DRAIN_CHECK_SECONDS)
+
+
+async def _forward_request(sock: socket.socket, data: bytes, traffic: _Traffic) -> None:
+    """Send bytes of a request; discard them once sending has failed."""
+    if traffic.has_unsent_data:
+        return
+    traffic.awaits_server = True
+    traffic.has_unsent_data = True
+    try:
+        await send_all(sock, data)
+    except OSError:
+        # What the server has sent before is still to be forwarded.
+        return
+    traffic.sent_bytes += len(data)
+    traffic.has_unsent_data = False
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -51,14 +51,18 @@
         await stream.send_all(OK + fields + b"\r\n" + part)
         if seconds:
             await trio.sleep(seconds)
-        if ending is Ending.RESET:
-            reset(stream)
-        else:
-            stream.socket.close()
+        end_connection(stream, ending)
 
     return send
 
 
+def end_connection(stream: trio.SocketStream, ending: Ending) -> None:
+    if ending is Ending.RESET:
+        reset(stream)
+    else:
+        stream.socket.close()
+
+
 async def read_head(stream: trio.SocketStream) -> bytes:
     """Return the head of a request, and little more than that."""
     data = b""
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -19,6 +19,7 @@
     PART,
     Ending,
     collect_unsound,
+    end_connection,
     read_head,
     send_part,
 )
@@ -51,7 +52,7 @@
 
 STOPS = [
     *(Stop(size) for size in SIZES),
-    *(Stop(size, Ending.CLOSE) for size in SIZES[1:]),
+    *(Stop(size, Ending.CLOSE) for size in SIZES),
     *(Stop(seconds=seconds) for seconds in (0.02, 0.2)),
 ]
 
@@ -185,9 +186,10 @@
 
 
 @pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("ending", [None, *Ending])
 @pytest.mark.parametrize("name", WHOLE_ANSWERS)
 async def test_an_answer_with_an_end_of_its_own_may_precede_an_upload(
-    name: str, way: str
+    name: str, ending: Ending | None, way: str
 ) -> None:
     async def script(stream: trio.SocketStream, number: int) -> None:
         if way == "kept":
@@ -195,10 +197,16 @@
             await stream.send_all(make_answer(b"first"))
         if await read_head(stream):
             await stream.send_all(WHOLE_ANSWERS[name])
-            await trio.sleep_forever()
+            if ending is None:
+                await trio.sleep_forever()
+            end_connection(stream, ending)
 
-    async with run_server(script) as address, open_way(way, address) as acquire:
-        assert await fetch(await acquire(), UPLOAD_BYTES) == BODY
+    async with (
+        run_server_in_thread(script) as address,
+        open_way(way, address) as acquire,
+    ):
+        for _ in range(3):
+            assert await fetch(await acquire(), UPLOAD_BYTES) == BODY
 
 
 @pytest.mark.parametrize("way", WAYS)
