Test that answers whose head is none reach no client

Statuses that are none but for 600 and more, and lines whose field name is empty or holds a blank or a control byte, also in place of Content-Length and Transfer-Encoding, at each place of a head and in that of an informational response: the code already takes all of them for an error, direct, on used connections and through a relay. Routes of all kinds answer with 502, or with another server's answer where they may retry. Fields after the last chunk reach no client.

--- /dev/null
+++ b/tests/test_broken_heads.py
@@ -0,0 +1,72 @@
+"""No client gets an answer whose head is no head of HTTP/1.1."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from ashpond.clients.channels import ChannelError
+from tests.broken_answers import BODY, ID, ask, collect_unsound, read_fields
+from tests.broken_heads import BROKEN_HEADS
+from tests.relays import make_request
+from tests.servers import make_answer, read_request, run_server
+from tests.test_gateway_ingress import run_gateway
+from tests.test_torn_answers import LONG_SECONDS, MAX_BYTES, WAYS, open_way
+from tests.test_torn_routed_answers import KINDS, ROUTES
+
+# Those that clients of all kinds of route are shown.
+ROUTED_HEADS = (
+    *("status 000", "status 099", "status 101"),
+    *("blank inside", "control byte inside", "blank behind", "empty name", "no colon"),
+    *("length, blank behind", "chunks, control byte behind"),
+)
+
+
+@pytest.mark.parametrize("name", BROKEN_HEADS)
+@pytest.mark.parametrize("way", WAYS)
+async def test_an_answer_with_a_broken_head_is_an_error(way: str, name: str) -> None:
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        if way == "kept":
+            await read_request(stream)
+            await stream.send_all(make_answer(b"first"))
+        if await read_request(stream):
+            await stream.send_all(BROKEN_HEADS[name])
+            await stream.send_eof()
+
+    async with run_server(script) as address, open_way(way, address) as acquire:
+        channel = await acquire()
+        with trio.fail_after(LONG_SECONDS), pytest.raises(ChannelError) as caught:
+            response = await channel.exchange(make_request())
+            await response.read_all(MAX_BYTES)
+        assert caught.value.is_sent
+        channel.close()
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_no_client_gets_an_answer_with_a_broken_head(kind: str) -> None:
+    names = iter(ROUTED_HEADS)
+
+    async def send(stream: trio.SocketStream, fields: bytes) -> None:
+        await stream.send_all(BROKEN_HEADS[next(names)].replace(ID, fields))
+        await stream.send_eof()
+
+    assert await collect_unsound(send, kind, ROUTED_HEADS) == {}
+
+
+async def test_fields_after_the_last_chunk_reach_no_client() -> None:
+    """Neither do continued ones, which leave the body as it is."""
+    trailers = b"X-Sum: 1\r\n 2\r\n"
+
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        while request := await read_request(stream):
+            answer = make_answer(b"", read_fields(request)["x-request-id"])
+            answer = answer.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            await stream.send_all(answer + b"5\r\nwhole\r\n0\r\n" + trailers + b"\r\n")
+
+    async with (
+        run_server(script) as address,
+        run_gateway(address, routes=ROUTES) as running,
+    ):
+        seen = await ask(running, "unrepeatable", "id-1")
+    assert (seen.status, seen.content) == (200, BODY)
+    assert b"x-sum" not in seen.data.lower()
