--- a/ashpond/fleet/relaying.py
+++ b/ashpond/fleet/relaying.py
@@ -134,6 +134,7 @@
                 sent_bytes=traffic.sent_bytes,
                 received_bytes=traffic.received_bytes,
                 awaits_server=traffic.awaits_server,
+                has_unsent_data=traffic.has_unsent_data,
             )
 
     def find_refusal(
