Take an answer whose status is over 599 for a broken one

What callers saw: an answer with the status 600 or 999 was passed on. An order or a write to the store with such an answer counted as refused, though it may have been performed.

Cause: h11 takes three digits from 200 on for a status; RFC 9110 knows none outside 100 to 599. Nothing else judged it.

Evidence: ten cases of test_broken_heads failed before: direct, on used connections, through a relay, on routes that may not retry, for orders and for writes. A request that may be retried was served by another server before, as any 5xx and above is. Statuses under 100, 1xx and those that are not three digits were broken already.

Why this works: heads are judged in one place, where each answer of a server is read, before it is matched to its request. The callers' API fails each status from 500 on.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -26,6 +26,7 @@
 from ashpond.clients.readlimits import MAX_STALE_BYTES, ReadLimits
 from ashpond.clients.responseheads import (
     Framing,
+    find_fault,
     find_framing,
     find_header,
     find_idle_limit,
@@ -248,6 +249,9 @@
                 event = await self._next_event(shield_ready_data=True)
             if not isinstance(event, h11.Response):
                 raise ChannelError("no answer came", is_sent=True)
+            fault = find_fault(event.status_code)
+            if fault is not None:
+                raise ChannelError(f"not a whole answer: {fault}", is_sent=True)
             headers = [(bytes(name), bytes(value)) for name, value in event.headers]
             if self._matches_request(headers, request):
                 self._read_idle_limit(headers)
--- a/ashpond/clients/responseheads.py
+++ b/ashpond/clients/responseheads.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "Framing",
+    "find_fault",
     "find_framing",
     "find_header",
     "find_idle_limit",
@@ -17,6 +18,8 @@
     from ashpond.wire import Headers
 
 BODYLESS_STATUSES = (204, 304)
+# No other statuses exist (RFC 9110, section 15).
+STATUSES = range(100, 600)
 
 
 class Framing(StrEnum):
@@ -32,6 +35,16 @@
     CLOSE = "close"
 
 
+def find_fault(status: int) -> str | None:
+    """Return why the head of a response is none of HTTP/1.1, None if it may be one.
+
+    Judges what ``h11`` does not.
+    """
+    if status not in STATUSES:
+        return f"{status} is no status"
+    return None
+
+
 def find_framing(method: str, status: int, headers: Headers) -> Framing:
     """Return the framing of the response to a request.
 
--- a/tests/broken_heads.py
+++ b/tests/broken_heads.py
@@ -10,7 +10,7 @@
 BYTES = {"blank": b" ", "tab": b"\t", "control byte": b"\x01"}
 
 STATUSES = (
-    *(b"000", b"099", b"101", b"199"),
+    *(b"000", b"099", b"101", b"199", b"600", b"999"),
     *(b"20", b"2000", b"1000", b"+20", b"2 0", b"20x"),
 )
 # Lines that are no fields, and what is wrong with them.
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -5,9 +5,16 @@
 import pytest
 import trio
 
+from ashpond.clients.channelpools import ChannelPool
 from ashpond.clients.channels import ChannelError
+from ashpond.gateway.orders import WeightsOrder
+from ashpond.gateway.store import Row
+from ashpond.outcomes import MaybeRun, Unknown
+from ashpond_platform.engines import build_engine_port
+from ashpond_platform.store import build_store
 from tests.broken_answers import BODY, ID, ask, collect_unsound, read_fields
 from tests.broken_heads import BROKEN_HEADS
+from tests.gateway_builders import make_server
 from tests.relays import make_request
 from tests.servers import make_answer, read_request, run_server
 from tests.test_gateway_ingress import run_gateway
@@ -16,7 +23,7 @@
 
 # Those that clients of all kinds of route are shown.
 ROUTED_HEADS = (
-    *("status 000", "status 099", "status 101"),
+    *("status 000", "status 099", "status 101", "status 600", "status 999"),
     *("blank inside", "control byte inside", "blank behind", "empty name", "no colon"),
     *("length, blank behind", "chunks, control byte behind"),
 )
@@ -53,6 +60,24 @@
     assert await collect_unsound(send, kind, ROUTED_HEADS) == {}
 
 
+@pytest.mark.parametrize("status", [b"000", b"600", b"999"])
+async def test_an_order_or_a_write_without_a_status_may_have_been_performed(
+    status: bytes,
+) -> None:
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        while await read_request(stream):
+            await stream.send_all(make_answer(b"{}").replace(b"200", status, 1))
+
+    async with run_server(script) as address:
+        port = build_engine_port(ChannelPool())
+        order = WeightsOrder("m1", 2, "i0", 41, 3)
+        ordered = await port.order(make_server(address=address), order)
+        store = build_store(lambda: address, ChannelPool())
+        written = await store.write([], [Row("t", "k", b"v", 0)])
+    assert isinstance(ordered, MaybeRun)
+    assert isinstance(written, Unknown)
+
+
 async def test_fields_after_the_last_chunk_reach_no_client() -> None:
     """Neither do continued ones, which leave the body as it is."""
     trailers = b"X-Sum: 1\r\n 2\r\n"
