Take an answer in whose head a line continues another for a broken one

What callers saw: a line of a head that begins with a blank or a tab was joined to the field before it, which arrived changed. A length or chunks on such a line were not seen, so that the body came with its chunk sizes, or with bytes after its end.

Cause: h11 still reads line folding and replaces it by a blank. RFC 9112, 5.2, allows a proxy that, or to discard the response; only the latter passes on nothing that the server has not said.

Now those that may retry are served by another server, and the others get 502.

Why this works: the bytes of the heads are judged as they were received, in the place where the status is. Lines of a body, and fields after the last chunk, are not looked at; the latter are not passed on.

--- a/ashpond/clients/channels.py
+++ b/ashpond/clients/channels.py
@@ -173,6 +173,8 @@
         self._names_request_ids = True
         self._clock = clock
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
+        # What has been received since the heads of a response began.
+        self._heads = bytearray()
         self._has_sent_bytes = False
         self._is_request_sent = False
         self._idle_seconds = DEFAULT_IDLE_SECONDS
@@ -188,6 +190,7 @@
         self._has_sent_bytes = False
         self._is_request_sent = False
         self._read_at = self._clock()
+        self._heads.clear()
         self.requests += 1
         self.limits = ReadLimits()
         head = h11.Request(
@@ -249,7 +252,8 @@
                 event = await self._next_event(shield_ready_data=True)
             if not isinstance(event, h11.Response):
                 raise ChannelError("no answer came", is_sent=True)
-            fault = find_fault(event.status_code)
+            fault = find_fault(event.status_code, self._heads)
+            self._heads.clear()
             if fault is not None:
                 raise ChannelError(f"not a whole answer: {fault}", is_sent=True)
             headers = [(bytes(name), bytes(value)) for name, value in event.headers]
@@ -311,6 +315,7 @@
             if request.body:
                 self._conn.send(h11.Data(data=request.body))
             self._conn.send(h11.EndOfMessage())
+            self._heads[:] = self._conn.trailing_data[0]
         except h11.ProtocolError as error:
             raise ChannelError("the connection is closing", is_sent=True) from error
 
@@ -342,6 +347,8 @@
                 if not data and not self._has_server_request():
                     reason = "the connection ended before the request was sent"
                     raise ChannelError(reason, is_sent=True)
+                if self._conn.their_state is h11.SEND_RESPONSE:
+                    self._heads += data
                 self._conn.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise ChannelError(f"not a whole answer: {error}", is_sent=True) from error
--- a/ashpond/clients/responseheads.py
+++ b/ashpond/clients/responseheads.py
@@ -11,6 +11,7 @@
     "find_length",
 ]
 
+import re
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,10 @@
 BODYLESS_STATUSES = (204, 304)
 # No other statuses exist (RFC 9110, section 15).
 STATUSES = range(100, 600)
+# The line ends are those that h11 accepts.
+HEAD_END = re.compile(rb"\n\r?\n")
+FOLDED_LINE = re.compile(rb"\n[ \t]")
+INFORMATIONAL = re.compile(rb"HTTP/\d\.\d 1")
 
 
 class Framing(StrEnum):
@@ -35,16 +40,36 @@
     CLOSE = "close"
 
 
-def find_fault(status: int) -> str | None:
+def find_fault(status: int, heads: bytes | bytearray) -> str | None:
     """Return why the head of a response is none of HTTP/1.1, None if it may be one.
 
     Judges what ``h11`` does not.
+
+    :param heads: that head as received, after those of informational responses; bytes
+        of the body may follow.
     """
     if status not in STATUSES:
         return f"{status} is no status"
+    if _has_folded_line(heads):
+        return "a line of the head continues the one before it"
     return None
 
 
+def _has_folded_line(heads: bytes | bytearray) -> bool:
+    """Return whether a field has several lines (RFC 9112, section 5.2).
+
+    ``h11`` joins them: a field is changed then, and a length or chunks are not seen.
+    """
+    start = 0
+    while end := HEAD_END.search(heads, start):
+        if FOLDED_LINE.search(heads, start, end.start()):
+            return True
+        if not INFORMATIONAL.match(heads, start):
+            return False
+        start = end.end()
+    return False
+
+
 def find_framing(method: str, status: int, headers: Headers) -> Framing:
     """Return the framing of the response to a request.
 
--- a/tests/broken_heads.py
+++ b/tests/broken_heads.py
@@ -6,6 +6,7 @@
 
 SEAL = b"X-Engine-Seal: s\r\n"
 LENGTH = b"Content-Length: %d\r\n" % len(BODY)
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
 CHUNKS = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
 BYTES = {"blank": b" ", "tab": b"\t", "control byte": b"\x01"}
 
@@ -25,6 +26,11 @@
     "empty name": b": a\r\n",
     "no colon": b"X-Lead\r\n",
 }
+FOLDS = {
+    "blank in front": b" X-Lead: a\r\n",
+    "tab in front": b"\tX-Lead: a\r\n",
+    "only a blank": b" \r\n",
+}
 # What such a line says of the body is lost, or changes another field.
 FRAMES = {
     "length, {} inside": (b"Content%sLength: 5\r\n", BODY),
@@ -75,6 +81,18 @@
     }
 
 
+def list_folded_frames() -> dict[str, bytes]:
+    """Return the same with a line that continues the field before it."""
+    answers: dict[str, bytes] = {}
+    for byte in ("blank", "tab"):
+        fields = ID + SEAL + BYTES[byte]
+        length, chunks = fields + LENGTH, fields + CHUNKED
+        answers[f"length, {byte} in front"] = make_whole(OK, length, BODY + b" more")
+        answers[f"chunks, {byte} in front"] = make_whole(OK, chunks, CHUNKS)
+    return answers
+
+
 STATUS_ANSWERS = list_statuses()
 NAME_ANSWERS = list_lines(LINES) | list_frames()
-BROKEN_HEADS = STATUS_ANSWERS | NAME_ANSWERS
+FOLDED_ANSWERS = list_lines(FOLDS) | list_folded_frames()
+BROKEN_HEADS = STATUS_ANSWERS | NAME_ANSWERS | FOLDED_ANSWERS
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -25,7 +25,8 @@
 ROUTED_HEADS = (
     *("status 000", "status 099", "status 101", "status 600", "status 999"),
     *("blank inside", "control byte inside", "blank behind", "empty name", "no colon"),
-    *("length, blank behind", "chunks, control byte behind"),
+    *("blank in front", "tab in front, in hints", "length, blank in front"),
+    *("chunks, tab in front", "length, blank behind", "chunks, control byte behind"),
 )
 
 
@@ -49,6 +50,45 @@
         channel.close()
 
 
+@pytest.mark.parametrize("way", WAYS)
+async def test_a_broken_head_after_a_late_answer_is_an_error(way: str) -> None:
+    late = make_answer(b"late", "id-0")
+
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        if way == "kept":
+            await read_request(stream)
+            await stream.send_all(make_answer(b"first"))
+        if await read_request(stream):
+            await stream.send_all(late + BROKEN_HEADS["blank in front"])
+            await stream.send_eof()
+
+    async with run_server(script) as address, open_way(way, address) as acquire:
+        channel = await acquire()
+        with pytest.raises(ChannelError):
+            await channel.exchange(make_request())
+        channel.close()
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("hints", [b"", b"HTTP/1.1 103 X\r\nX-Hint: 1\r\n\r\n"])
+async def test_lines_of_a_body_may_begin_with_blanks(hints: bytes, way: str) -> None:
+    body = b" a\r\n b\r\n\tc\r\n\r\n d"
+    late = make_answer(body, "id-0")
+
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        if way == "kept":
+            await read_request(stream)
+            await stream.send_all(make_answer(b"first"))
+        if await read_request(stream):
+            await stream.send_all(late + hints + make_answer(body))
+
+    async with run_server(script) as address, open_way(way, address) as acquire:
+        channel = await acquire()
+        response = await channel.exchange(make_request())
+        assert await response.read_all(MAX_BYTES) == body
+        channel.close()
+
+
 @pytest.mark.parametrize("kind", KINDS)
 async def test_no_client_gets_an_answer_with_a_broken_head(kind: str) -> None:
     names = iter(ROUTED_HEADS)
