--- a/ashpond/clients/sockets.py
+++ b/ashpond/clients/sockets.py
@@ -150,10 +150,13 @@
 
 
 def has_unacknowledged_data(sock: socket.socket) -> bool:
-    """Return whether the peer's kernel has not received all bytes that were sent.
+    """Return whether the peer's kernel may not have received all bytes that were sent.
 
-    The end of the peer's stream acknowledges all that had arrived before it.
+    The end of the peer's stream acknowledges all that had arrived before it. Nothing is
+    known of a closed socket.
     """
+    if sock.fileno() < 0:
+        return True
     # Linux defines SIOCOUTQ, which asks that of a socket, as TIOCOUTQ.
     answer = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(COUNT.size))
     return COUNT.unpack(answer)[0] > 0
