Raise an error where httpx reads on after a failure to send

What callers saw: on the callers' API, the part of an answer with neither a length nor chunks, that a server sent during an upload before it reset its connection, was a complete answer or completion. An object counted as stored when its store had answered so while it was being sent.

Cause: httpx drops an error of sending and reads on, as the server may have answered before. The end of the connection that it then meets completes such an answer, as on the routed path.

Why this works: the connections of our httpx clients know whether sending has failed and what the server's kernel has received, and turn such an end into an error of reading. An answer with a length is read before that end and passed on as before.

--- a/ashpond/clients/http.py
+++ b/ashpond/clients/http.py
@@ -17,6 +17,7 @@
 import trio
 
 from ashpond import __version__
+from ashpond.clients.checkedtransports import CheckedTransport
 from ashpond.clients.responseheads import Framing, find_framing
 from ashpond.clients.retryafter import REJECTIONS, parse_retry_after
 
@@ -89,9 +90,8 @@
     # server, and saves loading some hundred certificates.
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     return httpx.AsyncClient(
-        verify=context,
+        transport=CheckedTransport(context, limits),
         timeout=timeout,
-        limits=limits,
         trust_env=False,
         headers={"User-Agent": f"ashpond/{__version__}"},
     )
