Take folded lines in heads that httpx reads for broken ones

What callers saw: on the callers' API, an answer whose Transfer-Encoding stood on a line that begins with a blank came with its chunk sizes as its body, one whose Content-Length did with bytes after its end, and fields were joined.

Cause: httpx reads with h11, too, which joins such lines, and hands on only the result.

Why this works: the bytes are judged as they are received, by the same function as on the routed path, before httpx gets them. Heads of informational responses without end reach the limit that the routed path has for them.

--- a/ashpond/clients/checkedtransports.py
+++ b/ashpond/clients/checkedtransports.py
@@ -1,7 +1,7 @@
 """Transports of ``httpx`` that pass on no broken answer.
 
 ``httpx`` drops an error of sending, and reads a connection's end after it like a
-regular one.
+regular one. It also joins the lines of a field.
 """
 
 from __future__ import annotations
@@ -13,6 +13,8 @@
 import httpcore
 import httpx
 
+from ashpond.clients.readlimits import MAX_OVERHEAD_BYTES
+from ashpond.clients.responseheads import FOLDED, read_lines
 from ashpond.clients.sockets import has_unacknowledged_data
 
 if TYPE_CHECKING:
@@ -26,26 +28,42 @@
     def __init__(self, stream: httpcore.AsyncNetworkStream):
         self._stream = stream
         self._has_write_failed = False
+        # What has been received since the heads of a response began, None after them.
+        self._heads: bytearray | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the next bytes, empty at the end of the connection.
 
         :raises httpcore.ReadError: if it ends before the server has the request.
+        :raises httpcore.RemoteProtocolError: if a line of a head continues another.
         """
         data = await self._stream.read(max_bytes, timeout)
         if not data and not self._has_server_request():
             raise httpcore.ReadError("the connection ended before the request was sent")
+        if self._heads is not None:
+            self._heads += data
+            self._check_heads(self._heads)
         return data
 
     def _has_server_request(self) -> bool:
         sock = self._stream.get_extra_info("socket")
         return not self._has_write_failed and not has_unacknowledged_data(sock)
 
+    def _check_heads(self, heads: bytearray) -> None:
+        lines = read_lines(heads)
+        if lines.is_folded:
+            raise httpcore.RemoteProtocolError(FOLDED)
+        if lines.has_ended:
+            self._heads = None
+        elif len(heads) > MAX_OVERHEAD_BYTES:
+            raise httpcore.RemoteProtocolError("too many bytes before the body")
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Send all bytes.
+        """Send all bytes, after which the heads of a response are expected.
 
         :raises httpcore.WriteError: if the connection is broken.
         """
+        self._heads = bytearray()
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError:
--- a/ashpond/clients/responseheads.py
+++ b/ashpond/clients/responseheads.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 __all__ = [
+    "FOLDED",
     "Framing",
+    "HeadLines",
     "find_fault",
     "find_framing",
     "find_header",
     "find_idle_limit",
     "find_length",
+    "read_lines",
 ]
 
 import re
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from ashpond.wire import Headers
@@ -25,6 +28,7 @@
 HEAD_END = re.compile(rb"\n\r?\n")
 FOLDED_LINE = re.compile(rb"\n[ \t]")
 INFORMATIONAL = re.compile(rb"HTTP/\d\.\d 1")
+FOLDED = "a line of the head continues the one before it"
 
 
 class Framing(StrEnum):
@@ -50,24 +54,34 @@
     """
     if status not in STATUSES:
         return f"{status} is no status"
-    if _has_folded_line(heads):
-        return "a line of the head continues the one before it"
+    if read_lines(heads).is_folded:
+        return FOLDED
     return None
 
 
-def _has_folded_line(heads: bytes | bytearray) -> bool:
-    """Return whether a field has several lines (RFC 9112, section 5.2).
+class HeadLines(NamedTuple):
+    """What the lines of heads show: whether the last one has ended, and is folded."""
 
-    ``h11`` joins them: a field is changed then, and a length or chunks are not seen.
+    has_ended: bool
+    is_folded: bool
+
+
+def read_lines(heads: bytes | bytearray) -> HeadLines:
+    """Return whether the heads of a response have ended, and a field has several lines.
+
+    ``h11`` joins such lines (RFC 9112, section 5.2): the field is changed then, and a
+    length or chunks are not seen.
+
+    :param heads: as for :func:`find_fault`, perhaps not all of them.
     """
     start = 0
     while end := HEAD_END.search(heads, start):
         if FOLDED_LINE.search(heads, start, end.start()):
-            return True
+            return HeadLines(has_ended=True, is_folded=True)
         if not INFORMATIONAL.match(heads, start):
-            return False
+            return HeadLines(has_ended=True, is_folded=False)
         start = end.end()
-    return False
+    return HeadLines(has_ended=False, is_folded=False)
 
 
 def find_framing(method: str, status: int, headers: Headers) -> Framing:
--- a/tests/test_checkedtransports.py
+++ b/tests/test_checkedtransports.py
@@ -12,6 +12,7 @@
 from ashpond.clients.service import PlainRequest, send_plain
 from ashpond.outcomes import Answered, Done, MaybeRun, Unknown
 from tests.broken_answers import BODY, OK, Ending, end_connection, read_head
+from tests.broken_heads import BROKEN_HEADS
 from tests.servers import Script, read_request, run_server, run_server_in_thread
 
 ID = b"X-Attempt-Id: a1\r\n"
@@ -109,3 +110,27 @@
         await store.aclose()
     assert isinstance(outcome, Answered)
     assert outcome.response.body == BODY
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+@pytest.mark.parametrize("name", BROKEN_HEADS)
+async def test_an_answer_with_a_broken_head_is_none(name: str, is_kept: bool) -> None:
+    answer = BROKEN_HEADS[name].replace(b"X-Request-Id: id-1\r\n", ID)
+    whole = OK + ID + b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY
+
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        if is_kept:
+            await read_request(stream)
+            await stream.send_all(whole)
+        if await read_request(stream):
+            await stream.send_all(answer)
+            await stream.send_eof()
+
+    request = PlainRequest("POST", "/x", "", {}, b"", "a1", LONG_SECONDS)
+    async with (
+        run_server(script) as address,
+        make_client(5.0, LONG_SECONDS) as client,
+    ):
+        if is_kept:
+            assert isinstance(await send_plain(client, address, request), Answered)
+        assert isinstance(await send_plain(client, address, request), MaybeRun)
