--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -11,6 +11,9 @@
 
 from ashpond.clients.channelpools import ChannelPool
 from ashpond.clients.channels import Channel, ChannelError, OutgoingRequest
+from ashpond.gateway.store import Row
+from ashpond.outcomes import Unknown
+from ashpond_platform.store import build_store
 from tests.broken_answers import (
     BODY,
     EVENTS,
@@ -225,3 +228,20 @@
     async with run_server(script) as address, open_way(way, address) as acquire:
         for _ in range(5):
             assert await fetch(await acquire(), size) == BODY
+
+
+@pytest.mark.parametrize("ending", Ending)
+@pytest.mark.parametrize("size", SIZES)
+async def test_a_write_answered_while_it_is_sent_may_have_been_performed(
+    size: int, ending: Ending
+) -> None:
+    async def script(stream: trio.SocketStream, number: int) -> None:
+        if await read_head(stream):
+            await stream.send_all(OK + b'\r\n{"ver": 5}')
+            end_connection(stream, ending)
+
+    async with run_server_in_thread(script) as address:
+        store = build_store(lambda: address, ChannelPool())
+        for _ in range(3):
+            written = await store.write([], [Row("t", "k", b"v" * size, 0)])
+            assert isinstance(written, Unknown)
