--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -10,6 +10,7 @@
 
 from tests.servers import make_answer, run_server_in_thread
 from tests.soak.resets import reset
+from tests.soak.servers import parse_headers
 from tests.test_gateway_ingress import RunningGateway, make_request, run_gateway
 from tests.test_torn_routed_answers import (
     LONG_SECONDS,
@@ -41,14 +42,14 @@
     CLOSE = "close"
 
 
-def send_part(ending: Ending, seconds: float, part: bytes = PART) -> Send:
+def send_part(ending: Ending, seconds: float) -> Send:
     """Return the function that answers without a length, in part.
 
     :param seconds: how long the connection stays open after it.
     """
 
     async def send(stream: trio.SocketStream, fields: bytes) -> None:
-        await stream.send_all(OK + fields + b"\r\n" + part)
+        await stream.send_all(OK + fields + b"\r\n" + PART)
         if seconds:
             await trio.sleep(seconds)
         end_connection(stream, ending)
@@ -80,8 +81,8 @@
     lines = head.lower().split(b"\r\n")
     lengths = [line[15:] for line in lines if line.startswith(b"content-length:")]
     left = int(lengths[0]) - len(body) if lengths else 0
-    while left > 0:
-        left -= len(await stream.receive_some(min(left, 65_536)))
+    while left > 0 and (piece := await stream.receive_some(min(left, 65_536))):
+        left -= len(piece)
 
 
 class BrokenServers:
@@ -101,7 +102,7 @@
             if request.startswith(READ_OF_STATE):
                 await stream.send_all(make_answer(b"", status=404))
                 continue
-            headers = read_fields(request)
+            _, _, headers = parse_headers(request)
             request_id = headers["x-request-id"]
             self.runs[request_id] += 1
             if self.runs[request_id] == 1:
@@ -116,15 +117,6 @@
             await stream.send_all(make_answer(body, request_id))
 
 
-def read_fields(request: bytes) -> dict[str, str]:
-    """Return the headers of a request, with names in lower case."""
-    lines = request.partition(b"\r\n\r\n")[0].decode().split("\r\n")[1:]
-    return {
-        name.lower(): value.strip()
-        for name, _, value in (line.partition(":") for line in lines)
-    }
-
-
 async def ask(
     running: RunningGateway, kind: str, request_id: str, body: bytes = b""
 ) -> Outcome:
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -12,11 +12,12 @@
 from ashpond.outcomes import MaybeRun, Unknown
 from ashpond_platform.engines import build_engine_port
 from ashpond_platform.store import build_store
-from tests.broken_answers import BODY, ID, ask, collect_unsound, read_fields
+from tests.broken_answers import BODY, ID, ask, collect_unsound
 from tests.broken_heads import BROKEN_HEADS
 from tests.gateway_builders import make_server
 from tests.relays import make_request
 from tests.servers import make_answer, read_request, run_server
+from tests.soak.servers import parse_headers
 from tests.test_gateway_ingress import run_gateway
 from tests.test_torn_answers import LONG_SECONDS, MAX_BYTES, WAYS, open_way
 from tests.test_torn_routed_answers import KINDS, ROUTES
@@ -124,7 +125,8 @@
 
     async def script(stream: trio.SocketStream, number: int) -> None:
         while request := await read_request(stream):
-            answer = make_answer(b"", read_fields(request)["x-request-id"])
+            _, _, headers = parse_headers(request)
+            answer = make_answer(b"", headers["x-request-id"])
             answer = answer.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
             await stream.send_all(answer + b"5\r\nwhole\r\n0\r\n" + trailers + b"\r\n")
 
